--- /dev/null
+++ b/src/common/clock.ts
@@ -0,0 +1,95 @@
+/** Time as the rest of the code sees it: a monotonic clock for deadlines, a wall clock for display only. */
+export interface Clock {
+  /** Monotonic milliseconds. */
+  now (): number
+  /** Milliseconds since 1970. It may jump, so no decision depends on it. */
+  wall (): number
+  /** Resolves after `ms`, or as soon as `signal` is aborted. */
+  sleep (ms: number, signal?: AbortSignal): Promise<void>
+}
+
+export interface ManualClock extends Clock {
+  /** Advances the clock and wakes each sleeper at its own time, in order. */
+  advance (ms: number): Promise<void>
+  /** Shifts the wall clock without touching the monotonic one. */
+  setWallOffset (ms: number): void
+}
+
+interface Sleeper {
+  deadline: number
+  order: number
+  wake: () => void
+}
+
+export function createSystemClock (): Clock {
+  return {
+    now: () => performance.now(),
+    wall: () => Date.now(),
+    sleep: (ms, signal) => new Promise((resolve) => {
+      if (signal?.aborted) return resolve()
+      const finish = (): void => {
+        clearTimeout(timer)
+        signal?.removeEventListener('abort', finish)
+        resolve()
+      }
+      const timer = setTimeout(finish, ms)
+      signal?.addEventListener('abort', finish, { once: true })
+    })
+  }
+}
+
+export function createManualClock (start = 0): ManualClock {
+  let now = start
+  let order = 0
+  let wallOffset = 0
+  const sleepers = new Set<Sleeper>()
+
+  const sleep = (ms: number, signal?: AbortSignal): Promise<void> => new Promise((resolve) => {
+    if (signal?.aborted) return resolve()
+    const sleeper: Sleeper = {
+      deadline: now + Math.max(0, ms),
+      order: order++,
+      wake: () => {
+        sleepers.delete(sleeper)
+        signal?.removeEventListener('abort', sleeper.wake)
+        resolve()
+      }
+    }
+    sleepers.add(sleeper)
+    signal?.addEventListener('abort', sleeper.wake, { once: true })
+  })
+
+  const advance = async (ms: number): Promise<void> => {
+    const end = now + ms
+    await runMicrotasks()
+    for (let next = findNext(sleepers, end); next !== undefined; next = findNext(sleepers, end)) {
+      now = Math.max(now, next.deadline)
+      next.wake()
+      await runMicrotasks()
+    }
+    now = end
+  }
+
+  return {
+    now: () => now,
+    wall: () => now + wallOffset,
+    sleep,
+    advance,
+    setWallOffset: (ms) => { wallOffset = ms }
+  }
+}
+
+function findNext (sleepers: Set<Sleeper>, end: number): Sleeper | undefined {
+  return [...sleepers]
+    .filter((sleeper) => sleeper.deadline <= end)
+    .reduce<Sleeper | undefined>((first, sleeper) =>
+      first === undefined || sleeper.deadline < first.deadline ||
+      (sleeper.deadline === first.deadline && sleeper.order < first.order)
+        ? sleeper
+        : first, undefined)
+}
+
+/** Lets every promise that is already resolved run its continuations, across several links of a chain. */
+function runMicrotasks (): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve))
+}
--- /dev/null
+++ b/src/coordination/placement/types.ts
@@ -0,0 +1,75 @@
+import type { Policy, Resources } from '../../state/schemas.js'
+
+/** A task as placement sees it: a batch task of a job, or a replica of a latency-critical service. */
+export interface PlacementTask {
+  id: string
+  job: string
+  member: string
+  jobClass: string
+  /** Set for a replica of a latency-critical service. */
+  service?: string
+  size: Resources
+  expectedRunMs: number
+  urgent: boolean
+  idempotent: boolean
+  /** True when it resumes from a checkpoint after an eviction. */
+  resumed: boolean
+}
+
+export type Observation =
+  | { kind: 'policy', preset: string, revision: number, policy: Policy, isolated: boolean }
+  | { kind: 'member', member: string, quota: Resources, weight: number }
+  | { kind: 'service', service: string, member: string, latencyMs: number, quantile: number }
+  | { kind: 'worker-up', worker: string, rack: string, availabilityZone: string, capacity: Resources }
+  | { kind: 'worker-down', worker: string }
+  | { kind: 'worker-drain', worker: string }
+  | { kind: 'task-queued', task: PlacementTask }
+  | { kind: 'task-cancelled', task: string }
+  /** A start was recorded or found running after a takeover. */
+  | { kind: 'task-started', task: PlacementTask, worker: string }
+  | { kind: 'task-stopping', task: string }
+  | { kind: 'task-ended', task: string, worker: string, result: 'succeeded' | 'failed' | 'stopped' | 'refused' | 'lost' }
+  | { kind: 'usage', task: string, worker: string, cores: number, memoryBytes: number, measuredAt: number }
+  | { kind: 'latency', service: string, worker: string, p99Ms: number, count: number, measuredAt: number }
+  | { kind: 'guard', worker: string, active: boolean }
+
+export type EvictionCause = 'interference' | 'capacity' | 'drain' | 'priority' | 'quota'
+
+/** What a decision rests on, in a form that can be shown. */
+export interface Reason {
+  summary: string
+  /** Figures by name with their age in ms. */
+  figures: Array<{ name: string, value: number, unit: string, ageMs: number }>
+  alternatives: Array<{ worker: string, score: number, rejectedBecause: string }>
+  preset: string
+  revision: number
+}
+
+export type Decision =
+  | { kind: 'start', task: string, worker: string, size: Resources, reason: Reason }
+  | { kind: 'throttle', task: string, worker: string, share: number, reason: Reason }
+  | { kind: 'checkpoint', task: string, worker: string, reason: Reason }
+  | { kind: 'stop', task: string, worker: string, cause: EvictionCause, causingMember: string, causingTask: string, reason: Reason }
+  /** The task can never run; `dimension` names the resource that no worker has. */
+  | { kind: 'refuse', task: string, dimension: keyof Resources, reason: Reason }
+  | { kind: 'quarantine', worker: string, reason: Reason }
+  | { kind: 'probe', worker: string, reason: Reason }
+
+export interface Subject { kind: 'task' | 'job' | 'worker' | 'preset', id: string }
+
+export interface Explanation {
+  /** Monotonic ms of the decision, and how many alike it stands for. */
+  at: number
+  repeated: number
+  decision: Decision['kind'] | 'wait'
+  task?: string
+  worker?: string
+  reason: Reason
+}
+
+/** Decides without waiting for anything. `now` is monotonic ms. */
+export interface Placement {
+  observe (observation: Observation, now: number): void
+  decide (now: number): Decision[]
+  explain (subject: Subject): Explanation[]
+}
--- /dev/null
+++ b/src/state/agreedLog.ts
@@ -0,0 +1,42 @@
+import type { Result } from '../common/index.js'
+import type { Acceptance, AgreedState, Rejection } from './agreedState.js'
+import type { Entry } from './schemas.js'
+
+export interface Applied { index: number, value: Acceptance }
+
+/** `not-recorded` is said only when it is certain that no host will ever apply the entry. */
+export type LogFailure =
+  | { kind: 'no-leader', message: string }
+  | { kind: 'not-recorded', message: string }
+  | { kind: 'outcome-unknown', message: string }
+  | { kind: 'rejected', rejection: Rejection }
+  | { kind: 'stopped', message: string }
+
+export type LogRole = 'leader' | 'follower' | 'candidate' | 'learner'
+
+export interface LogStatus {
+  role: LogRole
+  term: number
+  leader: string | undefined
+  commitIndex: number
+  appliedIndex: number
+  voters: string[]
+  learners: string[]
+  /** Known on the leader only. */
+  progress: Array<{ host: string, matchIndex: number, votes: boolean, lastHeardAgoMs: number }>
+  /** Voters that may still be lost before changes stop. */
+  survivableLosses: number
+}
+
+/** The replicated log as the layers above use it. */
+export interface AgreedLog {
+  /** May be called on any host; it is forwarded to the leader. `deadline` is local monotonic ms. */
+  propose (entry: Entry, deadline: number): Promise<Result<Applied, LogFailure>>
+  /** Resolves with an index up to which the local state is known to be current. */
+  readBarrier (deadline: number): Promise<Result<number, LogFailure>>
+  state (): AgreedState
+  status (): LogStatus
+  /** Called after each applied entry, in order. Returns a function that ends the subscription. */
+  subscribe (listener: (entry: Entry, index: number) => void): () => void
+  stop (): Promise<void>
+}
--- /dev/null
+++ b/src/state/agreedState.ts
@@ -0,0 +1,312 @@
+import { Err, Ok, type Result } from '../common/index.js'
+import type { Entry, EntryKind, Host, Job, Member, Policy, Service, TaskOutcome, Worker } from './schemas.js'
+
+const MAX_REMEMBERED_REQUESTS = 10_000
+/** A zone's share of a job keeps the ids of its ended tasks only until the whole job has ended. */
+const MAX_ENDED_JOBS = 20_000
+
+export interface Configuration {
+  revision: number
+  preset: string
+  presets: Record<string, Policy>
+  setBy: string
+  reason: string
+  /** Wall-clock time for display. */
+  since: number
+}
+
+/** One availability zone's authority over its tasks. */
+export interface ZoneAuthority {
+  availabilityZone: string
+  epoch: number
+  host: string
+  incarnation: string
+  /** Workers that may grant the coordinator its lease in this epoch. */
+  witnesses: string[]
+  /** Entry hosts that keep the journal in this epoch. */
+  journalGroup: string[]
+  retired: boolean
+}
+
+export interface JobRecord {
+  job: Job
+  /** Owner of each run of task numbers, in order. */
+  zones: Array<{ availabilityZone: string, tasks: number }>
+  /** Owners that a transfer changed, by task number. */
+  moved: Record<number, string>
+  outcomes: Record<number, TaskOutcome>
+  cancelled: boolean
+  createdAt: number
+}
+
+/** The state that every entry host derives from the agreed log. Plain data, so that a snapshot is its encoding. */
+export interface AgreedState {
+  configuration: Configuration
+  /** Committed but not yet in force. */
+  pending: Configuration | undefined
+  members: Record<string, Member>
+  services: Record<string, Service>
+  jobs: Record<string, JobRecord>
+  /** Ids of jobs all of whose tasks have ended, oldest first. */
+  endedJobs: string[]
+  hosts: Record<string, Host>
+  workers: Record<string, Worker>
+  zones: Record<string, ZoneAuthority>
+  requests: Record<string, Outcome>
+  /** Request ids, oldest first. */
+  requestOrder: string[]
+}
+
+/** Why an entry changed nothing. It is the same on every host. */
+export type Rejection =
+  | { kind: 'stale-revision', baseRevision: number, currentRevision: number, preset: string, setBy: string, reason: string }
+  | { kind: 'change-pending', pendingRevision: number, preset: string, setBy: string }
+  | { kind: 'unknown-preset', preset: string, known: string[] }
+  | { kind: 'unknown-member', member: string }
+  | { kind: 'unknown-service', service: string }
+  | { kind: 'unknown-job', job: string }
+  | { kind: 'unknown-host', host: string }
+  | { kind: 'unknown-worker', worker: string }
+  | { kind: 'unknown-zone', availabilityZone: string }
+  | { kind: 'not-owner', id: string }
+  | { kind: 'already-exists', id: string }
+  | { kind: 'epoch-superseded', availabilityZone: string, epoch: number, host: string }
+  | { kind: 'zone-retired', availabilityZone: string }
+  | { kind: 'not-pending', revision: number }
+  | { kind: 'outcome-is-final', job: string, task: number, outcome: TaskOutcome }
+  | { kind: 'invalid-division', expected: number, actual: number }
+
+export interface Acceptance { revision?: number, epoch?: number }
+export type Outcome = { accepted: true, value: Acceptance } | { accepted: false, rejection: Rejection }
+
+type EntryOf<K extends EntryKind> = Extract<Entry, { kind: K }>
+type Handler<K extends EntryKind> = (state: AgreedState, entry: EntryOf<K>) => Result<Acceptance, Rejection>
+type Handlers = { [K in EntryKind]: Handler<K> }
+
+/** The policies a new deployment starts with; settings may add more presets. */
+export const DEFAULT_PRESETS: Record<string, Policy> = {
+  ordinary: { tailLatencyWeight: 1, throughputWeight: 1, evictionWeight: 1, safetyMargin: 0.5, batchShare: 0.8, explorationRate: 0.02, evictionsPerMinute: 6, queuePerSlot: 4 },
+  peak: { tailLatencyWeight: 4, throughputWeight: 0.5, evictionWeight: 1, safetyMargin: 0.8, batchShare: 0.5, explorationRate: 0, evictionsPerMinute: 12, queuePerSlot: 2 },
+  maintenance: { tailLatencyWeight: 1, throughputWeight: 0.5, evictionWeight: 4, safetyMargin: 0.5, batchShare: 0.6, explorationRate: 0, evictionsPerMinute: 2, queuePerSlot: 4 }
+}
+
+export function createAgreedState (presets: Record<string, Policy> = DEFAULT_PRESETS, preset = 'ordinary'): AgreedState {
+  return {
+    configuration: { revision: 0, preset, presets, setBy: 'settings', reason: 'initial configuration', since: 0 },
+    pending: undefined,
+    members: {},
+    services: {},
+    jobs: {},
+    endedJobs: [],
+    hosts: {},
+    workers: {},
+    zones: {},
+    requests: {},
+    requestOrder: []
+  }
+}
+
+/** Applies one entry in place. A request id that was seen before returns its first outcome. */
+export function applyEntry (state: AgreedState, entry: Entry): Outcome {
+  const requestId = 'requestId' in entry ? entry.requestId : undefined
+  const remembered = requestId === undefined ? undefined : state.requests[requestId]
+  if (remembered !== undefined) return remembered
+  const handler = handlers[entry.kind] as (state: AgreedState, entry: Entry) => Result<Acceptance, Rejection>
+  const result = handler(state, entry)
+  const outcome: Outcome = result.ok
+    ? { accepted: true, value: result.val }
+    : { accepted: false, rejection: result.val }
+  if (requestId !== undefined) recordRequest(state, requestId, outcome)
+  return outcome
+}
+
+/** The zone that owns a task, or nothing when the job or the task is unknown. */
+export function findOwner (record: JobRecord, task: number): string | undefined {
+  const moved = record.moved[task]
+  if (moved !== undefined) return moved
+  return record.zones.reduce<{ left: number, owner?: string }>((walk, share) => {
+    if (walk.owner !== undefined) return walk
+    return walk.left < share.tasks
+      ? { left: 0, owner: share.availabilityZone }
+      : { left: walk.left - share.tasks }
+  }, { left: task }).owner
+}
+
+/** Task numbers of a job that a zone owns and that have no outcome yet. */
+export function listOpenTasks (record: JobRecord, availabilityZone: string): number[] {
+  return Array.from({ length: record.job.tasks }, (_, task) => task)
+    .filter((task) => record.outcomes[task] === undefined && findOwner(record, task) === availabilityZone)
+}
+
+const handlers: Handlers = {
+  noop: () => Ok({}),
+
+  'config.propose': (state, { change, wallTime }) => {
+    const current = state.configuration
+    if (state.pending !== undefined) {
+      const { revision, preset, setBy } = state.pending
+      return Err({ kind: 'change-pending', pendingRevision: revision, preset, setBy })
+    }
+    if (change.baseRevision !== current.revision) {
+      const { revision, preset, setBy, reason } = current
+      return Err({ kind: 'stale-revision', baseRevision: change.baseRevision, currentRevision: revision, preset, setBy, reason })
+    }
+    const presets = { ...current.presets, ...change.presets }
+    if (presets[change.preset] === undefined) {
+      return Err({ kind: 'unknown-preset', preset: change.preset, known: Object.keys(presets) })
+    }
+    const revision = current.revision + 1
+    state.pending = { revision, preset: change.preset, presets, setBy: change.setBy, reason: change.reason, since: wallTime }
+    return Ok({ revision })
+  },
+
+  'config.activate': (state, { revision, wallTime }) => {
+    if (state.pending?.revision !== revision) return Err({ kind: 'not-pending', revision })
+    state.configuration = { ...state.pending, since: wallTime }
+    state.pending = undefined
+    return Ok({ revision })
+  },
+
+  'member.put': (state, { member }) => {
+    state.members[member.id] = member
+    return Ok({})
+  },
+
+  'service.put': (state, { service }) => {
+    if (state.members[service.member] === undefined) return Err({ kind: 'unknown-member', member: service.member })
+    const existing = state.services[service.id]
+    if (existing !== undefined && existing.member !== service.member) return Err({ kind: 'not-owner', id: service.id })
+    state.services[service.id] = service
+    return Ok({})
+  },
+
+  'service.remove': (state, { service, member }) => {
+    const existing = state.services[service]
+    if (existing === undefined) return Err({ kind: 'unknown-service', service })
+    if (existing.member !== member) return Err({ kind: 'not-owner', id: service })
+    delete state.services[service]
+    return Ok({})
+  },
+
+  'job.create': (state, { job, zones, wallTime }) => {
+    if (state.members[job.member] === undefined) return Err({ kind: 'unknown-member', member: job.member })
+    if (state.jobs[job.id] !== undefined) return Err({ kind: 'already-exists', id: job.id })
+    const divided = zones.reduce((sum, share) => sum + share.tasks, 0)
+    if (divided !== job.tasks) return Err({ kind: 'invalid-division', expected: job.tasks, actual: divided })
+    state.jobs[job.id] = { job, zones, moved: {}, outcomes: {}, cancelled: false, createdAt: wallTime }
+    return Ok({})
+  },
+
+  'job.cancel': (state, { job, member }) => {
+    const record = state.jobs[job]
+    if (record === undefined) return Err({ kind: 'unknown-job', job })
+    if (record.job.member !== member) return Err({ kind: 'not-owner', id: job })
+    record.cancelled = true
+    return Ok({})
+  },
+
+  'job.resolve': (state, { job, task, outcome }) => {
+    const record = state.jobs[job]
+    if (record === undefined) return Err({ kind: 'unknown-job', job })
+    const existing = record.outcomes[task]
+    if (existing !== undefined && existing !== 'unknown') return Err({ kind: 'outcome-is-final', job, task, outcome: existing })
+    record.outcomes[task] = outcome
+    recordEnd(state, record)
+    return Ok({})
+  },
+
+  // The owner of a task is the only one that reports its outcome, and the first one stands.
+  'job.summary': (state, { availabilityZone, outcomes }) => {
+    outcomes.forEach(([job, task, outcome]) => {
+      const record = state.jobs[job]
+      if (record === undefined || record.outcomes[task] !== undefined) return
+      if (findOwner(record, task) !== availabilityZone) return
+      record.outcomes[task] = outcome
+      recordEnd(state, record)
+    })
+    return Ok({})
+  },
+
+  'host.add': (state, { host }) => {
+    state.hosts[host.id] = host
+    state.zones[host.availabilityZone] ??= {
+      availabilityZone: host.availabilityZone, epoch: 0, host: '', incarnation: '', witnesses: [], journalGroup: [], retired: false
+    }
+    return Ok({})
+  },
+
+  'host.remove': (state, { host }) => {
+    if (state.hosts[host] === undefined) return Err({ kind: 'unknown-host', host })
+    delete state.hosts[host]
+    return Ok({})
+  },
+
+  'worker.register': (state, { worker }) => {
+    state.workers[worker.id] = worker
+    return Ok({})
+  },
+
+  'worker.remove': (state, { worker }) => {
+    if (state.workers[worker] === undefined) return Err({ kind: 'unknown-worker', worker })
+    delete state.workers[worker]
+    return Ok({})
+  },
+
+  'zone.grant': (state, { availabilityZone, previousEpoch, host, incarnation }) => {
+    const zone = state.zones[availabilityZone]
+    if (zone === undefined) return Err({ kind: 'unknown-zone', availabilityZone })
+    if (zone.retired) return Err({ kind: 'zone-retired', availabilityZone })
+    if (zone.epoch !== previousEpoch) {
+      return Err({ kind: 'epoch-superseded', availabilityZone, epoch: zone.epoch, host: zone.host })
+    }
+    const epoch = zone.epoch + 1
+    state.zones[availabilityZone] = {
+      ...zone,
+      epoch,
+      host,
+      incarnation,
+      witnesses: listIdsInZone(state.workers, availabilityZone),
+      journalGroup: listIdsInZone(state.hosts, availabilityZone)
+    }
+    return Ok({ epoch })
+  },
+
+  'zone.transfer': (state, { from, to, tasks }) => {
+    if (state.zones[to] === undefined) return Err({ kind: 'unknown-zone', availabilityZone: to })
+    tasks.forEach(([job, task]) => {
+      const record = state.jobs[job]
+      if (record !== undefined && findOwner(record, task) === from) record.moved[task] = to
+    })
+    return Ok({})
+  },
+
+  'zone.retire': (state, { availabilityZone }) => {
+    const zone = state.zones[availabilityZone]
+    if (zone === undefined) return Err({ kind: 'unknown-zone', availabilityZone })
+    state.zones[availabilityZone] = { ...zone, retired: true }
+    return Ok({ epoch: zone.epoch })
+  }
+}
+
+function listIdsInZone (items: Record<string, { id: string, availabilityZone: string }>, availabilityZone: string): string[] {
+  return Object.values(items)
+    .filter((item) => item.availabilityZone === availabilityZone)
+    .map((item) => item.id)
+    .sort()
+}
+
+function recordRequest (state: AgreedState, requestId: string, outcome: Outcome): void {
+  state.requests[requestId] = outcome
+  state.requestOrder.push(requestId)
+  const oldest = state.requestOrder.length > MAX_REMEMBERED_REQUESTS ? state.requestOrder.shift() : undefined
+  if (oldest !== undefined) delete state.requests[oldest]
+}
+
+function recordEnd (state: AgreedState, record: JobRecord): void {
+  const outcomes = Object.values(record.outcomes)
+  // A task whose outcome is unknown still waits for a person, so the job stays.
+  if (outcomes.length < record.job.tasks || outcomes.includes('unknown')) return
+  state.endedJobs.push(record.job.id)
+  const oldest = state.endedJobs.length > MAX_ENDED_JOBS ? state.endedJobs.shift() : undefined
+  if (oldest !== undefined) delete state.jobs[oldest]
+}
--- /dev/null
+++ b/test/clock.test.ts
@@ -0,0 +1,55 @@
+import { expect, test } from 'vitest'
+import { createManualClock, createRandom } from '../src/common/index.js'
+
+test('the manual clock wakes sleepers in order of their deadlines, not of their calls', async () => {
+  const clock = createManualClock()
+  const woken: Array<[string, number]> = []
+  const sleepThenNote = async (name: string, ms: number): Promise<void> => {
+    await clock.sleep(ms)
+    woken.push([name, clock.now()])
+    if (name === 'a') await sleepThenNote('after-a', 5)
+  }
+  sleepThenNote('b', 20)
+  sleepThenNote('a', 10)
+  await clock.advance(30)
+  expect(woken).toMatchInlineSnapshot(`
+    [
+      [
+        "a",
+        10,
+      ],
+      [
+        "after-a",
+        15,
+      ],
+      [
+        "b",
+        20,
+      ],
+    ]
+  `)
+})
+
+test('an aborted sleep resolves at once, so that a stop does not wait for timers', async () => {
+  const clock = createManualClock()
+  const controller = new AbortController()
+  const done = clock.sleep(1000, controller.signal).then(() => clock.now())
+  controller.abort()
+  expect(await done).toBe(0)
+})
+
+test('a seed gives the same numbers again, so that a failing run can be repeated', () => {
+  const draw = (): number[] => {
+    const random = createRandom(7)
+    return [random.below(10), random.below(10), random.below(10), Math.floor(random.next() * 100)]
+  }
+  expect(draw()).toEqual(draw())
+  expect(draw()).toMatchInlineSnapshot(`
+    [
+      0,
+      0,
+      5,
+      22,
+    ]
+  `)
+})
