Add peer sockets, HTTP interface, settings and command line

Cause: the parts need a daemon and a tool around them. Change: ws + msgpackr links between entry hosts with signed offers and silence detection, the HTTP interface over the EntryHost port, checked TOML settings with one shared file for each deployment, the command line.

--- /dev/null
+++ b/src/programs/cli/commands/shared.ts
@@ -0,0 +1,69 @@
+import { userInfo } from 'node:os'
+import { boolean, command, flag, number, option, optional, positional, string } from 'cmd-ts'
+import { loadClientOptions, sendCall, type Answer, type Call } from '../client.js'
+import { describeClientFailure, getExitCode, renderValue } from '../output.js'
+
+const BYTES_PER_GB = 1e9
+
+/** Where to send a call and as whom. */
+export const connection = {
+  endpoint: option({ type: optional(string), long: 'endpoint', description: 'URLs of entry hosts, separated by commas; or SEQUOIADRIFT_ENDPOINTS' }),
+  token: option({ type: optional(string), long: 'token', description: 'bearer token; or SEQUOIADRIFT_TOKEN' }),
+  settings: option({ type: optional(string), long: 'settings', description: 'TOML file with endpoints and token; or SEQUOIADRIFT_CLIENT_SETTINGS' })
+}
+export const json = flag({ type: boolean, long: 'json', description: 'print the answer as JSON' })
+export const requestId = option({ type: optional(string), long: 'request-id', description: 'id of this change; resend with the same id to learn its outcome' })
+export const by = option({ type: string, long: 'by', defaultValue: () => userInfo().username, description: 'who makes the change' })
+
+export type Connection = { endpoint?: string | undefined, token?: string | undefined, settings?: string | undefined }
+
+export function createId (name: string): ReturnType<typeof positional<typeof string>> {
+  return positional({ type: string, displayName: name })
+}
+
+export const size = {
+  cores: option({ type: number, long: 'cores', defaultValue: () => 1 }),
+  memoryGb: option({ type: number, long: 'memory-gb', defaultValue: () => 1 }),
+  accelerators: option({ type: number, long: 'accelerators', defaultValue: () => 0 })
+}
+
+/** A command that reads: prints a table, or JSON with `--json`. */
+export function createRead (description: string, path: string, pick?: (value: never) => unknown): ReturnType<typeof command> {
+  return command({
+    name: description,
+    description,
+    args: { ...connection, json },
+    handler: async ({ json, ...flags }) => await runRead(flags, json, path, pick)
+  }) as ReturnType<typeof command>
+}
+
+export async function runRead (flags: Connection, json: boolean, path: string, pick?: (value: never) => unknown): Promise<void> {
+  const answer = await runCall(flags, { method: 'GET', path })
+  if (answer === undefined) return
+  const value = JSON.parse(answer.text) as never
+  console.log(json ? JSON.stringify(value, null, 2) : renderValue(pick === undefined ? value : pick(value)))
+}
+
+export async function runChange (flags: Connection, call: Call): Promise<void> {
+  const answer = await runCall(flags, call)
+  if (answer === undefined) return
+  console.log(renderValue(JSON.parse(answer.text)))
+}
+
+export async function runReport (flags: Connection, format: 'json' | 'text' | 'html'): Promise<void> {
+  const answer = await runCall(flags, { method: 'GET', path: `/v1/reports/burn?format=${format}` })
+  if (answer !== undefined) console.log(answer.text)
+}
+
+export async function runCall (flags: Connection, call: Call): Promise<Answer | undefined> {
+  const options = await loadClientOptions(flags)
+  const answer = options.ok ? await sendCall(options.val, call) : options
+  if (answer.ok) return answer.val
+  console.error(describeClientFailure(answer.val))
+  process.exitCode = getExitCode(answer.val)
+  return undefined
+}
+
+export function createSize (args: { cores: number, memoryGb: number, accelerators: number }): Record<string, number> {
+  return { cores: args.cores, memoryBytes: args.memoryGb * BYTES_PER_GB, accelerators: args.accelerators }
+}
--- /dev/null
+++ b/src/transport/http/server.ts
@@ -0,0 +1,88 @@
+import 'reflect-metadata'
+import { Catch, HttpException, Module, type ArgumentsHost, type DynamicModule, type ExceptionFilter } from '@nestjs/common'
+import { NestFactory } from '@nestjs/core'
+import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify'
+import type { Logger } from '../../common/index.js'
+import { createFailure, HTTP_STATUS, type ApiFailure, type ApiFailureKind, type EntryHost } from '../../protocol/index.js'
+import { FailureException, type HttpReply } from './exchange.js'
+import { OperationsController } from './operations.js'
+import { RequestsController } from './requests.js'
+import { ENTRY_HOST } from './tokens.js'
+import { WorkController } from './work.js'
+
+/** The largest body of a request, in bytes. */
+export const MAX_BODY_BYTES = 1024 * 1024
+/** A request that has not arrived whole by then is answered with a timeout. */
+const REQUEST_ARRIVAL_MS = 15_000
+const IDLE_CONNECTION_MS = 75_000
+
+export interface HttpServerOptions {
+  host: string
+  port: number
+  entryHost: EntryHost
+  logger: Logger
+}
+
+export interface HttpServer {
+  /** Stops listening, waits for requests in flight and closes idle connections. */
+  close (): Promise<void>
+}
+
+export async function openHttpServer ({ host, port, entryHost, logger }: HttpServerOptions): Promise<HttpServer> {
+  const adapter = new FastifyAdapter({
+    bodyLimit: MAX_BODY_BYTES,
+    requestTimeout: REQUEST_ARRIVAL_MS,
+    keepAliveTimeout: IDLE_CONNECTION_MS,
+    forceCloseConnections: 'idle',
+    routerOptions: { maxParamLength: 128 }
+  })
+  const app = await NestFactory.create<NestFastifyApplication>(createHttpModule(entryHost), adapter, { bodyParser: false, logger: false })
+  const fastify = app.getHttpAdapter().getInstance()
+  fastify.removeAllContentTypeParsers()
+  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+  app.useGlobalFilters(new FailureFilter(logger))
+  await app.listen(port, host)
+  return { close: () => app.close() }
+}
+
+@Module({})
+class HttpModule {}
+
+function createHttpModule (entryHost: EntryHost): DynamicModule {
+  return {
+    module: HttpModule,
+    controllers: [RequestsController, WorkController, OperationsController],
+    providers: [{ provide: ENTRY_HOST, useValue: entryHost }]
+  }
+}
+
+/** Failures that the framework raises by itself, by status code. */
+const FRAMEWORK_FAILURES: Record<number, ApiFailureKind> = { 400: 'invalid', 404: 'not-found', 408: 'timeout', 413: 'too-large', 414: 'invalid', 415: 'invalid' }
+
+@Catch()
+class FailureFilter implements ExceptionFilter {
+  constructor (private readonly logger: Logger) {}
+
+  catch (exception: unknown, host: ArgumentsHost): void {
+    const reply = host.switchToHttp().getResponse<HttpReply>()
+    const failure = this.describe(exception)
+    if (reply.sent) return
+    reply.code(HTTP_STATUS[failure.kind]).send({ error: failure })
+  }
+
+  private describe (exception: unknown): ApiFailure {
+    if (exception instanceof FailureException) return exception.failure
+    const status = getStatus(exception)
+    const kind = status === undefined ? undefined : FRAMEWORK_FAILURES[status]
+    const message = exception instanceof Error ? exception.message : 'unknown error'
+    if (kind !== undefined) return createFailure(kind, message)
+    this.logger.error('request failed unexpectedly', { error: message, stack: exception instanceof Error ? exception.stack : undefined })
+    return createFailure('internal', 'internal error; the log of this host has the details')
+  }
+}
+
+function getStatus (exception: unknown): number | undefined {
+  if (exception instanceof HttpException) return exception.getStatus()
+  const status = (exception as { statusCode?: unknown } | null)?.statusCode
+  return typeof status === 'number' ? status : undefined
+}
--- /dev/null
+++ b/src/transport/peerNetwork.ts
@@ -0,0 +1,113 @@
+import { WebSocketServer, type WebSocket } from 'ws'
+import type { IncomingMessage } from 'node:http'
+import type { Clock, Logger, Metrics, Network, RequestHandler } from '../common/index.js'
+import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
+import { checkPeerOffer, type PeerOffer } from './peerAuth.js'
+import { createPeerLink, type PeerLink } from './peerLink.js'
+
+export interface PeerNetworkOptions {
+  self: string
+  listenHost: string
+  listenPort: number
+  secret: string
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  /** `ip:port` of a host, or nothing when the host is not known. */
+  findAddress (host: string): string | undefined
+}
+
+export interface PeerNetwork extends Network {
+  /** Bytes sent to and received from peers since the start. */
+  getTraffic (): { sent: number, received: number }
+  close (): Promise<void>
+}
+
+interface Traffic { sent: number, received: number }
+
+/** Listens for peers and connects to them on demand; each request travels on one connection of its sender. */
+export async function openPeerNetwork (options: PeerNetworkOptions): Promise<PeerNetwork> {
+  const handlers = new Map<string, RequestHandler>()
+  const links = new Map<string, PeerLink>()
+  const traffic: Traffic = { sent: 0, received: 0 }
+  const server = await openServer(options)
+  server.on('connection', (socket, request) => handleConnection(options, handlers, traffic, socket, request))
+
+  const getLink = (to: string): PeerLink => {
+    const existing = links.get(to)
+    if (existing !== undefined) return existing
+    const link = createPeerLink(options, to, traffic)
+    links.set(to, link)
+    return link
+  }
+
+  return {
+    self: options.self,
+    request: (to, kind, body, deadline) => getLink(to).request(kind, body, deadline),
+    handle: (kind, handler) => { handlers.set(kind, handler) },
+    getTraffic: () => ({ ...traffic }),
+    close: async () => {
+      await Promise.all([...links.values()].map((link) => link.close()))
+      server.clients.forEach((socket) => socket.terminate())
+      await new Promise<void>((resolve) => server.close(() => resolve()))
+    }
+  }
+}
+
+function openServer (options: PeerNetworkOptions): Promise<WebSocketServer> {
+  return new Promise((resolve, reject) => {
+    const server = new WebSocketServer({
+      host: options.listenHost,
+      port: options.listenPort,
+      maxPayload: MAX_MESSAGE_BYTES,
+      perMessageDeflate: false,
+      verifyClient: ({ req }: { req: IncomingMessage }) => checkPeerOffer(options.secret, options.self, readOffer(req), options.clock.wall())
+    })
+    server.once('listening', () => resolve(server))
+    server.once('error', reject)
+  })
+}
+
+function readOffer (request: IncomingMessage): PeerOffer {
+  const read = (name: string): string => String(request.headers[`sequoiadrift-${name}`] ?? '')
+  return { host: read('host'), to: read('to'), nonce: read('nonce'), signedAt: read('signed-at'), signature: read('signature') }
+}
+
+function handleConnection (options: PeerNetworkOptions, handlers: Map<string, RequestHandler>, traffic: Traffic, socket: WebSocket, request: IncomingMessage): void {
+  const from = readOffer(request).host
+  const logger = options.logger.child({ peer: from })
+  logger.info('peer connected')
+  socket.on('error', (error) => logger.warn('peer connection failed', { error: error.message }))
+  socket.on('close', () => logger.info('peer disconnected'))
+  socket.on('message', (data: Buffer) => {
+    traffic.received += data.length
+    const envelope = decodeEnvelope(data)
+    if (!envelope.ok || envelope.val.type !== 'request') {
+      logger.warn('peer sent a malformed message', { bytes: data.length })
+      socket.terminate()
+      return
+    }
+    const { id, kind, body } = envelope.val
+    handleRequest(handlers, from, kind, body).then(
+      (reply) => sendReply(socket, traffic, { type: 'reply', id, body: reply }),
+      (error: unknown) => {
+        const message = error instanceof Error ? error.message : 'handler failed'
+        logger.warn('request of a peer failed', { kind, error: message })
+        sendReply(socket, traffic, { type: 'failure', id, message })
+      }
+    )
+  })
+}
+
+async function handleRequest (handlers: Map<string, RequestHandler>, from: string, kind: string, body: unknown): Promise<unknown> {
+  const handler = handlers.get(kind)
+  if (handler === undefined) throw new Error(`no handler for message kind "${kind}"`)
+  return await handler(from, body)
+}
+
+function sendReply (socket: WebSocket, traffic: Traffic, envelope: Envelope): void {
+  if (socket.readyState !== socket.OPEN) return
+  const data = encodeEnvelope(envelope)
+  traffic.sent += data.length
+  socket.send(data)
+}
