--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -1,5 +1,6 @@
 import { WebSocketServer, type WebSocket } from 'ws'
 import type { IncomingMessage } from 'node:http'
+import type { AddressInfo } from 'node:net'
 import type { Clock, Logger, Metrics, Network, RequestHandler } from '../common/index.js'
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
 import { checkPeerOffer, type PeerOffer } from './peerAuth.js'
@@ -18,6 +19,8 @@
 }
 
 export interface PeerNetwork extends Network {
+  /** The port that it listens on, of use when the port was chosen by the system. */
+  getPort (): number
   /** Bytes sent to and received from peers since the start. */
   getTraffic (): { sent: number, received: number }
   close (): Promise<void>
@@ -45,6 +48,7 @@
     self: options.self,
     request: (to, kind, body, deadline) => getLink(to).request(kind, body, deadline),
     handle: (kind, handler) => { handlers.set(kind, handler) },
+    getPort: () => (server.address() as AddressInfo).port,
     getTraffic: () => ({ ...traffic }),
     close: async () => {
       await Promise.all([...links.values()].map((link) => link.close()))
