Add the configuration module with leased claims

A new leader waits for a full lease. changePreset gives typed outcomes. Conclusion: the interface is fixed; several hosts are not yet proved.

--- /dev/null
+++ b/src/coordination/configuration/change.ts
@@ -0,0 +1,73 @@
+import type { Clock, Result } from '../../common/index.js'
+import { configurationChangeSchema, type AgreedLog, type Applied, type ConfigurationChange, type LogFailure, type Policy } from '../../state/index.js'
+
+const RETRY_MS = 100
+
+export interface PresetChange {
+  /** Names the operator's request; a resend with the same id returns the first outcome. */
+  requestId: string
+  /** The revision that the operator saw. */
+  baseRevision: number
+  preset: string
+  /** Preset tables to replace or add. */
+  presets?: Record<string, Policy>
+  setBy: string
+  reason: string
+}
+
+export interface Winner { revision: number, preset: string, setBy: string }
+
+export type ChangeOutcome =
+  /** The revision was activated. `currentRevision` is higher when a later change has superseded it. */
+  | { kind: 'in-force', revision: number, currentRevision: number }
+  /** Accepted, so it will be in force and cannot be lost, but its activation was not seen before the deadline. */
+  | { kind: 'accepted-pending', revision: number }
+  /** Nothing was changed, because another change was first. A new attempt needs a new request id. */
+  | { kind: 'lost-race', winner: Winner, winnerPending: boolean }
+  | { kind: 'unknown-preset', preset: string, known: string[] }
+  | { kind: 'invalid-change', message: string }
+  /** Certain that nothing was changed, for instance because no leader could be reached. */
+  | { kind: 'not-accepted', message: string }
+  /** The change may or may not have been accepted; resend it with the same request id. */
+  | { kind: 'outcome-unknown', requestId: string, message: string }
+
+/** Proposes a change until its outcome is known or the deadline has passed. */
+export async function proposeChange (log: AgreedLog, clock: Clock, request: PresetChange, deadline: number): Promise<ChangeOutcome> {
+  const { requestId, ...fields } = request
+  const parsed = configurationChangeSchema.safeParse(fields)
+  if (!parsed.success) return { kind: 'invalid-change', message: parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`).join('; ') }
+  const propose = (): Promise<Result<Applied, LogFailure>> =>
+    log.propose({ kind: 'config.propose', requestId, change: parsed.data, wallTime: clock.wall() }, deadline)
+
+  let mayBeRecorded = false
+  let result = await propose()
+  while (!result.ok && result.val.kind !== 'rejected' && result.val.kind !== 'stopped') {
+    mayBeRecorded ||= result.val.kind === 'outcome-unknown'
+    if (clock.now() + RETRY_MS >= deadline) break
+    await clock.sleep(RETRY_MS)
+    // The request id makes the repetition safe even when the first proposal was recorded.
+    result = await propose()
+  }
+  if (result.ok) return { kind: 'accepted-pending', revision: result.val.value.revision ?? 0 }
+  return describeFailure(result.val, requestId, mayBeRecorded, parsed.data)
+}
+
+function describeFailure (failure: LogFailure, requestId: string, mayBeRecorded: boolean, change: ConfigurationChange): ChangeOutcome {
+  if (failure.kind === 'rejected') return describeRejection(failure, change)
+  return mayBeRecorded || failure.kind === 'outcome-unknown'
+    ? { kind: 'outcome-unknown', requestId, message: failure.message }
+    : { kind: 'not-accepted', message: failure.message }
+}
+
+function describeRejection ({ rejection }: Extract<LogFailure, { kind: 'rejected' }>, change: ConfigurationChange): ChangeOutcome {
+  if (rejection.kind === 'stale-revision') {
+    const { currentRevision: revision, preset, setBy } = rejection
+    return { kind: 'lost-race', winner: { revision, preset, setBy }, winnerPending: false }
+  }
+  if (rejection.kind === 'change-pending') {
+    const { pendingRevision: revision, preset, setBy } = rejection
+    return { kind: 'lost-race', winner: { revision, preset, setBy }, winnerPending: true }
+  }
+  if (rejection.kind === 'unknown-preset') return { kind: 'unknown-preset', preset: change.preset, known: rejection.known }
+  return { kind: 'invalid-change', message: `the agreed log rejected the change: ${rejection.kind}` }
+}
--- /dev/null
+++ b/src/coordination/configuration/configuration.ts
@@ -0,0 +1,174 @@
+import { randomUUID } from 'node:crypto'
+import type { Clock, Logger, Metrics, Network } from '../../common/index.js'
+import type { AgreedLog } from '../../state/index.js'
+import { proposeChange, type ChangeOutcome, type PresetChange } from './change.js'
+import { createLeaseGranter } from './granter.js'
+import { createLeaseHolder, type ConfigurationView } from './holder.js'
+import { RENEW_INTERVAL_MS, RENEW_KIND, renewReplySchema, renewRequestSchema, type RenewReply } from './messages.js'
+
+/** A reply later than this is of little use; the next renewal has been sent by then. */
+const RENEW_TIMEOUT_MS = 800
+/** Shortest time between two renewals that events trigger. */
+const MIN_RENEW_GAP_MS = 10
+const NO_LEADER_RETRY_MS = 100
+
+export interface ConfigurationOptions {
+  self: string
+  clock: Clock
+  network: Network
+  log: AgreedLog
+  logger: Logger
+  metrics: Metrics
+}
+
+export interface ConfigurationModule {
+  /** What this host may say about the configuration at this moment. */
+  getConfiguration (): ConfigurationView
+  /** `deadline` is local monotonic ms; it bounds the wait for the activation too. */
+  changePreset (request: PresetChange, deadline: number): Promise<ChangeOutcome>
+  /**
+   * Called when the claim or the revision changes. The end of a lease is reported by a timer and thus late;
+   * decisions use `getConfiguration`, which checks the clock.
+   */
+  subscribe (listener: (view: ConfigurationView) => void): () => void
+  /** Releases the lease, so that a planned stop delays no change. */
+  stop (): Promise<void>
+}
+
+/** Renews this host's lease on the current revision and, on the leader, grants leases and activates changes. */
+export function createConfiguration (options: ConfigurationOptions): ConfigurationModule {
+  const { self, clock, network, log, logger, metrics } = options
+  const holder = createLeaseHolder(randomUUID(), log.state().configuration)
+  const granter = createLeaseGranter({ clock, log, logger, metrics })
+  const listeners = new Set<(view: ConfigurationView) => void>()
+  const renewWake = createWake(clock)
+  const activateWake = createWake(clock)
+  const reportWake = createWake(clock)
+  const stopping = new AbortController()
+  let reported = ''
+
+  const getConfiguration = (): ConfigurationView => {
+    holder.observeState(log.state())
+    return holder.getView(clock.now())
+  }
+
+  const reportClaim = (): ConfigurationView => {
+    const view = getConfiguration()
+    const summary = `${view.claim} ${view.revision}`
+    if (summary === reported) return view
+    reported = summary
+    logger.info('configuration_claim', { claim: view.claim, revision: view.revision, preset: view.preset })
+    metrics.gauge('config.revision', view.revision)
+    metrics.count('config.claim_changes', 1, { claim: view.claim })
+    listeners.forEach((listener) => listener(view))
+    return view
+  }
+
+  const handleRenew = async (from: string, body: unknown): Promise<RenewReply> => {
+    const request = renewRequestSchema.safeParse(body)
+    if (!request.success) return { kind: 'refused', reason: 'invalid-request' }
+    const reply = granter.handleRenew(from, request.data)
+    // The granter has recorded the confirmation; it may be the last one that the activation waits for.
+    if (request.data.floor > log.state().configuration.revision) activateWake.wake()
+    return await reply
+  }
+
+  const sendRenewal = async (leader: string): Promise<void> => {
+    const request = holder.createRequest()
+    const sentAt = clock.now()
+    const result = leader === self
+      ? { ok: true as const, val: await handleRenew(self, request) }
+      : await network.request(leader, RENEW_KIND, request, sentAt + RENEW_TIMEOUT_MS)
+    const reply = result.ok ? renewReplySchema.safeParse(result.val) : undefined
+    metrics.count('config.renewals', 1, { result: reply?.success ? reply.data.kind : 'no-reply' })
+    if (stopping.signal.aborted || !reply?.success) return
+    const floorBefore = holder.createRequest().floor
+    holder.handleReply(reply.data, sentAt)
+    reportClaim()
+    reportWake.wake()
+    // A pending change was learned from the reply; the leader waits for the confirmation.
+    if (holder.createRequest().floor > floorBefore && reply.data.kind === 'suspended') renewWake.wake()
+  }
+
+  const runRenewals = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      const leader = log.status().leader
+      // Not awaited, so that a silent connection does not delay the next renewal.
+      if (leader !== undefined) sendRenewal(leader)
+      await clock.sleep(MIN_RENEW_GAP_MS)
+      await renewWake.wait(leader === undefined ? NO_LEADER_RETRY_MS : RENEW_INTERVAL_MS - MIN_RENEW_GAP_MS)
+    }
+  }
+
+  const runActivations = async (): Promise<void> => {
+    while (!stopping.signal.aborted) await activateWake.wait(await granter.activatePending())
+  }
+
+  const runReports = async (): Promise<void> => {
+    while (!stopping.signal.aborted) {
+      const { leaseDeadline } = reportClaim()
+      await reportWake.wait(leaseDeadline === undefined ? RENEW_INTERVAL_MS : leaseDeadline - clock.now())
+    }
+  }
+
+  const unsubscribe = log.subscribe((entry) => {
+    if (entry.kind !== 'config.propose' && entry.kind !== 'config.activate') return
+    reportClaim()
+    renewWake.wake()
+    activateWake.wake()
+  })
+  network.handle(RENEW_KIND, handleRenew)
+  const loops = [runRenewals(), runActivations(), runReports()]
+
+  const changePreset = async (request: PresetChange, deadline: number): Promise<ChangeOutcome> => {
+    const outcome = await proposeChange(log, clock, request, deadline)
+    metrics.count('config.changes', 1, { outcome: outcome.kind })
+    return outcome.kind === 'accepted-pending' ? await waitUntilInForce(outcome.revision, deadline) : outcome
+  }
+
+  const waitUntilInForce = async (revision: number, deadline: number): Promise<ChangeOutcome> => {
+    const isClaimed = (): boolean => {
+      const view = getConfiguration()
+      return view.claim === 'in-force' && view.revision >= revision
+    }
+    const controller = new AbortController()
+    const endSubscription = subscribe(() => { if (isClaimed()) controller.abort() })
+    if (!isClaimed()) await clock.sleep(deadline - clock.now(), controller.signal)
+    endSubscription()
+    const currentRevision = getConfiguration().revision
+    return currentRevision >= revision
+      ? { kind: 'in-force', revision, currentRevision }
+      : { kind: 'accepted-pending', revision }
+  }
+
+  const subscribe = (listener: (view: ConfigurationView) => void): (() => void) => {
+    listeners.add(listener)
+    return () => { listeners.delete(listener) }
+  }
+
+  const stop = async (): Promise<void> => {
+    stopping.abort()
+    unsubscribe()
+    holder.release()
+    reportClaim()
+    const leader = log.status().leader
+    if (leader !== undefined) await sendRenewal(leader)
+    const wakes = [renewWake, activateWake, reportWake]
+    wakes.forEach((wake) => wake.wake())
+    await Promise.all(loops)
+  }
+
+  return { getConfiguration, changePreset, subscribe, stop }
+}
+
+/** A wait that another part of the module can cut short. A wake before the wait counts for it. */
+function createWake (clock: Clock): { wait (ms: number): Promise<void>, wake (): void } {
+  let controller = new AbortController()
+  return {
+    wait: async (ms) => {
+      await clock.sleep(Math.max(0, ms), controller.signal)
+      controller = new AbortController()
+    },
+    wake: () => controller.abort()
+  }
+}
--- /dev/null
+++ b/src/coordination/configuration/granter.ts
@@ -0,0 +1,128 @@
+import type { Clock, Logger, Metrics, Result } from '../../common/index.js'
+import type { AgreedLog, LogFailure } from '../../state/index.js'
+import { GRANT_HOLD_MS, LEASE_MS, type RenewReply, type RenewRequest } from './messages.js'
+
+const BARRIER_TIMEOUT_MS = 400
+const ACTIVATE_TIMEOUT_MS = 500
+
+/** Upper bound on the time between two checks of a pending change. */
+export const ACTIVATION_CHECK_MS = 100
+
+export interface GranterOptions { clock: Clock, log: AgreedLog, logger: Logger, metrics: Metrics }
+
+/** The leader's side of the leases. It is idle on every other host. */
+export interface LeaseGranter {
+  handleRenew (from: string, request: RenewRequest): Promise<RenewReply>
+  /** Activates the pending revision once no lower one can be claimed. Returns the ms until the next check. */
+  activatePending (): Promise<number>
+}
+
+interface Grant {
+  host: string
+  /** Local time after which the lease has ended on every permitted clock. */
+  expiresAt: number
+  /** Highest floor that this session has confirmed. */
+  floor: number
+}
+
+/** One unbroken time as leader. */
+interface Leadership {
+  term: number
+  /** Until then, any host may hold a lease that an earlier leader granted. */
+  earlierGrantsExpireAt: number
+  /** By session. */
+  grants: Map<string, Grant>
+}
+
+export function createLeaseGranter ({ clock, log, logger, metrics }: GranterOptions): LeaseGranter {
+  const waitForBarrier = createBarrierQueue(log, clock)
+  let leadership: Leadership | undefined
+
+  const observeLeadership = (): Leadership | undefined => {
+    const { role, term } = log.status()
+    if (role !== 'leader') return (leadership = undefined)
+    if (leadership?.term !== term) {
+      leadership = { term, earlierGrantsExpireAt: clock.now() + GRANT_HOLD_MS, grants: new Map() }
+      logger.info('lease_granting_started', { term })
+    }
+    return leadership
+  }
+
+  const recordFloor = (request: RenewRequest): void => {
+    const grant = leadership?.grants.get(request.session)
+    if (grant !== undefined) grant.floor = Math.max(grant.floor, request.floor)
+  }
+
+  // The barrier starts after the request was received, hence after the holder began to count its lease.
+  // A later leader is elected after that start, so its own full wait covers this lease as well,
+  // however long this process is frozen before it replies.
+  const handleRenew = async (from: string, request: RenewRequest): Promise<RenewReply> => {
+    const before = observeLeadership()
+    if (before === undefined) return { kind: 'refused', reason: 'not-leader' }
+    recordFloor(request)
+    const barrier = await waitForBarrier()
+    if (!barrier.ok || observeLeadership() !== before) return { kind: 'refused', reason: 'no-read-barrier' }
+    const { configuration, pending } = log.state()
+    if (pending !== undefined) return { kind: 'suspended', pendingRevision: pending.revision }
+    if (request.floor > configuration.revision) return { kind: 'suspended', pendingRevision: request.floor }
+    before.grants.set(request.session, { host: from, expiresAt: clock.now() + GRANT_HOLD_MS, floor: request.floor })
+    metrics.count('config.grants')
+    return {
+      kind: 'granted',
+      revision: configuration.revision,
+      leaseMs: LEASE_MS,
+      configuration: request.known === configuration.revision ? undefined : configuration
+    }
+  }
+
+  // That no lower revision can be claimed stays true once it is, because no leader grants while a change
+  // is pending. A proposal that a later leader commits is therefore safe.
+  const activatePending = async (): Promise<number> => {
+    const current = observeLeadership()
+    const pending = log.state().pending
+    if (current === undefined) return ACTIVATION_CHECK_MS
+    removeExpired(current, clock.now())
+    if (pending === undefined) return ACTIVATION_CHECK_MS
+    const waitMs = computeWait(current, pending.revision, clock.now())
+    if (waitMs > 0) return Math.min(waitMs, ACTIVATION_CHECK_MS)
+    const result = await log.propose(
+      { kind: 'config.activate', revision: pending.revision, wallTime: clock.wall() }, clock.now() + ACTIVATE_TIMEOUT_MS)
+    if (result.ok) logger.info('configuration_activated', { revision: pending.revision, preset: pending.preset })
+    else logger.warn('configuration_activation_failed', { revision: pending.revision, kind: result.val.kind })
+    metrics.count('config.activations', 1, { result: result.ok ? 'ok' : result.val.kind })
+    return ACTIVATION_CHECK_MS
+  }
+
+  return { handleRenew, activatePending }
+}
+
+/** Ms until no host can claim a revision below `revision`; 0 when that is so already. */
+function computeWait (leadership: Leadership, revision: number, now: number): number {
+  const ends = [...leadership.grants.values()]
+    .filter((grant) => grant.floor < revision)
+    .map((grant) => grant.expiresAt)
+  return Math.max(0, leadership.earlierGrantsExpireAt - now, ...ends.map((end) => end - now))
+}
+
+function removeExpired (leadership: Leadership, now: number): void {
+  leadership.grants.forEach((grant, session) => {
+    if (grant.expiresAt <= now) leadership.grants.delete(session)
+  })
+}
+
+/** Shares a read barrier among the callers that came before it started. */
+function createBarrierQueue (log: AgreedLog, clock: Clock): () => Promise<Result<number, LogFailure>> {
+  let running: Promise<Result<number, LogFailure>> | undefined
+  let next: Promise<Result<number, LogFailure>> | undefined
+
+  const start = (): Promise<Result<number, LogFailure>> => {
+    next = undefined
+    const barrier = log.readBarrier(clock.now() + BARRIER_TIMEOUT_MS)
+    const finish = (): void => { if (running === barrier) running = undefined }
+    running = barrier
+    barrier.then(finish, finish)
+    return barrier
+  }
+
+  return () => running === undefined ? start() : (next ??= running.then(start, start))
+}
--- /dev/null
+++ b/src/coordination/configuration/isolationPolicy.ts
@@ -0,0 +1,16 @@
+import type { Policy } from '../../state/index.js'
+
+/**
+ * The policy of a host that claims no preset. It takes no risk on unknown pairs, orders no evictions
+ * other than those that keep a worker within its capacity, and leaves half of each worker to services.
+ */
+export const ISOLATION_POLICY: Policy = Object.freeze({
+  tailLatencyWeight: 2,
+  throughputWeight: 0.5,
+  evictionWeight: 4,
+  safetyMargin: 1,
+  batchShare: 0.5,
+  explorationRate: 0,
+  evictionsPerMinute: 0,
+  queuePerSlot: 2
+})
