Add a first version of placement

Cause: the daemon is wired against the placement port and needs decisions with real capacity accounting. Interference, displacement, worker health and drains are not handled yet.

--- /dev/null
+++ b/src/coordination/placement/resources.ts
@@ -0,0 +1,45 @@
+import type { Resources } from '../../state/schemas.js'
+
+export type Dimension = keyof Resources
+export const DIMENSIONS: readonly Dimension[] = ['cores', 'memoryBytes', 'accelerators']
+
+/** Relative slack of comparisons, so that rounding of sums never rejects an exact fit. */
+const ROUNDING = 1e-9
+
+export function createResources (cores = 0, memoryBytes = 0, accelerators = 0): Resources {
+  return { cores, memoryBytes, accelerators }
+}
+
+export function addResources (total: Resources, amount: Resources, factor = 1): void {
+  total.cores += amount.cores * factor
+  total.memoryBytes += amount.memoryBytes * factor
+  total.accelerators += amount.accelerators * factor
+}
+
+export function isWithin (amount: Resources, limit: Resources): boolean {
+  return findExcess(amount, limit) === undefined
+}
+
+/** The first dimension in which `held` plus `amount` is above `limit`. */
+export function findExcess (amount: Resources, limit: Resources, held?: Resources): Dimension | undefined {
+  if ((held?.cores ?? 0) + amount.cores > limit.cores * (1 + ROUNDING)) return 'cores'
+  if ((held?.memoryBytes ?? 0) + amount.memoryBytes > limit.memoryBytes * (1 + ROUNDING)) return 'memoryBytes'
+  if ((held?.accelerators ?? 0) + amount.accelerators > limit.accelerators * (1 + ROUNDING)) return 'accelerators'
+  return undefined
+}
+
+/** Largest share that `amount` takes of `total` in any dimension. */
+export function computeDominantShare (amount: Resources, total: Resources): number {
+  return DIMENSIONS.reduce((most, dimension) =>
+    total[dimension] > 0 ? Math.max(most, amount[dimension] / total[dimension]) : most, 0)
+}
+
+/** The dimension that rules out every capacity, judged on the capacity that comes closest. */
+export function findImpossibleDimension (amount: Resources, capacities: Resources[]): Dimension | undefined {
+  if (capacities.length === 0 || capacities.some((capacity) => isWithin(amount, capacity))) return undefined
+  const excesses = capacities.map((capacity) => DIMENSIONS
+    .filter((dimension) => amount[dimension] > capacity[dimension])
+    .map((dimension) => ({ dimension, ratio: amount[dimension] / Math.max(capacity[dimension], 1e-9) }))
+    .reduce((worst, excess) => excess.ratio > worst.ratio ? excess : worst))
+  return excesses.reduce((closest, excess) => excess.ratio < closest.ratio ? excess : closest).dimension
+}
