--- /dev/null
+++ b/src/fakes/fakeCluster.ts
@@ -0,0 +1,155 @@
+import { createRandom, createSilentLogger, type Logger, type ManualClock } from '../common/index.js'
+import { createReplica, type Entry, type Replica, type StoreFailure } from '../state/index.js'
+import { createFakeDisk, type FakeDisk } from './fakeDisk.js'
+import { createHostProcess, type HostProcess } from './hostProcess.js'
+import { createMemoryNetwork, type MemoryNetwork } from './memoryNetwork.js'
+
+export interface FakeClusterOptions {
+  clock: ManualClock
+  seed: number
+  voters: string[]
+  /** Hosts with a disk that are not voters at first. */
+  spares?: string[]
+  /** Hosts without a disk. */
+  learners?: string[]
+  logger?: Logger
+  delayMs?: number
+  syncMs?: number
+}
+
+/** An entry that a host has applied, as its listeners saw it. */
+export interface AppliedEntry { index: number, entry: Entry }
+
+export interface FakeHost {
+  readonly name: string
+  readonly disk: FakeDisk | undefined
+  /** Nothing while the host is down or has not opened its store. */
+  replica (): Replica | undefined
+  process (): HostProcess
+  openFailure (): StoreFailure | undefined
+  /** What the present process has applied; a snapshot shows as a gap in the indexes. */
+  listApplied (): AppliedEntry[]
+  start (options?: { repair?: boolean }): void
+  /** Ends the process. Its disk keeps what was written, but unsynced data is not safe yet. */
+  kill (): void
+  /** Loss of power. */
+  crash (): void
+}
+
+export interface FakeCluster {
+  readonly hosts: Map<string, FakeHost>
+  readonly network: MemoryNetwork
+  getHost (name: string): FakeHost
+  listRunning (): FakeHost[]
+  /** The leader with the highest term. */
+  findLeader (): FakeHost | undefined
+  /** Cuts a host off in both directions, without a word to either side. */
+  isolate (name: string): void
+  rejoin (name: string): void
+}
+
+/** Replicas over a simulated network and simulated disks; the same seed gives the same run. */
+export function createFakeCluster (options: FakeClusterOptions): FakeCluster {
+  const { clock, seed, voters, spares = [], learners = [] } = options
+  const names = [...voters, ...spares, ...learners]
+  const network = createMemoryNetwork({ clock, random: createRandom(seed), delayMs: options.delayMs })
+  const hosts = new Map(names.map((name, position) => {
+    const hasDisk = !learners.includes(name)
+    return [name, createFakeHost(name, position, hasDisk, network, names, options)]
+  }))
+  const getHost = (name: string): FakeHost => {
+    const host = hosts.get(name)
+    if (host === undefined) throw new Error(`no host ${name}`)
+    return host
+  }
+  const listRunning = (): FakeHost[] => [...hosts.values()].filter((host) => host.replica() !== undefined)
+  const setCut = (name: string, cut: 'silent' | 'none'): void => {
+    const others = names.filter((other) => other !== name)
+    others.forEach((other) => {
+      network.setFaults(name, other, { cut })
+      network.setFaults(other, name, { cut })
+    })
+  }
+  return {
+    hosts,
+    network,
+    getHost,
+    listRunning,
+    findLeader: () => listRunning()
+      .filter((host) => host.replica()?.status().role === 'leader')
+      .sort((a, b) => (b.replica()?.status().term ?? 0) - (a.replica()?.status().term ?? 0))[0],
+    isolate: (name) => setCut(name, 'silent'),
+    rejoin: (name) => setCut(name, 'none')
+  }
+}
+
+/** Rates differ by up to 1% in either direction. */
+const CLOCK_RATES = [1, 1.01, 0.99, 1.005, 0.995]
+
+function createFakeHost (
+  name: string, position: number, hasDisk: boolean, network: MemoryNetwork, names: string[], options: FakeClusterOptions
+): FakeHost {
+  const { clock, seed, voters, logger = createSilentLogger(), syncMs = 1 } = options
+  const random = createRandom(seed * 1000 + position)
+  const disk = hasDisk ? createFakeDisk({ clock, random, syncMs }) : undefined
+  const rate = CLOCK_RATES[position % CLOCK_RATES.length]
+  let process = createHostProcess(clock, rate)
+  let replica: Replica | undefined
+  let failure: StoreFailure | undefined
+  let applied: AppliedEntry[] = []
+  let starts = 0
+  let ids = 0
+
+  const stopProcess = (): void => {
+    process.kill()
+    network.disconnect(name)
+    replica = undefined
+  }
+
+  return {
+    name,
+    disk,
+    replica: () => replica,
+    process: () => process,
+    openFailure: () => failure,
+    listApplied: () => applied,
+    start: ({ repair } = {}) => {
+      starts += 1
+      const own = createHostProcess(clock, rate)
+      const ownApplied: AppliedEntry[] = []
+      process = own
+      applied = ownApplied
+      failure = undefined
+      createReplica({
+        deployment: 'test',
+        self: name,
+        availabilityZone: `zone-${position % 3}`,
+        clock: own.clock,
+        random: createRandom(seed * 1000 + position + 100 * starts),
+        network: network.connect(name, own),
+        logger: logger.child({ host: name }),
+        disk: disk?.open(),
+        bootstrapVoters: voters,
+        seeds: names,
+        repair,
+        createId: () => `${name}-${ids++}`
+      }).then((result) => {
+        if (!own.isAlive()) return
+        if (result.err) {
+          failure = result.val
+          return
+        }
+        replica = result.val
+        replica.subscribe((entry, index) => ownApplied.push({ index, entry }))
+      })
+    },
+    kill: () => {
+      stopProcess()
+      disk?.killProcess()
+    },
+    crash: () => {
+      stopProcess()
+      disk?.crash()
+    }
+  }
+}
--- /dev/null
+++ b/src/fakes/fakeDisk.ts
@@ -0,0 +1,158 @@
+import { Err, Ok, type Clock, type Random, type Result } from '../common/index.js'
+import type { Disk, DiskFailure } from '../state/index.js'
+
+interface FakeFile {
+  /** What a process reads. */
+  bytes: Buffer
+  /** How much of it is on the medium. */
+  syncedLength: number
+  /** After a failed sync the kernel takes the pages for clean, so a later sync succeeds and saves nothing. */
+  isLosing: boolean
+}
+
+export interface FakeDiskOptions { clock: Clock, random: Random, operationMs?: number, syncMs?: number }
+
+/** A medium that survives the processes which open it. */
+export interface FakeDisk {
+  /** A view for one process. Operations of earlier views never end. */
+  open (): Disk
+  /** A killed process leaves what it wrote readable but not synced. */
+  killProcess (): void
+  /** Loss of power: unsynced data is lost, except a part of the last write that may be damaged. */
+  crash (): void
+  failNextSync (): void
+  setCapacity (bytes: number): void
+  /** Inverts one byte. Negative offsets count from the end. */
+  damage (file: string, offset: number): void
+  erase (): void
+  listFiles (): string[]
+  getSyncCount (): number
+  /** Called before each step of an operation; a test may crash the host there. */
+  setStepListener (listener: ((step: number) => void) | undefined): void
+}
+
+export function createFakeDisk (options: FakeDiskOptions): FakeDisk {
+  const { clock, random, operationMs = 0, syncMs = 1 } = options
+  const files = new Map<string, FakeFile>()
+  let session = 0
+  let capacity = Infinity
+  let syncFailures = 0
+  let syncs = 0
+  let steps = 0
+  let listener: ((step: number) => void) | undefined
+
+  const countBytes = (): number => [...files.values()].reduce((sum, file) => sum + file.bytes.length, 0)
+
+  const openView = (own: number): Disk => {
+    /** A point at which the process may be killed; then the operation never ends. */
+    const step = async (ms: number): Promise<void> => {
+      steps += 1
+      listener?.(steps)
+      if (own === session && ms > 0) await clock.sleep(ms)
+      if (own !== session) await new Promise(() => {})
+    }
+
+    const checkSpace = (file: string, bytes: number): Result<void, DiskFailure> => countBytes() + bytes > capacity
+      ? Err({ kind: 'disk-full', file, message: 'no space is left' })
+      : Ok(undefined)
+
+    const takeSyncFailure = (file: string): Result<void, DiskFailure> => {
+      syncs += 1
+      if (syncFailures === 0) return Ok(undefined)
+      syncFailures -= 1
+      return Err({ kind: 'sync-failed', file, message: 'the device reported an error' })
+    }
+
+    const getFile = (name: string): FakeFile => {
+      const file = files.get(name) ?? { bytes: Buffer.alloc(0), syncedLength: 0, isLosing: false }
+      files.set(name, file)
+      return file
+    }
+
+    return {
+      list: async () => {
+        await step(operationMs)
+        return Ok([...files.keys()].sort())
+      },
+      read: async (name) => {
+        await step(operationMs)
+        const file = files.get(name)
+        return Ok(file === undefined ? undefined : new Uint8Array(file.bytes))
+      },
+      append: async (name, bytes) => {
+        await step(operationMs)
+        const space = checkSpace(name, bytes.length)
+        if (space.err) return space
+        const file = getFile(name)
+        file.bytes = Buffer.concat([file.bytes, bytes])
+        await step(operationMs)
+        return Ok(undefined)
+      },
+      sync: async (name) => {
+        const length = getFile(name).bytes.length
+        await step(syncMs)
+        const failure = takeSyncFailure(name)
+        const file = getFile(name)
+        if (failure.err) file.isLosing = true
+        if (failure.err) return failure
+        if (!file.isLosing) file.syncedLength = length
+        await step(operationMs)
+        return Ok(undefined)
+      },
+      writeAtomic: async (name, bytes) => {
+        await step(syncMs)
+        const space = checkSpace(name, bytes.length)
+        if (space.err) return space
+        const failure = takeSyncFailure(name)
+        if (failure.err) return failure
+        files.set(name, { bytes: Buffer.from(bytes), syncedLength: bytes.length, isLosing: false })
+        await step(operationMs)
+        return Ok(undefined)
+      },
+      truncate: async (name, length) => {
+        await step(operationMs)
+        const file = getFile(name)
+        file.bytes = file.bytes.subarray(0, length)
+        file.syncedLength = Math.min(file.syncedLength, length)
+        return Ok(undefined)
+      },
+      remove: async (name) => {
+        await step(operationMs)
+        files.delete(name)
+        return Ok(undefined)
+      },
+      close: async () => {}
+    }
+  }
+
+  const loseUnsynced = (file: FakeFile): void => {
+    const unsynced = file.bytes.length - file.syncedLength
+    const kept = random.below(unsynced + 1)
+    file.bytes = Buffer.from(file.bytes.subarray(0, file.syncedLength + kept))
+    if (kept > 0 && random.next() < 0.5) updateByte(file.bytes, file.syncedLength + random.below(kept))
+    file.syncedLength = file.bytes.length
+  }
+
+  return {
+    open: () => openView(++session),
+    killProcess: () => { session += 1 },
+    crash: () => {
+      session += 1
+      files.forEach(loseUnsynced)
+    },
+    failNextSync: () => { syncFailures += 1 },
+    setCapacity: (bytes) => { capacity = bytes },
+    damage: (name, offset) => {
+      const file = files.get(name)
+      if (file !== undefined) updateByte(file.bytes, offset < 0 ? file.bytes.length + offset : offset)
+    },
+    erase: () => { files.clear() },
+    listFiles: () => [...files.keys()].sort(),
+    getSyncCount: () => syncs,
+    setStepListener: (next) => { listener = next }
+  }
+}
+
+function updateByte (bytes: Buffer, offset: number): void {
+  bytes[offset] = (bytes[offset] ?? 0) ^ 0xff
+}
--- a/src/state/agreedLog.ts
+++ b/src/state/agreedLog.ts
@@ -11,6 +11,8 @@
   | { kind: 'outcome-unknown', message: string }
   | { kind: 'rejected', rejection: Rejection }
   | { kind: 'stopped', message: string }
+  | { kind: 'invalid-entry', message: string }
+  | { kind: 'entry-too-large', bytes: number, limit: number }
 
 export type LogRole = 'leader' | 'follower' | 'candidate' | 'learner'
 
@@ -36,7 +38,10 @@
   readBarrier (deadline: number): Promise<Result<number, LogFailure>>
   state (): AgreedState
   status (): LogStatus
-  /** Called after each applied entry, in order. Returns a function that ends the subscription. */
+  /**
+   * Called after each applied entry, in order. After a snapshot was installed it is called once with `noop`:
+   * the state may have changed in any way and is another object. Returns a function that ends the subscription.
+   */
   subscribe (listener: (entry: Entry, index: number) => void): () => void
   stop (): Promise<void>
 }
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -9,3 +9,12 @@
   type ConfigurationChange, type Entry, type EntryKind, type Host, type Job, type Member, type Policy, type Resources,
   type Service, type TaskOutcome, type Worker
 } from './schemas.js'
+export { openDisk, type Disk, type DiskFailure } from './disk/index.js'
+export {
+  describeStoreFailure, openLogStore,
+  type HardState, type LoadedLog, type LogStore, type OpenStoreOptions, type StoredEntry, type StoredSnapshot, type StoreFailure
+} from './logStore/index.js'
+export {
+  createReplica, ELECTION_MAX_MS, ELECTION_MIN_MS, HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_ENTRY_BYTES, MAX_VOTERS,
+  type CreateReplicaOptions, type MembershipFailure, type Replica, type ReplicaFailure, type Voter
+} from './replica/index.js'
--- /dev/null
+++ b/src/state/logStore/index.ts
@@ -0,0 +1,5 @@
+export {
+  describeStoreFailure, openLogStore,
+  type HardState, type LoadedLog, type LogStore, type OpenStoreOptions, type StoredEntry, type StoredSnapshot, type StoreFailure
+} from './logStore.js'
+export { decodeFrames, encodeFrame, type DecodedFrames } from './frames.js'
--- /dev/null
+++ b/src/state/logStore/logStore.ts
@@ -0,0 +1,252 @@
+import { Packr } from 'msgpackr'
+import { Err, Ok, type Result } from '../../common/index.js'
+import type { Disk, DiskFailure } from '../disk/index.js'
+import { decodeFrames, encodeFrame } from './frames.js'
+
+const IDENTITY_FILE = 'identity'
+const HARD_STATE_FILE = 'hard-state'
+const SNAPSHOT_FILE = 'snapshot'
+const LOG_PREFIX = 'log-'
+const packr = new Packr({ useRecords: false })
+
+export interface StoredEntry { index: number, term: number, bytes: Uint8Array }
+export interface StoredSnapshot { index: number, term: number, bytes: Uint8Array }
+export interface HardState { term: number, vote: string | undefined }
+
+export type StoreFailure =
+  | DiskFailure
+  | { kind: 'corrupt-record', file: string, message: string }
+  | { kind: 'foreign-folder', message: string }
+
+interface Identity { deployment: string, host: string, incarnation: string, formation: number | undefined }
+
+export interface OpenStoreOptions {
+  disk: Disk
+  deployment: string
+  host: string
+  /** Makes the name of a new incarnation; it must never return the same name twice. */
+  createIncarnation: () => string
+  /** Erases a corrupt store and continues as a new incarnation, which catches up from its peers. */
+  repair?: boolean
+}
+
+export interface LoadedLog {
+  hardState: HardState
+  snapshot: StoredSnapshot | undefined
+  entries: StoredEntry[]
+  /** True when the folder was empty. */
+  created: boolean
+  /** True when a corrupt store was erased. */
+  repaired: boolean
+}
+
+/** Operations run one after the other. After the first failure every later one returns that failure. */
+export interface LogStore {
+  readonly incarnation: string
+  /** Names the founding of the deployment that this host belongs to. */
+  readonly formation: number | undefined
+  setFormation (formation: number): Promise<Result<void, StoreFailure>>
+  saveHardState (hardState: HardState): Promise<Result<void, StoreFailure>>
+  /** Replaces everything from the first entry's index on. Durable when resolved. */
+  append (entries: StoredEntry[]): Promise<Result<void, StoreFailure>>
+  /** Replaces the snapshot, then the log by `entries`, which follow the snapshot. */
+  saveSnapshot (snapshot: StoredSnapshot, entries: StoredEntry[]): Promise<Result<void, StoreFailure>>
+  readSnapshot (): Promise<Result<StoredSnapshot | undefined, StoreFailure>>
+  close (): Promise<void>
+}
+
+export function describeStoreFailure (failure: StoreFailure): string {
+  return 'file' in failure
+    ? `${failure.kind} in ${failure.file}: ${failure.message}`
+    : `${failure.kind}: ${failure.message}`
+}
+
+export async function openLogStore (options: OpenStoreOptions): Promise<Result<{ store: LogStore, loaded: LoadedLog }, StoreFailure>> {
+  const opened = await loadStore(options)
+  if (opened.ok || opened.val.kind !== 'corrupt-record' || options.repair !== true) return opened
+  const erased = await removeAllFiles(options.disk)
+  if (erased.err) return erased
+  const again = await loadStore(options)
+  return again.ok ? Ok({ store: again.val.store, loaded: { ...again.val.loaded, repaired: true } }) : again
+}
+
+async function loadStore (options: OpenStoreOptions): Promise<Result<{ store: LogStore, loaded: LoadedLog }, StoreFailure>> {
+  const { disk } = options
+  const files = await disk.list()
+  if (files.err) return files
+  const identity = await loadIdentity(options, files.val)
+  if (identity.err) return identity
+  const hardState = await readRecord<HardState>(disk, HARD_STATE_FILE)
+  if (hardState.err) return hardState
+  const snapshot = await readRecord<StoredSnapshot>(disk, SNAPSHOT_FILE)
+  if (snapshot.err) return snapshot
+  const generations = files.val
+    .filter((file) => file.startsWith(LOG_PREFIX))
+    .map((file) => Number(file.slice(LOG_PREFIX.length)))
+    .sort((a, b) => a - b)
+  const generation = generations.at(-1) ?? 0
+  const entries = await loadEntries(disk, generation, snapshot.val)
+  if (entries.err) return entries
+  // The term is saved before the first entry, and the log file before both.
+  const isIncomplete = hardState.val === undefined
+    ? snapshot.val !== undefined || entries.val.length > 0
+    : generations.length === 0
+  if (isIncomplete) return Err({ kind: 'corrupt-record', file: HARD_STATE_FILE, message: 'a file of the store is missing' })
+  // Writing the entries to a new file makes sure that what was read is on the medium: after kill -9 or a
+  // failed sync the page cache may hold data that is not. It also drops a torn tail.
+  // Entries without a founding are left from a founding that was interrupted; no other host knows them.
+  const kept = identity.val.identity.formation === undefined ? [] : entries.val
+  const rewritten = await writeLog(disk, generation + 1, kept)
+  if (rewritten.err) return rewritten
+  const removed = await removeFiles(disk, generations.map(getLogFile))
+  if (removed.err) return removed
+  const store = createLogStore(disk, identity.val.identity, generation + 1)
+  return Ok({
+    store,
+    loaded: {
+      hardState: hardState.val ?? { term: 0, vote: undefined },
+      snapshot: snapshot.val,
+      entries: kept,
+      created: identity.val.created,
+      repaired: false
+    }
+  })
+}
+
+function createLogStore (disk: Disk, identity: Identity, firstGeneration: number): LogStore {
+  let generation = firstGeneration
+  let failure: StoreFailure | undefined
+  let last: Promise<unknown> = Promise.resolve()
+
+  const runInOrder = <T>(action: () => Promise<Result<T, StoreFailure>>): Promise<Result<T, StoreFailure>> => {
+    const next = last.then(async () => {
+      if (failure !== undefined) return Err(failure)
+      const result = await action()
+      if (result.err) failure = result.val
+      return result
+    })
+    last = next
+    return next
+  }
+
+  return {
+    incarnation: identity.incarnation,
+    get formation () { return identity.formation },
+
+    setFormation: (formation) => runInOrder(async () => {
+      const written = await writeRecord(disk, IDENTITY_FILE, { ...identity, formation })
+      if (written.ok) identity.formation = formation
+      return written
+    }),
+
+    saveHardState: (hardState) => runInOrder(() => writeRecord(disk, HARD_STATE_FILE, hardState)),
+
+    append: (entries) => runInOrder(async () => {
+      const file = getLogFile(generation)
+      const appended = await disk.append(file, encodeEntries(entries))
+      return appended.err ? appended : disk.sync(file)
+    }),
+
+    saveSnapshot: (snapshot, entries) => runInOrder(async () => {
+      const saved = await writeRecord(disk, SNAPSHOT_FILE, snapshot)
+      if (saved.err) return saved
+      const written = await writeLog(disk, generation + 1, entries)
+      if (written.err) return written
+      generation += 1
+      return removeFiles(disk, [getLogFile(generation - 1)])
+    }),
+
+    readSnapshot: () => runInOrder(() => readRecord<StoredSnapshot>(disk, SNAPSHOT_FILE)),
+
+    close: async () => {
+      await last
+      await disk.close()
+    }
+  }
+}
+
+async function loadIdentity (options: OpenStoreOptions, files: string[]): Promise<Result<{ identity: Identity, created: boolean }, StoreFailure>> {
+  const { disk, deployment, host } = options
+  const found = await readRecord<Identity>(disk, IDENTITY_FILE)
+  if (found.err) return found
+  if (found.val !== undefined) {
+    if (found.val.deployment === deployment && found.val.host === host) return Ok({ identity: found.val, created: false })
+    const message = `the data folder belongs to host ${found.val.host} of deployment ${found.val.deployment}, not to host ${host} of deployment ${deployment}`
+    return Err({ kind: 'foreign-folder', message })
+  }
+  // The identity is written first, so other files without it mean that it was lost.
+  const others = files.filter((file) => file === HARD_STATE_FILE || file === SNAPSHOT_FILE || file.startsWith(LOG_PREFIX))
+  if (others.length > 0) return Err({ kind: 'corrupt-record', file: IDENTITY_FILE, message: 'the file is missing' })
+  const identity: Identity = { deployment, host, incarnation: options.createIncarnation(), formation: undefined }
+  const written = await writeRecord(disk, IDENTITY_FILE, identity)
+  return written.err ? written : Ok({ identity, created: true })
+}
+
+async function loadEntries (disk: Disk, generation: number, snapshot: StoredSnapshot | undefined): Promise<Result<StoredEntry[], StoreFailure>> {
+  const file = getLogFile(generation)
+  const bytes = await disk.read(file)
+  if (bytes.err) return bytes
+  const { payloads, validLength, damage } = decodeFrames(bytes.val ?? new Uint8Array())
+  // The first record was written with the file, so a crash cannot have torn it.
+  if (damage === 'corrupt' || (damage === 'torn' && validLength === 0)) return Err({ kind: 'corrupt-record', file, message: `the record at byte ${validLength} is damaged` })
+  const entries: StoredEntry[] = []
+  payloads
+    .flatMap((payload) => packr.unpack(payload) as Array<[number, number, Uint8Array]>)
+    .forEach(([index, term, content]) => {
+      // An entry replaces the earlier one of its index and all that followed.
+      const first = entries[0]?.index ?? index
+      entries.length = Math.min(entries.length, Math.max(0, index - first))
+      // A copy, because the content is a view of the whole file.
+      entries.push({ index, term, bytes: new Uint8Array(content) })
+    })
+  return checkContinuity(file, entries, snapshot)
+}
+
+function checkContinuity (file: string, entries: StoredEntry[], snapshot: StoredSnapshot | undefined): Result<StoredEntry[], StoreFailure> {
+  const base = snapshot?.index ?? 0
+  // A crash between writing a snapshot from the leader and the log leaves entries that may not follow it.
+  const atBase = entries.find((entry) => entry.index === base)
+  if (snapshot !== undefined && atBase !== undefined && atBase.term !== snapshot.term) return Ok([])
+  const following = entries.filter((entry) => entry.index > base)
+  const isContinuous = following.every((entry, position) => entry.index === base + 1 + position)
+  return isContinuous
+    ? Ok(following)
+    : Err({ kind: 'corrupt-record', file, message: `entries are missing after index ${base}` })
+}
+
+function writeLog (disk: Disk, generation: number, entries: StoredEntry[]): Promise<Result<void, StoreFailure>> {
+  return disk.writeAtomic(getLogFile(generation), encodeEntries(entries))
+}
+
+/** One record for a batch: a batch is synced before the next, so only the last record of a file can be torn. */
+function encodeEntries (entries: StoredEntry[]): Uint8Array {
+  return encodeFrame(packr.pack(entries.map((entry) => [entry.index, entry.term, entry.bytes])))
+}
+
+async function readRecord<T> (disk: Disk, file: string): Promise<Result<T | undefined, StoreFailure>> {
+  const bytes = await disk.read(file)
+  if (bytes.err) return bytes
+  if (bytes.val === undefined) return Ok(undefined)
+  const { payloads, damage } = decodeFrames(bytes.val)
+  const payload = payloads[0]
+  if (damage !== 'none' || payload === undefined) return Err({ kind: 'corrupt-record', file, message: 'the checksum does not match' })
+  return Ok(packr.unpack(payload) as T)
+}
+
+function writeRecord (disk: Disk, file: string, value: unknown): Promise<Result<void, StoreFailure>> {
+  return disk.writeAtomic(file, encodeFrame(packr.pack(value)))
+}
+
+async function removeAllFiles (disk: Disk): Promise<Result<void, StoreFailure>> {
+  const files = await disk.list()
+  return files.err ? files : removeFiles(disk, files.val)
+}
+
+async function removeFiles (disk: Disk, files: string[]): Promise<Result<void, StoreFailure>> {
+  const results = await Promise.all(files.map((file) => disk.remove(file)))
+  return results.find((result) => result.err) ?? Ok(undefined)
+}
+
+function getLogFile (generation: number): string {
+  return LOG_PREFIX + generation
+}
--- /dev/null
+++ b/src/state/replica/apply.ts
@@ -0,0 +1,123 @@
+import { Err, Ok } from '../../common/index.js'
+import { applyEntry } from '../agreedState.js'
+import type { Entry } from '../schemas.js'
+import { countMajority, describeSnapshot, getVoters, isSelf, stopOnFailure, type Context } from './context.js'
+import { decodeCommand, encodeSnapshot } from './messages.js'
+import { MAX_SYNC_BYTES, RETAINED_BYTES, RETAINED_ENTRIES, SNAPSHOT_MAX_ENTRIES, SNAPSHOT_MIN_BYTES } from './timing.js'
+
+/** Writes entries in batches; everything that arrives during one sync shares the next. */
+export async function runWriter (context: Context): Promise<void> {
+  const { store, log } = context
+  if (store === undefined) return
+  while (!context.stopped) {
+    const entries = log.listFrom(context.dirtyFrom, MAX_SYNC_BYTES)
+    const last = entries.at(-1)
+    if (last === undefined) {
+      await context.writerWake.wait()
+      continue
+    }
+    context.dirtyFrom = last.index + 1
+    const written = await store.append(entries)
+    if (written.err) return stopOnFailure(context, written.val)
+    // Entries that were replaced during the write are dirty again.
+    context.stableIndex = Math.max(context.stableIndex, Math.min(last.index, context.dirtyFrom - 1))
+    context.progress.notify()
+    updateCommit(context)
+  }
+}
+
+/** On the leader: commits what a majority of the voters holds, as far as it ends in the leader's own term. */
+export function updateCommit (context: Context): void {
+  if (context.role !== 'leader') return
+  const voters = getVoters(context)
+  const held = voters
+    .map((voter) => {
+      if (isSelf(context, voter)) return context.stableIndex
+      return context.peers.get(`${voter.host}/${voter.incarnation}`)?.matchIndex ?? 0
+    })
+    .sort((a, b) => b - a)
+  const index = held[countMajority(voters) - 1] ?? 0
+  if (index > context.commitIndex && context.log.getTerm(index) === context.term) applyCommitted(context, index)
+}
+
+/** Applies entries up to a committed index. */
+export function applyCommitted (context: Context, commitIndex: number): void {
+  if (commitIndex <= context.commitIndex) return
+  context.commitIndex = commitIndex
+  while (context.appliedIndex < context.commitIndex) applyNext(context)
+  context.peers.forEach((peer) => peer.wake.notify())
+  context.progress.notify()
+  saveSnapshotWhenDue(context)
+}
+
+function applyNext (context: Context): void {
+  const index = context.appliedIndex + 1
+  const stored = context.log.getEntry(index)
+  if (stored === undefined) throw new Error(`entry ${index} is committed and missing`)
+  const command = decodeCommand(stored.bytes)
+  const entry: Entry = command.kind === 'log.membership' ? { kind: 'noop' } : command
+  const outcome = applyEntry(context.state, entry)
+  context.appliedIndex = index
+  context.bytesSinceSnapshot += stored.bytes.length
+  const pending = context.pending.get(index)
+  context.pending.delete(index)
+  if (pending !== undefined && pending.term !== stored.term) {
+    pending.resolve(Err({ kind: 'not-recorded', message: 'another leader recorded a different entry in its place' }))
+  } else if (pending !== undefined) {
+    pending.resolve(outcome.accepted
+      ? Ok({ index, value: outcome.value })
+      : Err({ kind: 'rejected', rejection: outcome.rejection }))
+  }
+  reportApplied(context, entry, index)
+}
+
+export function reportApplied (context: Context, entry: Entry, index: number): void {
+  context.listeners.forEach((listener) => {
+    try {
+      listener(entry, index)
+    } catch (error) {
+      context.logger.error('log.listener-failed', { index, message: error instanceof Error ? error.message : String(error) })
+    }
+  })
+}
+
+async function saveSnapshotWhenDue (context: Context): Promise<void> {
+  const { store, log } = context
+  const entries = context.appliedIndex - context.snapshotIndex
+  const isDue = context.bytesSinceSnapshot > Math.max(SNAPSHOT_MIN_BYTES, context.snapshotInfo?.size ?? 0) || entries > SNAPSHOT_MAX_ENTRIES
+  if (!isDue || context.snapshotting || context.stopped) return
+  const index = context.appliedIndex
+  context.snapshotIndex = index
+  context.bytesSinceSnapshot = 0
+  if (store !== undefined) {
+    context.snapshotting = true
+    const term = log.getTerm(index) ?? 0
+    const voters = context.memberships.findLast((membership) => membership.index <= index)?.voters ?? []
+    const bytes = encodeSnapshot({ index, term, voters, state: context.state })
+    const saved = await store.saveSnapshot({ index, term, bytes }, log.listFrom(index + 1))
+    context.snapshotting = false
+    if (saved.err) return stopOnFailure(context, saved.val)
+    context.snapshotInfo = describeSnapshot({ index, term, bytes })
+    context.logger.info('log.snapshot', { index, bytes: bytes.length })
+  }
+  log.prune(findFirstRetained(context, index) - 1)
+  pruneMemberships(context)
+}
+
+function findFirstRetained (context: Context, snapshotIndex: number): number {
+  const { log } = context
+  let first = snapshotIndex + 1
+  let bytes = 0
+  while (first - 1 > log.baseIndex && snapshotIndex - first < RETAINED_ENTRIES) {
+    bytes += log.getEntry(first - 1)?.bytes.length ?? 0
+    if (bytes > RETAINED_BYTES) break
+    first -= 1
+  }
+  return first
+}
+
+/** Keeps the membership that was in force at the base of the log, and those after it. */
+export function pruneMemberships (context: Context): void {
+  const last = context.memberships.findLastIndex((membership) => membership.index <= context.log.baseIndex)
+  if (last > 0) context.memberships.splice(0, last)
+}
--- /dev/null
+++ b/src/state/replica/joining.ts
@@ -0,0 +1,89 @@
+import { appendEntry, saveFormation, saveHardState, updateTerm, type Context } from './context.js'
+import { encodeCommand, type HelloReply, type JoinReply, type JoinRequest, type Voter } from './messages.js'
+import { waitUntil } from './notifier.js'
+import { updatePeers } from './replication.js'
+import { HEARTBEAT_MS, VOTE_TIMEOUT_MS } from './timing.js'
+
+const MAX_FORMATION = 2 ** 31
+const FIRST_TERM = 1
+
+/** Announces this host to whoever may be the leader, which then replicates to it. */
+export async function sendJoin (context: Context): Promise<void> {
+  const { incarnation, availabilityZone, store } = context
+  const request: JoinRequest = { incarnation, availabilityZone, hasDisk: store !== undefined }
+  const known = listKnownHosts(context)
+  const replies = await Promise.all(known.map((host) => sendRequest<JoinReply>(context, host, 'log.join', request)))
+  const leader = replies.find((reply) => reply?.leader !== undefined)?.leader
+  const isNew = leader !== undefined && leader !== context.self && !known.includes(leader)
+  if (isNew) await sendRequest<JoinReply>(context, leader, 'log.join', request)
+}
+
+export async function handleJoin (context: Context, from: string, request: JoinRequest): Promise<JoinReply> {
+  const isLeader = context.role === 'leader' && !context.stopped
+  if (isLeader) {
+    const key = `${from}/${request.incarnation}`
+    const isKnown = context.peers.has(key)
+    context.learners.set(key, { ...request, host: from, lastHeard: context.clock.now() })
+    if (!isKnown) context.logger.info('log.learner-joined', { host: from, incarnation: request.incarnation })
+    updatePeers(context)
+  }
+  return { leader: context.leader, isLeader }
+}
+
+export async function handleHello (context: Context): Promise<HelloReply> {
+  const { incarnation, availabilityZone, store, formation } = context
+  return { incarnation, availabilityZone, hasDisk: store !== undefined, formed: formation !== undefined }
+}
+
+/**
+ * The bootstrap voter with the lowest name founds the deployment once all of them answer and none belongs to one.
+ * The incarnations go into the first entry, so a host that loses its disk later is never taken for a founder.
+ */
+export async function runFounding (context: Context): Promise<void> {
+  const { bootstrapVoters, self, store, clock } = context
+  const isFounder = store !== undefined && [...bootstrapVoters].sort()[0] === self
+  if (!isFounder) return
+  while (!context.stopped && context.formation === undefined) {
+    const voters = await findFounders(context)
+    if (voters !== undefined && context.formation === undefined) return commitFounding(context, voters)
+    await clock.sleep(HEARTBEAT_MS)
+  }
+}
+
+async function findFounders (context: Context): Promise<Voter[] | undefined> {
+  const others = context.bootstrapVoters.filter((host) => host !== context.self)
+  const asked = [...new Set([...others, ...context.seeds])].filter((host) => host !== context.self)
+  const replies = await Promise.all(asked.map(async (host) => {
+    const reply = await sendRequest<HelloReply>(context, host, 'log.hello', {})
+    return { host, reply }
+  }))
+  if (replies.some(({ reply }) => reply?.formed === true)) return undefined
+  const voters = replies
+    .filter(({ host, reply }) => others.includes(host) && reply?.hasDisk === true)
+    .map(({ host, reply }) => ({ host, incarnation: reply?.incarnation ?? '', availabilityZone: reply?.availabilityZone ?? '' }))
+  if (voters.length < others.length) return undefined
+  return [{ host: context.self, incarnation: context.incarnation, availabilityZone: context.availabilityZone }, ...voters]
+}
+
+/** The founding is saved last: without it, a restart ignores what an interrupted founding left. */
+async function commitFounding (context: Context, voters: Voter[]): Promise<void> {
+  updateTerm(context, FIRST_TERM, undefined)
+  if (!await saveHardState(context)) return
+  appendEntry(context, FIRST_TERM, encodeCommand({ kind: 'log.membership', voters }))
+  await waitUntil(context.clock, context.progress, Infinity, () => context.stopped || context.stableIndex >= 1)
+  if (!await saveFormation(context, context.random.below(MAX_FORMATION))) return
+  context.logger.info('log.founded', { formation: context.formation, voters: voters.map((voter) => voter.host).join(',') })
+  context.electionDeadline = -Infinity
+  context.electionWake.notify()
+}
+
+function listKnownHosts (context: Context): string[] {
+  const voters = context.memberships.at(-1)?.voters ?? []
+  const names = [...context.bootstrapVoters, ...context.seeds, ...voters.map((voter) => voter.host), ...Object.keys(context.state.hosts)]
+  return [...new Set(names)].filter((host) => host !== context.self)
+}
+
+async function sendRequest<T> (context: Context, host: string, kind: string, body: unknown): Promise<T | undefined> {
+  const result = await context.network.request(host, kind, body, context.clock.now() + VOTE_TIMEOUT_MS)
+  return result.ok ? result.val as T : undefined
+}
--- /dev/null
+++ b/src/state/replica/messages.ts
@@ -0,0 +1,101 @@
+import { Packr } from 'msgpackr'
+import type { AgreedState } from '../agreedState.js'
+import type { Applied, LogFailure } from '../agreedLog.js'
+import type { Entry } from '../schemas.js'
+
+/** A voter is one incarnation of a host: after the loss of its disk a host is another one. */
+export interface Voter { host: string, incarnation: string, availabilityZone: string }
+
+export interface MembershipCommand { kind: 'log.membership', voters: Voter[] }
+export type Command = Entry | MembershipCommand
+
+export interface SnapshotContent { index: number, term: number, voters: Voter[], state: AgreedState }
+
+/** `to` is the incarnation that the sender means; `formation` names the founding of the deployment. */
+export interface Envelope { formation: number, to: string, term: number }
+
+export interface VoteRequest extends Envelope {
+  incarnation: string
+  lastIndex: number
+  lastTerm: number
+  phase: 'probe' | 'vote'
+  /** The leader asked this host to take over, so its presence is no reason to refuse. */
+  handover: boolean
+}
+export interface VoteReply { term: number, granted: boolean }
+
+export interface AppendRequest extends Envelope {
+  prevIndex: number
+  prevTerm: number
+  commit: number
+  /** Term and bytes of each entry. */
+  entries: Array<[number, Uint8Array]>
+}
+/** `index` is the last matching entry, or where to continue when they do not match. */
+export interface AppendReply { term: number, matches: boolean, index: number }
+
+export interface SnapshotRequest extends Envelope {
+  index: number
+  lastTerm: number
+  size: number
+  checksum: number
+  offset: number
+  bytes: Uint8Array
+}
+/** `offset` is the number of bytes that the receiver holds. */
+export interface SnapshotReply { term: number, offset: number }
+
+/** The receiver is another incarnation or belongs to another founding. */
+export interface RefusedReply { refused: 'incarnation' | 'formation' | 'stopped' }
+
+export interface HelloReply { incarnation: string, availabilityZone: string, hasDisk: boolean, formed: boolean }
+export interface JoinRequest { incarnation: string, availabilityZone: string, hasDisk: boolean }
+export interface JoinReply { leader: string | undefined, isLeader: boolean }
+
+export interface ProposeRequest { term: number, origin: string, sequence: number, entry: Entry, remainingMs: number }
+export type ProposeReply =
+  | { kind: 'not-leader' }
+  | { kind: 'applied', value: Applied }
+  | { kind: 'failed', failure: LogFailure }
+
+export type ReadReply = { kind: 'not-leader' } | { kind: 'current', index: number }
+
+export type MembershipChange =
+  | { kind: 'add', host: string }
+  | { kind: 'remove', host: string }
+  | { kind: 'replace', host: string, by: string }
+
+export type MembershipFailure =
+  | { kind: 'unknown-voter', host: string }
+  | { kind: 'not-connected', host: string, message: string }
+  | { kind: 'no-disk', host: string }
+  | { kind: 'too-many-voters', limit: number }
+  | { kind: 'unsafe-change', message: string, reachable: string[], needed: number }
+  | { kind: 'change-in-progress', message: string }
+  | { kind: 'not-caught-up', host: string, matchIndex: number, commitIndex: number }
+  | LogFailure
+
+export interface ChangeRequest { term: number, change: MembershipChange, remainingMs: number }
+export type ChangeReply =
+  | { kind: 'not-leader' }
+  | { kind: 'changed', voters: Voter[] }
+  | { kind: 'failed', failure: MembershipFailure }
+
+const packr = new Packr({ useRecords: false })
+
+export function encodeCommand (command: Command): Uint8Array {
+  // A copy of its own size: the packer's buffer is shared by many results and would keep them all in memory.
+  return new Uint8Array(packr.pack(command))
+}
+
+export function decodeCommand (bytes: Uint8Array): Command {
+  return packr.unpack(bytes) as Command
+}
+
+export function encodeSnapshot (content: SnapshotContent): Uint8Array {
+  return packr.pack(content)
+}
+
+export function decodeSnapshot (bytes: Uint8Array): SnapshotContent {
+  return packr.unpack(bytes) as SnapshotContent
+}
--- /dev/null
+++ b/src/state/replica/proposals.ts
@@ -0,0 +1,167 @@
+import { Err, Ok, type Result } from '../../common/index.js'
+import type { Applied, LogFailure } from '../agreedLog.js'
+import { entrySchema, type Entry } from '../schemas.js'
+import { appendCommand, countMajority, createUnknown, getPeerKey, getVoters, isLeading, isSelf, type Context } from './context.js'
+import { encodeCommand, type ProposeReply, type ProposeRequest, type ReadReply } from './messages.js'
+import { waitUntil } from './notifier.js'
+import { FORWARD_TIMEOUT_MS, HEARTBEAT_MS, LEADER_WAIT_MS, MAX_ENTRY_BYTES, MAX_PENDING } from './timing.js'
+
+/** Answers remembered for each origin; a repeated message that is older than these gets no definite answer. */
+const MAX_REMEMBERED_ANSWERS = 2048
+const MAX_REMEMBERED_ORIGINS = 256
+
+type ProposeResult = Result<Applied, LogFailure>
+
+/** Proposes on the leader, here or elsewhere. A message may be repeated only within one term, whose leader recognises it. */
+export async function propose (context: Context, entry: Entry, deadline: number): Promise<ProposeResult> {
+  const { clock } = context
+  const checked = checkEntry(entry)
+  if (checked.err) return checked
+  context.proposalSequence += 1
+  const sequence = context.proposalSequence
+  let sentInTerm: number | undefined
+  while (clock.now() < deadline && !context.stopped) {
+    const { term, leader } = context
+    if (sentInTerm !== undefined && sentInTerm !== term) return createUnknown('the leader changed before it answered')
+    if (canPropose(context, term)) return proposeHere(context, checked.val, deadline)
+    const attempt = await sendProposal(context, leader, { term, origin: `${context.self}/${context.processId}`, sequence, entry: checked.val, remainingMs: deadline - clock.now() }, deadline)
+    if (attempt.kind === 'answered') return waitForApplied(context, attempt.reply, deadline)
+    if (attempt.kind === 'unknown') sentInTerm = term
+    if (!canPropose(context, context.term)) await context.progress.wait(Math.max(0, Math.min(LEADER_WAIT_MS, deadline - clock.now())))
+  }
+  if (sentInTerm !== undefined) return createUnknown('the leader did not answer before the deadline')
+  return context.stopped ? createStopped() : Err({ kind: 'no-leader', message: 'no leader was reached before the deadline' })
+}
+
+type Attempt =
+  | { kind: 'answered', reply: Exclude<ProposeReply, { kind: 'not-leader' }> }
+  | { kind: 'not-sent' }
+  | { kind: 'unknown' }
+
+async function sendProposal (context: Context, leader: string | undefined, request: ProposeRequest, deadline: number): Promise<Attempt> {
+  if (leader === undefined || leader === context.self) return { kind: 'not-sent' }
+  const attemptDeadline = Math.min(deadline, context.clock.now() + FORWARD_TIMEOUT_MS)
+  const result = await context.network.request(leader, 'log.propose', request, attemptDeadline)
+  if (result.err) return { kind: result.val.kind === 'unreachable' ? 'not-sent' : 'unknown' }
+  const reply = result.val as ProposeReply
+  return reply.kind === 'not-leader' ? { kind: 'not-sent' } : { kind: 'answered', reply }
+}
+
+export async function handlePropose (context: Context, request: ProposeRequest): Promise<ProposeReply> {
+  if (!canPropose(context, request.term)) return { kind: 'not-leader' }
+  const answers = getAnswers(context, request.origin)
+  const known = answers.get(request.sequence)
+  if (known !== undefined) return known
+  const newest = [...answers.keys()].at(-1) ?? 0
+  if (request.sequence <= newest - MAX_REMEMBERED_ANSWERS) return { kind: 'failed', failure: { kind: 'outcome-unknown', message: 'the message is too old' } }
+  const answer = proposeHere(context, request.entry, context.clock.now() + request.remainingMs)
+    .then((result): ProposeReply => result.ok ? { kind: 'applied', value: result.val } : { kind: 'failed', failure: result.val })
+  answers.set(request.sequence, answer)
+  const oldest = answers.size > MAX_REMEMBERED_ANSWERS ? answers.keys().next().value : undefined
+  if (oldest !== undefined) answers.delete(oldest)
+  return answer
+}
+
+/** Confirms that this host still leads by a round of messages to a majority; no clock is trusted for that. */
+export async function readBarrier (context: Context, deadline: number): Promise<Result<number, LogFailure>> {
+  const { clock } = context
+  while (clock.now() < deadline) {
+    const { term, leader } = context
+    if (context.stopped) return createStopped()
+    const index = isLeading(context, term)
+      ? await confirmLeadership(context, term, deadline)
+      : await sendRead(context, leader, deadline)
+    if (index !== undefined) {
+      const isApplied = await waitUntil(clock, context.progress, deadline, () => context.appliedIndex >= index || context.stopped)
+      if (isApplied && !context.stopped) return Ok(index)
+      continue
+    }
+    await context.progress.wait(Math.max(0, Math.min(LEADER_WAIT_MS, deadline - clock.now())))
+  }
+  return Err({ kind: 'no-leader', message: 'no leader was confirmed before the deadline' })
+}
+
+export async function handleRead (context: Context, request: { remainingMs: number }): Promise<ReadReply> {
+  const index = isLeading(context, context.term)
+    ? await confirmLeadership(context, context.term, context.clock.now() + request.remainingMs)
+    : undefined
+  return index === undefined ? { kind: 'not-leader' } : { kind: 'current', index }
+}
+
+async function sendRead (context: Context, leader: string | undefined, deadline: number): Promise<number | undefined> {
+  if (leader === undefined || leader === context.self) return undefined
+  const attemptDeadline = Math.min(deadline, context.clock.now() + FORWARD_TIMEOUT_MS)
+  const result = await context.network.request(leader, 'log.read', { remainingMs: attemptDeadline - context.clock.now() }, attemptDeadline)
+  if (result.err) return undefined
+  const reply = result.val as ReadReply
+  return reply.kind === 'current' ? reply.index : undefined
+}
+
+async function confirmLeadership (context: Context, term: number, deadline: number): Promise<number | undefined> {
+  const { clock, progress } = context
+  // Until an entry of its own term is committed, a new leader does not know what its predecessor committed.
+  const isReady = await waitUntil(clock, progress, deadline, () =>
+    !isLeading(context, term) || context.log.getTerm(context.commitIndex) === term)
+  if (!isReady || !isLeading(context, term)) return undefined
+  const index = context.commitIndex
+  context.readRound += 1
+  const round = context.readRound
+  context.peers.forEach((peer) => peer.wake.notify())
+  const isConfirmed = await waitUntil(clock, progress, deadline, () => {
+    const voters = getVoters(context)
+    const confirmed = voters.filter((voter) => isSelf(context, voter) || (context.peers.get(getPeerKey(voter))?.confirmedRound ?? 0) >= round)
+    return !isLeading(context, term) || confirmed.length >= countMajority(voters)
+  })
+  return isConfirmed && isLeading(context, term) ? index : undefined
+}
+
+async function proposeHere (context: Context, entry: Entry, deadline: number): Promise<ProposeResult> {
+  if (context.pending.size >= MAX_PENDING) return Err({ kind: 'not-recorded', message: 'too many proposals are waiting' })
+  const { term, clock } = context
+  const index = appendCommand(context, entry)
+  const timer = new AbortController()
+  const result = await new Promise<ProposeResult>((resolve) => {
+    const earlier = context.pending.get(index)
+    earlier?.resolve(createUnknown('this host leads again and no longer follows the entry'))
+    context.pending.set(index, { term, resolve })
+    clock.sleep(deadline - clock.now(), timer.signal).then(() => resolve(createUnknown('not committed before the deadline')))
+  })
+  timer.abort()
+  if (context.pending.get(index)?.term === term) context.pending.delete(index)
+  return result
+}
+
+/** A proposal of another host is visible there once this returns, unless that host lags far behind. */
+async function waitForApplied (context: Context, reply: Exclude<ProposeReply, { kind: 'not-leader' }>, deadline: number): Promise<ProposeResult> {
+  if (reply.kind === 'failed') return Err(reply.failure)
+  const limit = Math.min(deadline, context.clock.now() + 2 * HEARTBEAT_MS)
+  await waitUntil(context.clock, context.progress, limit, () => context.appliedIndex >= reply.value.index || context.stopped)
+  return Ok(reply.value)
+}
+
+function checkEntry (entry: Entry): Result<Entry, LogFailure> {
+  const parsed = entrySchema.safeParse(entry)
+  if (!parsed.success) return Err({ kind: 'invalid-entry', message: parsed.error.message })
+  const size = encodeCommand(parsed.data).length
+  return size > MAX_ENTRY_BYTES
+    ? Err({ kind: 'entry-too-large', bytes: size, limit: MAX_ENTRY_BYTES })
+    : Ok(parsed.data)
+}
+
+function canPropose (context: Context, term: number): boolean {
+  return isLeading(context, term) && !context.handingOver
+}
+
+function getAnswers (context: Context, origin: string): Map<number, Promise<ProposeReply>> {
+  const existing = context.proposals.get(origin)
+  if (existing !== undefined) return existing
+  const oldest = context.proposals.size >= MAX_REMEMBERED_ORIGINS ? context.proposals.keys().next().value : undefined
+  if (oldest !== undefined) context.proposals.delete(oldest)
+  const answers = new Map<number, Promise<ProposeReply>>()
+  context.proposals.set(origin, answers)
+  return answers
+}
+
+function createStopped (): Result<never, LogFailure> {
+  return Err({ kind: 'stopped', message: 'this host has stopped' })
+}
--- /dev/null
+++ b/src/state/replica/replica.ts
@@ -0,0 +1,159 @@
+import { randomUUID } from 'node:crypto'
+import { Ok, type Clock, type Logger, type Network, type Random, type Result } from '../../common/index.js'
+import type { AgreedLog, LogStatus } from '../agreedLog.js'
+import { createAgreedState, type AgreedState } from '../agreedState.js'
+import type { Disk } from '../disk/index.js'
+import { openLogStore, type StoreFailure } from '../logStore/index.js'
+import { runWriter } from './apply.js'
+import { countMajority, createContext, getPeerKey, getVoters, isSelf, isVoter, stopContext, type Context, type ReplicaFailure } from './context.js'
+import { handleHandover, handleVote, releaseLeadership, runElections } from './election.js'
+import { handleAppend, handleSnapshot } from './follower.js'
+import { handleHello, handleJoin, runFounding } from './joining.js'
+import { handleChange, updateMembership } from './membership.js'
+import type { AppendRequest, ChangeRequest, JoinRequest, MembershipFailure, ProposeRequest, SnapshotRequest, Voter, VoteRequest } from './messages.js'
+import { handlePropose, handleRead, propose, readBarrier } from './proposals.js'
+import { HANDOVER_WAIT_MS, LEADER_CONTACT_MS } from './timing.js'
+
+const ID_LENGTH = 8
+
+export interface CreateReplicaOptions {
+  deployment: string
+  self: string
+  availabilityZone: string
+  clock: Clock
+  random: Random
+  network: Network
+  logger: Logger
+  /** Without a disk the host follows and never votes. */
+  disk?: Disk
+  /** Hosts that found the deployment together when none exists yet. */
+  bootstrapVoters: string[]
+  /** Other hosts to ask for the leader. */
+  seeds?: string[]
+  /** Erases a corrupt store; the host returns as a new incarnation and catches up from its peers. */
+  repair?: boolean
+  /** The state before the first entry. It must be the same on every host. */
+  createState?: () => AgreedState
+  /** Must never return the same id twice in a deployment. */
+  createId?: () => string
+}
+
+export interface Replica extends AgreedLog {
+  readonly incarnation: string
+  addVoter (host: string, deadline: number): Promise<Result<Voter[], MembershipFailure>>
+  removeVoter (host: string, deadline: number): Promise<Result<Voter[], MembershipFailure>>
+  replaceVoter (host: string, by: string, deadline: number): Promise<Result<Voter[], MembershipFailure>>
+  /** Passes leadership to another voter. Resolves with whether this host no longer leads. */
+  handOver (deadline: number): Promise<boolean>
+  /** Why the host stopped by itself, if it did. */
+  failure (): ReplicaFailure | undefined
+  /** Resolves when the replica has stopped, with the failure if there was one. */
+  waitUntilStopped (): Promise<ReplicaFailure | undefined>
+}
+
+/** Opens the store, if there is a disk, and starts the replica's loops. */
+export async function createReplica (options: CreateReplicaOptions): Promise<Result<Replica, StoreFailure>> {
+  const { disk, deployment, self, bootstrapVoters, repair } = options
+  const createId = options.createId ?? (() => randomUUID().replaceAll('-', '').slice(0, ID_LENGTH))
+  const opened = disk === undefined
+    ? undefined
+    : await openLogStore({ disk, deployment, host: self, createIncarnation: createId, repair })
+  if (opened?.err) return opened
+  const store = opened?.val.store
+  const loaded = opened?.val.loaded
+  const context = createContext({
+    deployment,
+    self,
+    availabilityZone: options.availabilityZone,
+    clock: options.clock,
+    random: options.random,
+    network: options.network,
+    logger: options.logger,
+    // A repaired host had a deployment, so it never founds one.
+    bootstrapVoters: loaded?.repaired === true ? [] : bootstrapVoters,
+    seeds: loaded?.repaired === true ? [...bootstrapVoters, ...options.seeds ?? []] : options.seeds ?? [],
+    createState: options.createState ?? createAgreedState
+  }, store, loaded, createId())
+  setHandlers(context)
+  const loops = [runWriter(context), runElections(context), runFounding(context)]
+  return Ok(createHandle(context, loops))
+}
+
+function createHandle (context: Context, loops: Array<Promise<void>>): Replica {
+  const stop = async (): Promise<void> => {
+    if (!context.stopped) await releaseLeadership(context, context.clock.now() + HANDOVER_WAIT_MS)
+    stopContext(context, 'this host has stopped')
+    await Promise.all(loops)
+    await context.store?.close()
+  }
+
+  const waitUntilStopped = async (): Promise<ReplicaFailure | undefined> => {
+    while (!context.stopped) await context.progress.wait()
+    return context.failure
+  }
+
+  return {
+    incarnation: context.incarnation,
+    propose: (entry, deadline) => propose(context, entry, deadline),
+    readBarrier: (deadline) => readBarrier(context, deadline),
+    state: () => context.state,
+    status: () => describeStatus(context),
+    subscribe: (listener) => {
+      context.listeners.add(listener)
+      return () => { context.listeners.delete(listener) }
+    },
+    stop,
+    addVoter: (host, deadline) => updateMembership(context, { kind: 'add', host }, deadline),
+    removeVoter: (host, deadline) => updateMembership(context, { kind: 'remove', host }, deadline),
+    replaceVoter: (host, by, deadline) => updateMembership(context, { kind: 'replace', host, by }, deadline),
+    handOver: (deadline) => releaseLeadership(context, deadline),
+    failure: () => context.failure,
+    waitUntilStopped
+  }
+}
+
+function setHandlers (context: Context): void {
+  const { network } = context
+  network.handle('log.vote', (from, body) => handleVote(context, from, body as VoteRequest))
+  network.handle('log.append', (from, body) => handleAppend(context, from, body as AppendRequest))
+  network.handle('log.snapshot', (from, body) => handleSnapshot(context, from, body as SnapshotRequest))
+  network.handle('log.propose', (_from, body) => handlePropose(context, body as ProposeRequest))
+  network.handle('log.read', (_from, body) => handleRead(context, body as { remainingMs: number }))
+  network.handle('log.join', (from, body) => handleJoin(context, from, body as JoinRequest))
+  network.handle('log.hello', () => handleHello(context))
+  network.handle('log.handover', (_from, body) => handleHandover(context, body as { formation: number, to: string, term: number }))
+  network.handle('log.change', (_from, body) => handleChange(context, body as ChangeRequest))
+}
+
+function describeStatus (context: Context): LogStatus {
+  const now = context.clock.now()
+  const voters = getVoters(context)
+  const isLeader = context.role === 'leader'
+  const isAlive = (voter: Voter): boolean => isSelf(context, voter) ||
+    now - (context.peers.get(getPeerKey(voter))?.lastHeard ?? -Infinity) < LEADER_CONTACT_MS
+  // Only the leader knows which voters are alive; others report what the number of voters allows.
+  const alive = isLeader ? voters.filter(isAlive).length : voters.length
+  const hasLeader = context.leader !== undefined
+  return {
+    role: context.role === 'follower' && !isVoter(context) ? 'learner' : context.role,
+    term: context.term,
+    leader: context.leader,
+    commitIndex: context.commitIndex,
+    appliedIndex: context.appliedIndex,
+    voters: voters.map((voter) => voter.host),
+    learners: [...context.peers.values()].filter((peer) => !peer.isVoter).map((peer) => peer.host),
+    progress: isLeader ? listProgress(context, now) : [],
+    survivableLosses: hasLeader ? Math.max(0, alive - countMajority(voters)) : 0
+  }
+}
+
+function listProgress (context: Context, now: number): LogStatus['progress'] {
+  const own = { host: context.self, matchIndex: context.stableIndex, votes: isVoter(context), lastHeardAgoMs: 0 }
+  const others = [...context.peers.values()].map((peer) => ({
+    host: peer.host,
+    matchIndex: peer.matchIndex,
+    votes: peer.isVoter,
+    lastHeardAgoMs: now - peer.lastHeard
+  }))
+  return [own, ...others]
+}
--- /dev/null
+++ b/src/state/replica/replication.ts
@@ -0,0 +1,189 @@
+import { updateCommit } from './apply.js'
+import { getPeerKey, getVoters, isLeading, isSelf, stopOnFailure, updateTerm, type Context, type Peer, type SnapshotInfo } from './context.js'
+import type { AppendReply, AppendRequest, RefusedReply, SnapshotReply, SnapshotRequest } from './messages.js'
+import { createNotifier } from './notifier.js'
+import { APPEND_TIMEOUT_MS, HEARTBEAT_MS, LEARNER_HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_IN_FLIGHT, MAX_MESSAGE_BYTES } from './timing.js'
+
+/** Starts a loop for each voter and learner that has none, and ends those of hosts that are neither. */
+export function updatePeers (context: Context): void {
+  const voters = getVoters(context).filter((voter) => !isSelf(context, voter))
+  const wanted = new Map(voters.map((voter) => [getPeerKey(voter), { ...voter, hasDisk: true, isVoter: true }]))
+  context.learners.forEach((learner, key) => {
+    if (!wanted.has(key)) wanted.set(key, { ...learner, isVoter: false })
+  })
+  context.peers.forEach((peer, key) => {
+    if (wanted.has(key)) return
+    context.peers.delete(key)
+    peer.wake.notify()
+  })
+  wanted.forEach(({ host, incarnation, availabilityZone, hasDisk, isVoter }, key) => {
+    const existing = context.peers.get(key)
+    if (existing !== undefined) {
+      existing.isVoter = isVoter
+      return
+    }
+    const peer: Peer = {
+      host,
+      incarnation,
+      availabilityZone,
+      hasDisk,
+      isVoter,
+      matchIndex: 0,
+      nextIndex: context.log.lastIndex + 1,
+      mode: 'probe',
+      inFlight: 0,
+      lastSent: -Infinity,
+      sentCommit: 0,
+      lastHeard: -Infinity,
+      confirmedRound: 0,
+      wake: createNotifier(context.clock)
+    }
+    context.peers.set(key, peer)
+    runPeer(context, peer, context.term)
+  })
+}
+
+/** Replicates to one peer until this host no longer leads the term or the peer is removed. */
+async function runPeer (context: Context, peer: Peer, term: number): Promise<void> {
+  const { clock, log } = context
+  const key = getPeerKey(peer)
+  while (isLeading(context, term) && context.peers.get(key) === peer) {
+    if (log.getTerm(peer.nextIndex - 1) === undefined) {
+      await sendSnapshot(context, peer, term)
+      continue
+    }
+    const heartbeat = peer.isVoter ? HEARTBEAT_MS : LEARNER_HEARTBEAT_MS
+    const remaining = peer.lastSent + heartbeat - clock.now()
+    if (remaining <= 0 || hasNews(context, peer)) {
+      sendAppend(context, peer, term)
+    } else {
+      await peer.wake.wait(remaining)
+    }
+  }
+}
+
+function hasNews (context: Context, peer: Peer): boolean {
+  if (peer.mode !== 'replicate') return false
+  if (peer.nextIndex <= context.log.lastIndex) return peer.inFlight < MAX_IN_FLIGHT
+  return peer.inFlight === 0 && (peer.sentCommit < context.commitIndex || peer.confirmedRound < context.readRound)
+}
+
+async function sendAppend (context: Context, peer: Peer, term: number): Promise<void> {
+  const { clock, log, network } = context
+  const prevIndex = peer.nextIndex - 1
+  const entries = peer.mode === 'replicate' ? log.listFrom(peer.nextIndex, MAX_MESSAGE_BYTES) : []
+  const request: AppendRequest = {
+    formation: context.formation ?? 0,
+    to: peer.incarnation,
+    term,
+    prevIndex,
+    prevTerm: log.getTerm(prevIndex) ?? 0,
+    commit: context.commitIndex,
+    entries: entries.map((entry) => [entry.term, entry.bytes])
+  }
+  const sentAt = clock.now()
+  const round = context.readRound
+  peer.lastSent = sentAt
+  peer.sentCommit = context.commitIndex
+  peer.nextIndex += entries.length
+  peer.inFlight += 1
+  const result = await network.request(peer.host, 'log.append', request, sentAt + APPEND_TIMEOUT_MS)
+  peer.inFlight -= 1
+  if (!isLeading(context, term)) return
+  const reply = result.ok ? result.val as AppendReply | RefusedReply : undefined
+  if (reply === undefined || 'refused' in reply) {
+    resetPeer(peer, prevIndex)
+  } else if (reply.term > term) {
+    updateTerm(context, reply.term, undefined)
+  } else {
+    recordContact(context, peer, sentAt, round)
+    handleAppendReply(context, peer, reply)
+  }
+  peer.wake.notify()
+}
+
+function handleAppendReply (context: Context, peer: Peer, reply: AppendReply): void {
+  if (reply.matches) {
+    peer.matchIndex = Math.max(peer.matchIndex, reply.index)
+    peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1)
+    peer.mode = 'replicate'
+    updateCommit(context)
+    return
+  }
+  peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex, reply.index))
+  peer.mode = 'probe'
+  peer.lastSent = -Infinity
+}
+
+/** After a lost message everything from there on that was not confirmed is sent again. */
+function resetPeer (peer: Peer, prevIndex: number): void {
+  peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex, prevIndex + 1))
+  peer.mode = 'probe'
+}
+
+/** A contact counts from the time the request was sent, because the answer shows no more than that. */
+function recordContact (context: Context, peer: Peer, sentAt: number, round: number): void {
+  peer.lastHeard = Math.max(peer.lastHeard, sentAt)
+  peer.confirmedRound = Math.max(peer.confirmedRound, round)
+  const learner = context.learners.get(getPeerKey(peer))
+  if (learner !== undefined) learner.lastHeard = peer.lastHeard
+  context.progress.notify()
+}
+
+/**
+ * Sends the latest snapshot in pieces. The first message carries none: its answer says where to continue.
+ * The snapshot is read only for a peer that answers.
+ */
+async function sendSnapshot (context: Context, peer: Peer, term: number): Promise<void> {
+  const { clock, store, snapshotInfo: info } = context
+  if (info === undefined || store === undefined) throw new Error('the log was pruned without a snapshot')
+  peer.mode = 'snapshot'
+  let held = await sendChunk(context, peer, term, info, 0, new Uint8Array())
+  if (held === undefined) return clock.sleep(HEARTBEAT_MS)
+  if (held < info.size) {
+    const read = await store.readSnapshot()
+    if (read.err) return stopOnFailure(context, read.val)
+    const bytes = read.val?.bytes ?? new Uint8Array()
+    // A newer snapshot was saved meanwhile; the loop starts again with it.
+    if (read.val?.index !== info.index) return
+    while (held !== undefined && held < info.size && isLeading(context, term)) {
+      held = await sendChunk(context, peer, term, info, held, bytes.subarray(held, held + MAX_CHUNK_BYTES))
+    }
+  }
+  if (held === undefined || !isLeading(context, term)) return
+  peer.matchIndex = Math.max(peer.matchIndex, info.index)
+  peer.nextIndex = peer.matchIndex + 1
+  peer.mode = 'probe'
+  peer.lastSent = -Infinity
+  updateCommit(context)
+}
+
+/** Returns how many bytes the peer holds, or nothing when it did not answer. */
+async function sendChunk (
+  context: Context, peer: Peer, term: number, info: SnapshotInfo, offset: number, bytes: Uint8Array
+): Promise<number | undefined> {
+  const { clock, network } = context
+  const request: SnapshotRequest = {
+    formation: context.formation ?? 0,
+    to: peer.incarnation,
+    term,
+    index: info.index,
+    lastTerm: info.term,
+    size: info.size,
+    checksum: info.checksum,
+    offset,
+    bytes
+  }
+  const sentAt = clock.now()
+  const round = context.readRound
+  peer.lastSent = sentAt
+  const result = await network.request(peer.host, 'log.snapshot', request, sentAt + APPEND_TIMEOUT_MS)
+  const reply = result.ok ? result.val as SnapshotReply | RefusedReply : undefined
+  if (!isLeading(context, term) || reply === undefined || 'refused' in reply) return undefined
+  if (reply.term > term) {
+    updateTerm(context, reply.term, undefined)
+    return undefined
+  }
+  recordContact(context, peer, sentAt, round)
+  return reply.offset
+}
--- /dev/null
+++ b/src/state/replica/timing.ts
@@ -0,0 +1,37 @@
+export const HEARTBEAT_MS = 250
+/** Learners at rest hear less often, which keeps the leader's traffic low with many hosts. */
+export const LEARNER_HEARTBEAT_MS = 1000
+export const ELECTION_MIN_MS = 800
+export const ELECTION_MAX_MS = 1300
+/** After a failed election; short, so that a split vote does not delay a new leader beyond 2 s. */
+export const ELECTION_RETRY_MIN_MS = 50
+export const ELECTION_RETRY_MAX_MS = 350
+/** A leader that has not reached a majority for this long steps down. */
+export const LEADER_CONTACT_MS = 800
+export const LEADER_CHECK_MS = 100
+export const VOTE_TIMEOUT_MS = 400
+export const APPEND_TIMEOUT_MS = 600
+export const FORWARD_TIMEOUT_MS = 700
+/** How long a proposal waits before it looks for the leader again. */
+export const LEADER_WAIT_MS = 50
+export const JOIN_INTERVAL_MS = 1000
+/** A learner that was silent for this long is forgotten; it announces itself again when it returns. */
+export const LEARNER_EXPIRY_MS = 30_000
+export const LEARNER_SILENCE_MS = 3000
+/** Appends of one peer that may wait for an answer at the same time. */
+export const MAX_IN_FLIGHT = 4
+export const MAX_MESSAGE_BYTES = 64 * 1024
+/** Leaves room for the other fields of a snapshot message. */
+export const MAX_CHUNK_BYTES = 63 * 1024
+/** An entry travels in one message. */
+export const MAX_ENTRY_BYTES = 60 * 1024
+export const MAX_SYNC_BYTES = 1024 * 1024
+export const MAX_PENDING = 10_000
+export const MAX_VOTERS = 7
+/** A snapshot is due when the log is larger than this and larger than the last snapshot. */
+export const SNAPSHOT_MIN_BYTES = 512 * 1024
+export const SNAPSHOT_MAX_ENTRIES = 5000
+/** Entries kept after a snapshot, so that a host that lags a little needs no snapshot. */
+export const RETAINED_ENTRIES = 500
+export const RETAINED_BYTES = 128 * 1024
+export const HANDOVER_WAIT_MS = 1000
