--- /dev/null
+++ b/src/coordination/tasks/activeTerm.ts
@@ -0,0 +1,101 @@
+import type { Clock, Logger, Network } from '../../common/index.js'
+import type { AgreedLog, Policy, ZoneAuthority } from '../../state/index.js'
+import type { Witnesses } from '../authority/witnesses.js'
+import type { Placement } from '../placement/types.js'
+import { createAttempts, type Attempts } from './attempts.js'
+import { createDemand, type Demand } from './demand.js'
+import { createDispatcher, type Dispatcher, type KnownWorker } from './dispatcher.js'
+import type { CoordinatorTerm } from './exchange.js'
+import { applyRecord, type JournalRecord, type JournalState } from './journal.js'
+import type { JournalMember } from './journalMember.js'
+import { createJournalWriter, type JournalWriter } from './journalWriter.js'
+import { createSummaries, type Summaries } from './summaries.js'
+import { createTaskTable, type TaskTable } from './table.js'
+
+export interface PolicyInForce { preset: string, revision: number, policy: Policy, isolated: boolean }
+
+export interface ActiveTermOptions {
+  clock: Clock
+  network: Network
+  logger: Logger
+  log: AgreedLog
+  zone: ZoneAuthority
+  term: CoordinatorTerm
+  local: JournalMember
+  createPlacement: () => Placement
+  getPolicy: () => PolicyInForce
+  witnesses: Witnesses
+  signal: AbortSignal
+  /** The journal of the previous coordinator as far as it could be read. */
+  state: JournalState
+  complete: boolean
+  onHigherTerm (promised: CoordinatorTerm): void
+  onStoreFailure (message: string): void
+  wakeWorker (worker: string): void
+  areWorkersKnown (): boolean
+  findWorker (id: string): KnownWorker | undefined
+}
+
+/** Everything that a coordinator needs once it has recovered the journal. */
+export interface ActiveTerm {
+  table: TaskTable
+  attempts: Attempts
+  writer: JournalWriter
+  placement: Placement
+  demand: Demand
+  dispatcher: Dispatcher
+  summaries: Summaries
+}
+
+export function createActiveTerm (options: ActiveTermOptions): ActiveTerm {
+  const { clock, network, logger, log, zone, term, state, complete, signal, witnesses } = options
+  const { availabilityZone } = zone
+  const table = createTaskTable(state, availabilityZone)
+  const writer = createJournalWriter({
+    clock,
+    network,
+    term,
+    group: zone.journalGroup,
+    local: options.local,
+    state,
+    signal,
+    countWitnesses: () => zone.witnesses.length,
+    isNoted: witnesses.isNoted,
+    onHigherTerm: options.onHigherTerm,
+    onStoreFailure: options.onStoreFailure
+  })
+  const record = (records: JournalRecord[]): void => {
+    records.forEach((item) => applyRecord(state, item))
+    writer.append(records)
+  }
+  const placement = options.createPlacement()
+  const attempts = createAttempts({
+    table,
+    clock,
+    term,
+    logger,
+    // Attempts of a lost journal must not be taken for new ones.
+    firstAttempt: complete ? 1 : term.epoch * 1e6 + term.round * 1e3 + 1,
+    observe: (observation) => placement.observe(observation, clock.now()),
+    append: writer.append,
+    isDurable: writer.isDurable,
+    wakeWorker: options.wakeWorker,
+    acceptsUnknown: () => state.incomplete,
+    isLogCurrent: () => demand.isLogCurrent()
+  })
+  const demand = createDemand({ log, table, attempts, placement, clock, signal, areWorkersKnown: options.areWorkersKnown, record })
+  const dispatcher = createDispatcher({
+    clock,
+    logger,
+    log,
+    table,
+    attempts,
+    placement,
+    writer,
+    getPolicy: options.getPolicy,
+    isHeld: demand.isHeld,
+    findWorker: options.findWorker
+  })
+  const summaries = createSummaries({ log, clock, logger, attempts, table, availabilityZone })
+  return { table, attempts, writer, placement, demand, dispatcher, summaries }
+}
--- /dev/null
+++ b/src/coordination/tasks/attempts.ts
@@ -0,0 +1,342 @@
+import type { Clock, Logger } from '../../common/index.js'
+import type { Resources, TaskOutcome } from '../../state/index.js'
+import type { Observation } from '../placement/types.js'
+import type { AttemptOutcome, CoordinatorTerm, ExchangeReply, ExchangeRequest, WorkerCommand } from './exchange.js'
+import { applyRecord, type JournalEntry, type JournalRecord } from './journal.js'
+import { addResources, isReplica, type TaskSpec, type TaskState, type TaskTable } from './table.js'
+import { createStartCommands } from './startCommand.js'
+import { createWorkerView, type WorkerView } from './workerView.js'
+
+/** A failure of an idempotent task is final after this many failed attempts. */
+export const MAX_FAILURES = 3
+const RETRY_AFTER_FAILURE_MS = 1_000
+/** Sequence numbers of one round; a later round of the same epoch starts above them. */
+const SEQUENCES_PER_ROUND = 1e9
+
+export interface AttemptsOptions {
+  table: TaskTable
+  clock: Clock
+  term: CoordinatorTerm
+  logger: Logger
+  observe (observation: Observation): void
+  /** Resolves when the records are in the journal, to false when the term has ended before that. */
+  append (records: JournalRecord[]): Promise<boolean>
+  /** A start that must not be repeated is recorded on a second host or on a synced disk. */
+  isDurable (): boolean
+  wakeWorker (worker: string): void
+  /** Attempts of tasks without an entry are numbered from here. */
+  firstAttempt: number
+  /** The journal was lost, so a worker's report of an unknown attempt is evidence. */
+  acceptsUnknown (task: string): boolean
+  /** The log was read recently, so a task without a job is really over. */
+  isLogCurrent (): boolean
+}
+
+/** Carries out and follows the attempts of one coordinator's term. */
+export interface Attempts {
+  start (spec: TaskSpec, worker: string, incarnation: string, size: Resources): void
+  evict (entry: JournalEntry): void
+  cancel (spec: TaskSpec): void
+  throttle (task: string, share: number): void
+  checkpoint (task: string): void
+  /** Takes in what a worker that granted this term reported. */
+  handleReply (worker: string, reply: ExchangeReply, request: ExchangeRequest): void
+  composeCommands (worker: string): { commands: WorkerCommand[], acknowledged: Array<{ task: string, attempt: number }> }
+  /** The leases of everything on the worker have run out. */
+  loseWorker (worker: string): void
+  /** Ends a task without an attempt, as when it can never run. */
+  end (spec: TaskSpec, outcome: TaskOutcome): void
+  sumPromised (worker: string): Resources
+  describeState (task: string): TaskState
+  /** Outcomes that are in the journal and may go to the agreed log. */
+  readonly recorded: Map<string, TaskOutcome>
+  settle (task: string, index: number): void
+  /** Removes what is left of a task that this zone owns no longer. */
+  abandon (spec: TaskSpec): void
+}
+
+const NOTHING: Resources = { cores: 0, memoryBytes: 0, accelerators: 0 }
+
+export function createAttempts (options: AttemptsOptions): Attempts {
+  const { table, clock, term, logger, observe } = options
+  const { journal, specs } = table
+  const workers = new Map<string, WorkerView>()
+  // Attempts whose start or stop is in the journal and may therefore be sent.
+  const ready = new Set<string>()
+  const recorded = new Map<string, TaskOutcome>()
+  // Attempts whose end is applied here and not yet in the journal, so that the worker has to keep its outcome.
+  const unrecordedEnds = new Set<string>()
+  let sequence = 0
+
+  journal.entries.forEach((entry) => {
+    if (entry.state === 'started' || entry.state === 'stopping') ready.add(formatKey(entry))
+    if (entry.outcome !== undefined) recorded.set(entry.task, entry.outcome)
+  })
+
+  const getWorker = (worker: string): WorkerView => {
+    const known = workers.get(worker) ?? createWorkerView()
+    workers.set(worker, known)
+    return known
+  }
+
+  /** Applies the records here at once and runs `next` when the journal group has them. */
+  const record = (records: JournalRecord[], next: () => void): void => {
+    records.forEach((item) => {
+      applyRecord(journal, item)
+      if ('task' in item) table.update(item.task)
+    })
+    options.append(records).then((done) => { if (done) next() })
+  }
+
+  const start = (spec: TaskSpec, worker: string, incarnation: string, size: Resources): void => {
+    const { task } = spec
+    const attempt = Math.max(options.firstAttempt, (journal.entries.get(task.id)?.attempt ?? 0) + 1)
+    sequence += 1
+    const token = { epoch: term.epoch, sequence: term.round * SEQUENCES_PER_ROUND + sequence }
+    const entry = { task: task.id, attempt, token, worker, incarnation, size, once: !task.idempotent }
+    observe({ kind: 'task-started', task, worker })
+    record([{ kind: 'start', ...entry }], () => {
+      if (entry.once && !options.isDurable()) return undo(entry)
+      ready.add(formatKey(entry))
+      logger.info('task-start', { task: task.id, attempt, worker })
+      if (task.urgent) options.wakeWorker(worker)
+    })
+  }
+
+  /** The second copy was lost before the start was sent, so it is taken back. */
+  const undo = ({ task, attempt, worker }: { task: string, attempt: number, worker: string }): void => {
+    const entry = journal.entries.get(task)
+    if (entry === undefined || !isCurrent({ task, attempt })) return
+    if (entry.purpose === 'cancel') return endTask(entry, 'cancelled', 'stopped')
+    requeue(entry, 'refused', undefined, worker)
+  }
+
+  const requeue = (entry: JournalEntry, result: 'stopped' | 'failed' | 'refused' | 'lost', checkpoint: string | undefined, worker: string): void => {
+    const { task, attempt } = entry
+    const key = formatKey(entry)
+    ready.delete(key)
+    unrecordedEnds.add(key)
+    record([{ kind: 'ended', task, attempt, result, checkpoint }], () => {
+      unrecordedEnds.delete(key)
+      acknowledge(worker, task, attempt)
+    })
+    observe({ kind: 'task-ended', task, worker, result })
+    logger.info('attempt-end', { task, attempt, worker, result })
+    const spec = specs.get(task)
+    if (spec === undefined) return
+    spec.task = { ...spec.task, resumed: journal.entries.get(task)?.checkpoint !== undefined }
+    if (result === 'failed' || result === 'refused') spec.notBefore = clock.now() + RETRY_AFTER_FAILURE_MS
+    observe({ kind: 'task-queued', task: spec.task })
+  }
+
+  const endTask = (entry: JournalEntry, outcome: TaskOutcome, result: 'succeeded' | 'failed' | 'stopped' | 'refused' | 'lost'): void => {
+    const { task, attempt, worker } = entry
+    const key = formatKey(entry)
+    ready.delete(key)
+    unrecordedEnds.add(key)
+    record([{ kind: 'outcome', task, attempt, outcome }], () => {
+      unrecordedEnds.delete(key)
+      recorded.set(task, outcome)
+      if (worker !== undefined) acknowledge(worker, task, attempt)
+    })
+    if (worker !== undefined) observe({ kind: 'task-ended', task, worker, result })
+    logger.info('task-end', { task, attempt, worker, outcome })
+  }
+
+  const acknowledge = (worker: string, task: string, attempt: number): void => {
+    getWorker(worker).acknowledged.set(`${task}#${attempt}`, { task, attempt })
+  }
+
+  const stop = (entry: JournalEntry, purpose: 'evict' | 'cancel'): void => {
+    const { task, attempt, worker } = entry
+    if (worker === undefined || entry.purpose === 'cancel' || entry.purpose === purpose) return
+    observe({ kind: 'task-stopping', task })
+    const key = formatKey(entry)
+    // Until the stop is in the journal too, nothing is sent; a start that was not sent yet is not needed any more.
+    record([{ kind: 'stop', task, attempt, purpose }], () => {
+      if (!isCurrent(entry)) return
+      ready.add(key)
+      options.wakeWorker(worker)
+    })
+  }
+
+  const isCurrent = ({ task, attempt }: { task: string, attempt: number }): boolean => {
+    const entry = journal.entries.get(task)
+    return entry?.attempt === attempt && (entry.state === 'started' || entry.state === 'stopping')
+  }
+
+  const outcomeHandlers: Record<AttemptOutcome['result'], (entry: JournalEntry, outcome: AttemptOutcome, worker: string) => void> = {
+    succeeded: (entry, _outcome, worker) => isReplica(entry.task) && entry.purpose !== 'cancel'
+      ? requeue(entry, 'failed', undefined, worker)
+      : endTask(entry, 'succeeded', 'succeeded'),
+    failed: (entry, _outcome, worker) => {
+      const mayRetry = isReplica(entry.task) || (!entry.once && entry.failures + 1 < MAX_FAILURES)
+      if (mayRetry && entry.purpose !== 'cancel') requeue(entry, 'failed', undefined, worker)
+      else endTask(entry, 'failed', 'failed')
+    },
+    stopped: (entry, outcome, worker) => {
+      if (entry.purpose === 'cancel') return endTask(entry, 'cancelled', 'stopped')
+      // Without a checkpoint a second start would repeat work that may have had effects.
+      const mayResume = !entry.once || (entry.purpose === 'evict' && outcome.checkpoint !== undefined)
+      if (mayResume) requeue(entry, 'stopped', outcome.checkpoint, worker)
+      else endTask(entry, 'unknown', 'stopped')
+    },
+    refused: (entry, _outcome, worker) => entry.purpose === 'cancel'
+      ? endTask(entry, 'cancelled', 'refused')
+      : requeue(entry, 'refused', undefined, worker)
+  }
+
+  const handleOutcome = (worker: string, outcome: AttemptOutcome): void => {
+    const { task, attempt, token } = outcome
+    adopt(worker, outcome)
+    const entry = journal.entries.get(task)
+    if (entry === undefined) {
+      // An outcome of an unknown task is kept by the worker until the log can tell whether the task is over.
+      if (!specs.has(task) && options.isLogCurrent()) acknowledge(worker, task, attempt)
+      return
+    }
+    // Numbers may repeat after the journal was lost; tokens do not.
+    if (!isCurrent(outcome) || entry.token?.sequence !== token.sequence || entry.token.epoch !== token.epoch) {
+      if (!unrecordedEnds.has(formatKey(outcome))) acknowledge(worker, task, attempt)
+      return
+    }
+    if (outcome.checkpoint !== undefined) entry.checkpoint = outcome.checkpoint
+    outcomeHandlers[outcome.result](entry, outcome, worker)
+  }
+
+  /** After the journal was lost, what a worker reports is recorded as if this coordinator had started it. */
+  const adopt = (worker: string, { task, attempt, token }: Pick<AttemptOutcome, 'task' | 'attempt' | 'token'>): void => {
+    const known = journal.entries.get(task)
+    if (!options.acceptsUnknown(task) || (known !== undefined && (known.attempt >= attempt || known.state !== 'idle'))) return
+    const spec = specs.get(task)
+    if (spec === undefined) return
+    const { size, idempotent } = spec.task
+    const { incarnation } = getWorker(worker)
+    observe({ kind: 'task-started', task: spec.task, worker })
+    record([{ kind: 'start', task, attempt, token, worker, incarnation, size, once: !idempotent }], () => { ready.add(`${task}#${attempt}`) })
+    if (spec.cancelled) cancel(spec)
+  }
+
+  const handleReply = (worker: string, reply: ExchangeReply, request: ExchangeRequest): void => {
+    const known = getWorker(worker)
+    request.acknowledged.forEach((item) => known.acknowledged.delete(formatKey(item)))
+    known.observe(reply)
+    reply.tasks.forEach(({ task, attempt, state, checkpoint, token }) => {
+      adopt(worker, { task, attempt, token })
+      known.view.set(task, { attempt, state })
+      const entry = journal.entries.get(task)
+      if (entry?.attempt === attempt && checkpoint !== undefined && checkpoint !== entry.checkpoint && isCurrent(entry)) {
+        record([{ kind: 'checkpoint', task, attempt, checkpoint }], () => {})
+      }
+    })
+    reply.outcomes.forEach((outcome) => {
+      if (known.view.get(outcome.task)?.attempt === outcome.attempt) known.view.delete(outcome.task)
+      handleOutcome(worker, outcome)
+    })
+    known.view.forEach(({ attempt, state }, task) => checkStray(worker, task, attempt, state))
+    endMissing(worker, reply)
+  }
+
+  /** Stops an attempt that this coordinator does not account for on the worker. */
+  const checkStray = (worker: string, task: string, attempt: number, state: string): void => {
+    const entry = journal.entries.get(task)
+    const isKnown = entry !== undefined && entry.attempt === attempt && entry.worker === worker
+    const isUndecided = entry === undefined && !options.isLogCurrent()
+    if (isKnown || isUndecided || state === 'stopping') return
+    const token = { epoch: term.epoch, sequence: term.round * SEQUENCES_PER_ROUND }
+    getWorker(worker).strays.push({ kind: 'stop', task, attempt, token, checkpoint: false })
+  }
+
+  /** Another process of the worker answers than the one that was given the task, so the task died with that one. */
+  const endMissing = (worker: string, reply: ExchangeReply): void => {
+    table.listOn(worker)
+      .filter((entry) => entry.incarnation !== reply.incarnation && getWorker(worker).view.get(entry.task)?.attempt !== entry.attempt)
+      .forEach((entry) => lose(entry, worker))
+  }
+
+  const lose = (entry: JournalEntry, worker: string): void => {
+    // The start record waits for the journal group; it was never sent.
+    const wasSent = ready.has(formatKey(entry))
+    if (wasSent && entry.once) endTask(entry, 'unknown', 'lost')
+    else if (entry.purpose === 'cancel') endTask(entry, 'cancelled', 'lost')
+    else requeue(entry, 'lost', undefined, worker)
+  }
+
+  const cancel = (spec: TaskSpec): void => {
+    const entry = journal.entries.get(spec.task.id)
+    if (entry?.state === 'final') return
+    if (entry === undefined || entry.state === 'idle') return end(spec, 'cancelled')
+    stop(entry, 'cancel')
+  }
+
+  const end = (spec: TaskSpec, outcome: TaskOutcome): void => {
+    const task = spec.task.id
+    const attempt = journal.entries.get(task)?.attempt ?? 0
+    observe({ kind: 'task-cancelled', task })
+    record([{ kind: 'outcome', task, attempt, outcome }], () => { recorded.set(task, outcome) })
+    logger.info('task-end', { task, attempt, outcome })
+  }
+
+  const composeCommands: Attempts['composeCommands'] = (worker) => {
+    const known = getWorker(worker)
+    const commands = table.listOn(worker).flatMap((entry): WorkerCommand[] => {
+      const { task, attempt, token } = entry
+      if (token === undefined || !ready.has(formatKey(entry))) return []
+      const seen = known.view.get(task)
+      const isSeen = seen?.attempt === attempt
+      if (entry.state === 'started') return isSeen ? [] : createStartCommands(entry, specs.get(task))
+      return isSeen && seen.state === 'stopping' ? [] : [{ kind: 'stop', task, attempt, token, checkpoint: entry.purpose === 'evict' }]
+    })
+    const once = known.once
+    known.once = []
+    const acknowledged = [...known.acknowledged.values()]
+    return { commands: [...commands, ...once, ...known.strays], acknowledged }
+  }
+
+  const sendOnce = (task: string, compose: (entry: JournalEntry, fields: { task: string, attempt: number, token: NonNullable<JournalEntry['token']> }) => WorkerCommand): void => {
+    const entry = journal.entries.get(task)
+    if (entry?.worker === undefined || entry.token === undefined || !isCurrent(entry)) return
+    getWorker(entry.worker).once.push(compose(entry, { task, attempt: entry.attempt, token: entry.token }))
+    options.wakeWorker(entry.worker)
+  }
+
+  const describeState = (task: string): TaskState => {
+    const entry = journal.entries.get(task)
+    if (entry === undefined || entry.state === 'idle') return 'queued'
+    if (entry.state === 'final') return entry.outcome ?? 'unknown'
+    if (entry.state === 'stopping') return 'evicting'
+    const isSeen = workers.get(entry.worker ?? '')?.view.get(task)?.attempt === entry.attempt
+    return isSeen ? 'running' : 'starting'
+  }
+
+  return {
+    start,
+    cancel,
+    end,
+    handleReply,
+    composeCommands,
+    describeState,
+    recorded,
+    evict: (entry) => stop(entry, 'evict'),
+    throttle: (task, share) => sendOnce(task, (_entry, fields) => ({ kind: 'throttle', ...fields, share })),
+    checkpoint: (task) => sendOnce(task, (_entry, fields) => ({ kind: 'checkpoint', ...fields })),
+    loseWorker: (worker) => {
+      workers.delete(worker)
+      table.listOn(worker).forEach((entry) => lose(entry, worker))
+    },
+    sumPromised: (worker) => table.listOn(worker).reduce((sum, entry) => addResources(sum, entry.size ?? NOTHING), NOTHING),
+    settle: (task, index) => {
+      recorded.delete(task)
+      record([{ kind: 'settled', task, index }], () => {})
+    },
+    abandon: (spec) => {
+      const entry = journal.entries.get(spec.task.id)
+      if (entry === undefined || entry.state === 'idle') observe({ kind: 'task-cancelled', task: spec.task.id })
+      else if (entry.state !== 'final') stop(entry, 'cancel')
+    }
+  }
+}
+
+function formatKey ({ task, attempt }: { task: string, attempt: number }): string {
+  return `${task}#${attempt}`
+}
--- /dev/null
+++ b/src/coordination/tasks/demand.ts
@@ -0,0 +1,145 @@
+import type { Clock } from '../../common/index.js'
+import type { AgreedLog, Entry } from '../../state/index.js'
+import type { Placement } from '../placement/types.js'
+import type { Attempts } from './attempts.js'
+import type { JournalRecord } from './journal.js'
+import { WORKER_LOST_MS } from './leases.js'
+import { isReplica, parseTaskId, type TaskSpec, type TaskTable } from './table.js'
+
+/** The log counts as current for this long after a successful read, ms. */
+const LOG_CURRENT_MS = 2_000
+const READ_INTERVAL_MS = 500
+/** Entries that arrive with a snapshot of the log are not announced one by one, so everything is compared now and then. */
+const FULL_SYNC_MS = 10_000
+
+export interface DemandOptions {
+  log: AgreedLog
+  table: TaskTable
+  attempts: Attempts
+  placement: Placement
+  clock: Clock
+  signal: AbortSignal
+  /** Every registered worker has reported to this coordinator. */
+  areWorkersKnown (): boolean
+  record (records: JournalRecord[]): void
+}
+
+/** Which tasks there are, as the agreed state says, and which of them may be started. */
+export interface Demand {
+  /** Takes in what changed in the agreed state. */
+  update (): void
+  /** The task may be running somewhere, or it may have ended already, as far as this host can know. */
+  isHeld (spec: TaskSpec): boolean
+  isLogCurrent (): boolean
+}
+
+export function createDemand (options: DemandOptions): Demand {
+  const { log, table, attempts, placement, clock, signal } = options
+  const startedAt = clock.now()
+  const jobs = new Set<string>()
+  const services = new Set<string>()
+  let fullSyncAt = -Infinity
+  let readAt = -Infinity
+  // In a rebuilt table: tasks up to this index may have been started by an earlier coordinator.
+  let rebuiltIndex: number | undefined
+
+  const noteEntry = (entry: Entry): void => {
+    if (entry.kind === 'job.create') jobs.add(entry.job.id)
+    if (entry.kind === 'job.cancel' || entry.kind === 'job.resolve') jobs.add(entry.job)
+    if (entry.kind === 'job.summary') entry.outcomes.forEach(([job]) => jobs.add(job))
+    if (entry.kind === 'zone.transfer') entry.tasks.forEach(([job]) => jobs.add(job))
+    if (entry.kind === 'service.put') services.add(entry.service.id)
+    if (entry.kind === 'service.remove') services.add(entry.service)
+    if (entry.kind === 'member.put') observeMember(entry.member.id)
+  }
+
+  const observeMember = (id: string): void => {
+    const member = log.state().members[id]
+    if (member !== undefined) placement.observe({ kind: 'member', member: id, quota: member.quota, weight: member.weight }, clock.now())
+  }
+
+  const applyChanges = ({ added, cancelled, removed }: ReturnType<TaskTable['syncJob']>): void => {
+    removed.forEach((spec) => attempts.abandon(spec))
+    added.forEach((spec) => {
+      const entry = table.journal.entries.get(spec.task.id)
+      if (entry?.checkpoint !== undefined) spec.task = { ...spec.task, resumed: true }
+      const isPlaced = entry !== undefined && (entry.state === 'started' || entry.state === 'stopping')
+      if (isPlaced && entry.worker !== undefined) placement.observe({ kind: 'task-started', task: spec.task, worker: entry.worker }, clock.now())
+      else if (entry?.state !== 'final') placement.observe({ kind: 'task-queued', task: spec.task }, clock.now())
+    })
+    cancelled.forEach((spec) => attempts.cancel(spec))
+  }
+
+  const syncAll = (): void => {
+    const state = log.state()
+    fullSyncAt = clock.now()
+    Object.keys(state.members).forEach(observeMember)
+    Object.keys(state.services).forEach((id) => services.add(id))
+    Object.keys(state.jobs).forEach((id) => jobs.add(id))
+    table.specs.forEach((spec) => (isReplica(spec.task.id) ? services : jobs).add(spec.task.job))
+  }
+
+  const update = (): void => {
+    if (clock.now() >= fullSyncAt + FULL_SYNC_MS) syncAll()
+    const state = log.state()
+    const index = log.status().appliedIndex
+    jobs.forEach((job) => applyChanges(table.syncJob(job, state.jobs[job], index)))
+    services.forEach((id) => {
+      const service = state.services[id]
+      if (service !== undefined) {
+        const { latencyMs, quantile } = service.objective
+        placement.observe({ kind: 'service', service: id, member: service.member, latencyMs, quantile }, clock.now())
+      }
+      applyChanges(table.syncService(id, service, index))
+    })
+    jobs.clear()
+    services.clear()
+    if (table.journal.incomplete) resolveRebuilt()
+  }
+
+  /** Ends the uncertainty after a lost journal, when nothing that was started before can be running unseen. */
+  const resolveRebuilt = (): void => {
+    const isOver = clock.now() > startedAt + WORKER_LOST_MS || (options.areWorkersKnown() && rebuiltIndex !== undefined)
+    if (!isOver || rebuiltIndex === undefined) return
+    const limit = rebuiltIndex
+    options.record([{ kind: 'incomplete', active: false }, { kind: 'settled', task: '', index: limit }])
+    table.specs.forEach((spec) => {
+      const entry = table.journal.entries.get(spec.task.id)
+      const isUnclear = !spec.task.idempotent && spec.seenAtIndex <= limit && (entry === undefined || entry.state === 'idle')
+      if (isUnclear) attempts.end(spec, 'unknown')
+    })
+  }
+
+  const isHeld = (spec: TaskSpec): boolean => {
+    const { journal } = table
+    if (journal.entries.has(spec.task.id) && !journal.incomplete) return false
+    if (!journal.incomplete) return log.status().appliedIndex < journal.settledIndex
+    const mayRunUnseen = clock.now() <= startedAt + WORKER_LOST_MS && !(options.areWorkersKnown() && rebuiltIndex !== undefined)
+    return mayRunUnseen || !spec.task.idempotent
+  }
+
+  const readLog = async (): Promise<void> => {
+    while (!signal.aborted) {
+      const askedAt = clock.now()
+      const result = await log.readBarrier(askedAt + READ_INTERVAL_MS)
+      if (result.ok) {
+        readAt = askedAt
+        rebuiltIndex ??= result.val
+      }
+      await clock.sleep(READ_INTERVAL_MS, signal)
+    }
+  }
+
+  const unsubscribe = log.subscribe(noteEntry)
+  signal.addEventListener('abort', unsubscribe, { once: true })
+  readLog()
+
+  return { update, isHeld, isLogCurrent: () => clock.now() < readAt + LOG_CURRENT_MS }
+}
+
+/** Whether the agreed state holds an outcome of the task or knows the task no longer. */
+export function isSettled (log: AgreedLog, task: string): boolean {
+  const { job, number } = parseTaskId(task)
+  const record = log.state().jobs[job]
+  return record === undefined || record.outcomes[number] !== undefined
+}
--- /dev/null
+++ b/src/coordination/tasks/dispatcher.ts
@@ -0,0 +1,194 @@
+import type { Clock, Logger } from '../../common/index.js'
+import type { AgreedLog, Worker } from '../../state/index.js'
+import type { Decision, Placement } from '../placement/types.js'
+import type { Attempts } from './attempts.js'
+import type { ExchangeReply } from './exchange.js'
+import { applyRecord } from './journal.js'
+import type { JournalWriter } from './journalWriter.js'
+import type { PolicyInForce } from './activeTerm.js'
+import { addResources, findExcess, type TaskFilter, type TaskSpec, type TaskState, type TaskTable, type TaskView } from './table.js'
+
+/** A worker that has reported to this coordinator. */
+export interface KnownWorker extends Worker { incarnation: string, leaving: boolean }
+
+export interface DispatcherOptions {
+  clock: Clock
+  logger: Logger
+  log: AgreedLog
+  table: TaskTable
+  attempts: Attempts
+  placement: Placement
+  writer: JournalWriter
+  getPolicy (): PolicyInForce
+  isHeld (spec: TaskSpec): boolean
+  findWorker (id: string): KnownWorker | undefined
+}
+
+/** Feeds the placement and carries out its decisions. */
+export interface Dispatcher {
+  run (): void
+  addWorker (worker: Worker): void
+  removeWorker (id: string): void
+  drainWorker (id: string): void
+  observeReply (worker: string, reply: ExchangeReply): void
+  listTasks (filter: TaskFilter): TaskView[]
+  getTask (id: string): TaskView | undefined
+}
+
+type DropReason =
+  | 'task-not-queued' | 'task-held' | 'task-not-running' | 'retry-later' | 'worker-gone' | 'worker-leaving'
+  | 'capacity-taken' | 'journal-not-writable' | 'second-copy-needed'
+type DecisionHandlers = { [K in Decision['kind']]: (decision: Extract<Decision, { kind: K }>) => DropReason | undefined | void }
+
+export function createDispatcher (options: DispatcherOptions): Dispatcher {
+  const { clock, logger, table, attempts, placement, writer } = options
+  const { journal } = table
+  const guards = new Map<string, boolean>()
+  const leaving = new Set<string>()
+  let policyKey = ''
+
+  const observePolicy = (): void => {
+    const { preset, revision, policy, isolated } = options.getPolicy()
+    const key = `${preset} ${revision} ${isolated}`
+    if (key === policyKey) return
+    policyKey = key
+    placement.observe({ kind: 'policy', preset, revision, policy, isolated }, clock.now())
+  }
+
+  const isQueued = (spec: TaskSpec): boolean => {
+    const entry = journal.entries.get(spec.task.id)
+    return entry === undefined || entry.state === 'idle'
+  }
+
+  const checkStart = ({ task, worker, size }: Extract<Decision, { kind: 'start' }>): DropReason | undefined => {
+    const spec = table.specs.get(task)
+    const target = options.findWorker(worker)
+    if (spec === undefined || spec.cancelled || !isQueued(spec)) return 'task-not-queued'
+    if (options.isHeld(spec)) return 'task-held'
+    if (clock.now() < spec.notBefore) return 'retry-later'
+    if (target === undefined) return 'worker-gone'
+    if (target.leaving || journal.draining.has(worker)) return 'worker-leaving'
+    // The last line of defence: whatever the decision rests on, a worker is never promised more than it has.
+    if (findExcess(addResources(attempts.sumPromised(worker), size), target.capacity) !== undefined) return 'capacity-taken'
+    if (!writer.isWritable()) return 'journal-not-writable'
+    return !spec.task.idempotent && !writer.isDurable() ? 'second-copy-needed' : undefined
+  }
+
+  const findRunning = (task: string, worker: string) => {
+    const entry = journal.entries.get(task)
+    return entry?.worker === worker && (entry.state === 'started' || entry.state === 'stopping') ? entry : undefined
+  }
+
+  const handlers: DecisionHandlers = {
+    start: (decision) => {
+      const reason = checkStart(decision)
+      const spec = table.specs.get(decision.task)
+      const worker = options.findWorker(decision.worker)
+      if (reason === undefined && spec !== undefined && worker !== undefined) attempts.start(spec, worker.id, worker.incarnation, decision.size)
+      return reason
+    },
+    throttle: ({ task, worker, share }) => {
+      if (findRunning(task, worker) === undefined) return 'task-not-running'
+      attempts.throttle(task, share)
+    },
+    checkpoint: ({ task, worker }) => {
+      if (findRunning(task, worker) === undefined) return 'task-not-running'
+      attempts.checkpoint(task)
+    },
+    stop: ({ task, worker, cause, causingMember, causingTask }) => {
+      const entry = findRunning(task, worker)
+      if (entry === undefined) return 'task-not-running'
+      logger.info('task-evict', { task, worker, cause, causingMember, causingTask })
+      attempts.evict(entry)
+    },
+    refuse: ({ task }) => {
+      const spec = table.specs.get(task)
+      if (spec === undefined || !isQueued(spec) || options.isHeld(spec)) return 'task-not-queued'
+      attempts.end(spec, 'refused')
+    },
+    // The placement itself starts nothing on a worker under quarantine; these are for the record.
+    quarantine: ({ worker }) => { logger.warn('worker-quarantine', { worker }) },
+    probe: ({ worker }) => { logger.info('worker-probe', { worker }) }
+  }
+
+  const run = (): void => {
+    observePolicy()
+    placement.decide(clock.now()).forEach((decision) => {
+      const handler = handlers[decision.kind] as (decision: Decision) => DropReason | undefined
+      const reason = handler(decision)
+      if (reason !== undefined) drop(decision, reason)
+    })
+  }
+
+  /** The placement counts a start that it decided as placed, so it has to hear that the task still waits. */
+  const drop = (decision: Decision, reason: DropReason): void => {
+    if (decision.kind !== 'start') return
+    const spec = table.specs.get(decision.task)
+    logger.info('decision-dropped', { task: decision.task, worker: decision.worker, reason })
+    if (spec !== undefined && !spec.cancelled && isQueued(spec)) placement.observe({ kind: 'task-queued', task: spec.task }, clock.now())
+  }
+
+  const drainWorker = (id: string): void => {
+    placement.observe({ kind: 'worker-drain', worker: id }, clock.now())
+    if (journal.draining.has(id)) return
+    const record = { kind: 'drain' as const, worker: id, active: true }
+    applyRecord(journal, record)
+    writer.append([record])
+  }
+
+  const observeReply = (worker: string, reply: ExchangeReply): void => {
+    const now = clock.now()
+    reply.usage.forEach(({ task, cores, memoryBytes, measuredAgoMs }) => {
+      placement.observe({ kind: 'usage', task, worker, cores, memoryBytes, measuredAt: now - measuredAgoMs }, now)
+    })
+    reply.latency.forEach(({ service, p99Ms, count, measuredAgoMs }) => {
+      placement.observe({ kind: 'latency', service, worker, p99Ms, count, measuredAt: now - measuredAgoMs }, now)
+    })
+    if ((guards.get(worker) ?? false) !== reply.guardActive) placement.observe({ kind: 'guard', worker, active: reply.guardActive }, now)
+    guards.set(worker, reply.guardActive)
+    if (reply.leaving && !leaving.has(worker)) {
+      leaving.add(worker)
+      placement.observe({ kind: 'worker-drain', worker }, now)
+    }
+    if (!reply.leaving) leaving.delete(worker)
+  }
+
+  const describeTask = (id: string): TaskView | undefined => {
+    const spec = table.specs.get(id)
+    const entry = journal.entries.get(id)
+    if (spec === undefined && entry === undefined) return undefined
+    const state = attempts.describeState(id)
+    const isHeld = state === 'queued' && spec !== undefined && options.isHeld(spec)
+    return {
+      id,
+      job: spec?.task.job ?? id.slice(0, id.lastIndexOf('/')),
+      state: isHeld ? 'held' : state,
+      attempt: entry?.attempt ?? 0,
+      worker: entry?.worker,
+      checkpoint: entry?.checkpoint,
+      service: spec?.task.service
+    }
+  }
+
+  const hasState = (view: TaskView, state: TaskState | undefined): boolean => state === undefined || view.state === state
+
+  return {
+    run,
+    drainWorker,
+    observeReply,
+    getTask: describeTask,
+    addWorker: ({ id, rack, availabilityZone, capacity }) => {
+      placement.observe({ kind: 'worker-up', worker: id, rack, availabilityZone, capacity }, clock.now())
+      if (journal.draining.has(id)) placement.observe({ kind: 'worker-drain', worker: id }, clock.now())
+    },
+    removeWorker: (id) => {
+      guards.delete(id)
+      leaving.delete(id)
+      placement.observe({ kind: 'worker-down', worker: id }, clock.now())
+    },
+    listTasks: (filter) => [...new Set([...table.specs.keys(), ...journal.entries.keys()])]
+      .flatMap((id) => describeTask(id) ?? [])
+      .filter((view) => (filter.job === undefined || view.job === filter.job) &&
+        (filter.worker === undefined || view.worker === filter.worker) && hasState(view, filter.state))
+  }
+}
--- a/src/coordination/tasks/exchange.ts
+++ b/src/coordination/tasks/exchange.ts
@@ -44,18 +44,36 @@
 })
 export type AttemptOutcome = z.infer<typeof attemptOutcomeSchema>
 
+const attemptReferenceSchema = z.strictObject({ task: z.string(), attempt: z.number().int().positive() })
+
+/** Entry hosts that hold the whole journal. A majority of the witnesses keeps it for the next coordinator. */
+export const journalNoteSchema = z.strictObject({
+  version: z.number().int().positive(),
+  hosts: z.array(z.string()),
+  /** Size of the witness set when the note was written. */
+  witnesses: z.number().int()
+})
+export type JournalNote = z.infer<typeof journalNoteSchema>
+
 /** `POST {worker}/v1/exchange`: the only exchange with a worker. It also grants the coordinator its lease. */
 export const exchangeRequestSchema = z.strictObject({
   term: coordinatorTermSchema,
+  /** Rises with each request of one term; a worker ignores a request that a later one has overtaken. */
+  sequence: z.number().int().positive(),
   /** Length of the coordinator's lease from now, ms; 0 releases it. */
   grantMs: z.number(),
-  /** Length of the leases of the listed tasks from now, ms. */
+  /** Length of task leases, ms, counted from the time at which the worker sent the reply named by `seen`. */
   taskLeaseMs: z.number(),
-  /** Attempts whose lease is renewed; every other attempt keeps its present deadline. */
-  renew: z.array(z.strictObject(attemptFields)),
+  /**
+   * The last reply that the coordinator received. It renews the leases of all tasks of the worker, and commands are
+   * valid only together with it: a request that was delayed for longer than a task lease can then start nothing.
+   */
+  seen: z.strictObject({ incarnation: z.string(), reply: z.number().int() }).optional(),
   commands: z.array(workerCommandSchema),
   /** Outcomes that are recorded, so that the worker may forget them. */
-  acknowledged: z.array(z.strictObject(attemptFields))
+  acknowledged: z.array(attemptReferenceSchema),
+  /** Sent until the worker has confirmed its version. */
+  journal: journalNoteSchema.optional()
 })
 export type ExchangeRequest = z.infer<typeof exchangeRequestSchema>
 
@@ -63,9 +81,18 @@
   worker: z.string(),
   /** Changes when the worker's process restarts. */
   incarnation: z.string(),
+  /** Number of this reply. */
+  reply: z.number().int(),
+  /** False when the request was refused; its commands were then not carried out. */
   granted: z.boolean(),
-  /** The term that the worker holds a promise for. */
+  /** The term that the worker holds a promise for, when it is not the requester's. */
   promised: coordinatorTermSchema.optional(),
+  /** The newest note held; sent when the request carries none and the requester's term has none. */
+  journal: z.strictObject({ term: coordinatorTermSchema, note: journalNoteSchema }).optional(),
+  /** Version of the requester's own note that the worker holds. */
+  noted: z.number().int(),
+  /** True: `tasks` lists every task. False: only those that changed since the reply that the request named. */
+  full: z.boolean(),
   tasks: z.array(z.strictObject({
     ...attemptFields,
     state: z.enum(['running', 'stopping', 'throttled']),
@@ -73,6 +100,7 @@
   })),
   /** Every outcome that has not been acknowledged. */
   outcomes: z.array(attemptOutcomeSchema),
+  /** Measurements made since the reply that the request named. */
   usage: z.array(z.strictObject({ task: z.string(), cores: z.number(), memoryBytes: z.number(), measuredAgoMs: z.number() })),
   latency: z.array(z.strictObject({ service: z.string(), p99Ms: z.number(), count: z.number().int(), measuredAgoMs: z.number() })),
   /** The worker's guard has throttled work by itself. */
--- /dev/null
+++ b/src/coordination/tasks/journalMember.ts
@@ -0,0 +1,123 @@
+import { z } from 'zod'
+import type { JournalStore } from '../../state/index.js'
+import { compareTerms } from '../authority/terms.js'
+import { coordinatorTermSchema, type CoordinatorTerm } from './exchange.js'
+import { applyRecord, createJournalState, journalRecordSchema, listSnapshot, type JournalRecord, type JournalState } from './journal.js'
+
+export const appendRequestSchema = z.strictObject({
+  term: coordinatorTermSchema,
+  /** Number of the first record. */
+  sequence: z.number().int(),
+  records: z.array(journalRecordSchema),
+  /** True: the records replace everything, and `sequence` is the number that follows them. */
+  snapshot: z.boolean()
+})
+export type AppendRequest = z.infer<typeof appendRequestSchema>
+
+export const appendReplySchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('recorded'), next: z.number().int(), synced: z.boolean() }),
+  z.strictObject({ kind: z.literal('higher-term'), promised: coordinatorTermSchema }),
+  z.strictObject({ kind: z.literal('snapshot-needed') }),
+  z.strictObject({ kind: z.literal('store-failed'), message: z.string() })
+])
+export type AppendReply = z.infer<typeof appendReplySchema>
+
+export const readReplySchema = z.strictObject({
+  promised: coordinatorTermSchema,
+  /** Term and length of the journal held; absent after a restart without a disk. */
+  journalTerm: coordinatorTermSchema.optional(),
+  next: z.number().int(),
+  records: z.array(journalRecordSchema)
+})
+export type ReadReply = z.infer<typeof readReplySchema>
+
+/** One host's copy of the zone's journal. */
+export interface JournalMember {
+  append (request: AppendRequest): Promise<AppendReply>
+  /** Promises the term, so that a coordinator of a lower term can record nothing here any more. */
+  read (term: CoordinatorTerm): Promise<ReadReply>
+  /** The highest term seen, and when its coordinator was last heard. */
+  getPromised (): CoordinatorTerm | undefined
+}
+
+const NO_TERM: CoordinatorTerm = { epoch: 0, round: 0, host: '' }
+/** The store is rewritten when it has this many lines more than the snapshot would have. */
+const COMPACTION_LINES = 20_000
+
+export async function createJournalMember (store: JournalStore): Promise<JournalMember> {
+  const loaded = loadLines(await store.load())
+  let { promised, journalTerm, next, state } = loaded
+  let lines = 0
+  let queue: Promise<unknown> = Promise.resolve()
+
+  const appendNow = async (request: AppendRequest): Promise<AppendReply> => {
+    if (compareTerms(request.term, promised) < 0) return { kind: 'higher-term', promised }
+    promised = request.term
+    const isCurrent = journalTerm !== undefined && compareTerms(journalTerm, request.term) === 0
+    if (request.snapshot) {
+      // A snapshot that was delayed must not undo what came after it.
+      if (isCurrent && request.sequence <= next) return { kind: 'recorded', next, synced: store.synced }
+      return await replaceAll(request)
+    }
+    if (!isCurrent || request.sequence > next) return { kind: 'snapshot-needed' }
+    const added = request.records.slice(next - request.sequence)
+    if (added.length === 0) return { kind: 'recorded', next, synced: store.synced }
+    const written = await store.append(added.map((record) => JSON.stringify(record)))
+    if (written.err) return { kind: 'store-failed', message: written.val.message }
+    added.forEach((record) => applyRecord(state, record))
+    next += added.length
+    lines += added.length
+    if (lines > COMPACTION_LINES + state.entries.size) await compact()
+    return { kind: 'recorded', next, synced: store.synced }
+  }
+
+  const replaceAll = async (request: AppendRequest): Promise<AppendReply> => {
+    const written = await store.replace(encodeLines(request.term, request.sequence, request.records))
+    if (written.err) return { kind: 'store-failed', message: written.val.message }
+    state = createJournalState()
+    request.records.forEach((record) => applyRecord(state, record))
+    journalTerm = request.term
+    next = request.sequence
+    lines = 0
+    return { kind: 'recorded', next, synced: store.synced }
+  }
+
+  const compact = async (): Promise<void> => {
+    if (journalTerm === undefined) return
+    await store.replace(encodeLines(journalTerm, next, listSnapshot(state)))
+    lines = 0
+  }
+
+  // Writes to the store are awaited, so requests take turns.
+  const runNext = <T>(run: () => Promise<T>): Promise<T> => {
+    const result = queue.then(run)
+    queue = result.catch(() => undefined)
+    return result
+  }
+
+  return {
+    append: (request) => runNext(() => appendNow(request)),
+    read: (term) => runNext(async () => {
+      if (compareTerms(term, promised) > 0) promised = term
+      return { promised, journalTerm, next, records: listSnapshot(state) }
+    }),
+    getPromised: () => promised
+  }
+}
+
+interface LoadedJournal { promised: CoordinatorTerm, journalTerm?: CoordinatorTerm, next: number, state: JournalState }
+
+function encodeLines (term: CoordinatorTerm, next: number, records: JournalRecord[]): string[] {
+  return [JSON.stringify({ term, next, records: records.length }), ...records.map((record) => JSON.stringify(record))]
+}
+
+function loadLines (lines: string[]): LoadedJournal {
+  const state = createJournalState()
+  const [first, ...rest] = lines
+  if (first === undefined) return { promised: NO_TERM, next: 0, state }
+  const header = headerSchema.parse(JSON.parse(first))
+  rest.forEach((line) => applyRecord(state, journalRecordSchema.parse(JSON.parse(line))))
+  return { promised: header.term, journalTerm: header.term, next: header.next + rest.length - header.records, state }
+}
+
+const headerSchema = z.strictObject({ term: coordinatorTermSchema, next: z.number().int(), records: z.number().int() })
--- /dev/null
+++ b/src/coordination/tasks/summaries.ts
@@ -0,0 +1,56 @@
+import type { Clock, Logger } from '../../common/index.js'
+import type { AgreedLog, Entry, TaskOutcome } from '../../state/index.js'
+import type { Attempts } from './attempts.js'
+import { isSettled } from './demand.js'
+import { isReplica, parseTaskId, type TaskTable } from './table.js'
+
+const SUMMARY_INTERVAL_MS = 1_000
+const PROPOSE_TIMEOUT_MS = 3_000
+const MAX_OUTCOMES = 2_000
+
+export interface SummariesOptions {
+  log: AgreedLog
+  clock: Clock
+  logger: Logger
+  attempts: Attempts
+  table: TaskTable
+  availabilityZone: string
+}
+
+/** Brings outcomes from the journal to the agreed log, at most once a second. */
+export interface Summaries { flush (): Promise<void> }
+
+export function createSummaries ({ log, clock, logger, attempts, table, availabilityZone }: SummariesOptions): Summaries {
+  let nextAt = -Infinity
+  let busy = false
+
+  const settleDone = (): void => {
+    const index = log.status().appliedIndex
+    attempts.recorded.forEach((_outcome, task) => {
+      const isDone = isReplica(task) ? !table.specs.has(task) : isSettled(log, task) && !table.specs.has(task)
+      if (isDone) attempts.settle(task, index)
+    })
+  }
+
+  const flush = async (): Promise<void> => {
+    if (busy || clock.now() < nextAt) return
+    settleDone()
+    const outcomes = [...attempts.recorded]
+      .filter(([task]) => !isReplica(task) && !isSettled(log, task))
+      .slice(0, MAX_OUTCOMES)
+      .map(([task, outcome]): [string, number, TaskOutcome] => {
+        const { job, number } = parseTaskId(task)
+        return [job, number, outcome]
+      })
+    if (outcomes.length === 0) return
+    busy = true
+    nextAt = clock.now() + SUMMARY_INTERVAL_MS
+    const entry: Entry = { kind: 'job.summary', availabilityZone, outcomes }
+    // A resend after an unknown outcome is harmless: the first outcome of a task stands.
+    const result = await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)
+    if (result.err) logger.warn('summary-not-recorded', { kind: result.val.kind, outcomes: outcomes.length })
+    busy = false
+  }
+
+  return { flush }
+}
--- /dev/null
+++ b/src/coordination/tasks/workerView.ts
@@ -0,0 +1,37 @@
+import type { ExchangeReply, WorkerCommand } from './exchange.js'
+
+/** What a coordinator knows of one worker from its replies, and what it still has to tell it. */
+export interface WorkerView {
+  incarnation: string
+  /** Attempts that the worker reported, by task. */
+  readonly view: Map<string, { attempt: number, state: 'running' | 'stopping' | 'throttled' }>
+  /** Commands that are sent once, because a repetition has no use. */
+  once: WorkerCommand[]
+  /** Stops of attempts that the coordinator does not account for. */
+  strays: WorkerCommand[]
+  /** Outcomes that are in the journal; repeated until the worker has processed them. */
+  readonly acknowledged: Map<string, { task: string, attempt: number }>
+  /** Prepares the view for the tasks of a reply. */
+  observe (reply: ExchangeReply): void
+}
+
+export function createWorkerView (): WorkerView {
+  const self: WorkerView = {
+    incarnation: '',
+    view: new Map(),
+    once: [],
+    strays: [],
+    acknowledged: new Map(),
+    observe: (reply) => {
+      if (self.incarnation !== reply.incarnation) {
+        self.incarnation = reply.incarnation
+        self.once = []
+        self.acknowledged.clear()
+        self.view.clear()
+      }
+      if (reply.full) self.view.clear()
+      self.strays = []
+    }
+  }
+  return self
+}
--- /dev/null
+++ b/src/fakes/worker.ts
@@ -0,0 +1,311 @@
+import type { Clock } from '../common/index.js'
+import { compareTerms } from '../coordination/authority/terms.js'
+import type {
+  AttemptOutcome, CoordinatorTerm, ExchangeReply, ExchangeRequest, FencingToken, JournalNote, WorkerCommand
+} from '../coordination/tasks/exchange.js'
+import type { Resources } from '../state/schemas.js'
+
+type StartCommand = Extract<WorkerCommand, { kind: 'start' }>
+
+/** How an attempt behaves; `Infinity` runs until it is stopped. */
+export interface RunPlan { runMs: number, result: 'succeeded' | 'failed', stopMs?: number }
+
+/** What happened on the worker, with the time at which it happened rather than at which it was noticed. */
+export interface WorkerEvent {
+  at: number
+  kind: 'started' | 'ended'
+  worker: string
+  task: string
+  attempt: number
+  checkpoint: string | undefined
+  result?: AttemptOutcome['result'] | 'crashed'
+  size: Resources
+}
+
+export interface WorkerCoreOptions {
+  id: string
+  clock: Clock
+  plan: (start: StartCommand) => RunPlan
+  onEvent?: (event: WorkerEvent) => void
+  /** Usage is measured this often, ms. */
+  measureMs?: number
+}
+
+/** A worker without sockets. Time passes lazily: `handle` and `update` first bring the tasks up to the present. */
+export interface WorkerCore {
+  readonly id: string
+  handle (request: ExchangeRequest): ExchangeReply
+  update (): void
+  /** The process dies and all of its tasks with it. */
+  crash (): void
+  /** Starts again as a new incarnation that remembers nothing. */
+  restart (): void
+  isUp (): boolean
+  setGuard (active: boolean): void
+  setLeaving (): void
+  setLatency (service: string, p99Ms: number, count: number): void
+  listTasks (): Array<{ task: string, attempt: number, cores: number }>
+}
+
+interface Running {
+  start: StartCommand
+  plan: RunPlan
+  /** Work done up to `progressAt`, ms. */
+  progress: number
+  progressAt: number
+  share: number
+  leaseDeadline: number
+  stopAt: number
+  checkpoint: string | undefined
+  checkpointOnStop: boolean
+  changed: number
+}
+
+const REMEMBERED_REPLIES = 64
+const DEFAULT_STOP_MS = 200
+const DEFAULT_MEASURE_MS = 5_000
+/** A restarted process has forgotten its promise, so it makes none until the old one has run out, ms. */
+const SILENCE_AFTER_RESTART_MS = 2_525
+
+export function createWorkerCore (options: WorkerCoreOptions): WorkerCore {
+  const { id, clock, plan, onEvent = () => {}, measureMs = DEFAULT_MEASURE_MS } = options
+  let generation = 1
+  let up = true
+  let guardActive = false
+  let leaving = false
+  let latency: ExchangeReply['latency'] = []
+
+  let tasks = new Map<string, Running>()
+  let outcomes = new Map<string, AttemptOutcome>()
+  let tokens = new Map<string, FencingToken>()
+  let promised: { term: CoordinatorTerm, deadline: number } | undefined
+  let journal: { term: CoordinatorTerm, note: JournalNote } | undefined
+  let lastSequence = 0
+  let replies: Array<{ reply: number, sentAt: number }> = []
+  let replyCount = 0
+  let measuredAt = clock.now()
+  let measuredReply = 0
+  let silentUntil = -Infinity
+
+  const getIncarnation = (): string => `${id}-${generation}`
+
+  const note = (running: Running, kind: WorkerEvent['kind'], at: number, result?: WorkerEvent['result']): void => {
+    const { task, attempt, cores, memoryBytes, accelerators } = running.start
+    const checkpoint = kind === 'started' ? running.start.checkpoint : running.checkpoint
+    onEvent({ at, kind, worker: id, task, attempt, checkpoint, result, size: { cores, memoryBytes, accelerators } })
+  }
+
+  const end = (running: Running, at: number, result: 'succeeded' | 'failed' | 'stopped', message: string): void => {
+    const { task, attempt, token } = running.start
+    tasks.delete(task)
+    outcomes.set(`${task}#${attempt}`, { task, attempt, token, result, message, checkpoint: running.checkpoint })
+    note(running, 'ended', at, result)
+  }
+
+  const computeProgress = (running: Running, at: number): number => running.progress + Math.max(0, at - running.progressAt) * running.share
+
+  const update = (): void => {
+    if (!up) return
+    const now = clock.now()
+    const measured = now - measuredAt >= measureMs
+    if (measured) {
+      measuredAt = now
+      measuredReply = replyCount + 1
+    }
+    // A copy, because tasks are removed on the way.
+    for (const running of [...tasks.values()]) {
+      const finishAt = running.progressAt + (running.plan.runMs - running.progress) / running.share
+      const endAt = Math.min(finishAt, running.stopAt, running.leaseDeadline)
+      if (endAt > now) continue
+      if (endAt === finishAt) end(running, endAt, running.plan.result, '')
+      else if (endAt === running.stopAt) {
+        if (running.checkpointOnStop) running.checkpoint = encodeCheckpoint(computeProgress(running, endAt))
+        end(running, endAt, 'stopped', 'stopped on request')
+      } else end(running, endAt, 'stopped', 'the lease ran out')
+    }
+  }
+
+  const refuse = (start: Pick<StartCommand, 'task' | 'attempt' | 'token'>, message: string): void => {
+    const { task, attempt, token } = start
+    outcomes.set(`${task}#${attempt}`, { task, attempt, token, result: 'refused', message })
+  }
+
+  const handlers: { [K in WorkerCommand['kind']]: (command: Extract<WorkerCommand, { kind: K }>, base: number, request: ExchangeRequest) => void } = {
+    start: (command, base, request) => {
+      const known = tokens.get(command.task)
+      if (known !== undefined && compareTokens(command.token, known) <= 0) return
+      tokens.set(command.task, command.token)
+      if (tasks.has(command.task)) return refuse(command, 'an earlier attempt is still running')
+      if (guardActive || leaving) return refuse(command, leaving ? 'the worker is leaving' : 'the guard refuses new work')
+      const progress = decodeCheckpoint(command.checkpoint)
+      const running: Running = {
+        start: command,
+        plan: plan(command),
+        progress,
+        progressAt: clock.now(),
+        share: 1,
+        leaseDeadline: base + request.taskLeaseMs,
+        stopAt: Infinity,
+        checkpoint: command.checkpoint,
+        checkpointOnStop: false,
+        changed: replyCount + 1
+      }
+      tasks.set(command.task, running)
+      note(running, 'started', clock.now())
+    },
+    stop: (command) => {
+      const running = findAttempt(command)
+      if (running === undefined) return refuseUnstarted(command)
+      if (running.stopAt !== Infinity) return
+      running.stopAt = clock.now() + (running.plan.stopMs ?? DEFAULT_STOP_MS)
+      running.checkpointOnStop = command.checkpoint
+      running.changed = replyCount + 1
+    },
+    throttle: (command) => {
+      const running = findAttempt(command)
+      if (running === undefined) return
+      running.progress = computeProgress(running, clock.now())
+      running.progressAt = clock.now()
+      running.share = Math.max(command.share, 1e-6)
+      running.changed = replyCount + 1
+    },
+    checkpoint: (command) => {
+      const running = findAttempt(command)
+      if (running === undefined) return
+      running.checkpoint = encodeCheckpoint(computeProgress(running, clock.now()))
+      running.changed = replyCount + 1
+    }
+  }
+
+  /** A stop that arrives instead of its start is confirmed, and the start can then do nothing any more. */
+  const refuseUnstarted = (command: Extract<WorkerCommand, { kind: 'stop' }>): void => {
+    const known = tokens.get(command.task)
+    if (known !== undefined && compareTokens(command.token, known) <= 0) return
+    tokens.set(command.task, command.token)
+    refuse(command, 'stopped before it was started')
+  }
+
+  const findAttempt = ({ task, attempt }: { task: string, attempt: number }): Running | undefined => {
+    const running = tasks.get(task)
+    return running?.start.attempt === attempt ? running : undefined
+  }
+
+  /** The worker's promise belongs to one term; another one has to wait until it has run out. */
+  const claimPromise = (request: ExchangeRequest): boolean => {
+    const now = clock.now()
+    if (now < silentUntil) return false
+    const order = promised === undefined ? 1 : compareTerms(request.term, promised.term)
+    if (promised !== undefined && order < 0) return false
+    if (order === 0 && request.sequence <= lastSequence) return false
+    const isFree = promised === undefined || order === 0 || now >= promised.deadline || promised.term.host === request.term.host
+    if (!isFree) return false
+    promised = { term: request.term, deadline: Math.max(order === 0 ? promised?.deadline ?? 0 : 0, now + request.grantMs) }
+    if (request.grantMs === 0) promised.deadline = now
+    lastSequence = request.sequence
+    if (request.journal !== undefined) journal = { term: request.term, note: request.journal }
+    return true
+  }
+
+  const applyCommands = (request: ExchangeRequest): void => {
+    const { seen } = request
+    const base = seen?.incarnation === getIncarnation() ? replies.find((item) => item.reply === seen.reply)?.sentAt : undefined
+    if (base === undefined || base + request.taskLeaseMs <= clock.now()) return
+    for (const running of tasks.values()) running.leaseDeadline = Math.max(running.leaseDeadline, base + request.taskLeaseMs)
+    for (const command of request.commands) {
+      const handler = handlers[command.kind] as (command: WorkerCommand, base: number, request: ExchangeRequest) => void
+      handler(command, base, request)
+    }
+    for (const { task, attempt } of request.acknowledged) {
+      outcomes.delete(`${task}#${attempt}`)
+      if (!tasks.has(task) && !hasOutcome(task)) tokens.delete(task)
+    }
+  }
+
+  const hasOutcome = (task: string): boolean => [...outcomes.values()].some((outcome) => outcome.task === task)
+
+  const findSeen = ({ seen }: ExchangeRequest): number => seen?.incarnation === getIncarnation() ? seen.reply : 0
+
+  const describeNote = (term: CoordinatorTerm): Pick<ExchangeReply, 'noted' | 'journal'> => {
+    if (journal === undefined) return { noted: 0 }
+    return compareTerms(journal.term, term) === 0 ? { noted: journal.note.version } : { noted: 0, journal }
+  }
+
+  const describeUsage = ({ start, share }: Running): ExchangeReply['usage'][number] =>
+    ({ task: start.task, cores: start.cores * share, memoryBytes: start.memoryBytes, measuredAgoMs: clock.now() - measuredAt })
+
+  const handle = (request: ExchangeRequest): ExchangeReply => {
+    update()
+    const granted = claimPromise(request)
+    if (granted) applyCommands(request)
+    replyCount += 1
+    replies = [...replies.slice(1 - REMEMBERED_REPLIES), { reply: replyCount, sentAt: clock.now() }]
+    const seen = findSeen(request)
+    const full = seen === 0
+    const running = [...tasks.values()]
+    return {
+      worker: id,
+      incarnation: getIncarnation(),
+      reply: replyCount,
+      granted,
+      ...(granted || promised === undefined ? {} : { promised: promised.term }),
+      ...describeNote(request.term),
+      full,
+      tasks: running.filter((item) => full || item.changed > seen).map(describeTask),
+      outcomes: [...outcomes.values()],
+      usage: full || measuredReply > seen ? running.map(describeUsage) : [],
+      latency,
+      guardActive,
+      leaving
+    }
+  }
+
+  return {
+    id,
+    handle,
+    update,
+    crash: () => {
+      update()
+      tasks.forEach((running) => note(running, 'ended', clock.now(), 'crashed'))
+      up = false
+    },
+    restart: () => {
+      up = true
+      generation += 1
+      tasks = new Map()
+      outcomes = new Map()
+      tokens = new Map()
+      promised = undefined
+      journal = undefined
+      lastSequence = 0
+      replies = []
+      leaving = false
+      latency = []
+      measuredAt = clock.now()
+      silentUntil = clock.now() + SILENCE_AFTER_RESTART_MS
+    },
+    isUp: () => up,
+    setGuard: (active) => { guardActive = active },
+    setLeaving: () => { leaving = true },
+    setLatency: (service, p99Ms, count) => { latency = [{ service, p99Ms, count, measuredAgoMs: 0 }] },
+    listTasks: () => [...tasks.values()].map(({ start }) => ({ task: start.task, attempt: start.attempt, cores: start.cores }))
+  }
+}
+
+function describeTask ({ start, stopAt, share, checkpoint }: Running): ExchangeReply['tasks'][number] {
+  const { task, attempt, token } = start
+  const state = stopAt !== Infinity ? 'stopping' : share < 1 ? 'throttled' : 'running'
+  return { task, attempt, token, state, ...(checkpoint === undefined ? {} : { checkpoint }) }
+}
+
+function compareTokens (left: FencingToken, right: FencingToken): number {
+  return left.epoch !== right.epoch ? left.epoch - right.epoch : left.sequence - right.sequence
+}
+
+/** A checkpoint of a fake task is the work that it had done, ms. */
+export function encodeCheckpoint (progress: number): string {
+  return `work:${progress}`
+}
+
+export function decodeCheckpoint (checkpoint: string | undefined): number {
+  return checkpoint === undefined ? 0 : Number(checkpoint.slice('work:'.length))
+}
--- a/src/state/agreedState.ts
+++ b/src/state/agreedState.ts
@@ -25,6 +25,13 @@
   witnesses: string[]
   /** Entry hosts that keep the journal in this epoch. */
   journalGroup: string[]
+  /**
+   * Witness sets of earlier epochs whose successor is not known to have taken over. A new coordinator needs a
+   * majority of each, because two sets that differ much have majorities without a common worker.
+   */
+  unsettled?: Array<{ epoch: number, witnesses: string[] }>
+  /** An earlier epoch had witnesses, so tasks may have been started. */
+  witnessed?: boolean
   retired: boolean
 }
 
@@ -252,7 +259,7 @@
     return Ok({})
   },
 
-  'zone.grant': (state, { availabilityZone, previousEpoch, host, incarnation }) => {
+  'zone.grant': (state, { availabilityZone, previousEpoch, host, incarnation, settledEpoch = 0 }) => {
     const zone = state.zones[availabilityZone]
     if (zone === undefined) return Err({ kind: 'unknown-zone', availabilityZone })
     if (zone.retired) return Err({ kind: 'zone-retired', availabilityZone })
@@ -266,7 +273,10 @@
       host,
       incarnation,
       witnesses: listIdsInZone(state.workers, availabilityZone),
-      journalGroup: listIdsInZone(state.hosts, availabilityZone)
+      journalGroup: listIdsInZone(state.hosts, availabilityZone),
+      unsettled: [...zone.unsettled ?? [], { epoch: zone.epoch, witnesses: zone.witnesses }]
+        .filter((earlier) => earlier.epoch >= settledEpoch && earlier.witnesses.length > 0),
+      witnessed: zone.witnessed === true || zone.witnesses.length > 0
     }
     return Ok({ epoch })
   },
--- a/src/state/schemas.ts
+++ b/src/state/schemas.ts
@@ -136,7 +136,9 @@
     /** The epoch that this grant follows; another one means that a rival grant was first. */
     previousEpoch: z.number().int().nonnegative(),
     host: identifierSchema,
-    incarnation: z.string()
+    incarnation: z.string(),
+    /** The newest epoch whose coordinator is known to have taken over; witness sets before it no longer count. */
+    settledEpoch: z.number().int().nonnegative().optional()
   }),
   z.strictObject({ kind: z.literal('zone.transfer'), from: identifierSchema, to: identifierSchema, tasks: z.array(z.tuple([identifierSchema, z.number().int()])) }),
   z.strictObject({ kind: z.literal('zone.retire'), requestId, availabilityZone: identifierSchema, confirmedStopped: z.literal(true), setBy: z.string() })
