Found a deployment by one entry of the agreed log

Cause: hosts and members of the settings must be taken over once, not again after an operator removed one of them. Change: entry deployment.found; a failure for entries that are too large has a message as the others do. Conclusion: founding is atomic.

--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -50,6 +50,7 @@
   'zone-retired': (r) => createFailure('conflict', `availability zone "${r.availabilityZone}" is retired`, r),
   'not-pending': (r) => createFailure('conflict', `revision ${r.revision} is not pending`, r),
   'outcome-is-final': (r) => createFailure('conflict', `task ${r.task} of job "${r.job}" has already ended as ${r.outcome}`, r),
+  'already-founded': () => createFailure('conflict', 'the deployment already exists'),
   'invalid-division': (r) => createFailure('internal', `the job has ${r.expected} tasks but ${r.actual} were assigned to zones`, r)
 }
 
@@ -64,6 +65,8 @@
     return describe(failure.rejection)
   }
   if (failure.kind === 'stopped') return createFailure('not-recorded', failure.message)
+  if (failure.kind === 'invalid-entry') return createFailure('invalid', failure.message)
+  if (failure.kind === 'entry-too-large') return createFailure('too-large', failure.message)
   if (failure.kind === 'outcome-unknown') {
     return createFailure('outcome-unknown', `${failure.message}; resend with the same request id to learn the outcome`)
   }
--- a/src/state/agreedLog.ts
+++ b/src/state/agreedLog.ts
@@ -12,7 +12,7 @@
   | { kind: 'rejected', rejection: Rejection }
   | { kind: 'stopped', message: string }
   | { kind: 'invalid-entry', message: string }
-  | { kind: 'entry-too-large', bytes: number, limit: number }
+  | { kind: 'entry-too-large', message: string, bytes: number, limit: number }
 
 export type LogRole = 'leader' | 'follower' | 'candidate' | 'learner'
 
--- a/src/state/agreedState.ts
+++ b/src/state/agreedState.ts
@@ -48,6 +48,8 @@
 
 /** The state that every entry host derives from the agreed log. Plain data, so that a snapshot is its encoding. */
 export interface AgreedState {
+  /** True once the hosts and members of the settings were taken over. */
+  founded: boolean
   configuration: Configuration
   /** Committed but not yet in force. */
   pending: Configuration | undefined
@@ -81,6 +83,7 @@
   | { kind: 'zone-retired', availabilityZone: string }
   | { kind: 'not-pending', revision: number }
   | { kind: 'outcome-is-final', job: string, task: number, outcome: TaskOutcome }
+  | { kind: 'already-founded' }
   | { kind: 'invalid-division', expected: number, actual: number }
 
 export interface Acceptance { revision?: number, epoch?: number }
@@ -99,6 +102,7 @@
 
 export function createAgreedState (presets: Record<string, Policy> = DEFAULT_PRESETS, preset = 'ordinary'): AgreedState {
   return {
+    founded: false,
     configuration: { revision: 0, preset, presets, setBy: 'settings', reason: 'initial configuration', since: 0 },
     pending: undefined,
     members: {},
@@ -148,6 +152,14 @@
 const handlers: Handlers = {
   noop: () => Ok({}),
 
+  'deployment.found': (state, { hosts, members }) => {
+    if (state.founded) return Err({ kind: 'already-founded' })
+    state.founded = true
+    hosts.forEach((host) => addHost(state, host))
+    members.forEach((member) => { state.members[member.id] = member })
+    return Ok({})
+  },
+
   'config.propose': (state, { change, wallTime }) => {
     const current = state.configuration
     if (state.pending !== undefined) {
@@ -235,10 +247,7 @@
   },
 
   'host.add': (state, { host }) => {
-    state.hosts[host.id] = host
-    state.zones[host.availabilityZone] ??= {
-      availabilityZone: host.availabilityZone, epoch: 0, host: '', incarnation: '', witnesses: [], journalGroup: [], retired: false
-    }
+    addHost(state, host)
     return Ok({})
   },
 
@@ -298,6 +307,14 @@
   }
 }
 
+function addHost (state: AgreedState, host: Host): void {
+  const { availabilityZone } = host
+  state.hosts[host.id] = host
+  state.zones[availabilityZone] ??= {
+    availabilityZone, epoch: 0, host: '', incarnation: '', witnesses: [], journalGroup: [], retired: false
+  }
+}
+
 function listIdsInZone (items: Record<string, { id: string, availabilityZone: string }>, availabilityZone: string): string[] {
   return Object.values(items)
     .filter((item) => item.availabilityZone === availabilityZone)
--- a/src/state/replica/proposals.ts
+++ b/src/state/replica/proposals.ts
@@ -144,7 +144,7 @@
   if (!parsed.success) return Err({ kind: 'invalid-entry', message: parsed.error.message })
   const size = encodeCommand(parsed.data).length
   return size > MAX_ENTRY_BYTES
-    ? Err({ kind: 'entry-too-large', bytes: size, limit: MAX_ENTRY_BYTES })
+    ? Err({ kind: 'entry-too-large', message: `the entry has ${size} bytes; at most ${MAX_ENTRY_BYTES} are allowed`, bytes: size, limit: MAX_ENTRY_BYTES })
     : Ok(parsed.data)
 }
 
--- a/src/state/schemas.ts
+++ b/src/state/schemas.ts
@@ -114,6 +114,8 @@
 /** Every change of the agreed state. `requestId` makes a resend by an operator return the first outcome. */
 export const entrySchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('noop') }),
+  /** What the settings of a new deployment name; accepted once. */
+  z.strictObject({ kind: z.literal('deployment.found'), hosts: z.array(hostSchema), members: z.array(memberSchema) }),
   z.strictObject({ kind: z.literal('config.propose'), requestId, change: configurationChangeSchema, wallTime: z.number() }),
   z.strictObject({ kind: z.literal('config.activate'), revision: z.number().int(), wallTime: z.number() }),
   z.strictObject({ kind: z.literal('member.put'), requestId, member: memberSchema }),
