--- /dev/null
+++ b/src/coordination/routing/index.ts
@@ -0,0 +1,9 @@
+export { createRouter, type RequestReport, type Router, type RouterOptions } from './router.js'
+export { type EntryHost } from './idempotency.js'
+export { type ClaimLimits } from './claims.js'
+export {
+  announcementSchema, EXECUTOR_HEADERS, LIVENESS_PATH,
+  type AnnounceFailure, type Announcement, type AnnouncementInput, type AnnounceReply, type Answer, type ExecutorClient,
+  type ExecutorConnection, type ExecutorFailure, type ExecutorRequest, type KeyFailure, type KeyFailureKind, type NextStep,
+  type NotRunReason, type RequestOutcome, type RoutedRequest, type TargetStatus, type UnknownReason
+} from './types.js'
