Add a stateful fuzz of a zone against an oracle

Cause: failures of hosts, workers and links together cannot be listed by hand. Change: fast-check scenarios with message loss, delay, duplication, one-way cuts, crashes, pauses, clocks of different rates and an unreachable log; the workers' own records are checked for double runs, capacity, repeated attempts, checkpoints, non-idempotent restarts, and lost or changed outcomes.

--- a/src/coordination/tasks/coordinator.ts
+++ b/src/coordination/tasks/coordinator.ts
@@ -51,7 +51,8 @@
   getTask (id: string): TaskView | undefined
   /** Registers a worker in the agreed log; on a host other than the coordinator it is forwarded. */
   registerWorker (worker: Worker): Promise<boolean>
-  drainWorker (id: string): boolean
+  /** Moves the worker's tasks elsewhere and starts no more on it; `active` false takes it back. */
+  drainWorker (id: string, active?: boolean): boolean
   explain (subject: Subject): Explanation[]
   status (): ZoneStatus
   /** Hands the coordination over and ends. */
@@ -215,7 +216,7 @@
     registerWorker,
     listTasks: (filter) => session?.listTasks(filter) ?? [],
     getTask: (id) => session?.getTask(id),
-    drainWorker: (id) => session?.drainWorker(id) ?? false,
+    drainWorker: (id, active = true) => session?.drainWorker(id, active) ?? false,
     explain: (subject) => session?.getPlacement()?.explain(subject) ?? [],
     status: getStatus,
     stop: async () => {
--- a/src/coordination/tasks/dispatcher.ts
+++ b/src/coordination/tasks/dispatcher.ts
@@ -29,7 +29,7 @@
   run (): void
   addWorker (worker: Worker): void
   removeWorker (id: string): void
-  drainWorker (id: string): void
+  drainWorker (id: string, active: boolean): void
   observeReply (worker: string, reply: ExchangeReply): void
   listTasks (filter: TaskFilter): TaskView[]
   getTask (id: string): TaskView | undefined
@@ -128,10 +128,12 @@
     if (spec !== undefined && !spec.cancelled && isQueued(spec)) placement.observe({ kind: 'task-queued', task: spec.task }, clock.now())
   }
 
-  const drainWorker = (id: string): void => {
-    placement.observe({ kind: 'worker-drain', worker: id }, clock.now())
-    if (journal.draining.has(id)) return
-    const record = { kind: 'drain' as const, worker: id, active: true }
+  const drainWorker = (id: string, active: boolean): void => {
+    if (journal.draining.has(id) === active) return
+    const worker = options.findWorker(id)
+    if (active) placement.observe({ kind: 'worker-drain', worker: id }, clock.now())
+    else if (worker !== undefined) placement.observe({ ...worker, kind: 'worker-up', worker: id }, clock.now())
+    const record = { kind: 'drain' as const, worker: id, active }
     applyRecord(journal, record)
     writer.append([record])
   }
--- a/src/coordination/tasks/session.ts
+++ b/src/coordination/tasks/session.ts
@@ -1,3 +1,4 @@
+import { setMaxListeners } from 'node:events'
 import type { Clock, Logger, Network } from '../../common/index.js'
 import type { AgreedLog, Worker, ZoneAuthority } from '../../state/index.js'
 import { compareTerms, formatTerm, GRANT_MS } from '../authority/terms.js'
@@ -45,7 +46,7 @@
   listTasks (filter: TaskFilter): TaskView[]
   getTask (id: string): TaskView | undefined
   countTasks (): number
-  drainWorker (worker: string): boolean
+  drainWorker (worker: string, active: boolean): boolean
   countWorkers (): { up: number, known: number }
   getPlacement (): Placement | undefined
   /** Records everything that is known, releases the lease on every worker and ends. */
@@ -68,6 +69,8 @@
   const { clock, log, zone, term, logger, network } = options
   const controller = new AbortController()
   const { signal } = controller
+  // Each worker and each peer has a loop that listens.
+  setMaxListeners(0, signal)
   const startedAt = clock.now()
   const workers = new Map<string, WorkerState>()
   const witnesses = createWitnesses([zone.witnesses])
@@ -290,9 +293,9 @@
     listTasks: (filter) => active?.dispatcher.listTasks(filter) ?? [],
     getTask: (id) => active?.dispatcher.getTask(id),
     countTasks: () => active?.table.specs.size ?? 0,
-    drainWorker: (worker) => {
+    drainWorker: (worker, isDraining) => {
       if (active === undefined || !isActive() || !workers.has(worker)) return false
-      active.dispatcher.drainWorker(worker)
+      active.dispatcher.drainWorker(worker, isDraining)
       return true
     },
     countWorkers: () => ({ up: [...workers.values()].filter((worker) => worker.up).length, known: workers.size }),
--- /dev/null
+++ b/src/fakes/journalStore.ts
@@ -0,0 +1,19 @@
+import { Ok } from '../common/index.js'
+import type { JournalStore } from '../state/index.js'
+
+/** A store that survives the crash of its host, like a disk that is synced with each append. */
+export function createSyncedJournalStore (): JournalStore {
+  let kept: string[] = []
+  return {
+    synced: true,
+    load: async () => [...kept],
+    append: async (lines) => {
+      kept.push(...lines)
+      return Ok(undefined)
+    },
+    replace: async (lines) => {
+      kept = [...lines]
+      return Ok(undefined)
+    }
+  }
+}
--- a/src/fakes/worker.ts
+++ b/src/fakes/worker.ts
@@ -264,6 +264,7 @@
     handle,
     update,
     crash: () => {
+      if (!up) return
       update()
       tasks.forEach((running) => note(running, 'ended', clock.now(), 'crashed'))
       up = false
--- a/src/fakes/zone.ts
+++ b/src/fakes/zone.ts
@@ -1,5 +1,5 @@
 import { createManualClock, createRandom, createSilentLogger, type Logger, type ManualClock, type Random } from '../common/index.js'
-import type { Placement } from '../coordination/placement/types.js'
+import type { Decision, Placement, Reason } from '../coordination/placement/types.js'
 import { startSupervisor, heartbeatSchema } from '../coordination/authority/index.js'
 import { createZoneCoordinator, type WorkerClient, type ZoneCoordinator } from '../coordination/tasks/index.js'
 import type { Entry, Job, JournalStore, Resources } from '../state/index.js'
@@ -46,11 +46,16 @@
   setLogReachable (host: string, reachable: boolean): void
   findActive (): ZoneCoordinator | undefined
   listActive (): string[]
+  /** The placement of the active coordinator decides to evict the task. */
+  evict (task: string, worker: string): void
+  crashWorker (worker: string): void
+  restartWorker (worker: string): void
   advance (ms: number): Promise<void>
 }
 
 export interface FakeHost { id: string, log: HostLog, coordinator: ZoneCoordinator | undefined, generation: number, gate: PausableClock }
 
+const REASON: Reason = { summary: 'requested by the test', figures: [], alternatives: [], preset: 'ordinary', revision: 0 }
 export const FAKE_CAPACITY: Resources = { cores: 4, memoryBytes: 4e9, accelerators: 0 }
 
 export async function createFakeZone (options: FakeZoneOptions): Promise<FakeZone> {
@@ -66,6 +71,21 @@
   const workers = new Map<string, WorkerCore>()
   const hosts = new Map<string, FakeHost>()
 
+  const evictions: Array<{ task: string, worker: string }> = []
+
+  const createPlacement = (): Placement => {
+    const placement = (options.createPlacement ?? createFirstFitPlacement)()
+    return {
+      ...placement,
+      decide: (now) => [
+        ...placement.decide(now),
+        ...evictions.splice(0).map(({ task, worker }): Decision => ({
+          kind: 'stop', task, worker, cause: 'interference', causingMember: 'parish', causingTask: '', reason: REASON
+        }))
+      ]
+    }
+  }
+
   const propose = async (entry: Entry): Promise<void> => {
     const result = await log.propose(entry, clock.now() + 1_000)
     if (result.err) throw new Error(JSON.stringify(result.val))
@@ -102,7 +122,7 @@
       availabilityZone: ZONE,
       incarnation: `${id}-${host.generation}`,
       client: host.gate.guardClient(createClient(id)),
-      createPlacement: options.createPlacement ?? createFirstFitPlacement,
+      createPlacement,
       journalStore: options.stores?.[id]
     })
   }
@@ -148,6 +168,9 @@
     setLogReachable: (id, reachable) => hosts.get(id)?.log.setReachable(reachable),
     listActive: () => [...hosts.values()].filter((host) => host.coordinator?.status().active === true).map((host) => host.id),
     findActive: () => [...hosts.values()].find((host) => host.coordinator?.status().active === true)?.coordinator,
+    evict: (task, worker) => { evictions.push({ task, worker }) },
+    crashWorker: (id) => { workers.get(id)?.crash() },
+    restartWorker: (id) => { workers.get(id)?.restart() },
     advance: async (ms) => {
       await clock.advance(ms)
       workers.forEach((worker) => worker.update())
@@ -166,7 +189,7 @@
       id,
       clock: createPausableClock(clock, options.clockRates?.[id] ?? 1),
       plan: (start) => plan(start.task, start.attempt),
-      onEvent: (event) => events.push(event)
+      onEvent: (event) => events.push({ ...event, at: event.at / (options.clockRates?.[id] ?? 1) })
     }))
     await propose({ kind: 'worker.register', worker: { id, availabilityZone: ZONE, rack: `rack-${index % 2}`, capacity, url: id } })
   }
--- /dev/null
+++ b/test/fuzz/tasks.test.ts
@@ -0,0 +1,145 @@
+import fc from 'fast-check'
+import { expect, test } from 'vitest'
+import { createSyncedJournalStore } from '../../src/fakes/journalStore.js'
+import { createFakeZone, type FakeZone } from '../../src/fakes/zone.js'
+import { createOutcomeMemory, findUnfinished, findViolations } from './taskOracle.js'
+
+const RUNS = Number(process.env.FUZZ_RUNS ?? 40)
+const SEED = Number(process.env.FUZZ_SEED ?? 20260)
+/** The first coordinator is ready. */
+const START_MS = 4_000
+/** Longest lease, several takeovers and the remaining work. */
+const RECOVERY_MS = 120_000
+
+const host = fc.nat({ max: 2 })
+const worker = fc.nat({ max: 3 })
+const step = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ kind: fc.constant('advance' as const), ms: fc.constantFrom(50, 300, 1_000, 2_600, 8_000, 20_000) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('job' as const), tasks: fc.integer({ min: 1, max: 8 }), idempotent: fc.boolean(), runMs: fc.constantFrom(200, 2_000, 9_000) }) },
+  { weight: 3, arbitrary: fc.record({ kind: fc.constant('evict' as const), pick: fc.nat({ max: 20 }) }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('cancel' as const), pick: fc.nat({ max: 5 }) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('cutHosts' as const), from: host, to: host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('cutWorker' as const), host, worker, inward: fc.boolean() }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('isolate' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('heal' as const) }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('hostDown' as const), host }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('hostUp' as const), host }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('hostStop' as const), host }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('pause' as const), host, paused: fc.boolean() }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('workerDown' as const), worker }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('workerUp' as const), worker }) },
+  { weight: 1, arbitrary: fc.record({ kind: fc.constant('drain' as const), worker }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('log' as const), host: fc.nat({ max: 3 }), reachable: fc.boolean() }) },
+  { weight: 2, arbitrary: fc.record({ kind: fc.constant('faults' as const), loss: fc.constantFrom(0, 0.05, 0.3), duplication: fc.constantFrom(0, 0.2), maxDelayMs: fc.constantFrom(0, 20, 700, 4_000) }) }
+)
+type Step = typeof step extends fc.Arbitrary<infer T> ? T : never
+type Actions = { [K in Step['kind']]: (zone: FakeZone, step: Extract<Step, { kind: K }>) => Promise<void> | void }
+
+const cutBoth = (zone: FakeZone, left: string, right: string): void => {
+  zone.network.cut(left, right)
+  zone.network.cut(right, left)
+}
+const getHost = (zone: FakeZone, index: number): string => [...zone.hosts.keys()][index % zone.hosts.size]!
+const getWorker = (zone: FakeZone, index: number): string => [...zone.workers.keys()][index % zone.workers.size]!
+
+const runMsOf = new Map<string, number>()
+const actions: Actions = {
+  advance: (zone, { ms }) => zone.advance(ms),
+  job: (zone, { tasks, idempotent, runMs }) => {
+    const id = `job-${Object.keys(zone.log.state().jobs).length}`
+    runMsOf.set(id, runMs)
+    return zone.addJob({ id, tasks, idempotent, expectedRunMs: runMs, urgent: tasks % 2 === 0 })
+  },
+  evict: (zone, { pick }) => {
+    const running = zone.findActive()?.listTasks({ state: 'running' }) ?? []
+    const task = running[pick % Math.max(1, running.length)]
+    if (task?.worker !== undefined) zone.evict(task.id, task.worker)
+  },
+  cancel: async (zone, { pick }) => {
+    const jobs = Object.keys(zone.log.state().jobs)
+    const job = jobs[pick % Math.max(1, jobs.length)]
+    if (job !== undefined) await zone.propose({ kind: 'job.cancel', job, member: 'parish' })
+  },
+  cutHosts: (zone, { from, to }) => zone.network.cut(getHost(zone, from), getHost(zone, to)),
+  cutWorker: (zone, { host, worker, inward }) => inward
+    ? zone.network.cut(getWorker(zone, worker), getHost(zone, host))
+    : zone.network.cut(getHost(zone, host), getWorker(zone, worker)),
+  isolate: (zone, { host }) => {
+    const id = getHost(zone, host)
+    ;[...zone.hosts.keys(), 'leader'].filter((other) => other !== id).forEach((other) => cutBoth(zone, id, other))
+  },
+  heal: (zone) => zone.network.healAll(),
+  hostDown: (zone, { host }) => zone.crashHost(getHost(zone, host)),
+  hostUp: async (zone, { host }) => {
+    if (zone.hosts.get(getHost(zone, host))?.coordinator === undefined) await zone.startHost(getHost(zone, host))
+  },
+  hostStop: async (zone, { host }) => {
+    const id = getHost(zone, host)
+    const stopped = zone.hosts.get(id)?.coordinator?.stop()
+    await zone.advance(3_000)
+    await stopped
+    zone.crashHost(id)
+  },
+  pause: (zone, { host, paused }) => {
+    if (zone.hosts.get(getHost(zone, host))?.coordinator !== undefined) zone.pauseHost(getHost(zone, host), paused)
+  },
+  workerDown: (zone, { worker }) => zone.crashWorker(getWorker(zone, worker)),
+  workerUp: (zone, { worker }) => { if (!zone.workers.get(getWorker(zone, worker))!.isUp()) zone.restartWorker(getWorker(zone, worker)) },
+  drain: (zone, { worker }) => { zone.findActive()?.drainWorker(getWorker(zone, worker)) },
+  log: (zone, { host, reachable }) => host === 3
+    ? zone.hosts.forEach((_, id) => zone.setLogReachable(id, reachable))
+    : zone.setLogReachable(getHost(zone, host), reachable),
+  faults: (zone, { loss, duplication, maxDelayMs }) => zone.network.setFaults({ loss, duplication, maxDelayMs })
+}
+
+async function endFaults (zone: FakeZone): Promise<void> {
+  zone.network.healAll()
+  zone.network.setFaults({ loss: 0, duplication: 0, maxDelayMs: 0 })
+  for (const [id, { coordinator }] of zone.hosts) {
+    zone.setLogReachable(id, true)
+    if (coordinator === undefined) await zone.startHost(id)
+    else zone.pauseHost(id, false)
+  }
+  zone.workers.forEach((core, id) => { if (!core.isUp()) zone.restartWorker(id) })
+  // Drained workers would leave a zone without room.
+  zone.workers.forEach((_, id) => zone.findActive()?.drainWorker(id, false))
+}
+
+const scenario = fc.record({
+  seed: fc.integer({ min: 1, max: 1e6 }),
+  hosts: fc.integer({ min: 1, max: 3 }),
+  workers: fc.integer({ min: 1, max: 4 }),
+  disk: fc.boolean(),
+  steps: fc.array(step, { minLength: 5, maxLength: 40 })
+})
+
+test('whatever fails, no task runs twice at once or is lost, and each has one outcome', async () => {
+  await fc.assert(fc.asyncProperty(scenario, async ({ seed, hosts, workers, disk, steps }) => {
+    const zone = await createFakeZone({
+      hosts,
+      workers,
+      seed,
+      // A single host without a disk never starts a task that must not run twice.
+      stores: disk || hosts === 1 ? { h1: createSyncedJournalStore() } : {},
+      plan: (task, attempt) => ({ runMs: runMsOf.get(task.split('/')[0]!) ?? 1_000, result: (task.length + attempt) % 7 === 0 ? 'failed' : 'succeeded' }),
+      clockRates: { h1: 1.004, w1: 0.996, w2: 1.004 }
+    })
+    const checkOutcomes = createOutcomeMemory()
+    await zone.advance(START_MS)
+    // Every scenario has work of both kinds that outlasts the first faults.
+    await actions.job(zone, { kind: 'job', tasks: 6, idempotent: true, runMs: 9_000 })
+    await actions.job(zone, { kind: 'job', tasks: 6, idempotent: false, runMs: 9_000 })
+    await zone.advance(2_000)
+    for (const item of steps) {
+      const act = actions[item.kind] as (zone: FakeZone, item: Step) => Promise<void> | void
+      await act(zone, item)
+      expect(checkOutcomes(zone)).toEqual([])
+    }
+    await endFaults(zone)
+    await zone.advance(RECOVERY_MS / 2)
+    await endFaults(zone)
+    await zone.advance(RECOVERY_MS / 2)
+    expect([...findViolations(zone), ...checkOutcomes(zone), ...findUnfinished(zone)]).toEqual([])
+    zone.hosts.forEach((_, id) => zone.crashHost(id))
+  }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+}, 600_000)
