--- a/src/fakes/zone.ts
+++ b/src/fakes/zone.ts
@@ -19,6 +19,8 @@
   capacity?: Resources
   plan?: (task: string, attempt: number) => RunPlan
   createPlacement?: () => Placement
+  /** False: the workers exist and are not registered. */
+  register?: boolean
   /** Stores that outlive a restart of the host, by host. */
   stores?: Record<string, JournalStore>
   logger?: Logger
@@ -191,7 +193,7 @@
       plan: (start) => plan(start.task, start.attempt),
       onEvent: (event) => events.push({ ...event, at: event.at / (options.clockRates?.[id] ?? 1) })
     }))
-    await propose({ kind: 'worker.register', worker: { id, availabilityZone: ZONE, rack: `rack-${index % 2}`, capacity, url: id } })
+    if (options.register !== false) await propose({ kind: 'worker.register', worker: { id, availabilityZone: ZONE, rack: `rack-${index % 2}`, capacity, url: id } })
   }
   startLeader(clock, network, group.join('leader'))
   for (const id of names) await startHost(id)
