--- a/src/coordination/authority/supervisor.ts
+++ b/src/coordination/authority/supervisor.ts
@@ -8,6 +8,8 @@
 export const HEARTBEAT_LIMIT_MS = 1_500
 /** A new coordinator may need this long to claim its lease and to recover the journal, ms. */
 const TAKEOVER_ALLOWANCE_MS = 6_000
+/** Without a majority of the workers no host can take over, so the allowance doubles with each epoch in vain. */
+const MAX_DOUBLINGS = 3
 /** Witness sets that follow registrations are not issued more often than this, ms. */
 const REGRANT_INTERVAL_MS = 2_000
 const CHANGED_PART = 0.1
@@ -50,6 +52,8 @@
   const grantedAt = new Map<string, number>()
   // The newest epoch of each zone whose coordinator was seen to act.
   const settled = new Map<string, number>()
+  // Epochs since a coordinator of the zone was last seen to act.
+  const inVain = new Map<string, number>()
   let leadsSince = Infinity
 
   const isHeard = (host: string): boolean => {
@@ -85,6 +89,7 @@
     const coordinator = findCoordinator(zone)
     if (coordinator?.active === true) {
       settled.set(zone.availabilityZone, zone.epoch)
+      inVain.set(zone.availabilityZone, 0)
       const mayRegrant = sinceGrant > REGRANT_INTERVAL_MS && hasChangedWitnesses(zone)
       return mayRegrant && candidates.includes(coordinator.host) ? coordinator.host : undefined
     }
@@ -94,7 +99,8 @@
   const chooseSuccessor = (zone: ZoneAuthority, candidates: string[], sinceGrant: number): string | undefined => {
     const isHolderPresent = candidates.includes(zone.host) && heard.get(zone.host)?.heartbeat.incarnation === zone.incarnation
     // A holder that is heard is taking over; it may have to wait until the previous lease has run out.
-    const allowance = isHolderPresent ? TAKEOVER_ALLOWANCE_MS : HEARTBEAT_LIMIT_MS
+    const doublings = Math.min(MAX_DOUBLINGS, inVain.get(zone.availabilityZone) ?? 0)
+    const allowance = isHolderPresent ? TAKEOVER_ALLOWANCE_MS * 2 ** doublings : HEARTBEAT_LIMIT_MS
     if (zone.epoch > 0 && sinceGrant <= allowance) return undefined
     const others = candidates.filter((host) => host !== zone.host)
     return others[zone.epoch % Math.max(1, others.length)] ?? (isHolderPresent ? undefined : candidates[0])
@@ -105,6 +111,7 @@
     const incarnation = heard.get(host)?.heartbeat.incarnation ?? ''
     const settledEpoch = settled.get(availabilityZone)
     grantedAt.set(availabilityZone, clock.now())
+    inVain.set(availabilityZone, (inVain.get(availabilityZone) ?? -1) + 1)
     logger.info('zone-grant', { availabilityZone, host, previousEpoch: epoch })
     const entry = { kind: 'zone.grant' as const, availabilityZone, previousEpoch: epoch, host, incarnation, settledEpoch }
     const result = await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)
--- a/src/fakes/worker.ts
+++ b/src/fakes/worker.ts
@@ -43,6 +43,8 @@
   isUp (): boolean
   setGuard (active: boolean): void
   setLeaving (): void
+  /** The task writes a checkpoint on its own account. */
+  saveCheckpoint (task: string): void
   setLatency (service: string, p99Ms: number, count: number): void
   listTasks (): Array<{ task: string, attempt: number, cores: number }>
 }
@@ -130,8 +132,8 @@
     outcomes.set(`${task}#${attempt}`, { task, attempt, token, result: 'refused', message })
   }
 
-  const handlers: { [K in WorkerCommand['kind']]: (command: Extract<WorkerCommand, { kind: K }>, base: number, request: ExchangeRequest) => void } = {
-    start: (command, base, request) => {
+  const handlers: { [K in WorkerCommand['kind']]: (command: Extract<WorkerCommand, { kind: K }>, leaseDeadline: number) => void } = {
+    start: (command, leaseDeadline) => {
       const known = tokens.get(command.task)
       if (known !== undefined && compareTokens(command.token, known) <= 0) return
       tokens.set(command.task, command.token)
@@ -144,7 +146,7 @@
         progress,
         progressAt: clock.now(),
         share: 1,
-        leaseDeadline: base + request.taskLeaseMs,
+        leaseDeadline,
         stopAt: Infinity,
         checkpoint: command.checkpoint,
         checkpointOnStop: false,
@@ -212,8 +214,8 @@
     if (base === undefined || base + request.taskLeaseMs <= clock.now()) return
     for (const running of tasks.values()) running.leaseDeadline = Math.max(running.leaseDeadline, base + request.taskLeaseMs)
     for (const command of request.commands) {
-      const handler = handlers[command.kind] as (command: WorkerCommand, base: number, request: ExchangeRequest) => void
-      handler(command, base, request)
+      const handler = handlers[command.kind] as (command: WorkerCommand, leaseDeadline: number) => void
+      handler(command, base + request.taskLeaseMs)
     }
     for (const { task, attempt } of request.acknowledged) {
       outcomes.delete(`${task}#${attempt}`)
@@ -285,6 +287,10 @@
       silentUntil = clock.now() + SILENCE_AFTER_RESTART_MS
     },
     isUp: () => up,
+    saveCheckpoint: (task) => {
+      const running = tasks.get(task)
+      if (running !== undefined) handlers.checkpoint({ ...running.start, kind: 'checkpoint' }, 0)
+    },
     setGuard: (active) => { guardActive = active },
     setLeaving: () => { leaving = true },
     setLatency: (service, p99Ms, count) => { latency = [{ service, p99Ms, count, measuredAgoMs: 0 }] },
