--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -1,3 +1,6 @@
+/** Timers of the runtime fire at once when they are longer than this, about 24 days. */
+const MAX_TIMEOUT_MS = 2 ** 31 - 1
+
 /** Time as the rest of the code sees it: a monotonic clock for deadlines, a wall clock for display only. */
 export interface Clock {
   /** Monotonic milliseconds. */
@@ -32,7 +35,7 @@
         signal?.removeEventListener('abort', finish)
         resolve()
       }
-      const timer = setTimeout(finish, ms)
+      const timer = setTimeout(finish, Math.min(ms, MAX_TIMEOUT_MS))
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
--- a/src/fakes/worker.ts
+++ b/src/fakes/worker.ts
@@ -192,6 +192,9 @@
     return running?.start.attempt === attempt ? running : undefined
   }
 
+  const isPromiseFree = (host: string): boolean =>
+    promised === undefined || clock.now() >= promised.deadline || promised.term.host === host
+
   /** The worker's promise belongs to one term; another one has to wait until it has run out. */
   const claimPromise = (request: ExchangeRequest): boolean => {
     const now = clock.now()
@@ -199,8 +202,7 @@
     const order = promised === undefined ? 1 : compareTerms(request.term, promised.term)
     if (promised !== undefined && order < 0) return false
     if (order === 0 && request.sequence <= lastSequence) return false
-    const isFree = promised === undefined || order === 0 || now >= promised.deadline || promised.term.host === request.term.host
-    if (!isFree) return false
+    if (order !== 0 && !isPromiseFree(request.term.host)) return false
     promised = { term: request.term, deadline: Math.max(order === 0 ? promised?.deadline ?? 0 : 0, now + request.grantMs) }
     if (request.grantMs === 0) promised.deadline = now
     lastSequence = request.sequence
--- /dev/null
+++ b/src/programs/demo/daemons.ts
@@ -0,0 +1,47 @@
+import { spawn, type ChildProcess } from 'node:child_process'
+import { mkdirSync, openSync } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+import { request } from 'undici'
+
+const DAEMON = fileURLToPath(new URL('../daemon.js', import.meta.url))
+const READY_POLL_MS = 100
+
+export interface DaemonProcess {
+  id: string
+  url: string
+  child: ChildProcess
+  /** Sends a signal to this process only. */
+  kill (signal: NodeJS.Signals): void
+  waitUntilExit (): Promise<number | null>
+}
+
+/** Starts one daemon as a process of its own; its log goes to a file. */
+export function startDaemon (options: { config: string, id: string, http: string, folder: string }): DaemonProcess {
+  const { config, id, http, folder } = options
+  mkdirSync(folder, { recursive: true })
+  const log = openSync(join(folder, `${id}.log`), 'a')
+  // A small young generation keeps the resident size down; the daemon allocates little.
+  const child = spawn(process.execPath, ['--max-semi-space-size=1', DAEMON, '--config', config, '--host', id], { stdio: ['ignore', log, log] })
+  const exited = new Promise<number | null>((resolve) => child.once('exit', (code) => resolve(code)))
+  return { id, url: `http://${http}`, child, kill: (signal) => { child.kill(signal) }, waitUntilExit: () => exited }
+}
+
+/** Resolves with whether the daemon was ready before the deadline (wall-clock ms). */
+export async function waitUntilReady (daemon: DaemonProcess, deadline: number): Promise<boolean> {
+  while (Date.now() < deadline && daemon.child.exitCode === null) {
+    if (await isReady(daemon.url)) return true
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS))
+  }
+  return false
+}
+
+async function isReady (url: string): Promise<boolean> {
+  try {
+    const { statusCode, body } = await request(`${url}/ready`)
+    await body.dump()
+    return statusCode === 200
+  } catch {
+    return false
+  }
+}
--- /dev/null
+++ b/src/programs/entryHost/entryHost.ts
@@ -0,0 +1,251 @@
+import { Err, Ok, createLogger, createNoMetrics, createRandom, createStatsdMetrics, createSystemClock, type Clock, type Logger, type Metrics, type Result } from '../../common/index.js'
+import { createConfiguration, type ConfigurationModule } from '../../coordination/configuration/index.js'
+import { createPlacement } from '../../coordination/placement/index.js'
+import { createRouter, type Router } from '../../coordination/routing/index.js'
+import { createZoneCoordinator, type PolicyInForce, type ZoneCoordinator } from '../../coordination/tasks/index.js'
+import { createFailure, type EntryHost } from '../../protocol/index.js'
+import { createAgreedState, createReplica, DEFAULT_PRESETS, describeStoreFailure, openDisk, type Replica, type ReplicaFailure } from '../../state/index.js'
+import { createExecutorClient, createWorkerClient, openHttpServer, openPeerNetwork, type PeerNetwork } from '../../transport/index.js'
+import { createHost, createMembers, createPresets, type HostSettings } from '../settings/index.js'
+import { createOperations } from './operations.js'
+import { findPrincipal } from './principals.js'
+import { createQueryService } from './queries.js'
+import { createRequestOperations } from './requests.js'
+import { createViewOperations } from './views.js'
+import { createWorkOperations } from './work.js'
+
+const FOUND_RETRY_MS = 500
+const FOUND_TIMEOUT_MS = 2_000
+
+export interface RunningHost {
+  /** Stops gracefully: readiness first, then listening, then requests in flight, then the hand-over of state. */
+  stop (): Promise<void>
+  /** Resolves when the host has stopped, with the failure if it stopped by itself. */
+  waitUntilStopped (): Promise<ReplicaFailure | undefined>
+}
+
+export interface StartFailure { kind: 'store-failure' | 'address-in-use', message: string }
+
+export interface StartOptions {
+  settings: HostSettings
+  /** Erases a corrupt store, so that the host catches up from its peers as a new incarnation. */
+  repair: boolean
+}
+
+interface Parts {
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  network: PeerNetwork
+  log: Replica
+  configuration: ConfigurationModule
+  router: Router
+  coordinator: ZoneCoordinator
+}
+
+/** Starts every part of an entry host and its HTTP interface. */
+export async function startEntryHost (options: StartOptions): Promise<Result<RunningHost, StartFailure>> {
+  const { settings } = options
+  const parts = await startParts(options)
+  if (!parts.ok) return parts
+  const { clock, logger } = parts.val
+  const state = { ready: true, stopping: undefined as Promise<void> | undefined }
+  const stopped = parts.val.log.waitUntilStopped()
+  let stop = async (): Promise<void> => {}
+  const entryHost = createOperationsOf(settings, parts.val, state, () => stop())
+  const server = await openServer(settings, entryHost, logger)
+  if (!server.ok) {
+    await stopParts(parts.val)
+    return server
+  }
+  stop = () => {
+    state.stopping ??= stopGracefully(settings, parts.val, server.val, state, clock)
+    return state.stopping
+  }
+  logger.info('entry host started', { http: settings.self.httpAddress, peer: settings.self.peerAddress, zone: settings.self.availabilityZone, disk: settings.self.hasDisk })
+  foundDeployment(settings, parts.val, state)
+  return Ok({
+    stop,
+    waitUntilStopped: async () => {
+      const failure = await stopped
+      await stop()
+      return failure
+    }
+  })
+}
+
+async function startParts ({ settings, repair }: StartOptions): Promise<Result<Parts, StartFailure>> {
+  const { self } = settings
+  const clock = createSystemClock()
+  const logger = await createLogger(settings.logs.level, { host: self.id })
+  const metrics = settings.metrics === undefined
+    ? createNoMetrics()
+    : createStatsdMetrics(settings.metrics.host, settings.metrics.port, { host: self.id, zone: self.availabilityZone })
+  const random = createRandom(Math.floor(Math.random() * 0x7fffffff))
+  const known: { log?: Replica } = {}
+  const findAddress = (host: string): string | undefined =>
+    known.log?.state().hosts[host]?.peerAddress ?? settings.hosts.find(({ id }) => id === host)?.peer
+  const opened = await openNetwork(settings, { clock, logger, metrics, findAddress })
+  if (!opened.ok) return opened
+  const network = opened.val
+  const disk = settings.dataFolder === undefined ? undefined : await openDisk(settings.dataFolder)
+  if (disk?.err) return await abandonStart(network, 'the data folder cannot be opened', disk.val)
+  const replica = await createReplica({
+    deployment: settings.deployment.name,
+    self: self.id,
+    availabilityZone: self.availabilityZone,
+    clock,
+    random,
+    network,
+    logger,
+    bootstrapVoters: settings.hosts.filter(({ voter }) => voter).map(({ id }) => id),
+    seeds: settings.hosts.map(({ id }) => id).filter((id) => id !== self.id),
+    repair,
+    createState: () => createAgreedState({ ...DEFAULT_PRESETS, ...createPresets(settings) }, settings.deployment.preset),
+    ...(disk === undefined ? {} : { disk: disk.val })
+  })
+  if (!replica.ok) {
+    await network.close()
+    return Err({ kind: 'store-failure', message: describeStoreFailure(replica.val) })
+  }
+  const log = replica.val
+  known.log = log
+  const configuration = createConfiguration({ self: self.id, clock, network, log, logger, metrics })
+  const router = createRouter({
+    self: self.id,
+    incarnation: log.incarnation,
+    availabilityZone: self.availabilityZone,
+    secret: Buffer.from(settings.security.cluster_secret),
+    clock,
+    random,
+    network,
+    executors: createExecutorClient(),
+    getPolicy: () => configuration.getConfiguration().policy,
+    getHosts: () => Object.values(log.state().hosts),
+    getService: (service) => log.state().services[service],
+    logger,
+    metrics
+  })
+  const coordinator = await createZoneCoordinator({
+    clock,
+    network,
+    logger,
+    log,
+    availabilityZone: self.availabilityZone,
+    incarnation: log.incarnation,
+    client: createWorkerClient(clock),
+    createPlacement: () => createPlacement({ seed: random.below(0x7fffffff) }),
+    getPolicy: () => getPolicyInForce(configuration)
+  })
+  return Ok({ clock, logger, metrics, network, log, configuration, router, coordinator })
+}
+
+function getPolicyInForce (configuration: ConfigurationModule): PolicyInForce {
+  const { claim, lastKnownPreset, revision, policy } = configuration.getConfiguration()
+  return { preset: lastKnownPreset, revision, policy, isolated: claim !== 'in-force' }
+}
+
+async function openNetwork (settings: HostSettings, context: { clock: Clock, logger: Logger, metrics: Metrics, findAddress: (host: string) => string | undefined }): Promise<Result<PeerNetwork, StartFailure>> {
+  const [listenHost, port] = splitAddress(settings.self.peerAddress)
+  try {
+    return Ok(await openPeerNetwork({ ...context, self: settings.self.id, listenHost, listenPort: port, secret: settings.security.cluster_secret }))
+  } catch (error) {
+    return Err(describeListenError(settings.self.peerAddress, error))
+  }
+}
+
+async function openServer (settings: HostSettings, entryHost: EntryHost, logger: Logger): Promise<Result<{ close (): Promise<void> }, StartFailure>> {
+  const [host, port] = splitAddress(settings.self.httpAddress)
+  try {
+    return Ok(await openHttpServer({ host, port, entryHost, logger }))
+  } catch (error) {
+    return Err(describeListenError(settings.self.httpAddress, error))
+  }
+}
+
+async function abandonStart (network: PeerNetwork, summary: string, failure: { kind: string }): Promise<Result<never, StartFailure>> {
+  await network.close()
+  return Err({ kind: 'store-failure', message: `${summary}: ${JSON.stringify(failure)}` })
+}
+
+function createOperationsOf (settings: HostSettings, parts: Parts, state: { ready: boolean }, stop: () => Promise<void>): EntryHost {
+  const { log, clock, router, coordinator, configuration } = parts
+  const hashes = { operator: settings.security.operator_token_hash, target: settings.security.target_token_hash }
+  const { availabilityZone } = settings.self
+  const queries = createQueryService({
+    network: parts.network,
+    clock,
+    log,
+    coordinator,
+    handlers: {
+      tasks: ({ job }) => coordinator.listTasks(job === undefined ? {} : { job }),
+      explain: (subject) => coordinator.explain(subject),
+      drainWorker: ({ worker }) => coordinator.drainWorker(worker),
+      zone: () => coordinator.status(),
+      targets: () => router.listTargets(),
+      report: () => undefined
+    }
+  })
+  return {
+    identify: (token) => findPrincipal(log.state(), hashes, token),
+    isReady: () => state.ready && log.state().founded,
+    getHealth: () => {
+      const { role, term, leader, commitIndex, appliedIndex } = log.status()
+      return { host: settings.self.id, role, term, leader: leader ?? null, commitIndex, appliedIndex, zone: coordinator.status(), peerTraffic: parts.network.getTraffic() }
+    },
+    now: () => clock.now(),
+    ...createRequestOperations(router, log),
+    ...createWorkOperations({ log, clock, queries, availabilityZone }),
+    ...createViewOperations({ log, queries, router, coordinator, availabilityZone }),
+    ...createOperations({ clock, log, configuration }),
+    drain: async () => {
+      if (!state.ready) return Err(createFailure('draining', 'this host is already stopping'))
+      stop()
+      return Ok({ draining: settings.self.id })
+    }
+  }
+}
+
+/** Proposes what the settings name until the deployment is founded, here or by another host. */
+async function foundDeployment (settings: HostSettings, parts: Parts, state: { ready: boolean }): Promise<void> {
+  const { log, clock, logger } = parts
+  const entry = { kind: 'deployment.found' as const, hosts: settings.hosts.map(createHost), members: createMembers(settings) }
+  while (state.ready && !log.state().founded) {
+    if (log.status().role === 'leader') {
+      const result = await log.propose(entry, clock.now() + FOUND_TIMEOUT_MS)
+      if (result.ok) logger.info('deployment founded', { deployment: settings.deployment.name, hosts: entry.hosts.length, members: entry.members.length })
+    }
+    await clock.sleep(FOUND_RETRY_MS)
+  }
+}
+
+async function stopGracefully (settings: HostSettings, parts: Parts, server: { close (): Promise<void> }, state: { ready: boolean }, clock: Clock): Promise<void> {
+  const { logger } = parts
+  const deadline = clock.now() + settings.host.ready_grace_ms + settings.host.drain_ms
+  state.ready = false
+  logger.info('entry host is draining')
+  // The balancer needs this long to see that the host is not ready any more.
+  await clock.sleep(settings.host.ready_grace_ms)
+  await Promise.race([server.close(), clock.sleep(deadline - clock.now())])
+  await Promise.race([parts.router.drain(), clock.sleep(deadline - clock.now())])
+  await stopParts(parts)
+  logger.info('entry host stopped')
+}
+
+async function stopParts ({ router, coordinator, configuration, log, network, metrics }: Parts): Promise<void> {
+  await router.stop()
+  await coordinator.stop()
+  await configuration.stop()
+  await log.stop()
+  await network.close()
+  metrics.close()
+}
+
+function describeListenError (address: string, error: unknown): StartFailure {
+  return { kind: 'address-in-use', message: `cannot listen on ${address}: ${error instanceof Error ? error.message : 'unknown error'}` }
+}
+
+function splitAddress (address: string): [string, number] {
+  const separator = address.lastIndexOf(':')
+  return [address.slice(0, separator), Number(address.slice(separator + 1))]
+}
--- /dev/null
+++ b/src/programs/entryHost/requests.ts
@@ -0,0 +1,44 @@
+import { Err, Ok, type Result } from '../../common/index.js'
+import type { NextStep, RequestOutcome, Router } from '../../coordination/routing/index.js'
+import { createFailure, type ApiFailure, type EntryHost, type RequestAnswer, type RequestInput } from '../../protocol/index.js'
+import type { AgreedLog } from '../../state/index.js'
+
+const KEY_LIFETIME_MS = 24 * 60 * 60 * 1000
+
+const NEXT_STEPS: Record<NextStep, string> = {
+  'ask-again': 'resend with the same idempotency key to learn the outcome; it never runs a second time',
+  resend: 'the request is idempotent and may be sent again',
+  'check-by-other-means': 'the system cannot learn the outcome any more; check with the service'
+}
+
+type OutcomeOf<K extends RequestOutcome['kind']> = Extract<RequestOutcome, { kind: K }>
+type OutcomeTable = { [K in RequestOutcome['kind']]: (outcome: OutcomeOf<K>) => Result<RequestAnswer, ApiFailure> }
+
+const outcomeTable: OutcomeTable = {
+  answered: ({ status, headers, body, key }) => Ok({ status, headers, body: Buffer.from(body), ...(key === undefined ? {} : { key }) }),
+  'not-run': ({ reason, message, key }) => Err(createFailure('not-run', message, { reason, key })),
+  unknown: ({ reason, message, next, key }) => Err(createFailure('unknown', `${message}; ${NEXT_STEPS[next]}`, { reason, next, key })),
+  refused: ({ failure, key }) => Err(createFailure('invalid', failure.message, { reason: failure.kind, key }))
+}
+
+/** The part of an entry host that carries requests of members to executors. */
+export function createRequestOperations (router: Router, log: AgreedLog): Pick<EntryHost, 'routeRequest' | 'issueKey'> {
+  return {
+    routeRequest: async (input) => {
+      const service = log.state().services[input.service]
+      // A rival's service is answered as one that does not exist.
+      if (service === undefined || service.member !== input.member) {
+        return Err(createFailure('not-found', `service "${input.service}" does not exist`))
+      }
+      const outcome = await router.routeRequest(createRequest(input))
+      const describe = outcomeTable[outcome.kind] as (outcome: RequestOutcome) => Result<RequestAnswer, ApiFailure>
+      return describe(outcome)
+    },
+    issueKey: async (member) => Ok({ key: router.issueKey(member), expiresInMs: KEY_LIFETIME_MS })
+  }
+}
+
+function createRequest (input: RequestInput): Parameters<Router['routeRequest']>[0] {
+  const { key, ...request } = input
+  return key === undefined ? request : { ...request, key }
+}
--- a/src/protocol/api.ts
+++ b/src/protocol/api.ts
@@ -1,5 +1,6 @@
 import { z } from 'zod'
 import type { Result } from '../common/index.js'
+import { announcementSchema as executorAnnouncementSchema } from '../coordination/routing/index.js'
 import {
   hostSchema, identifierSchema, jobSchema, memberSchema, policySchema, resourcesSchema, serviceSchema, taskOutcomeSchema
 } from '../state/index.js'
@@ -45,35 +46,26 @@
 })
 export type HostBody = z.infer<typeof hostBodySchema>
 
-const announcedUrl = z.url({ protocol: /^http$/ }).max(200)
-const announcementFields = {
+/** A worker announces itself to any entry host of its zone. */
+const workerAnnouncementSchema = z.strictObject({
+  kind: z.literal('worker'),
   id: identifierSchema,
   availabilityZone: identifierSchema,
   rack: identifierSchema,
-  url: announcedUrl,
-  /** Changes when the target's process restarts. */
-  incarnation: z.string().min(1).max(64),
-  /** True from the moment at which the target wants no new work. */
+  url: z.url({ protocol: /^http$/ }).max(200),
+  capacity: resourcesSchema,
+  /** True from the moment at which the worker wants no new work. */
   leaving: z.boolean().default(false)
-}
+})
 
-export const announcementSchema = z.discriminatedUnion('kind', [
-  z.strictObject({
-    kind: z.literal('executor'),
-    ...announcementFields,
-    service: identifierSchema,
-    slots: z.number().int().min(1).max(10_000),
-    connections: z.number().int().min(1).max(10_000),
-    /** Slots in use as the executor sees it. */
-    inFlight: z.number().int().min(0).default(0)
-  }),
-  z.strictObject({ kind: z.literal('worker'), ...announcementFields, capacity: resourcesSchema })
-])
+export const announcementSchema = z.discriminatedUnion('kind', [executorAnnouncementSchema, workerAnnouncementSchema])
 export type Announcement = z.infer<typeof announcementSchema>
 
 export interface AnnouncementReply {
   /** The target announces again before this many ms have passed. */
   announceWithinMs: number
+  /** Sent back by an executor in its next announcement. */
+  echo?: string
 }
 
 /** Who sends an HTTP request. */
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -50,6 +50,7 @@
   'zone-retired': (r) => createFailure('conflict', `availability zone "${r.availabilityZone}" is retired`, r),
   'not-pending': (r) => createFailure('conflict', `revision ${r.revision} is not pending`, r),
   'outcome-is-final': (r) => createFailure('conflict', `task ${r.task} of job "${r.job}" has already ended as ${r.outcome}`, r),
+  'no-unknown-outcome': (r) => createFailure('conflict', `task ${r.task} of job "${r.job}" has no unknown outcome to decide`, r),
   'already-founded': () => createFailure('conflict', 'the deployment already exists'),
   'invalid-division': (r) => createFailure('internal', `the job has ${r.expected} tasks but ${r.actual} were assigned to zones`, r)
 }
--- a/src/state/agreedState.ts
+++ b/src/state/agreedState.ts
@@ -83,6 +83,7 @@
   | { kind: 'zone-retired', availabilityZone: string }
   | { kind: 'not-pending', revision: number }
   | { kind: 'outcome-is-final', job: string, task: number, outcome: TaskOutcome }
+  | { kind: 'no-unknown-outcome', job: string, task: number }
   | { kind: 'already-founded' }
   | { kind: 'invalid-division', expected: number, actual: number }
 
@@ -228,7 +229,8 @@
     const record = state.jobs[job]
     if (record === undefined) return Err({ kind: 'unknown-job', job })
     const existing = record.outcomes[task]
-    if (existing !== undefined && existing !== 'unknown') return Err({ kind: 'outcome-is-final', job, task, outcome: existing })
+    if (existing === undefined) return Err({ kind: 'no-unknown-outcome', job, task })
+    if (existing !== 'unknown') return Err({ kind: 'outcome-is-final', job, task, outcome: existing })
     record.outcomes[task] = outcome
     recordEnd(state, record)
     return Ok({})
--- a/src/transport/http/requests.ts
+++ b/src/transport/http/requests.ts
@@ -13,6 +13,9 @@
   'trailer', 'transfer-encoding', 'upgrade', 'idempotency-key', 'sequoiadrift-idempotent', 'sequoiadrift-deadline-ms'
 ])
 
+/** Headers of an answer that concern the connection to the executor. */
+const ANSWER_HOP_HEADERS = new Set(['connection', 'content-length', 'date', 'keep-alive', 'sequoiadrift-request', 'trailer', 'transfer-encoding', 'upgrade'])
+
 /** Requests of members to their services. */
 @Controller('v1')
 export class RequestsController {
@@ -23,11 +26,11 @@
     return await resolveReply(this.host.issueKey(assertMember(this.host, request)))
   }
 
-  @All('services/:service/requests/*path')
+  @All('services/:service/requests/*')
   async routeRequest (@Req() request: HttpRequest, @Res() reply: HttpReply): Promise<void> {
     const member = assertMember(this.host, request)
     const answer = await resolveReply(this.host.routeRequest(readInput(this.host, request, member)))
-    reply.code(answer.status).headers(answer.headers)
+    reply.code(answer.status).headers(createAnswerHeaders(answer.headers))
     if (answer.key !== undefined) reply.header('idempotency-key', answer.key)
     await reply.send(answer.body)
   }
@@ -56,6 +59,10 @@
   return Object.fromEntries(pairs)
 }
 
+function createAnswerHeaders (headers: Record<string, string>): Record<string, string> {
+  return Object.fromEntries(Object.entries(headers).filter(([name]) => !ANSWER_HOP_HEADERS.has(name)))
+}
+
 function readIdempotent (request: HttpRequest): boolean {
   const value = readHeader(request, 'sequoiadrift-idempotent')
   if (value === undefined) return IDEMPOTENT_METHODS.has(request.method)
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { createManualClock, createRandom } from '../src/common/index.js'
+import { createManualClock, createRandom, createSystemClock } from '../src/common/index.js'
 
 test('the manual clock wakes sleepers in order of their deadlines, not of their calls', async () => {
   const clock = createManualClock()
@@ -53,3 +53,13 @@
     ]
   `)
 })
+
+test('a sleep without an end does not wake at once, as the timer of the runtime would', async () => {
+  const clock = createSystemClock()
+  const controller = new AbortController()
+  const startedAt = clock.now()
+  const slept = clock.sleep(Infinity, controller.signal).then(() => clock.now() - startedAt)
+  await clock.sleep(30)
+  controller.abort()
+  expect(await slept).toBeGreaterThan(25)
+})
