Count the traffic between entry hosts by kind of message

Cause: 5 KB/s at rest could not be attributed. Change: messages and bytes by kind in the health answer.

--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -3,6 +3,7 @@
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
 import { createPeerOffer } from './peerAuth.js'
 import type { PeerNetworkOptions } from './peerNetwork.js'
+import type { TrafficCounter } from './traffic.js'
 
 const CONNECT_TIMEOUT_MS = 1_000
 /** A connection that is in use is probed this often. */
@@ -19,7 +20,7 @@
   close (): Promise<void>
 }
 
-interface Waiter { finish: (result: Result<unknown, NetworkFailure>) => void }
+interface Waiter { kind: string, finish: (result: Result<unknown, NetworkFailure>) => void }
 
 interface Connection {
   socket: WebSocket
@@ -28,7 +29,7 @@
 }
 
 /** Keeps one outgoing connection to a peer open from the first request on. */
-export function createPeerLink (options: PeerNetworkOptions, to: string, traffic: { sent: number, received: number }): PeerLink {
+export function createPeerLink (options: PeerNetworkOptions, to: string, traffic: TrafficCounter): PeerLink {
   const { clock } = options
   const logger = options.logger.child({ peer: to })
   const stopping = new AbortController()
@@ -105,13 +106,14 @@
 
   const receiveMessage = (from: Connection, data: Buffer): void => {
     from.lastHeardAt = clock.now()
-    traffic.received += data.length
     const envelope = decodeEnvelope(data)
     if (!envelope.ok || envelope.val.type === 'request') {
       logger.warn('peer sent a malformed reply', { bytes: data.length })
       from.socket.terminate()
       return
     }
+    const kind = from.waiters.get(envelope.val.id)?.kind ?? 'late-reply'
+    traffic.recordReceived(kind, data.length)
     finishRequest(from, envelope.val)
   }
 
@@ -144,7 +146,7 @@
     }
     const id = nextId++
     const data = encodeEnvelope({ type: 'request', id, kind, body })
-    traffic.sent += data.length
+    traffic.recordSent(kind, data.length)
     return await new Promise((resolve) => {
       const expired = (): void => finish(Err({ kind: 'deadline-exceeded', to, message: `no reply to ${kind} in time` }))
       const timer = setTimeout(expired, Math.max(0, deadline - clock.now()))
@@ -153,7 +155,7 @@
         used.waiters.delete(id)
         resolve(result)
       }
-      used.waiters.set(id, { finish })
+      used.waiters.set(id, { kind, finish })
       used.socket.send(data)
     })
   }
--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -5,6 +5,7 @@
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
 import { checkPeerOffer, type PeerOffer } from './peerAuth.js'
 import { createPeerLink, type PeerLink } from './peerLink.js'
+import { createTrafficCounter, type TrafficCounter, type TrafficView } from './traffic.js'
 
 export interface PeerNetworkOptions {
   self: string
@@ -21,18 +22,15 @@
 export interface PeerNetwork extends Network {
   /** The port that it listens on, of use when the port was chosen by the system. */
   getPort (): number
-  /** Bytes sent to and received from peers since the start. */
-  getTraffic (): { sent: number, received: number }
+  getTraffic (): TrafficView
   close (): Promise<void>
 }
 
-interface Traffic { sent: number, received: number }
-
 /** Listens for peers and connects to them on demand; each request travels on one connection of its sender. */
 export async function openPeerNetwork (options: PeerNetworkOptions): Promise<PeerNetwork> {
   const handlers = new Map<string, RequestHandler>()
   const links = new Map<string, PeerLink>()
-  const traffic: Traffic = { sent: 0, received: 0 }
+  const traffic = createTrafficCounter()
   const server = await openServer(options)
   server.on('connection', (socket, request) => handleConnection(options, handlers, traffic, socket, request))
 
@@ -49,7 +47,7 @@
     request: (to, kind, body, deadline) => getLink(to).request(kind, body, deadline),
     handle: (kind, handler) => { handlers.set(kind, handler) },
     getPort: () => (server.address() as AddressInfo).port,
-    getTraffic: () => ({ ...traffic }),
+    getTraffic: traffic.getView,
     close: async () => {
       await Promise.all([...links.values()].map((link) => link.close()))
       server.clients.forEach((socket) => socket.terminate())
@@ -77,14 +75,13 @@
   return { host: read('host'), to: read('to'), nonce: read('nonce'), signedAt: read('signed-at'), signature: read('signature') }
 }
 
-function handleConnection (options: PeerNetworkOptions, handlers: Map<string, RequestHandler>, traffic: Traffic, socket: WebSocket, request: IncomingMessage): void {
+function handleConnection (options: PeerNetworkOptions, handlers: Map<string, RequestHandler>, traffic: TrafficCounter, socket: WebSocket, request: IncomingMessage): void {
   const from = readOffer(request).host
   const logger = options.logger.child({ peer: from })
   logger.info('peer connected')
   socket.on('error', (error) => logger.warn('peer connection failed', { error: error.message }))
   socket.on('close', () => logger.info('peer disconnected'))
   socket.on('message', (data: Buffer) => {
-    traffic.received += data.length
     const envelope = decodeEnvelope(data)
     if (!envelope.ok || envelope.val.type !== 'request') {
       logger.warn('peer sent a malformed message', { bytes: data.length })
@@ -92,12 +89,13 @@
       return
     }
     const { id, kind, body } = envelope.val
+    traffic.recordReceived(kind, data.length)
     handleRequest(handlers, from, kind, body).then(
-      (reply) => sendReply(socket, traffic, { type: 'reply', id, body: reply }),
+      (reply) => sendReply(socket, traffic, kind, { type: 'reply', id, body: reply }),
       (error: unknown) => {
         const message = error instanceof Error ? error.message : 'handler failed'
         logger.warn('request of a peer failed', { kind, error: message })
-        sendReply(socket, traffic, { type: 'failure', id, message })
+        sendReply(socket, traffic, kind, { type: 'failure', id, message })
       }
     )
   })
@@ -109,9 +107,9 @@
   return await handler(from, body)
 }
 
-function sendReply (socket: WebSocket, traffic: Traffic, envelope: Envelope): void {
+function sendReply (socket: WebSocket, traffic: TrafficCounter, kind: string, envelope: Envelope): void {
   if (socket.readyState !== socket.OPEN) return
   const data = encodeEnvelope(envelope)
-  traffic.sent += data.length
+  traffic.recordSent(kind, data.length)
   socket.send(data)
 }
