Add scripted failures and correct what they found

Cause: replacing a voter compared decoded voters by identity, so the old one stayed and the call still succeeded; the loss of a second host then left two of four voters and no leader. A follower kept naming a dead leader in its status. A damaged last record that had been synced was taken for a torn write. Change: voters are compared by host and incarnation; a follower forgets its leader when its timeout ends; a marker after each sync tells damage from a torn write; a promoted learner uses the voters' timeout at once.

--- a/src/state/logStore/frames.ts
+++ b/src/state/logStore/frames.ts
@@ -11,6 +11,12 @@
   damage: 'none' | 'torn' | 'corrupt'
 }
 
+/**
+ * An empty record, written after a sync. An intact marker shows that the record before it was synced, so that
+ * damage to that record is not taken for a write that a crash interrupted.
+ */
+export const SYNC_MARKER = encodeFrame(new Uint8Array())
+
 /** Magic, length, checksum of length and payload, payload. */
 export function encodeFrame (payload: Uint8Array): Uint8Array {
   const frame = Buffer.allocUnsafe(HEADER_BYTES + payload.length)
@@ -27,6 +33,12 @@
   let offset = 0
   while (offset < buffer.length) {
     const payload = readFrame(buffer, offset)
+    // A marker carries nothing and is not synced itself, so a crash may damage it although a record follows.
+    const isMarker = payload?.length === 0 || (payload === undefined && readFrame(buffer, offset + HEADER_BYTES) !== undefined)
+    if (isMarker) {
+      offset += HEADER_BYTES
+      continue
+    }
     if (payload === undefined) {
       return { payloads, validLength: offset, damage: hasFrameAfter(buffer, offset + 1) ? 'corrupt' : 'torn' }
     }
--- a/src/state/logStore/index.ts
+++ b/src/state/logStore/index.ts
@@ -2,4 +2,4 @@
   describeStoreFailure, openLogStore,
   type HardState, type LoadedLog, type LogStore, type OpenStoreOptions, type StoredEntry, type StoredSnapshot, type StoreFailure
 } from './logStore.js'
-export { decodeFrames, encodeFrame, type DecodedFrames } from './frames.js'
+export { decodeFrames, encodeFrame, SYNC_MARKER, type DecodedFrames } from './frames.js'
--- a/src/state/logStore/logStore.ts
+++ b/src/state/logStore/logStore.ts
@@ -1,7 +1,7 @@
 import { Packr } from 'msgpackr'
 import { Err, Ok, type Result } from '../../common/index.js'
 import type { Disk, DiskFailure } from '../disk/index.js'
-import { decodeFrames, encodeFrame } from './frames.js'
+import { decodeFrames, encodeFrame, SYNC_MARKER } from './frames.js'
 
 const IDENTITY_FILE = 'identity'
 const HARD_STATE_FILE = 'hard-state'
@@ -144,7 +144,9 @@
     append: (entries) => runInOrder(async () => {
       const file = getLogFile(generation)
       const appended = await disk.append(file, encodeEntries(entries))
-      return appended.err ? appended : disk.sync(file)
+      if (appended.err) return appended
+      const synced = await disk.sync(file)
+      return synced.err ? synced : disk.append(file, SYNC_MARKER)
     }),
 
     saveSnapshot: (snapshot, entries) => runInOrder(async () => {
@@ -215,7 +217,7 @@
 }
 
 function writeLog (disk: Disk, generation: number, entries: StoredEntry[]): Promise<Result<void, StoreFailure>> {
-  return disk.writeAtomic(getLogFile(generation), encodeEntries(entries))
+  return disk.writeAtomic(getLogFile(generation), Buffer.concat([encodeEntries(entries), SYNC_MARKER]))
 }
 
 /** One record for a batch: a batch is synced before the next, so only the last record of a file can be torn. */
--- a/src/state/replica/election.ts
+++ b/src/state/replica/election.ts
@@ -31,6 +31,11 @@
 }
 
 async function runWithoutLeader (context: Context): Promise<void> {
+  if (context.leader !== undefined) {
+    context.logger.warn('log.leader-lost', { term: context.term, leader: context.leader })
+    context.leader = undefined
+    context.progress.notify()
+  }
   if (!isVoter(context)) {
     resetElectionDeadline(context, JOIN_INTERVAL_MS, JOIN_INTERVAL_MS)
     return sendJoin(context)
--- a/src/state/replica/follower.ts
+++ b/src/state/replica/follower.ts
@@ -23,6 +23,8 @@
   request.entries.slice(dropped).forEach(([term, bytes], position) => {
     updateEntry(context, prevIndex + 1 + position, term, bytes)
   })
+  // An entry may have made this host a voter, whose election timeout is shorter.
+  observeLeader(context)
   await waitUntilStable(context, lastIndex)
   if (context.stopped) return { refused: 'stopped' }
   if (context.term !== request.term || context.stableIndex < lastIndex) return { term: context.term, matches: false, index: lastIndex + 1 }
--- a/src/state/replica/membership.ts
+++ b/src/state/replica/membership.ts
@@ -169,5 +169,5 @@
 }
 
 function listWithout (context: Context, leaving: Voter): Voter[] {
-  return getVoters(context).filter((voter) => voter !== leaving)
+  return getVoters(context).filter((voter) => getPeerKey(voter) !== getPeerKey(leaving))
 }
--- /dev/null
+++ b/test/state/failures.test.ts
@@ -0,0 +1,298 @@
+import { expect, test } from 'vitest'
+import { createManualClock } from '../../src/common/index.js'
+import { createFakeCluster, type FakeCluster, type FakeClusterOptions, type FakeHost } from '../../src/fakes/fakeCluster.js'
+import { MAX_ENTRY_BYTES, type Entry, type LogStatus } from '../../src/state/index.js'
+
+const putMember = (id: string, requestId?: string): Entry => ({
+  kind: 'member.put', requestId, member: { id, tokenHash: 'a'.repeat(64), quota: { cores: 8, memoryBytes: 1e9, accelerators: 0 }, weight: 1 }
+})
+const createJob = (id: string, requestId?: string): Entry => ({
+  kind: 'job.create',
+  requestId,
+  job: { id, member: 'm', jobClass: 'c', size: { cores: 1, memoryBytes: 1, accelerators: 0 }, tasks: 1, expectedRunMs: 1, urgent: false, idempotent: true, command: '' },
+  zones: [{ availabilityZone: 'z', tasks: 1 }],
+  wallTime: 1
+})
+
+async function startCluster (options: Partial<FakeClusterOptions> = {}) {
+  const clock = createManualClock()
+  const cluster = createFakeCluster({ clock, seed: 3, voters: ['a', 'b', 'c'], spares: ['d'], ...options })
+  cluster.hosts.forEach((host) => host.start())
+  await clock.advance(4000)
+  const run = async <T>(promise: Promise<T>, ms = 3000): Promise<T> => {
+    await clock.advance(ms)
+    return promise
+  }
+  const proposeOn = (host: FakeHost, entry: Entry, ms = 2500) => host.replica()!.propose(entry, host.process().clock.now() + ms)
+  return { clock, cluster, run, proposeOn, deadlineOf: (host: FakeHost, ms = 2500) => host.process().clock.now() + ms }
+}
+
+const getStatus = (host: FakeHost): LogStatus => host.replica()!.status()
+const listMembers = (host: FakeHost): string[] => Object.keys(host.replica()!.state().members)
+const listFollowers = (cluster: FakeCluster): FakeHost[] =>
+  cluster.listRunning().filter((host) => getStatus(host).role === 'follower')
+
+test('a leader that is isolated without notice steps down, and what it could not commit is never applied', async () => {
+  const { clock, cluster, run, proposeOn } = await startCluster()
+  const old = cluster.findLeader()!
+  const { term } = getStatus(old)
+  cluster.isolate(old.name)
+  const lost = proposeOn(old, putMember('lost'), 20_000)
+  await clock.advance(1050)
+  expect(getStatus(old).role).toBe('follower')
+  await clock.advance(2000)
+  const next = cluster.findLeader()!
+  expect(getStatus(next).term).toBeGreaterThan(term)
+  expect(await run(proposeOn(next, putMember('kept')))).toMatchObject({ ok: true })
+  cluster.rejoin(old.name)
+  await clock.advance(3000)
+  expect(await lost).toMatchObject({ err: true, val: { kind: 'not-recorded' } })
+  cluster.hosts.forEach((host) => expect(listMembers(host)).toEqual(['kept']))
+})
+
+test('a host that returns after long isolation does not disturb the leader', async () => {
+  const { clock, cluster } = await startCluster()
+  const leader = cluster.findLeader()!
+  const { term } = getStatus(leader)
+  const isolated = listFollowers(cluster)[0]!
+  cluster.isolate(isolated.name)
+  await clock.advance(120_000)
+  cluster.rejoin(isolated.name)
+  await clock.advance(3000)
+  expect(getStatus(leader)).toMatchObject({ role: 'leader', term })
+  expect(getStatus(isolated)).toMatchObject({ term, leader: leader.name })
+})
+
+test.each(['to', 'from'])('a one-way cut %s the leader leaves one leader that can commit', async (direction) => {
+  const { clock, cluster, run, proposeOn } = await startCluster()
+  const leader = cluster.findLeader()!
+  const others = [...cluster.hosts.keys()].filter((name) => name !== leader.name)
+  others.forEach((other) => direction === 'to'
+    ? cluster.network.setFaults(other, leader.name, { cut: 'silent' })
+    : cluster.network.setFaults(leader.name, other, { cut: 'silent' }))
+  await clock.advance(4000)
+  const next = cluster.findLeader()!
+  expect(next.name).not.toBe(leader.name)
+  expect(getStatus(leader).role).not.toBe('leader')
+  expect(await run(proposeOn(next, putMember('kept')))).toMatchObject({ ok: true })
+})
+
+test('a resend after a lost answer gets the first outcome and has one effect', async () => {
+  const { cluster, run, proposeOn } = await startCluster()
+  const leader = cluster.findLeader()!
+  await run(proposeOn(leader, putMember('m')))
+  const [caller, other] = listFollowers(cluster) as [FakeHost, FakeHost]
+  cluster.network.setFaults(leader.name, caller.name, { cut: 'silent' })
+  const unknown = await run(proposeOn(caller, createJob('job', 'request-1'), 500), 600)
+  expect(unknown).toMatchObject({ err: true, val: { kind: 'outcome-unknown' } })
+  expect(await run(proposeOn(other, createJob('job', 'request-1')))).toMatchObject({ ok: true })
+  // Another request for the same job shows that the first one did take effect.
+  expect(await run(proposeOn(other, createJob('job', 'request-2')))).toMatchObject({ err: true, val: { rejection: { kind: 'already-exists' } } })
+})
+
+test('a message that the network delivers twice is one proposal', async () => {
+  const { cluster, run, proposeOn } = await startCluster()
+  await run(proposeOn(cluster.findLeader()!, putMember('m')))
+  const before = getStatus(cluster.findLeader()!).commitIndex
+  cluster.network.setAllFaults({ duplication: 1 })
+  const caller = listFollowers(cluster)[0]!
+  expect(await run(proposeOn(caller, createJob('job')))).toMatchObject({ ok: true })
+  expect(getStatus(cluster.findLeader()!).commitIndex).toBe(before + 1)
+})
+
+test('without a majority nothing is accepted, and a proposal that no leader saw is known to be unrecorded', async () => {
+  const { clock, cluster, run, proposeOn } = await startCluster()
+  const [first, second] = listFollowers(cluster) as [FakeHost, FakeHost]
+  cluster.findLeader()!.kill()
+  first.kill()
+  await clock.advance(3000)
+  expect(await run(proposeOn(second, putMember('m')))).toMatchObject({ err: true, val: { kind: 'no-leader' } })
+  expect(getStatus(second).survivableLosses).toBe(0)
+})
+
+test('a leader that was frozen does not answer a read with old state', async () => {
+  const { clock, cluster, run, proposeOn, deadlineOf } = await startCluster()
+  const old = cluster.findLeader()!
+  old.process().freeze()
+  await clock.advance(10_000)
+  const next = cluster.listRunning().filter((host) => host !== old).find((host) => getStatus(host).role === 'leader')!
+  await run(proposeOn(next, putMember('new')))
+  old.process().resume()
+  expect(getStatus(old).role).toBe('leader')
+  const read = await run(old.replica()!.readBarrier(deadlineOf(old)))
+  expect(read).toMatchObject({ ok: true })
+  expect(listMembers(old)).toEqual(['new'])
+})
+
+test('a planned stop of the leader hands over at once', async () => {
+  const { clock, cluster } = await startCluster()
+  const old = cluster.findLeader()!
+  old.replica()!.stop()
+  await clock.advance(100)
+  const next = cluster.listRunning().find((host) => host !== old && getStatus(host).role === 'leader')
+  expect(next).toBeDefined()
+})
+
+test('a host that lost its disk is another incarnation, votes for nobody as the old one, and is replaced by itself', async () => {
+  const { clock, cluster, run, proposeOn, deadlineOf } = await startCluster()
+  const leader = cluster.findLeader()!
+  const [lost, other] = listFollowers(cluster) as [FakeHost, FakeHost]
+  await run(proposeOn(leader, putMember('m')))
+  lost.crash()
+  lost.disk!.erase()
+  lost.start()
+  await clock.advance(4000)
+  expect(getStatus(lost)).toMatchObject({ role: 'learner', voters: ['a', 'b', 'c'] })
+  expect(listMembers(lost)).toEqual(['m'])
+  expect(getStatus(leader).survivableLosses).toBe(0)
+  // The old incarnation's voice is gone, so the loss of the other follower leaves no majority.
+  cluster.isolate(other.name)
+  await clock.advance(2000)
+  expect(cluster.findLeader()).toBeUndefined()
+  cluster.rejoin(other.name)
+  await clock.advance(4000)
+  const again = cluster.findLeader()!
+  expect(await run(again.replica()!.replaceVoter(lost.name, lost.name, deadlineOf(again)))).toMatchObject({ ok: true })
+  expect(getStatus(again).survivableLosses).toBe(1)
+})
+
+test.each(['lost', 'working'])('the loss of a second host right after a %s one was replaced loses nothing', async (first) => {
+  const { cluster, run, proposeOn, deadlineOf, clock } = await startCluster()
+  const leader = cluster.findLeader()!
+  const [replaced, second] = listFollowers(cluster) as [FakeHost, FakeHost]
+  const entries = Array.from({ length: 50 }, (_, index) => putMember(`m${index}`))
+  await run(Promise.all(entries.map((entry) => proposeOn(leader, entry))))
+  if (first === 'lost') {
+    replaced.crash()
+    replaced.disk!.erase()
+  }
+  const change = leader.replica()!.replaceVoter(replaced.name, 'd', deadlineOf(leader))
+  const progress = { isReplaced: false }
+  change.then(() => { progress.isReplaced = true })
+  while (!progress.isReplaced) await clock.advance(5)
+  expect((await change).unwrap()).toMatchObject([leader.name, second.name, 'd'].sort().map((host) => ({ host })))
+  leader.crash()
+  leader.disk!.erase()
+  replaced.crash()
+  await clock.advance(4000)
+  const next = cluster.findLeader()!
+  expect(['d', second.name]).toContain(next.name)
+  expect(listMembers(next)).toHaveLength(50)
+  expect(await run(proposeOn(next, putMember('after')))).toMatchObject({ ok: true })
+})
+
+test('a membership change in a partition never gives two majorities', async () => {
+  const { cluster, run, proposeOn, deadlineOf, clock } = await startCluster({ spares: ['d', 'e'] })
+  const old = cluster.findLeader()!
+  const [left, right] = listFollowers(cluster) as [FakeHost, FakeHost]
+  // The old leader keeps only the spares, which do not vote yet.
+  const inside = [old.name, 'd', 'e']
+  inside.forEach((from) => [left, right].forEach((to) => {
+    cluster.network.setFaults(from, to.name, { cut: 'silent' })
+    cluster.network.setFaults(to.name, from, { cut: 'silent' })
+  }))
+  const changes = await run(Promise.all(['d', 'e'].map((host) => old.replica()!.addVoter(host, deadlineOf(old)))))
+  expect(changes.map((change) => change.err && change.val.kind)).toEqual([expect.stringMatching(/unsafe-change|not-recorded|outcome-unknown|no-leader/), 'change-in-progress'])
+  const next = cluster.findLeader()!
+  expect([left, right]).toContain(next)
+  expect(await run(proposeOn(next, putMember('kept')))).toMatchObject({ ok: true })
+  cluster.network.setAllFaults({ cut: 'none' })
+  await clock.advance(4000)
+  cluster.hosts.forEach((host) => expect([listMembers(host), getStatus(host).voters]).toEqual([['kept'], ['a', 'b', 'c']]))
+})
+
+test('unsafe changes of the voters are refused', async () => {
+  const { cluster, run, deadlineOf } = await startCluster({ voters: ['a', 'b', 'c', 'g', 'h', 'i', 'j'], learners: ['f'] })
+  const leader = cluster.findLeader()!
+  const other = listFollowers(cluster)[0]!
+  const replica = leader.replica()!
+  const refuse = async (change: Promise<{ val: unknown }>) => (await run(change)).val
+  expect(await refuse(replica.addVoter('d', deadlineOf(leader)))).toEqual({ kind: 'too-many-voters', limit: 7 })
+  expect(await refuse(replica.replaceVoter(other.name, 'f', deadlineOf(leader)))).toEqual({ kind: 'no-disk', host: 'f' })
+  expect(await refuse(replica.replaceVoter(other.name, 'nobody', deadlineOf(leader)))).toMatchObject({ kind: 'not-connected' })
+  expect(await refuse(replica.removeVoter('nobody', deadlineOf(leader)))).toEqual({ kind: 'unknown-voter', host: 'nobody' })
+  listFollowers(cluster).slice(0, 3).forEach((host) => host.kill())
+  const alive = listFollowers(cluster)[0]!
+  expect(await refuse(replica.removeVoter(alive.name, deadlineOf(leader)))).toMatchObject({ kind: 'unsafe-change', needed: 4 })
+})
+
+test.each(['sync-failed', 'disk-full'] as const)('a voter whose store fails with %s stops with the failure, and the others continue', async (kind) => {
+  const { clock, cluster, run, proposeOn } = await startCluster()
+  const broken = cluster.findLeader()!
+  if (kind === 'sync-failed') broken.disk!.setSyncFailures(1)
+  else broken.disk!.setCapacity(10)
+  await run(proposeOn(broken, putMember('m')))
+  expect(broken.replica()!.failure()).toMatchObject({ kind })
+  expect(await proposeOn(broken, putMember('n'))).toMatchObject({ err: true, val: { kind: 'stopped' } })
+  await clock.advance(2000)
+  const next = cluster.findLeader()!
+  expect(next.name).not.toBe(broken.name)
+  expect(await run(proposeOn(next, putMember('o')))).toMatchObject({ ok: true })
+})
+
+test('a corrupt store keeps a host down until it is repaired, and then it is a learner that catches up', async () => {
+  const { clock, cluster, run, proposeOn } = await startCluster()
+  await run(proposeOn(cluster.findLeader()!, putMember('m')))
+  const host = listFollowers(cluster)[0]!
+  host.crash()
+  host.disk!.damage(host.disk!.listFiles().find((file) => file.startsWith('log-'))!, 40)
+  host.start()
+  await clock.advance(500)
+  expect(host.openFailure()).toMatchObject({ kind: 'corrupt-record' })
+  host.start({ repair: true })
+  await clock.advance(4000)
+  expect(getStatus(host)).toMatchObject({ role: 'learner' })
+  expect(listMembers(host)).toEqual(['m'])
+})
+
+test('a host that lags far behind is caught up by pieces of a snapshot, which an interruption does not restart', async () => {
+  const limits = { snapshotBytes: 1000, snapshotEntries: 100, retainedEntries: 1, retainedBytes: 1 }
+  const { clock, cluster, run, proposeOn } = await startCluster({ limits })
+  const host = listFollowers(cluster)[0]!
+  host.kill()
+  const leader = cluster.findLeader()!
+  const large = (id: string): Entry => {
+    const entry = createJob(id)
+    return entry.kind === 'job.create' ? { ...entry, job: { ...entry.job, command: 'x'.repeat(4000) } } : entry
+  }
+  await run(proposeOn(leader, putMember('m')))
+  await run(Promise.all(Array.from({ length: 300 }, (_, index) => proposeOn(leader, large(`j${index}`)))))
+  const before = cluster.network.getTraffic(host.name)
+  host.start()
+  await clock.advance(1300)
+  const setCut = (cut: 'silent' | 'none') => cluster.network.setFaults(leader.name, host.name, { cut })
+  while (cluster.network.getTraffic(host.name).bytes - before.bytes < 500_000) await clock.advance(1)
+  setCut('silent')
+  await clock.advance(300)
+  setCut('none')
+  await clock.advance(3000)
+  const after = cluster.network.getTraffic(host.name)
+  expect(Object.keys(host.replica()!.state().jobs)).toHaveLength(300)
+  expect(after.largestBytes).toBeLessThanOrEqual(64 * 1024)
+  // The snapshot has 1.25 MB; a transfer that starts again would need half a megabyte more.
+  expect(after.bytes - before.bytes).toBeLessThan(1_500_000)
+})
+
+test('an entry that does not fit into one message is refused', async () => {
+  const { cluster, run, proposeOn } = await startCluster()
+  const outcomes = Array.from({ length: 1500 }, (_, index): [string, number, 'succeeded'] => ['x'.repeat(60), index, 'succeeded'])
+  const result = await run(proposeOn(cluster.findLeader()!, { kind: 'job.summary', availabilityZone: 'z', outcomes }))
+  expect(result).toMatchObject({ err: true, val: { kind: 'entry-too-large', limit: MAX_ENTRY_BYTES } })
+})
+
+test('a jump of the wall clock changes nothing', async () => {
+  const { clock, cluster } = await startCluster()
+  const before = getStatus(cluster.findLeader()!)
+  clock.setWallOffset(-86_400_000)
+  await clock.advance(5000)
+  expect(getStatus(cluster.findLeader()!)).toMatchObject({ term: before.term, leader: before.leader })
+})
+
+test('state traffic at rest stays below 2 KB/s on each of nine hosts', async () => {
+  const { clock, cluster } = await startCluster({ spares: [], learners: ['d', 'e', 'f', 'g', 'h', 'i'] })
+  const names = [...cluster.hosts.keys()]
+  const before = names.map((name) => cluster.network.getTraffic(name).bytes)
+  await clock.advance(60_000)
+  const rates = names.map((name, position) => (cluster.network.getTraffic(name).bytes - before[position]!) / 60)
+  expect(Math.max(...rates)).toBeLessThan(2048)
+})
--- /dev/null
+++ b/test/state/logStore.test.ts
@@ -0,0 +1,181 @@
+import { mkdtemp, rm } from 'node:fs/promises'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { expect, test } from 'vitest'
+import { createManualClock, createRandom } from '../../src/common/index.js'
+import { createFakeDisk, type FakeDisk } from '../../src/fakes/fakeDisk.js'
+import { openDisk, openLogStore, type Disk, type StoredEntry } from '../../src/state/index.js'
+import { SYNC_MARKER } from '../../src/state/logStore/index.js'
+
+let ids = 0
+const open = (disk: Disk, overrides: { host?: string, deployment?: string, repair?: boolean } = {}) =>
+  openLogStore({ disk, deployment: 'test', host: 'a', createIncarnation: () => `a-${ids++}`, ...overrides })
+const entry = (index: number, term = 1): StoredEntry => ({ index, term, bytes: new Uint8Array(20).fill(index) })
+const createInstantDisk = (seed = 1): FakeDisk => createFakeDisk({ clock: createManualClock(), random: createRandom(seed), syncMs: 0 })
+
+/** A store of a founded deployment with entries 1 to 3, each synced on its own. */
+async function prepare (disk: FakeDisk, view = disk.open()) {
+  const { store } = (await open(view)).unwrap()
+  await store.setFormation(7)
+  await store.saveHardState({ term: 1, vote: 'a' })
+  for (const index of [1, 2, 3]) await store.append([entry(index)])
+  return store
+}
+
+const findLog = (disk: FakeDisk): string => disk.listFiles().find((file) => file.startsWith('log-')) ?? ''
+
+test('a torn last record is dropped and everything that was synced before stays', async () => {
+  const disk = createInstantDisk()
+  const store = await prepare(disk)
+  let steps = 0
+  // The third step is the sync.
+  disk.setStepListener(() => {
+    steps += 1
+    if (steps === 3) disk.crash()
+  })
+  store.append([entry(4)])
+  await new Promise((resolve) => setTimeout(resolve, 5))
+  disk.setStepListener(undefined)
+  const { loaded } = (await open(disk.open())).unwrap()
+  expect(loaded.entries.map(({ index }) => index)).toEqual([1, 2, 3])
+})
+
+test('damage to a last record that was synced is a failure and not taken for a torn write', async () => {
+  const disk = createInstantDisk()
+  await prepare(disk)
+  disk.damage(findLog(disk), -SYNC_MARKER.length - 1)
+  expect(await open(disk.open())).toMatchObject({ err: true, val: { kind: 'corrupt-record' } })
+})
+
+test('a damaged sync marker is no failure, because a crash may damage it', async () => {
+  const disk = createInstantDisk()
+  const view = disk.open()
+  const store = await prepare(disk, view)
+  const end = (await view.read(findLog(disk))).unwrap()?.length ?? 0
+  await store.append([entry(4)])
+  disk.damage(findLog(disk), end - 1)
+  expect((await open(disk.open())).unwrap().loaded.entries).toHaveLength(4)
+})
+
+test('a damaged record in the middle is a failure, and repair starts a new incarnation', async () => {
+  const disk = createInstantDisk()
+  const { incarnation } = await prepare(disk)
+  disk.damage(findLog(disk), 60)
+  expect(await open(disk.open())).toMatchObject({ err: true, val: { kind: 'corrupt-record', file: findLog(disk) } })
+  const repaired = (await open(disk.open(), { repair: true })).unwrap()
+  expect(repaired.loaded).toMatchObject({ repaired: true, entries: [], hardState: { term: 0 } })
+  expect(repaired.store.incarnation).not.toBe(incarnation)
+})
+
+test.each(['identity', 'hard-state', 'snapshot'])('a damaged file %s is a failure', async (file) => {
+  const disk = createInstantDisk()
+  const store = await prepare(disk)
+  await store.saveSnapshot({ index: 2, term: 1, bytes: new Uint8Array(50) }, [entry(3)])
+  disk.damage(file, -1)
+  expect(await open(disk.open())).toMatchObject({ err: true, val: { kind: 'corrupt-record', file } })
+})
+
+test('a log of one record that rots is a failure, because it was written together with the file', async () => {
+  const disk = createInstantDisk()
+  await prepare(disk)
+  await open(disk.open())
+  disk.damage(findLog(disk), -SYNC_MARKER.length - 1)
+  expect(await open(disk.open())).toMatchObject({ err: true, val: { kind: 'corrupt-record' } })
+})
+
+test.each([{ host: 'b' }, { deployment: 'other' }])('the folder of another host or deployment is refused, also with repair: %o', async (overrides) => {
+  const disk = createInstantDisk()
+  await prepare(disk)
+  expect(await open(disk.open(), { ...overrides, repair: true })).toMatchObject({ err: true, val: { kind: 'foreign-folder' } })
+  expect((await open(disk.open())).unwrap().loaded.entries).toHaveLength(3)
+})
+
+test('a full disk is a failure, and nothing is written after it', async () => {
+  const disk = createInstantDisk()
+  const store = await prepare(disk)
+  disk.setCapacity(100)
+  expect(await store.append([entry(4)])).toMatchObject({ err: true, val: { kind: 'disk-full' } })
+  disk.setCapacity(1e9)
+  expect(await store.append([entry(4)])).toMatchObject({ err: true, val: { kind: 'disk-full' } })
+})
+
+test('after a failed sync the file is not used any more, and a restart makes what it reads durable', async () => {
+  const disk = createInstantDisk()
+  const store = await prepare(disk)
+  disk.setSyncFailures(1)
+  expect(await store.append([entry(4)])).toMatchObject({ err: true, val: { kind: 'sync-failed' } })
+  expect(await store.append([entry(4)])).toMatchObject({ err: true, val: { kind: 'sync-failed' } })
+  disk.killProcess()
+  const { loaded } = (await open(disk.open())).unwrap()
+  // The kernel would take the old pages for clean, so only a new file keeps what this start has read.
+  disk.crash()
+  const again = (await open(disk.open())).unwrap()
+  expect(again.loaded.entries).toEqual(loaded.entries)
+})
+
+test('a crash between any two steps loses nothing that was confirmed', async () => {
+  const countSteps = async (seed: number, crashAt: number): Promise<number> => {
+    const disk = createInstantDisk(seed)
+    const confirmed = { last: 0, lastTerm: 0, term: 0, snapshot: 0 }
+    let steps = 0
+    disk.setStepListener(() => {
+      steps += 1
+      if (steps === crashAt) disk.crash()
+    })
+    const work = async (): Promise<void> => {
+      const { store } = (await open(disk.open())).unwrap()
+      await store.setFormation(7)
+      await store.saveHardState({ term: 1, vote: 'a' })
+      confirmed.term = 1
+      const append = async (index: number, term: number): Promise<void> => {
+        await store.append([entry(index, term)])
+        Object.assign(confirmed, { last: index, lastTerm: term })
+      }
+      await append(1, 1)
+      await append(2, 1)
+      await store.saveSnapshot({ index: 1, term: 1, bytes: new Uint8Array(9) }, [entry(2)])
+      confirmed.snapshot = 1
+      await append(3, 1)
+      await store.saveHardState({ term: 2, vote: 'b' })
+      confirmed.term = 2
+      await append(3, 2)
+      await store.saveSnapshot({ index: 9, term: 2, bytes: new Uint8Array(9) }, [])
+      confirmed.snapshot = 9
+      await append(10, 2)
+    }
+    const finished = await Promise.race([work().then(() => true), new Promise((resolve) => setTimeout(() => resolve(false), 5))])
+    disk.setStepListener(undefined)
+    const { loaded } = (await open(disk.open())).unwrap()
+    const base = loaded.snapshot?.index ?? 0
+    const held = loaded.entries.find(({ index }) => index === confirmed.last)
+    expect(loaded.hardState.term).toBeGreaterThanOrEqual(confirmed.term)
+    expect(base).toBeGreaterThanOrEqual(confirmed.snapshot)
+    expect(base >= confirmed.last || (held?.term ?? 0) >= confirmed.lastTerm, `step ${crashAt}`).toBe(true)
+    loaded.entries.forEach(({ index }, position) => expect(index).toBe(base + 1 + position))
+    return finished === true ? 0 : steps
+  }
+  const runs = await Promise.all([1, 2, 3, 4].flatMap((seed) =>
+    Array.from({ length: 60 }, (_, step) => countSteps(seed, step + 1))))
+  // The work must have been interrupted at many different steps, and the later ones must be past its end.
+  expect(runs.filter((steps) => steps > 0).length).toBeGreaterThan(100)
+  expect(runs).toContain(0)
+})
+
+test('the real disk keeps entries and snapshot over a reopening', async () => {
+  const folder = await mkdtemp(join(tmpdir(), 'sequoiadrift-'))
+  try {
+    const disk = (await openDisk(folder)).unwrap()
+    const { store } = (await open(disk)).unwrap()
+    await store.setFormation(7)
+    await store.saveHardState({ term: 3, vote: 'a' })
+    await store.append([entry(1), entry(2)])
+    await store.saveSnapshot({ index: 1, term: 1, bytes: new Uint8Array(9) }, [entry(2)])
+    await store.append([entry(2, 3), entry(3, 3)])
+    await store.close()
+    const again = (await open((await openDisk(folder)).unwrap())).unwrap()
+    expect(again.loaded).toMatchObject({ hardState: { term: 3 }, snapshot: { index: 1 }, entries: [{ index: 2, term: 3 }, { index: 3, term: 3 }] })
+    await again.store.close()
+  } finally {
+    await rm(folder, { recursive: true })
+  }
+})
