--- a/src/coordination/configuration/change.ts
+++ b/src/coordination/configuration/change.ts
@@ -3,6 +3,9 @@
 
 const RETRY_MS = 100
 
+/** A proposal that a frozen leader holds is repeated after this time; another leader may have been elected. */
+const ATTEMPT_MS = 800
+
 export interface PresetChange {
   /** Names the operator's request; a resend with the same id returns the first outcome. */
   requestId: string
@@ -37,7 +40,7 @@
   const parsed = configurationChangeSchema.safeParse(fields)
   if (!parsed.success) return { kind: 'invalid-change', message: parsed.error.issues.map((issue) => `${issue.path.join('.')}: ${issue.message}`).join('; ') }
   const propose = (): Promise<Result<Applied, LogFailure>> =>
-    log.propose({ kind: 'config.propose', requestId, change: parsed.data, wallTime: clock.wall() }, deadline)
+    log.propose({ kind: 'config.propose', requestId, change: parsed.data, wallTime: clock.wall() }, Math.min(deadline, clock.now() + ATTEMPT_MS))
 
   let mayBeRecorded = false
   let result = await propose()
--- a/src/coordination/configuration/granter.ts
+++ b/src/coordination/configuration/granter.ts
@@ -5,8 +5,8 @@
 const BARRIER_TIMEOUT_MS = 400
 const ACTIVATE_TIMEOUT_MS = 500
 
-/** Upper bound on the time between two checks of a pending change. */
-export const ACTIVATION_CHECK_MS = 100
+/** Upper bound on the time between two checks of a pending change; a new leader is noticed as late as this. */
+export const ACTIVATION_CHECK_MS = 50
 
 export interface GranterOptions { clock: Clock, log: AgreedLog, logger: Logger, metrics: Metrics }
 
--- /dev/null
+++ b/test/configuration/rules.test.ts
@@ -0,0 +1,97 @@
+import { expect, test } from 'vitest'
+import { createManualClock, createNoMetrics, createSilentLogger, Err, Ok, type Result } from '../../src/common/index.js'
+import { proposeChange } from '../../src/coordination/configuration/change.js'
+import { createLeaseGranter } from '../../src/coordination/configuration/granter.js'
+import { createLeaseHolder } from '../../src/coordination/configuration/holder.js'
+import { LEASE_MS, type RenewReply } from '../../src/coordination/configuration/messages.js'
+import { createMemoryLog } from '../../src/fakes/memoryLog.js'
+import { createAgreedState, type AgreedLog, type Applied, type LogFailure, type LogStatus } from '../../src/state/index.js'
+
+const request = { session: 's1', floor: 0, known: 0 }
+const granted: RenewReply = { kind: 'granted', revision: 0, leaseMs: LEASE_MS }
+
+function createGranterWithLog (overrides: Partial<AgreedLog>) {
+  const clock = createManualClock()
+  const log = { ...createMemoryLog('h1'), ...overrides }
+  return { clock, log, granter: createLeaseGranter({ clock, log, logger: createSilentLogger(), metrics: createNoMetrics() }) }
+}
+
+test('a renewal that arrives during a read barrier is served by the next one, which starts after it', async () => {
+  const started: Array<() => void> = []
+  const readBarrier = (): Promise<Result<number, LogFailure>> => new Promise((resolve) => { started.push(() => resolve(Ok(0))) })
+  const { granter } = createGranterWithLog({ readBarrier })
+  const answered: string[] = []
+  const renewals = ['first', 'second', 'third'].map(async (session) => {
+    await granter.handleRenew('h2', { ...request, session })
+    answered.push(session)
+  })
+  expect(started.length).toBe(1)
+  started[0]!()
+  await renewals[0]
+  expect([answered, started.length]).toEqual([['first'], 2])
+  started[1]!()
+  await Promise.all(renewals)
+  expect([answered, started.length]).toEqual([['first', 'second', 'third'], 2])
+})
+
+test('a barrier that ended in another term grants nothing, because the new leader does not wait for it', async () => {
+  const status: LogStatus = createMemoryLog('h1').status()
+  const readBarrier = async (): Promise<Result<number, LogFailure>> => {
+    status.term += 1
+    return Ok(0)
+  }
+  const { granter } = createGranterWithLog({ readBarrier, status: () => ({ ...status }) })
+  expect(await granter.handleRenew('h2', request)).toEqual({ kind: 'refused', reason: 'no-read-barrier' })
+})
+
+test('nothing is granted while a change is pending, even to a host that does not know of it', async () => {
+  const { granter, log, clock } = createGranterWithLog({})
+  await proposeChange(log, clock, { requestId: 'r', baseRevision: 0, preset: 'peak', setBy: 'ana', reason: '' }, 1000)
+  expect(await granter.handleRenew('h2', request)).toEqual({ kind: 'suspended', pendingRevision: 1 })
+})
+
+test('a delayed confirmation of an earlier process does not confirm for its successor', async () => {
+  const { granter, log, clock } = createGranterWithLog({})
+  await granter.handleRenew('h2', { ...request, session: 'successor' })
+  await clock.advance(1400)
+  await granter.handleRenew('h2', { ...request, session: 'successor' })
+  await proposeChange(log, clock, { requestId: 'r', baseRevision: 0, preset: 'peak', setBy: 'ana', reason: '' }, 1000)
+  await granter.handleRenew('h2', { ...request, session: 'earlier', floor: 1 })
+  await clock.advance(1400)
+  await granter.activatePending()
+  expect(log.state().configuration.revision).toBe(0)
+  await clock.advance(200)
+  await granter.activatePending()
+  expect(log.state().configuration.revision).toBe(1)
+})
+
+test('a reply that was overtaken neither shortens a lease nor brings an old revision back', () => {
+  const state = createAgreedState()
+  const holder = createLeaseHolder('s1', state.configuration)
+  holder.handleReply(granted, 500)
+  holder.handleReply(granted, 100)
+  expect(holder.getView(500 + LEASE_MS - 1).claim).toBe('in-force')
+  const peak = { ...state.configuration, revision: 1, preset: 'peak' }
+  holder.handleReply({ ...granted, revision: 1, configuration: peak }, 600)
+  holder.handleReply(granted, 700)
+  expect(holder.getView(701)).toMatchObject({ claim: 'in-force', revision: 1, preset: 'peak', leaseDeadline: 600 + LEASE_MS })
+})
+
+test('a lease ends at its deadline exactly, and a host whose leader is silent says for how long', () => {
+  const holder = createLeaseHolder('s1', createAgreedState().configuration)
+  expect(holder.getView(0).certainty).toEqual({ kind: 'unconfirmed', leaderHeardAgoMs: undefined })
+  holder.handleReply(granted, 100)
+  expect(holder.getView(99 + LEASE_MS).claim).toBe('in-force')
+  expect(holder.getView(100 + LEASE_MS)).toMatchSnapshot()
+})
+
+test('a certain refusal after an unclear attempt is still reported as unknown', async () => {
+  const clock = createManualClock()
+  const answers: Array<Result<Applied, LogFailure>> = [
+    Err({ kind: 'outcome-unknown', message: 'lost' }), Err({ kind: 'no-leader', message: 'none' })
+  ]
+  const log = { ...createMemoryLog('h1'), propose: async () => answers.shift()! }
+  const outcome = proposeChange(log, clock, { requestId: 'r', baseRevision: 0, preset: 'peak', setBy: 'ana', reason: '' }, 150)
+  await clock.advance(200)
+  expect(await outcome).toEqual({ kind: 'outcome-unknown', requestId: 'r', message: 'none' })
+})
