--- /dev/null
+++ b/src/coordination/reports/renderHtml.ts
@@ -0,0 +1,55 @@
+import { renderCharts } from './charts.js'
+import type { BurnReport } from './schemas.js'
+import { describeReport, formatCell, listTables, type ReportTable } from './tables.js'
+
+const STYLE = `
+body { font: 14px/1.4 system-ui, sans-serif; margin: 24px auto; max-width: 1200px; color: #222 }
+table { border-collapse: collapse; margin: 0 0 24px }
+th, td { border-bottom: 1px solid #ddd; padding: 3px 10px; text-align: left; white-space: nowrap }
+td.mark { color: #b00020; font-weight: bold }
+figure { margin: 0 0 16px }
+section { overflow-x: auto }`
+
+const MARKED = new Set(['PAGE', 'TICKET', 'RIVAL'])
+
+/** One page that loads nothing from elsewhere. Every text is escaped. */
+export async function renderReportHtml (report: BurnReport): Promise<string> {
+  const charts = await renderCharts(report)
+  return [
+    '<!doctype html>',
+    '<html lang="en">',
+    '<head>',
+    '<meta charset="utf-8">',
+    // Even if an escape were missing, the browser would run and load nothing.
+    '<meta http-equiv="Content-Security-Policy" content="default-src \'none\'; style-src \'unsafe-inline\'">',
+    '<title>sequoiadrift report</title>',
+    `<style>${STYLE}\n</style>`,
+    '</head>',
+    '<body>',
+    '<h1>sequoiadrift report</h1>',
+    `<p>${encodeHtml(describeReport(report))}</p>`,
+    ...charts.map((svg) => `<figure>${svg}</figure>`),
+    ...listTables(report).map(renderTable),
+    '</body>',
+    '</html>',
+    ''
+  ].join('\n')
+}
+
+function renderTable ({ title, columns, rows, empty }: ReportTable): string {
+  const heading = `<h2>${encodeHtml(title)}</h2>`
+  if (rows.length === 0) return `<section>${heading}<p>${encodeHtml(empty)}</p></section>`
+  const head = columns.map((column) => `<th>${encodeHtml(column)}</th>`).join('')
+  const body = rows.map((row) => `<tr>${row.map(renderCell).join('')}</tr>`)
+  return [`<section>${heading}<table>`, `<thead><tr>${head}</tr></thead>`, '<tbody>', ...body, '</tbody></table></section>'].join('\n')
+}
+
+function renderCell (value: string): string {
+  return `<td${MARKED.has(value) ? ' class="mark"' : ''}>${encodeHtml(value)}</td>`
+}
+
+const ENTITIES: Record<string, string> = { '&': '&amp;', '<': '&lt;', '>': '&gt;', '"': '&quot;', "'": '&#39;' }
+
+function encodeHtml (text: string): string {
+  return formatCell(text).replace(/[&<>"']/g, (character) => ENTITIES[character]!)
+}
