--- a/src/coordination/routing/credits.ts
+++ b/src/coordination/routing/credits.ts
@@ -68,7 +68,7 @@
     home.lastHeard = clock.now()
     home.draining = summary.draining
     home.services = new Map(summary.services.map((item) => [item.service, { free: item.free, slots: item.slots, executors: item.executors }]))
-    summary.leaving.forEach((executor) => holdings.setLeaving(executor))
+    summary.leaving.forEach(({ executor, incarnation }) => holdings.setLeaving(executor, incarnation))
     home.services.forEach((_, service) => health.setPopulation(service, countKnown(service, (view) => view.executors)))
   }
 
--- a/src/coordination/routing/health.ts
+++ b/src/coordination/routing/health.ts
@@ -10,6 +10,12 @@
 const FIRST_EJECTION_MS = 1000
 const LONGEST_EJECTION_MS = 30_000
 const START_LATENCY_MS = 1
+const ESTIMATE_SMOOTHING = 0.05
+/**
+ * An older estimate is not used. Requests are refused by the estimate, so a wrong one, for example after this host
+ * was frozen, would otherwise keep out the very requests that correct it.
+ */
+const ESTIMATE_VALID_MS = 1000
 
 interface Record {
   service: string
@@ -32,7 +38,7 @@
   /** Concurrent requests that the executor may be given by this host now. */
   getAllowance (executor: string): number
   getLatency (executor: string): number
-  /** Expected time of one request of the service, ms: mean and a high estimate. */
+  /** Expected time of one request of the service, ms: mean and a high estimate; 0 when nothing was measured lately. */
   estimateService (service: string): { meanMs: number, highMs: number }
   setPopulation (service: string, executors: number): void
   listEjected (service: string): string[]
@@ -42,7 +48,7 @@
 export function createHealthTable (clock: Clock, reportEjection: (executor: string, service: string, reason: string) => void): HealthTable {
   const records = new Map<string, Record>()
   const populations = new Map<string, number>()
-  const services = new Map<string, { meanMs: number, deviationMs: number }>()
+  const services = new Map<string, { meanMs: number, deviationMs: number, measuredAt: number }>()
 
   const getRecord = (executor: string, service: string): Record => {
     const known = records.get(executor)
@@ -89,12 +95,13 @@
 
   const recordService = (service: string, latencyMs: number): void => {
     const known = services.get(service)
-    if (known === undefined) {
-      services.set(service, { meanMs: latencyMs, deviationMs: latencyMs / 2 })
+    if (known === undefined || known.measuredAt + ESTIMATE_VALID_MS < clock.now()) {
+      services.set(service, { meanMs: latencyMs, deviationMs: latencyMs / 2, measuredAt: clock.now() })
       return
     }
-    known.deviationMs += 0.05 * (Math.abs(latencyMs - known.meanMs) - known.deviationMs)
-    known.meanMs += 0.05 * (latencyMs - known.meanMs)
+    known.measuredAt = clock.now()
+    known.deviationMs += ESTIMATE_SMOOTHING * (Math.abs(latencyMs - known.meanMs) - known.deviationMs)
+    known.meanMs += ESTIMATE_SMOOTHING * (latencyMs - known.meanMs)
   }
 
   const recordAttempt: HealthTable['recordAttempt'] = (executor, service, result, latencyMs) => {
@@ -131,7 +138,7 @@
     },
     estimateService: (service) => {
       const known = services.get(service)
-      return known === undefined
+      return known === undefined || known.measuredAt + ESTIMATE_VALID_MS < clock.now()
         ? { meanMs: 0, highMs: 0 }
         : { meanMs: known.meanMs, highMs: known.meanMs + 2 * known.deviationMs }
     },
--- a/src/coordination/routing/holdings.ts
+++ b/src/coordination/routing/holdings.ts
@@ -18,6 +18,7 @@
   availabilityZone: string
   rack: string
   url: string
+  incarnation: string
   slots: number
   connections: number
   /** The slots may be used before this time. */
@@ -40,7 +41,7 @@
   /** Gives up the loans of a home that its reply did not mention. */
   applyAbsent (home: string, mentioned: Set<string>): void
   setSlots (executor: HeldExecutor, slots: number): void
-  setLeaving (executor: string): void
+  setLeaving (executor: string, incarnation: string): void
   canUse (executor: HeldExecutor): boolean
   countFree (executor: HeldExecutor): number
   /** Own zone first; of two at random the one with the lower expected time. */
@@ -73,10 +74,11 @@
     if (known !== undefined && known.home !== home && deadline <= known.deadline) return
     const item: HeldExecutor = known ?? createHeld(loan, home)
     executors.set(loan.executor, item)
-    const isLeaving = loan.leaving || leaving.has(loan.executor)
+    const isLeaving = loan.leaving || leaving.has(`${loan.executor} ${loan.incarnation}`)
     Object.assign(item, {
       home,
       url: loan.url,
+      incarnation: loan.incarnation,
       slots: loan.slots,
       connections: loan.connections,
       deadline,
@@ -95,6 +97,7 @@
     availabilityZone: loan.availabilityZone,
     rack: loan.rack,
     url: loan.url,
+    incarnation: loan.incarnation,
     slots: 0,
     connections: 0,
     deadline: 0,
@@ -178,10 +181,10 @@
     applyLoan,
     applyAbsent,
     setSlots,
-    setLeaving: (executor) => {
-      leaving.set(executor, clock.now())
+    setLeaving: (executor, incarnation) => {
+      leaving.set(`${executor} ${incarnation}`, clock.now())
       const item = executors.get(executor)
-      if (item !== undefined) item.leaving = true
+      if (item?.incarnation === incarnation) item.leaving = true
     },
     canUse,
     countFree,
--- a/src/coordination/routing/home.ts
+++ b/src/coordination/routing/home.ts
@@ -219,7 +219,7 @@
         const slots = own.reduce((sum, entry) => sum + entry.announcement.slots, 0)
         return { service, executors: own.length, slots, free: draining ? 0 : countFree(service) }
       }),
-      leaving: all.filter((entry) => entry.announcement.leaving).map((entry) => entry.announcement.id),
+      leaving: all.filter((entry) => entry.announcement.leaving).map(({ announcement: { id, incarnation: process } }) => ({ executor: id, incarnation: process })),
       draining
     }
   }
--- a/src/coordination/routing/messages.ts
+++ b/src/coordination/routing/messages.ts
@@ -48,8 +48,8 @@
 export const summarySchema = z.strictObject({
   availabilityZone: z.string(),
   services: z.array(z.strictObject({ service: z.string(), executors: count, slots: count, free: count })),
-  /** Executors that accept nothing new. */
-  leaving: z.array(z.string()),
+  /** Executors that accept nothing new; a restarted one is another incarnation and does. */
+  leaving: z.array(z.strictObject({ executor: z.string(), incarnation: z.string() })),
   /** The host is draining: it lends nothing and accepts no announcements. */
   draining: z.boolean()
 })
--- a/src/fakes/executor.ts
+++ b/src/fakes/executor.ts
@@ -47,7 +47,8 @@
   createAnnouncement (): AnnouncementInput
   /** Runs a request; resolves when its handler ends. Undefined: the process died before it could answer. */
   run (request: ExecutorRequest, holder: string): Promise<Answer | undefined>
-  openConnection (holder: string): Result<ExecutorConnection, ExecutorFailure>
+  /** A connection on which nothing passes while `isReachable` is false, and never again after that. */
+  openConnection (holder: string, isReachable?: () => boolean): Result<ExecutorConnection, ExecutorFailure>
   /** Counts a connection that another transport has accepted. */
   setConnections (holder: string, change: number): void
   /** Connections that are open now become silent; new ones work. */
@@ -63,6 +64,7 @@
 
 /** Header that names a piece of work, so that a test can count how often it ran. */
 export const WORK_HEADER = 'x-work'
+const CONNECT_TIMEOUT_MS = 1000
 const DEFAULT_SLOTS = 8
 const DEFAULT_CONNECTIONS = 60
 
@@ -104,7 +106,7 @@
     record.maxConnections = Math.max(record.maxConnections, [...open.values()].reduce((sum, n) => sum + n, 0))
   }
 
-  const openConnection: FakeExecutor['openConnection'] = (holder) => {
+  const openConnection: FakeExecutor['openConnection'] = (holder, isReachable = () => true) => {
     if (!up) return Err({ kind: 'not-sent', message: 'connection refused' })
     setConnections(holder, 1)
     const { promise: lost, resolve: lose } = createDeferred<ExecutorFailure>()
@@ -119,13 +121,17 @@
       setConnections(holder, -1)
       lose({ kind: 'connection-lost', message })
     }
+    const isSilent = (): boolean => {
+      socket.silent ||= !isReachable()
+      return socket.silent
+    }
     const exchange = async (request: ExecutorRequest): Promise<Result<Answer, ExecutorFailure>> => {
       if (!isOpen) return Err({ kind: 'not-sent', message: 'the connection is closed' })
-      if (socket.silent || behaviour.mode === 'swallowing') return await createNever()
+      if (isSilent() || behaviour.mode === 'swallowing') return await createNever()
       const previous = stale
       const answer = await run(request, holder)
       if (previous !== undefined) return Ok(previous)
-      if (answer === undefined || socket.silent || behaviour.mode === 'mute') return await createNever()
+      if (answer === undefined || isSilent() || behaviour.mode === 'mute') return await createNever()
       if (behaviour.mode === 'truncating') return Err({ kind: 'truncated', message: 'the answer ended early' })
       if (behaviour.mode === 'short') return Ok({ ...answer, body: answer.body.subarray(1) })
       if (behaviour.mode === 'duplicating') stale = answer
@@ -134,7 +140,7 @@
     const runUntilLost = <T>(work: Promise<Result<T, ExecutorFailure>>): Promise<Result<T, ExecutorFailure>> =>
       Promise.race([work, lost.then((failure) => Err(failure))])
     return Ok({
-      check: () => runUntilLost<void>(isOpen && !socket.silent ? Promise.resolve(Ok(undefined)) : createNever()),
+      check: () => runUntilLost<void>(isOpen && !isSilent() ? Promise.resolve(Ok(undefined)) : createNever()),
       send: (request) => runUntilLost(exchange(request)),
       isOpen: () => isOpen,
       close: () => close('closed by the entry host')
@@ -227,20 +233,45 @@
   return () => { control.stopped = true }
 }
 
-/** A client of fake executors without sockets. `isReachable` models cuts between a holder's host and an executor. */
+/** A client of fake executors without sockets. `isReachable` models cuts between a host and an executor. */
 export function createFakeExecutorClient (
   clock: Clock, delayMs: number, find: (url: string) => FakeExecutor | undefined, isReachable: (url: string) => boolean = () => true
 ): ExecutorClient {
   return {
     open: async (url, holder) => {
-      await clock.sleep(delayMs)
-      const executor = find(url)
-      if (!isReachable(url)) return await createNever()
-      return executor?.openConnection(holder) ?? Err({ kind: 'not-sent', message: 'connection refused' })
+      await clock.sleep(isReachable(url) ? delayMs : CONNECT_TIMEOUT_MS)
+      if (!isReachable(url)) return Err({ kind: 'not-sent', message: 'no reply to the connect' })
+      return find(url)?.openConnection(holder, () => isReachable(url)) ?? Err({ kind: 'not-sent', message: 'connection refused' })
     }
   }
 }
 
+/** Delays what a client hears while its process is frozen; `closeAll` does what the kernel does when the process ends. */
+export function createGatedClient (client: ExecutorClient, gate: { wait (): Promise<void> }): ExecutorClient & { closeAll (): void } {
+  const open = new Set<ExecutorConnection>()
+  const hold = async <T>(work: Promise<T>): Promise<T> => {
+    const value = await work
+    await gate.wait()
+    return value
+  }
+  return {
+    open: async (url, holder) => {
+      const opened = await client.open(url, holder)
+      if (opened.ok) open.add(opened.val)
+      await gate.wait()
+      if (!opened.ok) return opened
+      const connection = opened.val
+      return Ok({
+        check: () => hold(connection.check()),
+        send: (request, onProgress) => hold(connection.send(request, onProgress)),
+        isOpen: connection.isOpen,
+        close: connection.close
+      })
+    },
+    closeAll: () => open.forEach((connection) => connection.close())
+  }
+}
+
 function createAnswer (request: ExecutorRequest, status: number, text: string, headers: Record<string, string>): Answer {
   const body = Buffer.from(text)
   return { status, headers: { ...headers, 'content-length': String(body.length), [EXECUTOR_HEADERS.request]: request.id }, body }
--- a/src/transport/executorClient.ts
+++ b/src/transport/executorClient.ts
@@ -6,6 +6,7 @@
 } from '../coordination/routing/index.js'
 
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024
+const CONNECT_TIMEOUT_MS = 1000
 const BODILESS = new Set([204, 304])
 
 export interface ExecutorClientOptions {
@@ -32,7 +33,9 @@
     const socket = connect({ host: hostname, port: Number(port), noDelay: true })
     const reject = (error: Error): void => resolve(Err({ kind: 'not-sent', message: error.message }))
     socket.once('error', reject)
+    socket.setTimeout(CONNECT_TIMEOUT_MS, () => socket.destroy(new Error('no reply to the connect')))
     socket.once('connect', () => {
+      socket.setTimeout(0)
       socket.off('error', reject)
       // Errors after this point are reported by the exchange that they end.
       socket.on('error', () => {})
--- a/test/routing/cluster.ts
+++ b/test/routing/cluster.ts
@@ -1,10 +1,10 @@
 import { createManualClock, createNoMetrics, createRandom, createSilentLogger, type ManualClock, type Random } from '../../src/common/index.js'
 import { createRouter, type ClaimLimits, type RequestOutcome, type RoutedRequest, type Router } from '../../src/coordination/routing/index.js'
-import { createFakeExecutor, createFakeExecutorClient, startAnnouncer, WORK_HEADER, type FakeExecutor, type FakeExecutorOptions } from '../../src/fakes/executor.js'
+import { createFakeExecutor, createFakeExecutorClient, createGatedClient, startAnnouncer, WORK_HEADER, type FakeExecutor, type FakeExecutorOptions } from '../../src/fakes/executor.js'
 import { createGate, createGatedClock, createRoutingNetwork, type Gate, type RoutingNetwork } from '../../src/fakes/routingNetwork.js'
 import { DEFAULT_PRESETS, type Policy, type Service } from '../../src/state/index.js'
 
-export interface TestHost { id: string, availabilityZone: string, router: Router, gate: Gate, incarnation: number }
+export interface TestHost { id: string, availabilityZone: string, router: Router, gate: Gate, incarnation: number, closeConnections (): void }
 
 export interface Cluster {
   clock: ManualClock
@@ -38,9 +38,11 @@
   const startHost = (id: string, availabilityZone: string): TestHost => {
     const incarnation = (hosts.get(id)?.incarnation ?? 0) + 1
     const gate = createGate()
-    const host: TestHost = { id, availabilityZone, gate, incarnation, router: undefined as never }
-    hosts.set(id, host)
     const hostClock = createGatedClock(clock, gate)
+    const find = (url: string): FakeExecutor | undefined => [...executors.values()].find((item) => item.url === url)
+    const client = createGatedClient(createFakeExecutorClient(clock, 0.1, find, (url) => !cutExecutors.has(`${id} ${url}`)), gate)
+    const host: TestHost = { id, availabilityZone, gate, incarnation, router: undefined as never, closeConnections: client.closeAll }
+    hosts.set(id, host)
     host.router = createRouter({
       self: id,
       incarnation: String(incarnation),
@@ -49,7 +51,7 @@
       clock: hostClock,
       random: createRandom(random.below(1e9)),
       network: network.attach(id, gate),
-      executors: createFakeExecutorClient(hostClock, 0.1, (url) => [...executors.values()].find((item) => item.url === url), (url) => !cutExecutors.has(`${id} ${url}`)),
+      executors: client,
       getPolicy: () => policy,
       getHosts: () => [...hosts.values()].map((item) => ({ id: item.id, availabilityZone: item.availabilityZone })),
       getService: (service) => service in weights ? { id: service, weight: weights[service] } as Service : undefined,
@@ -71,8 +73,7 @@
     crashHost: (id) => {
       const host = hosts.get(id) as TestHost
       host.gate.crash()
-      // The kernel closes the connections of a process that has ended.
-      host.router.stop()
+      host.closeConnections()
     },
     addExecutor: (extra) => {
       const executor = createFakeExecutor({ clock, service: SERVICE, ...extra })
