Keep a session's confirmed floor when it overtakes a renewal

Cause: after a change of timing, the test of a planned stop failed: a renewal that was waiting for a read barrier was granted after the release, and the next change waited 1,460 ms for a host that had stopped. Change: the granter keeps the highest floor of each session and grants nothing below it. A suspended host renews every 100 ms instead of 400 ms, so that it sees an activation although its log lags. A request id of another command is reported as such. Conclusion: the fault delayed changes; it never broke the rule of one preset.

--- a/src/coordination/configuration/change.ts
+++ b/src/coordination/configuration/change.ts
@@ -51,7 +51,12 @@
     // The request id makes the repetition safe even when the first proposal was recorded.
     result = await propose()
   }
-  if (result.ok) return { kind: 'accepted-pending', revision: result.val.value.revision ?? 0 }
+  if (result.ok) {
+    const { revision } = result.val.value
+    return revision === undefined
+      ? { kind: 'invalid-change', message: `request id ${requestId} belongs to a command of another kind` }
+      : { kind: 'accepted-pending', revision }
+  }
   return describeFailure(result.val, requestId, mayBeRecorded, parsed.data)
 }
 
--- a/src/coordination/configuration/configuration.ts
+++ b/src/coordination/configuration/configuration.ts
@@ -3,7 +3,7 @@
 import type { AgreedLog } from '../../state/index.js'
 import { proposeChange, type ChangeOutcome, type PresetChange } from './change.js'
 import { createLeaseGranter } from './granter.js'
-import { createLeaseHolder, type ConfigurationView } from './holder.js'
+import { createLeaseHolder, type Claim, type ConfigurationView } from './holder.js'
 import { RENEW_INTERVAL_MS, RENEW_KIND, renewReplySchema, renewRequestSchema, type RenewReply } from './messages.js'
 
 /** A reply later than this is of little use; the next renewal has been sent by then. */
@@ -11,6 +11,14 @@
 /** Shortest time between two renewals that events trigger. */
 const MIN_RENEW_GAP_MS = 10
 const NO_LEADER_RETRY_MS = 100
+/** A suspended host asks more often, so that it learns of the activation even when its log lags. */
+const SUSPENDED_INTERVAL_MS = 100
+
+const renewIntervals: Record<Claim, number> = {
+  'in-force': RENEW_INTERVAL_MS,
+  suspended: SUSPENDED_INTERVAL_MS,
+  isolated: RENEW_INTERVAL_MS
+}
 
 export interface ConfigurationOptions {
   self: string
@@ -96,7 +104,8 @@
       // Not awaited, so that a silent connection does not delay the next renewal.
       if (leader !== undefined) sendRenewal(leader)
       await clock.sleep(MIN_RENEW_GAP_MS)
-      await renewWake.wait(leader === undefined ? NO_LEADER_RETRY_MS : RENEW_INTERVAL_MS - MIN_RENEW_GAP_MS)
+      const intervalMs = leader === undefined ? NO_LEADER_RETRY_MS : renewIntervals[getConfiguration().claim]
+      await renewWake.wait(intervalMs - MIN_RENEW_GAP_MS)
     }
   }
 
--- a/src/coordination/configuration/granter.ts
+++ b/src/coordination/configuration/granter.ts
@@ -48,9 +48,12 @@
     return leadership
   }
 
-  const recordFloor = (request: RenewRequest): void => {
-    const grant = leadership?.grants.get(request.session)
-    if (grant !== undefined) grant.floor = Math.max(grant.floor, request.floor)
+  /** A session's floor only rises, so a confirmation also holds for a renewal that it overtook. */
+  const recordFloor = (current: Leadership, host: string, { session, floor }: RenewRequest): Grant => {
+    const known = current.grants.get(session)
+    const grant = { host, expiresAt: known?.expiresAt ?? clock.now(), floor: Math.max(known?.floor ?? 0, floor) }
+    current.grants.set(session, grant)
+    return grant
   }
 
   // The barrier starts after the request was received, hence after the holder began to count its lease.
@@ -59,13 +62,14 @@
   const handleRenew = async (from: string, request: RenewRequest): Promise<RenewReply> => {
     const before = observeLeadership()
     if (before === undefined) return { kind: 'refused', reason: 'not-leader' }
-    recordFloor(request)
+    recordFloor(before, from, request)
     const barrier = await waitForBarrier()
     if (!barrier.ok || observeLeadership() !== before) return { kind: 'refused', reason: 'no-read-barrier' }
     const { configuration, pending } = log.state()
     if (pending !== undefined) return { kind: 'suspended', pendingRevision: pending.revision }
-    if (request.floor > configuration.revision) return { kind: 'suspended', pendingRevision: request.floor }
-    before.grants.set(request.session, { host: from, expiresAt: clock.now() + GRANT_HOLD_MS, floor: request.floor })
+    const grant = recordFloor(before, from, request)
+    if (grant.floor > configuration.revision) return { kind: 'suspended', pendingRevision: grant.floor }
+    grant.expiresAt = clock.now() + GRANT_HOLD_MS
     metrics.count('config.grants')
     return {
       kind: 'granted',
@@ -104,9 +108,10 @@
   return Math.max(0, leadership.earlierGrantsExpireAt - now, ...ends.map((end) => end - now))
 }
 
+/** A floor is kept until no renewal of the same session can still wait for a barrier. */
 function removeExpired (leadership: Leadership, now: number): void {
   leadership.grants.forEach((grant, session) => {
-    if (grant.expiresAt <= now) leadership.grants.delete(session)
+    if (grant.expiresAt + BARRIER_TIMEOUT_MS <= now) leadership.grants.delete(session)
   })
 }
 
--- a/test/configuration/rules.test.ts
+++ b/test/configuration/rules.test.ts
@@ -34,6 +34,16 @@
   expect([answered, started.length]).toEqual([['first', 'second', 'third'], 2])
 })
 
+test('a renewal that a release has overtaken is not granted, so that a stopped host delays no change', async () => {
+  let finish = (): void => {}
+  const readBarrier = (): Promise<Result<number, LogFailure>> => new Promise((resolve) => { finish = () => resolve(Ok(0)) })
+  const { granter } = createGranterWithLog({ readBarrier })
+  const overtaken = granter.handleRenew('h2', request)
+  granter.handleRenew('h2', { ...request, floor: Number.MAX_SAFE_INTEGER })
+  finish()
+  expect((await overtaken).kind).toBe('suspended')
+})
+
 test('a barrier that ended in another term grants nothing, because the new leader does not wait for it', async () => {
   const status: LogStatus = createMemoryLog('h1').status()
   const readBarrier = async (): Promise<Result<number, LogFailure>> => {
@@ -95,3 +105,12 @@
   await clock.advance(200)
   expect(await outcome).toEqual({ kind: 'outcome-unknown', requestId: 'r', message: 'none' })
 })
+
+test('a request id of another command is not mistaken for an accepted change', async () => {
+  const clock = createManualClock()
+  const log = createMemoryLog('h1')
+  const host = { id: 'h9', availabilityZone: 'a', region: 'r', peerAddress: '', httpAddress: '', hasDisk: true }
+  await log.propose({ kind: 'host.add', requestId: 'r', host }, 1000)
+  const outcome = await proposeChange(log, clock, { requestId: 'r', baseRevision: 0, preset: 'peak', setBy: 'ana', reason: '' }, 1000)
+  expect(outcome.kind).toBe('invalid-change')
+})
