Record requests, evictions and batch ends for the reports

Cause: the report answered that nothing had been recorded; a repeated announcement of a worker was written to the agreed log, because the order of its keys differed from the stored one. Change: a feed between router, placement, log and recorder; report and host list merge what the hosts know; registrations are compared by value.

--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -8,7 +8,7 @@
 import { createHomeLedger, parseAnnouncement } from './home.js'
 import { createKeyedRequests, type EntryHost } from './idempotency.js'
 import { creditRequestSchema, summarySchema } from './messages.js'
-import type { AnnounceFailure, AnnounceReply, ExecutorClient, RequestOutcome, RoutedRequest, TargetStatus } from './types.js'
+import type { AnnounceFailure, AnnounceReply, ExecutorClient, NotRunReason, RequestOutcome, RoutedRequest, TargetStatus, UnknownReason } from './types.js'
 
 const SWEEP_MS = 100
 const SUMMARY_MS = 1000
@@ -36,7 +36,7 @@
   claimLimits?: Partial<ClaimLimits>
 }
 
-export interface RequestReport { service: string, member: string, outcome: RequestOutcome['kind'], status: number | undefined, latencyMs: number }
+export interface RequestReport { service: string, member: string, outcome: RequestOutcome['kind'], status: number | undefined, reason?: NotRunReason | UnknownReason, latencyMs: number }
 
 export interface Router {
   routeRequest (request: RoutedRequest): Promise<RequestOutcome>
@@ -91,6 +91,7 @@
       member: request.member,
       outcome: outcome.kind,
       status: outcome.kind === 'answered' ? outcome.status : undefined,
+      ...('reason' in outcome ? { reason: outcome.reason } : {}),
       latencyMs
     })
     return outcome
--- a/src/coordination/tasks/coordinator.ts
+++ b/src/coordination/tasks/coordinator.ts
@@ -1,3 +1,4 @@
+import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
 import type { Clock, Logger, Network } from '../../common/index.js'
 import { createMemoryJournalStore, workerSchema, type AgreedLog, type JournalStore, type Worker, type ZoneAuthority } from '../../state/index.js'
@@ -167,7 +168,8 @@
 
   const registerHere = async (worker: Worker): Promise<boolean> => {
     const known = log.state().workers[worker.id]
-    if (known !== undefined && JSON.stringify(known) === JSON.stringify(worker)) return true
+    // Announcements repeat every few seconds; only a change is worth an entry of the log.
+    if (isDeepStrictEqual(known, worker)) return true
     const result = await log.propose({ kind: 'worker.register', worker }, clock.now() + REGISTER_TIMEOUT_MS)
     return result.ok
   }
--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -1,19 +1,23 @@
+import { join } from 'node:path'
 import { Err, Ok, createLogger, createNoMetrics, createRandom, createStatsdMetrics, createSystemClock, type Clock, type Logger, type Metrics, type Result } from '../../common/index.js'
 import { createConfiguration, type ConfigurationModule } from '../../coordination/configuration/index.js'
 import { createPlacement } from '../../coordination/placement/index.js'
+import { createReportRecorder, type ReportRecorder } from '../../coordination/reports/index.js'
 import { createRouter, type Router } from '../../coordination/routing/index.js'
 import { createZoneCoordinator, type PolicyInForce, type ZoneCoordinator } from '../../coordination/tasks/index.js'
 import { createFailure, type EntryHost } from '../../protocol/index.js'
-import { createAgreedState, createReplica, DEFAULT_PRESETS, describeStoreFailure, openDisk, type Replica, type ReplicaFailure } from '../../state/index.js'
+import { createAgreedState, createReplica, DEFAULT_PRESETS, describeStoreFailure, openDisk, openFileJournalStore, type Replica, type ReplicaFailure } from '../../state/index.js'
 import { createExecutorClient, createWorkerClient, openHttpServer, openPeerNetwork, type PeerNetwork } from '../../transport/index.js'
 import { createHost, createMembers, createPresets, type HostSettings } from '../settings/index.js'
-import { createOperations } from './operations.js'
+import { createOperations, describeHosts } from './operations.js'
 import { findPrincipal } from './principals.js'
 import { createQueryService } from './queries.js'
+import { createReportFeed } from './recording.js'
 import { createRequestOperations } from './requests.js'
 import { createViewOperations } from './views.js'
 import { createWorkOperations } from './work.js'
 
+const JOURNAL_FILE = 'journal'
 const FOUND_RETRY_MS = 500
 const FOUND_TIMEOUT_MS = 2_000
 
@@ -41,6 +45,7 @@
   configuration: ConfigurationModule
   router: Router
   coordinator: ZoneCoordinator
+  recorder: ReportRecorder
 }
 
 /** Starts every part of an entry host and its HTTP interface. */
@@ -82,7 +87,7 @@
     ? createNoMetrics()
     : createStatsdMetrics(settings.metrics.host, settings.metrics.port, { host: self.id, zone: self.availabilityZone })
   const random = createRandom(Math.floor(Math.random() * 0x7fffffff))
-  const known: { log?: Replica } = {}
+  const known: { log?: Replica, coordinator?: ZoneCoordinator } = {}
   const findAddress = (host: string): string | undefined =>
     known.log?.state().hosts[host]?.peerAddress ?? settings.hosts.find(({ id }) => id === host)?.peer
   const opened = await openNetwork(settings, { clock, logger, metrics, findAddress })
@@ -111,6 +116,8 @@
   const log = replica.val
   known.log = log
   const configuration = createConfiguration({ self: self.id, clock, network, log, logger, metrics })
+  const recorder = createReportRecorder({ self: self.id, clock, getServices: () => log.state().services })
+  const feed = createReportFeed({ clock, log, recorder, availabilityZone: self.availabilityZone, isCoordinator: () => known.coordinator?.status().active === true })
   const router = createRouter({
     self: self.id,
     incarnation: log.incarnation,
@@ -123,9 +130,11 @@
     getPolicy: () => configuration.getConfiguration().policy,
     getHosts: () => Object.values(log.state().hosts),
     getService: (service) => log.state().services[service],
+    report: feed.observeRequest,
     logger,
     metrics
   })
+  const journalStore = settings.dataFolder === undefined ? undefined : await openFileJournalStore(join(settings.dataFolder, JOURNAL_FILE))
   const coordinator = await createZoneCoordinator({
     clock,
     network,
@@ -134,10 +143,12 @@
     availabilityZone: self.availabilityZone,
     incarnation: log.incarnation,
     client: createWorkerClient(clock),
-    createPlacement: () => createPlacement({ seed: random.below(0x7fffffff) }),
+    createPlacement: () => feed.observePlacement(createPlacement({ seed: random.below(0x7fffffff) })),
+    ...(journalStore === undefined ? {} : { journalStore }),
     getPolicy: () => getPolicyInForce(configuration)
   })
-  return Ok({ clock, logger, metrics, network, log, configuration, router, coordinator })
+  known.coordinator = coordinator
+  return Ok({ clock, logger, metrics, network, log, configuration, router, coordinator, recorder })
 }
 
 function getPolicyInForce (configuration: ConfigurationModule): PolicyInForce {
@@ -183,7 +194,8 @@
       drainWorker: ({ worker }) => coordinator.drainWorker(worker),
       zone: () => coordinator.status(),
       targets: () => router.listTargets(),
-      report: () => undefined
+      hosts: () => describeHosts(log),
+      report: () => parts.recorder.createSummary(clock.now())
     }
   })
   return {
@@ -197,7 +209,7 @@
     ...createRequestOperations(router, log),
     ...createWorkOperations({ log, clock, queries, availabilityZone }),
     ...createViewOperations({ log, queries, router, coordinator, availabilityZone }),
-    ...createOperations({ clock, log, configuration }),
+    ...createOperations({ clock, log, configuration, queries }),
     drain: async () => {
       if (!state.ready) return Err(createFailure('draining', 'this host is already stopping'))
       stop()
--- a/src/programs/entryHost/operations.ts
+++ b/src/programs/entryHost/operations.ts
@@ -4,6 +4,7 @@
 import { createFailure, describeLogFailure, type ApiFailure, type EntryHost } from '../../protocol/index.js'
 import type { AgreedState, LogFailure, MembershipFailure, Replica } from '../../state/index.js'
 import { computeTokenHash } from './principals.js'
+import type { QueryService } from './queries.js'
 import { computeRetirement } from './retirement.js'
 import { proposeEntry } from './work.js'
 
@@ -16,6 +17,7 @@
   clock: Clock
   log: Replica
   configuration: ConfigurationModule
+  queries: QueryService
 }
 
 type OutcomeOf<K extends ChangeOutcome['kind']> = Extract<ChangeOutcome, { kind: K }>
@@ -45,7 +47,7 @@
 }
 
 /** The part of an entry host that operators call. */
-export function createOperations ({ clock, log, configuration }: OperationsOptions): Operations {
+export function createOperations ({ clock, log, configuration, queries }: OperationsOptions): Operations {
   const changeVoters = async (change: ReturnType<Replica['addVoter']>): Promise<Result<object, ApiFailure>> => {
     const result = await change
     return result.ok ? Ok({ voters: result.val }) : Err(describeMembershipFailure(result.val))
@@ -85,7 +87,12 @@
 
     listMembers: async () => Ok(Object.values(log.state().members).map(({ id, quota, weight }) => ({ id, weight, ...quota }))),
 
-    listHosts: async () => Ok(describeHosts(log)),
+    // Only the leader knows how far each host is.
+    listHosts: async () => {
+      const { leader } = log.status()
+      const answer = leader === undefined ? undefined : await queries.ask(leader, 'hosts', {})
+      return answer?.ok === true ? Ok(answer.val) : Ok(describeHosts(log))
+    },
 
     addHost: async ({ voter, replaces, requestId, ...host }) => {
       const accepted = await proposeEntry(log, clock, { kind: 'host.add', requestId, host })
@@ -129,7 +136,7 @@
   return describe === undefined ? describeLogFailure(failure as LogFailure) : describe(failure)
 }
 
-function describeHosts (log: Replica): object {
+export function describeHosts (log: Replica): object {
   const { leader, voters, learners, progress, survivableLosses, term, commitIndex, role, appliedIndex } = log.status()
   const state: AgreedState = log.state()
   const hosts = Object.values(state.hosts).map((host) => {
--- a/src/programs/entryHost/queries.ts
+++ b/src/programs/entryHost/queries.ts
@@ -1,5 +1,6 @@
 import { Ok, type Clock, type Network, type NetworkFailure, type Result } from '../../common/index.js'
 import type { Explanation, Subject } from '../../coordination/placement/index.js'
+import type { ReportSummary } from '../../coordination/reports/index.js'
 import type { TargetStatus } from '../../coordination/routing/index.js'
 import type { TaskView, ZoneCoordinator, ZoneStatus } from '../../coordination/tasks/index.js'
 import type { AgreedLog } from '../../state/index.js'
@@ -14,7 +15,8 @@
   drainWorker: { arguments: { worker: string }, result: boolean }
   zone: { arguments: object, result: ZoneStatus }
   targets: { arguments: object, result: TargetStatus[] }
-  report: { arguments: object, result: unknown }
+  hosts: { arguments: object, result: object }
+  report: { arguments: object, result: ReportSummary }
 }
 export type QueryName = keyof Queries
 export type QueryHandlers = { [Q in QueryName]: (args: Queries[Q]['arguments']) => Queries[Q]['result'] }
--- a/src/programs/entryHost/views.ts
+++ b/src/programs/entryHost/views.ts
@@ -1,13 +1,22 @@
 import { Err, Ok } from '../../common/index.js'
+import {
+  computeBurnReport, mergeSummaries, renderReportHtml, renderReportJson, renderReportText, type BurnReport, type ReportSummary
+} from '../../coordination/reports/index.js'
 import type { Router } from '../../coordination/routing/index.js'
 import type { ZoneCoordinator } from '../../coordination/tasks/index.js'
-import { createFailure, type Announcement, type EntryHost } from '../../protocol/index.js'
+import { createFailure, type Announcement, type EntryHost, type Principal, type ReportFormat } from '../../protocol/index.js'
 import type { AgreedLog } from '../../state/index.js'
 import type { QueryService } from './queries.js'
 import { canSee } from './work.js'
 
 const WORKER_ANNOUNCE_MS = 5_000
 
+const RENDERERS: Record<ReportFormat, (report: BurnReport) => string | Promise<string>> = {
+  json: renderReportJson,
+  text: renderReportText,
+  html: renderReportHtml
+}
+
 type ViewOperations = Pick<EntryHost, 'announceTarget' | 'listTargets' | 'listWorkers' | 'drainWorker' | 'explain' | 'report'>
 
 export interface ViewOptions {
@@ -90,6 +99,22 @@
       return Ok(answers.flatMap(({ value }) => value).sort((a, b) => a.at - b.at))
     },
 
-    report: async () => Err(createFailure('not-found', 'no report has been recorded yet'))
+    report: async (principal, format) => {
+      const { answers } = await queries.askHosts('report', {})
+      const { services } = log.state()
+      const visible = Object.fromEntries(Object.entries(services).filter(([, { member }]) => canSee(principal, member)))
+      const summary = selectVisible(mergeSummaries(answers.map(({ value }) => value)), principal)
+      return Ok(await RENDERERS[format](computeBurnReport(summary, visible)))
+    }
+  }
+}
+
+/** A member sees what was done to its own work, and who caused it. */
+function selectVisible (summary: ReportSummary, principal: Principal): ReportSummary {
+  return {
+    ...summary,
+    evictions: summary.evictions.filter(({ member }) => canSee(principal, member)),
+    recentEvictions: summary.recentEvictions.filter(({ member }) => canSee(principal, member)),
+    batch: summary.batch.filter(({ member }) => canSee(principal, member))
   }
 }
