Loosen guard bands and follow rising load

Change: sizes of cores use the mean, guard bands narrow, placements prepare for less of the peak, and a significant rise of the load is extrapolated over the lag of the reports. Evictions count the highest promise of a member against its quota. Jobs of the model arrive at a fixed rate, because a bounded backlog filled with tasks that no policy could place.

--- a/src/bench/placementNaive.ts
+++ b/src/bench/placementNaive.ts
@@ -1,7 +1,9 @@
 import type { Decision, Observation, Placement, PlacementTask } from '../coordination/placement/index.js'
 import type { Resources } from '../state/index.js'
 
-interface NaiveWorker { id: string, capacity: Resources, up: boolean, tasks: Map<string, PlacementTask> }
+interface NaiveWorker { id: string, capacity: Resources, up: boolean, held: Resources, tasks: Map<string, PlacementTask> }
+
+const DIMENSIONS = ['cores', 'memoryBytes', 'accelerators'] as const
 
 const REASON = { summary: 'naive', figures: [], alternatives: [], preset: '', revision: 0 }
 
@@ -13,10 +15,8 @@
   const objectives = new Map<string, { latencyMs: number, member: string }>()
   let stops: Decision[] = []
 
-  const canHold = (worker: NaiveWorker, size: Resources): boolean => {
-    const held = [...worker.tasks.values()].reduce((sum, task) => ({ cores: sum.cores + task.size.cores, memoryBytes: sum.memoryBytes + task.size.memoryBytes, accelerators: sum.accelerators + task.size.accelerators }), { cores: 0, memoryBytes: 0, accelerators: 0 })
-    return held.cores + size.cores <= worker.capacity.cores && held.memoryBytes + size.memoryBytes <= worker.capacity.memoryBytes && held.accelerators + size.accelerators <= worker.capacity.accelerators
-  }
+  const canHold = ({ held, capacity }: NaiveWorker, size: Resources): boolean => DIMENSIONS.every((dimension) => held[dimension] + size[dimension] <= capacity[dimension])
+  const addHeld = ({ held }: NaiveWorker, size: Resources, sign: number): void => DIMENSIONS.forEach((dimension) => { held[dimension] += sign * size[dimension] })
 
   const evictNeighbour = (worker: NaiveWorker, service: string): void => {
     const victims = [...worker.tasks.values()].filter((task) => task.service === undefined && running.get(task.id)?.stopping === false)
@@ -32,7 +32,7 @@
     service: (observation) => { objectives.set(observation.service, observation) },
     'worker-up': ({ worker, capacity }) => {
       const known = workers.get(worker)
-      if (known === undefined) workers.set(worker, { id: worker, capacity, up: true, tasks: new Map() })
+      if (known === undefined) workers.set(worker, { id: worker, capacity, up: true, held: { cores: 0, memoryBytes: 0, accelerators: 0 }, tasks: new Map() })
       else known.up = true
     },
     'worker-down': ({ worker }) => {
@@ -42,7 +42,8 @@
     'task-queued': ({ task }) => { if (!running.has(task.id)) queued.set(task.id, task) },
     'task-cancelled': ({ task }) => { queued.delete(task) },
     'task-ended': ({ task }) => {
-      running.get(task)?.worker.tasks.delete(task)
+      const entry = running.get(task)
+      if (entry?.worker.tasks.delete(task) === true) addHeld(entry.worker, entry.task.size, -1)
       running.delete(task)
     },
     latency: ({ service, worker, p99Ms }) => {
@@ -60,7 +61,7 @@
     stops = []
     const capacities = [...workers.values()]
     for (const task of queued.values()) {
-      const excess = (['cores', 'memoryBytes', 'accelerators'] as const).find((dimension) => capacities.every(({ capacity }) => task.size[dimension] > capacity[dimension]))
+      const excess = DIMENSIONS.find((dimension) => capacities.every(({ capacity }) => task.size[dimension] > capacity[dimension]))
       if (excess !== undefined && capacities.length > 0) {
         queued.delete(task.id)
         decisions.push({ kind: 'refuse', task: task.id, dimension: excess, reason: REASON })
@@ -70,6 +71,7 @@
       if (worker === undefined) continue
       queued.delete(task.id)
       worker.tasks.set(task.id, task)
+      addHeld(worker, task.size, 1)
       running.set(task.id, { task, worker, stopping: false })
       decisions.push({ kind: 'start', task: task.id, worker: worker.id, size: task.size, reason: REASON })
     }
--- a/src/coordination/placement/accounts.ts
+++ b/src/coordination/placement/accounts.ts
@@ -12,10 +12,13 @@
   record.state = 'starting'
   record.worker = worker
   record.promise = promise
+  record.highestPromise = promise
   record.startedAt = now
   worker.tasks.add(record)
   if (record.task.service !== undefined) worker.replicas.push(record)
-  addResources(getMember(state, record.task.member).usage, promise)
+  const member = getMember(state, record.task.member)
+  addResources(member.usage, promise)
+  addResources(member.granted, promise)
   updateTotals(worker)
   updateSpread(state, record.task.job, worker.rack, 1)
 }
@@ -34,7 +37,9 @@
   const part = getUsedCores(record) * record.share / worker.capacity.cores
   worker.past = worker.past.filter(({ endedAt }) => now - endedAt < PAST_KEPT_MS)
   worker.past.push({ jobClass, part, service, startedAt: record.startedAt, endedAt: now })
-  addResources(getMember(state, record.task.member).usage, record.promise, -1)
+  const member = getMember(state, record.task.member)
+  addResources(member.usage, record.promise, -1)
+  addResources(member.granted, record.highestPromise, -1)
   updateTotals(worker)
   updateSpread(state, record.task.job, worker.rack, -1)
 }
@@ -54,9 +59,20 @@
   addResources(member.usage, record.promise, -1)
   record.promise = promise
   addResources(member.usage, promise)
+  addResources(member.granted, record.highestPromise, -1)
+  record.highestPromise = computeHighest(record.highestPromise, promise)
+  addResources(member.granted, record.highestPromise)
   if (record.worker !== undefined) updateTotals(record.worker)
 }
 
+function computeHighest (one: Resources, other: Resources): Resources {
+  return {
+    cores: Math.max(one.cores, other.cores),
+    memoryBytes: Math.max(one.memoryBytes, other.memoryBytes),
+    accelerators: Math.max(one.accelerators, other.accelerators)
+  }
+}
+
 export function setShare (record: TaskRecord, share: number, heldShare: number, now: number): void {
   record.previousShare = record.share
   record.share = share
--- a/src/coordination/placement/displacement.ts
+++ b/src/coordination/placement/displacement.ts
@@ -2,7 +2,7 @@
 import { getHeld, setShare } from './accounts.js'
 import { countRecentEvictions, findEvictionBar, planStop } from './evictions.js'
 import { findHealthRejection } from './health.js'
-import { isAboveQuota } from './quotas.js'
+import { isAboveQuota, isBarredFromEvicting } from './quotas.js'
 import { createFigure, createReason } from './reasons.js'
 import { computeHeldCores, type TaskRecord, type WorkerRecord } from './records.js'
 import { addResources, findExcess } from './resources.js'
@@ -13,7 +13,7 @@
 /** A displacement is not repeated while its stops may still be under way. */
 const DISPLACEMENT_MS = 6000
 /** Wait of a member below its quota before it displaces one above, times the weight of evictions. */
-const QUOTA_WAIT_MS = 60_000
+const QUOTA_WAIT_MS = 180_000
 
 export interface Displacement { decisions: Decision[], worker: WorkerRecord | undefined }
 
@@ -30,7 +30,7 @@
 export function planQuotaRoom (state: PlacementState, record: TaskRecord, size: Resources, now: number): Decision[] {
   const wait = QUOTA_WAIT_MS * Math.max(1, state.policy.policy.evictionWeight)
   if (now - record.queuedAt < wait || now < (record.displacementDeadline ?? -Infinity)) return []
-  if (isAboveQuota(state, record.task.member, size)) return []
+  if (isBarredFromEvicting(state, record.task.member, size)) return []
   return planStops(state, state.workerList.filter((worker) => isUsable(worker, record, now)), record, size, 'quota', now)
 }
 
@@ -72,7 +72,7 @@
 function planStops (state: PlacementState, workers: WorkerRecord[], record: TaskRecord, size: Resources, cause: 'priority' | 'quota', now: number): Decision[] {
   const { member } = record.task
   // With its own task counted, the member must not be above its quota when it displaces a rival.
-  const mayDisplaceRivals = !isAboveQuota(state, member, size)
+  const mayDisplaceRivals = !isBarredFromEvicting(state, member, size)
   const allowed = state.policy.policy.evictionsPerMinute - countRecentEvictions(state, now)
   const options = workers.flatMap((worker) => {
     const victims = listVictims(worker)
--- a/src/coordination/placement/evictions.ts
+++ b/src/coordination/placement/evictions.ts
@@ -1,6 +1,6 @@
 import { createFigure, createReason, type Figure } from './reasons.js'
 import type { TaskRecord } from './records.js'
-import { isAboveQuota } from './quotas.js'
+import { isBarredFromEvicting } from './quotas.js'
 import type { PlacementState } from './state.js'
 import type { Decision, EvictionCause } from './types.js'
 
@@ -19,7 +19,7 @@
 /** Why a task may not be evicted for this cause now, or nothing. Evictions for capacity are always allowed. */
 export function findEvictionBar (state: PlacementState, victim: TaskRecord, cause: EvictionCause, causingMember: string, now: number): string | undefined {
   if (victim.state !== 'running' || victim.move !== undefined) return 'it is not running'
-  if (causingMember !== victim.task.member && isAboveQuota(state, causingMember)) return `${causingMember} is above its quota`
+  if (causingMember !== victim.task.member && isBarredFromEvicting(state, causingMember)) return `${causingMember} is above its quota`
   if (cause === 'capacity') return undefined
   if (state.policy.isolated) return 'no evictions under the isolation rules'
   return countRecentEvictions(state, now) >= state.policy.policy.evictionsPerMinute ? 'the allowance of evictions is used' : undefined
@@ -62,7 +62,7 @@
     state.moves.delete(victim)
     const summary = `${move.summary}; ${move.checkpointed ? 'its checkpoint is complete' : 'its checkpoint is overdue'}`
     // The causing member may have gone above its quota since the order.
-    if (move.causingMember !== victim.task.member && isAboveQuota(state, move.causingMember)) {
+    if (move.causingMember !== victim.task.member && isBarredFromEvicting(state, move.causingMember)) {
       victim.move = undefined
       return []
     }
--- a/src/coordination/placement/interference.ts
+++ b/src/coordination/placement/interference.ts
@@ -1,4 +1,5 @@
 import { createFit, type Fit } from './fit.js'
+import { createTrend } from './trend.js'
 
 /** Cost of an unseen pair: change of ln p99 by a neighbour that uses a whole worker, at typical load. */
 const PRIOR_COST = 0.8
@@ -26,9 +27,11 @@
 export interface PairEstimate { cost: number, deviation: number, reports: number, updatedAt: number }
 
 export interface ServiceModel {
-  /** Relative load of the service now, and its decaying maximum. */
-  load: number
-  peakLoad: number
+  /** Relative load of the service at the last report, and its decaying maximum. */
+  readonly load: number
+  readonly peakLoad: number
+  /** The load to expect at a time shortly after the last report. */
+  estimateLoad (at: number): number
   /** Reports learned from. */
   readonly reports: number
   getPair (jobClass: string): PairEstimate
@@ -39,7 +42,7 @@
   /** ln p99 of a replica at a load beside neighbours; before the first report only what the neighbours add. */
   predict (load: number, neighbours: Neighbour[]): number
   /** Learns from a report and returns the difference to what was expected. */
-  learn (count: number, p99Ms: number, neighbours: Neighbour[], now: number): { load: number, difference: number }
+  learn (count: number, p99Ms: number, neighbours: Neighbour[], measuredAt: number, now: number): { load: number, difference: number }
 }
 
 export interface InterferenceBook {
@@ -76,6 +79,8 @@
   let typicalCount = 0
   let lastReportAt = -Infinity
   let reports = 0
+  let peakLoad = 1
+  const trend = createTrend(LOAD_GAIN)
   fit.add(0, 0.3)
   fit.add(0.5, 1)
   fit.add(0.3, 0.5)
@@ -95,9 +100,10 @@
   const sumCosts = (neighbours: Neighbour[]): number =>
     neighbours.reduce((sum, { jobClass, part, service }) => service === id ? sum : sum + part * fit.getValue(getIndex(jobClass)), 0)
 
-  const model: ServiceModel & { findCost (jobClass: string): number | undefined } = {
-    load: 1,
-    peakLoad: 1,
+  return {
+    get load () { return trend.load },
+    get peakLoad () { return peakLoad },
+    estimateLoad: (at) => trend.estimate(at),
     get reports () { return reports },
     computeLoadFactor,
     getPair: (jobClass) => {
@@ -112,13 +118,13 @@
       return known === undefined || known.reports < 5 ? undefined : fit.getValue(known.index)
     },
     predict: (load, neighbours) => (reports === 0 ? 0 : computeAlone(load)) + sumCosts(neighbours) * computeLoadFactor(load),
-    learn: (count, p99Ms, neighbours, now) => {
+    learn: (count, p99Ms, neighbours, measuredAt, now) => {
       typicalCount = typicalCount === 0 ? count : typicalCount + TYPICAL_LOAD_GAIN * (count - typicalCount)
       const load = count / Math.max(1, typicalCount)
       const elapsed = Number.isFinite(lastReportAt) ? Math.max(0, now - lastReportAt) : 0
       lastReportAt = Math.max(lastReportAt, now)
-      model.load += LOAD_GAIN * (load - model.load)
-      model.peakLoad = Math.max(model.load, 1 + (model.peakLoad - 1) * 0.5 ** (elapsed / PEAK_HALF_LIFE_MS))
+      trend.record(measuredAt, load)
+      peakLoad = Math.max(trend.load, 1 + (peakLoad - 1) * 0.5 ** (elapsed / PEAK_HALF_LIFE_MS))
       const costs = sumCosts(neighbours)
       const factor = computeLoadFactor(load)
       if (reports === 0) fit.setValue(BASE, Math.log(p99Ms) - costs * factor)
@@ -140,7 +146,6 @@
       return { load, difference }
     }
   }
-  return model
 }
 
 /** Part of the worker by class; each class is one coefficient. */
--- a/src/coordination/placement/neighbours.ts
+++ b/src/coordination/placement/neighbours.ts
@@ -46,7 +46,7 @@
   const level = worker.levels.get(service)
   if (level?.recent.includes(measuredAt) === true) return
   const model = state.interference.getService(service)
-  const { load, difference } = model.learn(count, p99Ms, listNeighboursAt(worker, measuredAt), now)
+  const { load, difference } = model.learn(count, p99Ms, listNeighboursAt(worker, measuredAt), measuredAt, now)
   const known = level ?? createLevel(service)
   worker.levels.set(service, known)
   worker.outlook = undefined
--- a/src/coordination/placement/observations.ts
+++ b/src/coordination/placement/observations.ts
@@ -15,6 +15,8 @@
 const USAGE_GAIN = 0.3
 /** Reports of a task before its promise may be lowered; usage may still grow before that. */
 const REPORTS_TO_LOWER = 3
+/** Smaller reductions are not worth new sums. */
+const LOWERING_STEP = 0.98
 
 type Handler<K extends Observation['kind']> = (state: PlacementState, observation: Extract<Observation, { kind: K }>, now: number) => void
 
@@ -141,5 +143,5 @@
 /** Small differences are left alone, so that noise does not move the sums with each report. */
 function chooseFigure (promised: number, observed: number, wanted: number, canLower: boolean): number {
   if (observed > promised) return wanted
-  return canLower && wanted < promised * 0.95 ? wanted : promised
+  return canLower && wanted < promised * LOWERING_STEP ? wanted : promised
 }
--- a/src/coordination/placement/outlook.ts
+++ b/src/coordination/placement/outlook.ts
@@ -7,6 +7,8 @@
 export interface ServiceOutlook {
   service: string
   model: ServiceModel
+  /** Load relative to the typical that is expected when a decision takes effect. */
+  load: number
   /** ln of expected p99 over the objective, now and at the load that placements prepare for. */
   ratio: number
   preparedRatio: number
@@ -21,18 +23,19 @@
 
 /** An outlook is used again for this long while nothing changes on the worker. */
 const KEPT_MS = 1000
+const REACTION_MS = 1000
 const LARGEST_PRESSURE = 3
 
 /** Part of the way from the present load to the recent peak that placements prepare for. */
 export function computePreparation (state: PlacementState): number {
   const { tailLatencyWeight, throughputWeight } = state.policy.policy
-  return tailLatencyWeight / (tailLatencyWeight + 3 * throughputWeight + 1e-9)
+  return tailLatencyWeight / (tailLatencyWeight + 8 * throughputWeight + 1e-9)
 }
 
 /** Part of the objective, as ln, that is kept free for noise and change. */
 export function computeGuardBand (state: PlacementState): number {
   const { tailLatencyWeight, throughputWeight } = state.policy.policy
-  return 0.05 + 0.1 * tailLatencyWeight / (tailLatencyWeight + throughputWeight + 1e-9)
+  return 0.04 + 0.05 * tailLatencyWeight / (tailLatencyWeight + throughputWeight + 1e-9)
 }
 
 export function getOutlook (state: PlacementState, worker: WorkerRecord, now: number): ServiceOutlook[] {
@@ -43,12 +46,15 @@
   worker.outlookAt = now
   worker.outlook = services.map((service) => {
     const model = state.interference.getService(service)
-    const preparedLoad = model.load + preparation * Math.max(0, model.peakLoad - model.load)
-    const ratio = estimateRatio(state, worker, service, model.load, neighbours, now)
+    // Commands take about a second to show their effect.
+    const load = model.estimateLoad(now + REACTION_MS)
+    const preparedLoad = load + preparation * Math.max(0, model.peakLoad - load)
+    const ratio = estimateRatio(state, worker, service, load, neighbours, now)
     const preparedRatio = estimateRatio(state, worker, service, preparedLoad, neighbours, now)
     return {
       service,
       model,
+      load,
       ratio,
       preparedRatio,
       factor: model.computeLoadFactor(preparedLoad),
--- a/src/coordination/placement/protection.ts
+++ b/src/coordination/placement/protection.ts
@@ -8,8 +8,8 @@
 import type { Decision } from './types.js'
 
 /** Neighbours are throttled when ln of expected p99 over the objective is above the first, and released below the second. */
-const THROTTLE_ABOVE = -0.1
-const RELEASE_BELOW = -0.2
+const THROTTLE_ABOVE = -0.06
+const RELEASE_BELOW = -0.12
 const SMALLEST_SHARE = 0.1
 const SHARE_STEP = 0.05
 /** Changes of less cost than this are not worth a throttle. */
@@ -40,7 +40,7 @@
     .map((record) => ({
       record,
       fullPart: computePart(worker, record) / record.share,
-      costs: outlooks.map(({ model }) => model.computeLoadFactor(model.load) * model.getCost(record.task.jobClass))
+      costs: outlooks.map(({ model, load }) => model.computeLoadFactor(load) * model.getCost(record.task.jobClass))
     }))
 }
 
@@ -99,7 +99,7 @@
   return [
     createFigure('expected p99 of the objective', Math.exp(outlook.ratio), 'ratio', ageMs),
     createFigure('objective', state.services.get(outlook.service)?.latencyMs ?? 0, 'ms'),
-    createFigure('load of the typical', outlook.model.load, 'ratio', ageMs),
+    createFigure('load of the typical', outlook.load, 'ratio', ageMs),
     createFigure(`cost of ${record.task.jobClass} on a whole worker`, pair.cost, 'ln p99', now - pair.updatedAt),
     createFigure('standard deviation of that cost', pair.deviation, 'ln p99', now - pair.updatedAt)
   ]
--- a/src/coordination/placement/quotas.ts
+++ b/src/coordination/placement/quotas.ts
@@ -7,13 +7,21 @@
 const AGEING_MS = 120_000
 const LOWER_PRECEDENCE = 1e6
 
-/** True when a member uses more than its quota, counting `extra`. A member without a quota is never above it. */
-export function isAboveQuota (state: PlacementState, id: string, extra?: Resources): boolean {
+/** True when a member uses more than its quota now. A member without a quota is never above it. */
+export function isAboveQuota (state: PlacementState, id: string): boolean {
   const { quota, usage } = getMember(state, id)
+  return quota !== undefined && !isWithin(usage, quota)
+}
+
+/**
+ * True when a member may not cause the eviction of a rival's task. Counts the highest promise of each task and `extra`,
+ * so that the rule holds by declared as well as by learned sizes.
+ */
+export function isBarredFromEvicting (state: PlacementState, id: string, extra?: Resources): boolean {
+  const { quota, granted } = getMember(state, id)
   if (quota === undefined) return false
-  if (extra === undefined) return !isWithin(usage, quota)
-  const total = { ...usage }
-  addResources(total, extra)
+  const total = { ...granted }
+  if (extra !== undefined) addResources(total, extra)
   return !isWithin(total, quota)
 }
 
--- a/src/coordination/placement/records.ts
+++ b/src/coordination/placement/records.ts
@@ -9,6 +9,7 @@
   worker: WorkerRecord | undefined
   /** What the worker holds for the task at full share. */
   promise: Resources
+  highestPromise: Resources
   /** Part of its cores that the task may use, and the part before the last change, for late reports. */
   share: number
   previousShare: number
@@ -115,6 +116,8 @@
   weight: number
   /** Sum of promises of its tasks. */
   usage: Resources
+  /** The same with the highest promise of each task, which is what was visible when it started. */
+  granted: Resources
 }
 
 export interface ServiceRecord {
@@ -137,6 +140,7 @@
     state: 'queued',
     worker: undefined,
     promise: createResources(),
+    highestPromise: createResources(),
     share: 1,
     previousShare: 1,
     shareChangedAt: now,
@@ -178,7 +182,7 @@
 }
 
 export function createMemberRecord (id: string): MemberRecord {
-  return { id, quota: undefined, weight: 1, usage: createResources() }
+  return { id, quota: undefined, weight: 1, usage: createResources(), granted: createResources() }
 }
 
 /** Replicas and urgent tasks may use the headroom that the batch share leaves. */
--- a/src/coordination/placement/sizes.ts
+++ b/src/coordination/placement/sizes.ts
@@ -6,7 +6,7 @@
 /** Evidence after which the margin is halved for the first time. */
 const EVIDENCE_FOR_HALF_MARGIN = 3
 /** Reported usage is noisy by a few percent, so some margin always remains. */
-const SMALLEST_MARGIN = 0.05
+const SMALLEST_MARGIN = 0.02
 /** Tasks measured before a declaration that fits no worker may be overruled. */
 const EVIDENCE_TO_OVERRULE = 8
 
@@ -94,8 +94,9 @@
   if (known === undefined || evidence === 0) {
     return { size: computeGuarded(task.size.cores, task.size.memoryBytes, task.size.accelerators, margin), source: 'declared', margin, evidence, updatedAt: 0 }
   }
-  // Memory cannot be taken back from a task, so its estimate covers more of the spread than that of cores.
-  const cores = known.cores.mean + Math.sqrt(known.cores.variance)
+  // Cores can be taken back and the differences of many tasks even out, so their estimate is the mean.
+  // Memory cannot be taken back, so its estimate covers the spread.
+  const cores = known.cores.mean
   const memoryBytes = known.memoryBytes.mean + 2 * Math.sqrt(known.memoryBytes.variance)
   return { size: computeGuarded(cores, memoryBytes, task.size.accelerators, margin), source: 'learned', margin, evidence, updatedAt: known.updatedAt }
 }
--- a/src/fakes/placementModel.ts
+++ b/src/fakes/placementModel.ts
@@ -5,7 +5,10 @@
 import { createJobStream, type ModelDeployment, type TaskTruth, type Truth } from './placementTruth.js'
 
 const TICK_MS = 500
-const QUEUED_PER_MEMBER = 30
+/** Batch work that arrives, as part of all cores; somewhat more than fits beside the services. */
+const OFFERED_LOAD = 0.9
+/** Work that waits at the start, as the time for which it fills the workers. */
+const FIRST_WORK_MS = 60_000
 const STOP_MS = 2000
 const CHECKPOINT_MS = 3000
 const TASK_LEASE_MS = 15_000
@@ -70,7 +73,9 @@
     index < Math.round((scenario.failingWorkers ?? 0) * deployment.workers)))
   const byId = new Map(workers.map((worker) => [worker.id, worker]))
   const result: ModelResult = { windows: [], batchWork: 0, stops: [], urgentStartMs: [], failedTasks: 0, guardRefusals: 0, overloadedTicks: 0, starts: 0, decideMs: 0, startsOnFailingWorkers: 0 }
-  const queued = new Map(deployment.members.map(({ id }) => [id, 0]))
+  // Each member submits its next job when its previous ones would be done at the offered load.
+  const submittedWork = new Map(deployment.members.map(({ id }) => [id, 0]))
+  const offeredCores = OFFERED_LOAD * deployment.workers * deployment.capacity.cores / deployment.members.length
   const timers: Array<{ at: number, run: () => void }> = []
   let now = 0
 
@@ -82,11 +87,9 @@
     result.decideMs += performance.now() - started
   }
   const schedule = (delayMs: number, run: () => void): void => { timers.push({ at: now + delayMs, run }) }
-  const addQueued = (member: string, change: number): void => { queued.set(member, (queued.get(member) ?? 0) + change) }
 
   const submit = (known: TaskTruth): void => {
     tasks.set(known.task.id, { ...known, state: 'queued', worker: undefined, progressMs: 0, checkpointMs: 0, checkpointAt: 0, share: 1, queuedAt: now, startedAt: 0, attempt: 0, cancelled: false, promise: known.task.size })
-    if (known.serviceIndex < 0 && !known.task.urgent) addQueued(known.task.member, 1)
     observe({ kind: 'task-queued', task: known.task })
   }
 
@@ -110,7 +113,6 @@
     task.share = 1
     task.queuedAt = now
     task.task = { ...task.task, resumed: end !== 'refused' }
-    if (task.serviceIndex < 0 && !task.task.urgent) addQueued(task.task.member, 1)
     observe({ kind: 'task-queued', task: task.task })
   }
 
@@ -125,7 +127,6 @@
     const task = tasks.get(decision.task)
     const worker = byId.get(decision.worker)
     if (task === undefined || worker === undefined || task.state !== 'queued') return
-    if (task.serviceIndex < 0 && !task.task.urgent) addQueued(task.task.member, -1)
     result.starts += 1
     if (worker.failing) result.startsOnFailingWorkers += 1
     Object.assign(task, { state: 'starting', worker, attempt: task.attempt + 1, promise: decision.size, startedAt: now })
@@ -170,11 +171,7 @@
       observe({ kind: 'task-stopping', task: decision.task })
       stopTask(known)
     },
-    refuse: ({ task }) => {
-      const known = tasks.get(task)
-      if (known !== undefined) addQueued(known.task.member, -1)
-      tasks.delete(task)
-    },
+    refuse: ({ task }) => { tasks.delete(task) },
     quarantine: () => {},
     probe: () => {}
   }
@@ -201,13 +198,16 @@
         task.cancelled = true
         observe({ kind: 'task-cancelled', task: task.task.id })
         if (task.state === 'queued') {
-          if (!task.task.urgent) addQueued(task.task.member, -1)
           tasks.delete(task.task.id)
         } else stopTask(task)
       })
     }
     deployment.members.forEach(({ id }) => {
-      while ((queued.get(id) ?? 0) < QUEUED_PER_MEMBER) jobs.next(id).forEach(submit)
+      while ((submittedWork.get(id) ?? 0) < (now + FIRST_WORK_MS) * offeredCores) {
+        const job = jobs.next(id)
+        submittedWork.set(id, (submittedWork.get(id) ?? 0) + job.reduce((sum, { workMs, size }) => sum + workMs * size.cores, 0))
+        job.forEach(submit)
+      }
     })
     if (now > 0 && now % scenario.urgentEveryMs === 0) {
       const member = deployment.members[(now / scenario.urgentEveryMs) % deployment.members.length] as { id: string }
