--- /dev/null
+++ b/src/bench/capacity/slopes.ts
@@ -0,0 +1,23 @@
+/** A straight line through measured points, and how well it foretells one that it was not fitted on. */
+export interface Slope {
+  /** Value at zero. */
+  base: number
+  perUnit: number
+  check: { x: number, measured: number, predicted: number }
+}
+
+export interface Sample { x: number, y: number }
+
+/** Least squares over all samples but the one with the largest x, which is the check. */
+export function computeSlope (samples: Sample[]): Slope {
+  const sorted = [...samples].sort((a, b) => a.x - b.x)
+  const last = sorted.at(-1) as Sample
+  const fitted = sorted.slice(0, -1)
+  const mean = (pick: (sample: Sample) => number): number => fitted.reduce((sum, sample) => sum + pick(sample), 0) / fitted.length
+  const meanX = mean(({ x }) => x)
+  const meanY = mean(({ y }) => y)
+  const spread = fitted.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0)
+  const perUnit = spread === 0 ? 0 : fitted.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0) / spread
+  const base = meanY - perUnit * meanX
+  return { base, perUnit, check: { x: last.x, measured: last.y, predicted: base + perUnit * last.x } }
+}
--- a/test/support/deployment.ts
+++ b/src/fakes/deployment.ts
@@ -3,7 +3,7 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
-import { computeTokenHash } from '../../src/programs/entryHost/principals.js'
+import { computeTokenHash } from '../programs/entryHost/principals.js'
 
 export const TOKENS = { operator: 'test-operator-token', target: 'test-target-token', parish: 'test-token-of-parish', rival: 'test-token-of-rival' }
 
@@ -33,7 +33,7 @@
     const index = (z * hostsPerZone + n) * 2
     return { id: `${zone}-${n + 1}`, zone, votes: n === 0, http: `127.0.0.1:${ports[index]}`, peer: `127.0.0.1:${ports[index + 1]}` }
   }))
-  const member = (id: 'parish' | 'rival'): string => `[[members]]\nid = "${id}"\ntoken_hash = "${computeTokenHash(TOKENS[id])}"\nquota = { cores = 100, memory_gb = 400 }\n`
+  const member = (id: 'parish' | 'rival'): string => `[[members]]\nid = "${id}"\ntoken_hash = "${computeTokenHash(TOKENS[id])}"\nquota = { cores = 10000, memory_gb = 40000 }\n`
   const toml = `
 [deployment]
 name = "test"
@@ -65,7 +65,13 @@
   }
 }
 
-export interface HttpAnswer { status: number, headers: Record<string, unknown>, text: string, json: any }
+export interface HttpAnswer {
+  status: number
+  headers: Record<string, unknown>
+  text: string
+  /** The body when it is JSON. */
+  json: any
+}
 
 export async function sendRequest (url: string, token: string, method: string, path: string, body?: unknown, headers: Record<string, string> = {}): Promise<HttpAnswer> {
   const answer = await request(`${url}${path}`, {
--- a/src/programs/demo/targets.ts
+++ b/src/programs/demo/targets.ts
@@ -38,7 +38,7 @@
     clock, id: `executor-${index + 1}`, service: plan.service, availabilityZone: chooseZone(index), serviceMs: plan.serviceMs
   })))
   const workers = await Promise.all(Array.from({ length: plan.workers }, (_, index) => openHttpWorker({
-    clock, id: `worker-${index + 1}`, plan: (): RunPlan => ({ runMs: plan.taskMs, result: 'succeeded' })
+    clock, id: `worker-${index + 1}`, plan: ({ command }): RunPlan => ({ runMs: parseRunMs(command) ?? plan.taskMs, result: 'succeeded' })
   })))
   const announce = createAnnouncer(clock, token, stopping.signal)
   const loops = [
@@ -56,6 +56,12 @@
   }
 }
 
+/** A task with the command `run MS` takes that long. */
+function parseRunMs (command: string): number | undefined {
+  const match = /^run (\d{1,9})$/.exec(command)
+  return match === null ? undefined : Number(match[1])
+}
+
 interface Reply { announceWithinMs: number, echo?: string }
 type Announce = (hosts: string[], createBody: (home: string) => unknown, onReply: (home: string, reply: Reply) => void) => Promise<void>
 
--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -203,7 +203,7 @@
     isReady: () => state.ready && log.state().founded,
     getHealth: () => {
       const { role, term, leader, commitIndex, appliedIndex } = log.status()
-      return { host: settings.self.id, role, term, leader: leader ?? null, commitIndex, appliedIndex, zone: coordinator.status(), peerTraffic: parts.network.getTraffic() }
+      return { host: settings.self.id, role, term, leader: leader ?? null, commitIndex, appliedIndex, zone: coordinator.status(), peerTraffic: parts.network.getTraffic(), memory: getMemory() }
     },
     now: () => clock.now(),
     ...createRequestOperations(router, log),
@@ -253,6 +253,11 @@
   metrics.close()
 }
 
+function getMemory (): { rss: number, heapUsed: number, external: number } {
+  const { rss, heapUsed, external } = process.memoryUsage()
+  return { rss, heapUsed, external }
+}
+
 function describeListenError (address: string, error: unknown): StartFailure {
   return { kind: 'address-in-use', message: `cannot listen on ${address}: ${error instanceof Error ? error.message : 'unknown error'}` }
 }
--- a/test/programs/processes.test.ts
+++ b/test/programs/processes.test.ts
@@ -3,7 +3,7 @@
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { startDaemon, waitUntilReady, type DaemonProcess } from '../../src/programs/demo/daemons.js'
 import { openFakeTargets, type FakeTargets } from '../../src/programs/demo/targets.js'
-import { createDeployment, sendRequest, TOKENS, waitFor, type Deployment } from '../support/deployment.js'
+import { createDeployment, sendRequest, TOKENS, waitFor, type Deployment } from '../../src/fakes/deployment.js'
 
 // The compiled daemon: `npm test` builds it first.
 const PROGRAM = 'dist/programs/daemon.js'
--- a/test/programs/wholePath.test.ts
+++ b/test/programs/wholePath.test.ts
@@ -2,7 +2,7 @@
 import { openFakeTargets, type FakeTargets } from '../../src/programs/demo/targets.js'
 import { startEntryHost, type RunningHost } from '../../src/programs/entryHost/index.js'
 import { chooseHost, parseSettings } from '../../src/programs/settings/index.js'
-import { createDeployment, sendRequest, TOKENS, waitFor, type Deployment } from '../support/deployment.js'
+import { createDeployment, sendRequest, TOKENS, waitFor, type Deployment } from '../../src/fakes/deployment.js'
 
 let deployment: Deployment
 let host: RunningHost
