Show that each check of the log can fail, and refuse reserved keys

Cause: rules that no test guarded could be lost unnoticed, and a request id or an identifier such as "constructor" names a property that every object has, so the first request with it was answered as if it had been seen before. Keys that exist on every object are refused.

--- a/src/state/logStore/logStore.ts
+++ b/src/state/logStore/logStore.ts
@@ -236,7 +236,8 @@
 }
 
 function writeRecord (disk: Disk, file: string, value: unknown): Promise<Result<void, StoreFailure>> {
-  return disk.writeAtomic(file, encodeFrame(packr.pack(value)))
+  // A packer keeps a buffer as large as its largest result, so a snapshot gets its own.
+  return disk.writeAtomic(file, encodeFrame(new Packr({ useRecords: false }).pack(value)))
 }
 
 async function removeAllFiles (disk: Disk): Promise<Result<void, StoreFailure>> {
--- a/src/state/replica/messages.ts
+++ b/src/state/replica/messages.ts
@@ -93,7 +93,8 @@
 }
 
 export function encodeSnapshot (content: SnapshotContent): Uint8Array {
-  return packr.pack(content)
+  // A packer keeps a buffer as large as its largest result, so a snapshot gets its own.
+  return new Packr({ useRecords: false }).pack(content)
 }
 
 export function decodeSnapshot (bytes: Uint8Array): SnapshotContent {
--- a/src/state/schemas.ts
+++ b/src/state/schemas.ts
@@ -8,7 +8,12 @@
 })
 export type Resources = z.infer<typeof resourcesSchema>
 
-export const identifierSchema = z.string().regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'lower-case letters, digits, dot, dash and underscore; at most 63')
+/** Records are plain objects, on which these names exist already. */
+const isFreeKey = (key: string): boolean => !(key in {})
+
+export const identifierSchema = z.string()
+  .regex(/^[a-z0-9][a-z0-9._-]{0,62}$/, 'lower-case letters, digits, dot, dash and underscore; at most 63')
+  .refine(isFreeKey, 'a reserved word')
 
 /** The values that a preset sets. Weights are relative to each other. */
 export const policySchema = z.strictObject({
@@ -109,7 +114,7 @@
 })
 export type ConfigurationChange = z.infer<typeof configurationChangeSchema>
 
-const requestId = z.string().max(128).optional()
+const requestId = z.string().max(128).refine(isFreeKey, 'a reserved word').optional()
 
 /** Every change of the agreed state. `requestId` makes a resend by an operator return the first outcome. */
 export const entrySchema = z.discriminatedUnion('kind', [
--- a/test/state/failures.test.ts
+++ b/test/state/failures.test.ts
@@ -134,6 +134,17 @@
   expect(await run(read)).toMatchObject({ result: { ok: true }, members: ['new'] })
 })
 
+test('a leader that was frozen and is cut off answers no read, although it has not noticed yet', async () => {
+  const { clock, cluster, run, deadlineOf } = await startCluster()
+  const old = cluster.findLeader()!
+  old.process().freeze()
+  cluster.isolate(old.name)
+  await clock.advance(10_000)
+  old.process().resume()
+  expect(getStatus(old).role).toBe('leader')
+  expect(await run(old.replica()!.readBarrier(deadlineOf(old)))).toMatchObject({ err: true, val: { kind: 'no-leader' } })
+})
+
 test('a planned stop of the leader hands over at once', async () => {
   const { clock, cluster } = await startCluster()
   const old = cluster.findLeader()!
@@ -307,6 +318,35 @@
   expect(result).toMatchObject({ err: true, val: { kind: 'entry-too-large', limit: MAX_ENTRY_BYTES } })
 })
 
+test.each(['__proto__', 'constructor'])('a key %s that every object has is refused and not taken for a known request', async (key) => {
+  const { cluster, run, proposeOn } = await startCluster()
+  const leader = cluster.findLeader()!
+  const proposals = [putMember('m', key), putMember(key)].map((entry) => proposeOn(leader, entry))
+  const results = await run(Promise.all(proposals))
+  results.forEach((result) => expect(result).toMatchObject({ err: true, val: { kind: 'invalid-entry' } }))
+})
+
+test('a second change of the voters waits until the first is committed', async () => {
+  const outcomes: string[] = []
+  for (const cutAfterMs of [1, 2, 3, 4, 5, 6]) {
+    const { clock, cluster, run, deadlineOf } = await startCluster()
+    const leader = cluster.findLeader()!
+    const others = [...cluster.hosts.keys()].filter((name) => name !== leader.name)
+    const first = leader.replica()!.addVoter('d', deadlineOf(leader, 100))
+    await clock.advance(cutAfterMs)
+    others.forEach((name) => cluster.network.setFaults(leader.name, name, { cut: 'silent' }))
+    await clock.advance(150)
+    const isOpen = (await first).err && getStatus(leader).voters.includes('d')
+    const second = await run(leader.replica()!.addVoter('e', deadlineOf(leader, 100)), 200)
+    if (isOpen) outcomes.push(second.err ? second.val.kind : 'changed')
+    const third = leader.replica()!.removeVoter(others[0]!, deadlineOf(leader, 100))
+    const result = await run(third, 200)
+    if (isOpen) outcomes.push(result.err ? result.val.kind : 'changed')
+  }
+  expect(outcomes.length).toBeGreaterThan(0)
+  expect(outcomes.filter((kind) => !['not-connected', 'not-recorded'].includes(kind))).toEqual([])
+})
+
 test('a jump of the wall clock changes nothing', async () => {
   const { clock, cluster } = await startCluster()
   const before = getStatus(cluster.findLeader()!)
--- a/test/state/rules.test.ts
+++ b/test/state/rules.test.ts
@@ -1,18 +1,19 @@
+import { crc32 } from 'node:zlib'
 import { expect, test } from 'vitest'
 import { createManualClock, createRandom, createSilentLogger, type ManualClock, type Network } from '../../src/common/index.js'
-import { createFakeCluster, type FakeCluster } from '../../src/fakes/fakeCluster.js'
+import { createFakeCluster, type FakeCluster, type FakeClusterOptions } from '../../src/fakes/fakeCluster.js'
 import { createHostProcess } from '../../src/fakes/hostProcess.js'
 import { createAgreedState } from '../../src/state/index.js'
 import { updateCommit } from '../../src/state/replica/apply.js'
 import { appendCommand, appendEntry, createContext, type Peer } from '../../src/state/replica/context.js'
-import { encodeCommand, type VoteRequest } from '../../src/state/replica/messages.js'
+import { encodeCommand, encodeSnapshot, type SnapshotReply, type VoteRequest } from '../../src/state/replica/messages.js'
 import { createNotifier } from '../../src/state/replica/notifier.js'
 import { DEFAULT_LOG_LIMITS } from '../../src/state/replica/timing.js'
 
 /** Three voters, and a fourth attachment that sends votes of its own making. */
-async function startWithStranger (): Promise<{ clock: ManualClock, cluster: FakeCluster, formation: number, stranger: Network }> {
+async function startWithStranger (options: Partial<FakeClusterOptions> = {}): Promise<{ clock: ManualClock, cluster: FakeCluster, formation: number, stranger: Network }> {
   const clock = createManualClock()
-  const cluster = createFakeCluster({ clock, seed: 5, voters: ['a', 'b', 'c'] })
+  const cluster = createFakeCluster({ clock, seed: 5, voters: ['a', 'b', 'c'], ...options })
   const stranger = cluster.network.connect('x', createHostProcess(clock))
   let formation = 0
   stranger.handle('log.append', async (_from, body) => {
@@ -67,6 +68,35 @@
   expect((await second).val).toEqual((await first).val)
 })
 
+test('a snapshot that arrives twice is not confirmed before it is on the disk', async () => {
+  const { clock, cluster, formation, stranger } = await startWithStranger({ syncMs: 50, voters: ['a', 'b', 'c'] })
+  const bytes = encodeSnapshot({ index: 500, term: 90, voters: [], state: createAgreedState() })
+  const request = { formation, to: 'a-0', term: 99, index: 500, lastTerm: 90, size: bytes.length, checksum: crc32(bytes), offset: 0, bytes }
+  const isOnDisk = async (): Promise<boolean> => {
+    cluster.getHost('a').crash()
+    cluster.getHost('a').start()
+    await clock.advance(2000)
+    return (cluster.getHost('a').replica()?.status().commitIndex ?? 0) >= 500
+  }
+  const send = async (): Promise<boolean> => {
+    const result = await stranger.request('a', 'log.snapshot', request, clock.now() + 5000)
+    return result.ok && (result.val as SnapshotReply).offset === bytes.length
+  }
+  send()
+  await clock.advance(5)
+  const progress = { isConfirmed: false }
+  send().then((isConfirmed) => { progress.isConfirmed = isConfirmed })
+  while (!progress.isConfirmed) await clock.advance(1)
+  expect(await isOnDisk()).toBe(true)
+})
+
+test('a host without a disk grants no vote', async () => {
+  const { clock, cluster, formation, stranger } = await startWithStranger({ voters: ['a', 'b', 'c'], learners: ['f'] })
+  const reply = stranger.request('f', 'log.vote', createVote(formation, { to: cluster.getHost('f').replica()!.incarnation }), clock.now() + 1000)
+  await clock.advance(20)
+  expect((await reply).val).toMatchObject({ granted: false })
+})
+
 test('a leader refuses votes while it hears its followers, and they refuse while they hear it', async () => {
   const { clock, cluster, formation, stranger } = await startWithStranger()
   const replies = [...cluster.hosts.values()].map((host) => stranger.request(host.name, 'log.vote',
