--- a/src/state/replica/messages.ts
+++ b/src/state/replica/messages.ts
@@ -54,7 +54,7 @@
 
 export interface ProposeRequest { term: number, origin: string, sequence: number, entry: Entry, remainingMs: number }
 export type ProposeReply =
-  | { kind: 'not-leader' }
+  | { kind: 'not-leader', upMs: number }
   | { kind: 'applied', value: Applied }
   | { kind: 'failed', failure: LogFailure }
 
@@ -93,7 +93,8 @@
 }
 
 export function encodeSnapshot (content: SnapshotContent): Uint8Array {
-  return packr.pack(content)
+  // A packer keeps a buffer as large as its largest result, so a snapshot gets its own.
+  return new Packr({ useRecords: false }).pack(content)
 }
 
 export function decodeSnapshot (bytes: Uint8Array): SnapshotContent {
