--- a/test/reports/reports.test.ts
+++ b/test/reports/reports.test.ts
@@ -122,6 +122,9 @@
   await clock.advance(10 * MINUTE)
   recorder.createBurnReport(clock.now() + HOUR)
   expect(recorder.createBurnReport(clock.now()).services[0]!.burnRates).toMatchObject({ '5m': null, '6h': 100 })
+  // Counted in the newest slot, because the slot of this reading may have been reused.
+  recordMany(recorder, 1)
+  expect(recorder.createBurnReport(clock.now() + HOUR).services[0]!.burnRates).toMatchObject({ '5m': 0 })
 })
 
 test('a gap longer than every window leaves no counts behind', async () => {
