--- a/src/coordination/configuration/configuration.ts
+++ b/src/coordination/configuration/configuration.ts
@@ -65,7 +65,7 @@
     const summary = `${view.claim} ${view.revision}`
     if (summary === reported) return view
     reported = summary
-    logger.info('configuration_claim', { claim: view.claim, revision: view.revision, preset: view.preset })
+    logger.info('configuration-claim', { claim: view.claim, revision: view.revision, preset: view.preset })
     metrics.gauge('config.revision', view.revision)
     metrics.count('config.claim_changes', 1, { claim: view.claim })
     listeners.forEach((listener) => listener(view))
--- a/src/coordination/configuration/granter.ts
+++ b/src/coordination/configuration/granter.ts
@@ -43,7 +43,7 @@
     if (role !== 'leader') return (leadership = undefined)
     if (leadership?.term !== term) {
       leadership = { term, earlierGrantsExpireAt: clock.now() + GRANT_HOLD_MS, grants: new Map() }
-      logger.info('lease_granting_started', { term })
+      logger.info('lease-granting-started', { term })
     }
     return leadership
   }
@@ -91,8 +91,8 @@
     if (waitMs > 0) return Math.min(waitMs, ACTIVATION_CHECK_MS)
     const result = await log.propose(
       { kind: 'config.activate', revision: pending.revision, wallTime: clock.wall() }, clock.now() + ACTIVATE_TIMEOUT_MS)
-    if (result.ok) logger.info('configuration_activated', { revision: pending.revision, preset: pending.preset })
-    else logger.warn('configuration_activation_failed', { revision: pending.revision, kind: result.val.kind })
+    if (result.ok) logger.info('configuration-activated', { revision: pending.revision, preset: pending.preset })
+    else logger.warn('configuration-activation-failed', { revision: pending.revision, kind: result.val.kind })
     metrics.count('config.activations', 1, { result: result.ok ? 'ok' : result.val.kind })
     return ACTIVATION_CHECK_MS
   }
--- a/src/fakes/electedLog.ts
+++ b/src/fakes/electedLog.ts
@@ -16,7 +16,6 @@
   /** Elects a host when a majority of voters can vote for it. Returns whether it was elected. */
   elect (host: string): boolean
   leader (): string | undefined
-  term (): number
   /** The state after every committed entry. */
   committedState (): AgreedState
   /** Called at the instant of a commit, before any host applies the entry. */
@@ -188,7 +187,6 @@
     createLog,
     elect,
     leader: () => leader,
-    term: () => term,
     committedState: () => truth,
     onCommit: (listener) => { commitListeners.push(listener) }
   }
--- a/test/reports/reports.test.ts
+++ b/test/reports/reports.test.ts
@@ -149,6 +149,18 @@
   expect([evictions.lastDay, evictions.lastDayByRivals]).toEqual([3000, 1500])
 })
 
+test('charts are limited to the largest values, while the tables name everything', async () => {
+  const recorder = createRecorder(createManualClock())
+  Array.from({ length: 60 }, (_, index) => recorder.recordBatchEnd({ member: `member-${index}`, outcome: 'succeeded', cores: 1, runMs: 1 }))
+  Array.from({ length: 30 }, (_, index) => recordMany(recorder, 30 - index, { ...late, cause: { kind: 'interference', jobClass: `class-${index}` } }))
+  const page = await renderReportHtml(recorder.createBurnReport(0))
+  const charts = page.match(/<svg [\s\S]*?<\/svg>/g)!.join('')
+  expect(charts.match(/member-\d+/g)!.length).toBe(25)
+  expect(charts.match(/interference:class-\d+/g)!.length).toBe(8)
+  expect(charts).toContain('all others')
+  expect(page).toContain('<td>member-59</td>')
+})
+
 test('the page escapes every name, loads nothing from elsewhere and marks rivals', async () => {
   const hostile = '<script>alert("x")</script>&\u001b[31m'
   const services = createServices({ ...createService('desk'), member: hostile })
