Keep outcomes of jobs that a lagging host does not know, and remove gone workers

Cause: a coordinator whose copy of the log was old took the outcome of a job that it had not heard of for settled and would have started the job again later. Workers that are gone for good stayed in the witness set. The placement was asked again each tick about tasks that may not start yet. Change: an outcome is settled only when the log is current. A coordinator that holds its lease removes workers that left or were silent for ten minutes. Tasks are announced to the placement when they may start.

--- a/src/coordination/tasks/activeTerm.ts
+++ b/src/coordination/tasks/activeTerm.ts
@@ -79,13 +79,25 @@
     // Attempts of a lost journal must not be taken for new ones.
     firstAttempt: complete ? 1 : term.epoch * 1e6 + term.round * 1e3 + 1,
     observe: (observation) => placement.observe(observation, clock.now()),
+    announce: (spec) => dispatcher.announce(spec),
     append: writer.append,
     isDurable: writer.isDurable,
     wakeWorker: options.wakeWorker,
     acceptsUnknown: () => state.incomplete,
     isLogCurrent: () => demand.isLogCurrent()
   })
-  const demand = createDemand({ log, table, attempts, placement, clock, signal, areWorkersKnown: options.areWorkersKnown, record, onChange: options.onDemand })
+  const demand = createDemand({
+    log,
+    table,
+    attempts,
+    placement,
+    clock,
+    signal,
+    record,
+    areWorkersKnown: options.areWorkersKnown,
+    onChange: options.onDemand,
+    announce: (spec) => dispatcher.announce(spec)
+  })
   const dispatcher = createDispatcher({
     clock,
     logger,
@@ -98,6 +110,6 @@
     isHeld: demand.isHeld,
     findWorker: options.findWorker
   })
-  const summaries = createSummaries({ log, clock, logger, attempts, table, availabilityZone })
+  const summaries = createSummaries({ log, clock, logger, attempts, table, availabilityZone, isLogCurrent: demand.isLogCurrent })
   return { table, attempts, writer, placement, demand, dispatcher, summaries }
 }
--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -19,6 +19,8 @@
   term: CoordinatorTerm
   logger: Logger
   observe (observation: Observation): void
+  /** Tells the placement of a task as soon as it may be started. */
+  announce (spec: TaskSpec): void
   /** Resolves when the records are in the journal, to false when the term has ended before that. */
   append (records: JournalRecord[]): Promise<boolean>
   /** A start that must not be repeated is recorded on a second host or on a synced disk. */
@@ -47,6 +49,8 @@
   /** Ends a task without an attempt, as when it can never run. */
   end (spec: TaskSpec, outcome: TaskOutcome): void
   sumPromised (worker: string): Resources
+  /** Nothing runs on the worker and every outcome was acknowledged. */
+  isIdle (worker: string): boolean
   describeState (task: string): TaskState
   /** Outcomes that are in the journal and may go to the agreed log. */
   readonly recorded: Map<string, TaskOutcome>
@@ -126,7 +130,7 @@
     if (spec === undefined) return
     spec.task = { ...spec.task, resumed: journal.entries.get(task)?.checkpoint !== undefined }
     if (result === 'failed' || result === 'refused') spec.notBefore = clock.now() + RETRY_AFTER_FAILURE_MS
-    observe({ kind: 'task-queued', task: spec.task })
+    options.announce(spec)
   }
 
   const endTask = (entry: JournalEntry, outcome: TaskOutcome, result: 'succeeded' | 'failed' | 'stopped' | 'refused' | 'lost'): void => {
@@ -169,9 +173,9 @@
     succeeded: (entry, _outcome, worker) => isReplica(entry.task) && entry.purpose !== 'cancel'
       ? requeue(entry, 'failed', undefined, worker)
       : endTask(entry, 'succeeded', 'succeeded'),
-    failed: (entry, _outcome, worker) => {
+    failed: (entry, outcome, worker) => {
       const mayRetry = isReplica(entry.task) || (!entry.once && entry.failures + 1 < MAX_FAILURES)
-      if (mayRetry && entry.purpose !== 'cancel') requeue(entry, 'failed', undefined, worker)
+      if (mayRetry && entry.purpose !== 'cancel') requeue(entry, 'failed', outcome.checkpoint, worker)
       else endTask(entry, 'failed', 'failed')
     },
     stopped: (entry, outcome, worker) => {
@@ -200,7 +204,6 @@
       if (!unrecordedEnds.has(formatKey(outcome))) acknowledge(worker, task, attempt)
       return
     }
-    if (outcome.checkpoint !== undefined) entry.checkpoint = outcome.checkpoint
     outcomeHandlers[outcome.result](entry, outcome, worker)
   }
 
@@ -324,6 +327,7 @@
       workers.delete(worker)
       table.listOn(worker).forEach((entry) => lose(entry, worker))
     },
+    isIdle: (worker) => table.listOn(worker).length === 0 && getWorker(worker).isIdle(),
     sumPromised: (worker) => table.listOn(worker).reduce((sum, entry) => addResources(sum, entry.size ?? NOTHING), NOTHING),
     settle: (task, index) => {
       recorded.delete(task)
--- a/src/coordination/tasks/coordinator.ts
+++ b/src/coordination/tasks/coordinator.ts
@@ -7,7 +7,8 @@
 import { coordinatorTermSchema, type CoordinatorTerm } from './exchange.js'
 import type { PolicyInForce } from './activeTerm.js'
 import { appendRequestSchema, createJournalMember } from './journalMember.js'
-import { startSession, type Session, type SessionPhase } from './session.js'
+import { startSession } from './session.js'
+import type { Session, SessionPhase } from './sessionTypes.js'
 import type { TaskFilter, TaskView } from './table.js'
 import type { WorkerClient } from './workerLink.js'
 
@@ -116,7 +117,7 @@
   }
 
   const reviewZone = async (zone: ZoneAuthority): Promise<void> => {
-    if (zone.retired) return await session?.release()
+    if (zone.retired) return await releaseSession()
     const isMine = zone.host === network.self && zone.incarnation === incarnation
     if (isMine && zone.epoch > highest.epoch) return start(zone, { epoch: zone.epoch, round: 0, host: network.self })
     const isOutdated = session !== undefined && (zone.epoch > session.term.epoch || highest.epoch > session.term.epoch)
--- a/src/coordination/tasks/demand.ts
+++ b/src/coordination/tasks/demand.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import type { AgreedLog, Entry } from '../../state/index.js'
+import { findOwner, type AgreedLog, type Entry } from '../../state/index.js'
 import type { Placement } from '../placement/types.js'
 import type { Attempts } from './attempts.js'
 import type { JournalRecord } from './journal.js'
@@ -23,6 +23,8 @@
   areWorkersKnown (): boolean
   record (records: JournalRecord[]): void
   onChange (): void
+  /** Tells the placement of a task as soon as it may be started. */
+  announce (spec: TaskSpec): void
 }
 
 /** Which tasks there are, as the agreed state says, and which of them may be started. */
@@ -67,7 +69,8 @@
       if (entry?.checkpoint !== undefined) spec.task = { ...spec.task, resumed: true }
       const isPlaced = entry !== undefined && (entry.state === 'started' || entry.state === 'stopping')
       if (isPlaced && entry.worker !== undefined) placement.observe({ kind: 'task-started', task: spec.task, worker: entry.worker }, clock.now())
-      else if (entry?.state !== 'final') placement.observe({ kind: 'task-queued', task: spec.task }, clock.now())
+      else if (entry?.state !== 'final') options.announce(spec)
+      if (entry?.state === 'stopping') placement.observe({ kind: 'task-stopping', task: spec.task.id }, clock.now())
     })
     cancelled.forEach((spec) => attempts.cancel(spec))
   }
@@ -139,9 +142,13 @@
   return { update, isHeld, isLogCurrent: () => clock.now() < readAt + LOG_CURRENT_MS }
 }
 
-/** Whether the agreed state holds an outcome of the task or knows the task no longer. */
-export function isSettled (log: AgreedLog, task: string): boolean {
+/**
+ * Whether the agreed state has no use for the outcome: it holds one, another zone owns the task, or the job is gone.
+ * A job that is not known may also be one that this host has not heard of yet, so that needs a current log.
+ */
+export function isSettled (log: AgreedLog, availabilityZone: string, task: string, isLogCurrent: boolean): boolean {
   const { job, number } = parseTaskId(task)
   const record = log.state().jobs[job]
-  return record === undefined || record.outcomes[number] !== undefined
+  if (record === undefined) return isLogCurrent
+  return record.outcomes[number] !== undefined || findOwner(record, number) !== availabilityZone
 }
--- a/src/coordination/tasks/dispatcher.ts
+++ b/src/coordination/tasks/dispatcher.ts
@@ -27,6 +27,7 @@
 /** Feeds the placement and carries out its decisions. */
 export interface Dispatcher {
   run (): void
+  announce (spec: TaskSpec): void
   addWorker (worker: Worker): void
   removeWorker (id: string): void
   drainWorker (id: string, active: boolean): void
@@ -36,7 +37,7 @@
 }
 
 type DropReason =
-  | 'task-not-queued' | 'task-held' | 'task-not-running' | 'retry-later' | 'worker-gone' | 'worker-leaving'
+  | 'task-not-queued' | 'task-held' | 'task-not-running' | 'worker-gone' | 'worker-leaving'
   | 'capacity-taken' | 'journal-not-writable' | 'second-copy-needed'
 type DecisionHandlers = { [K in Decision['kind']]: (decision: Extract<Decision, { kind: K }>) => DropReason | undefined | void }
 
@@ -45,6 +46,8 @@
   const { journal } = table
   const guards = new Map<string, boolean>()
   const leaving = new Set<string>()
+  // Queued tasks that the placement does not know yet, because they may not be started yet.
+  const unannounced = new Set<string>()
   let policyKey = ''
 
   const observePolicy = (): void => {
@@ -65,7 +68,6 @@
     const target = options.findWorker(worker)
     if (spec === undefined || spec.cancelled || !isQueued(spec)) return 'task-not-queued'
     if (options.isHeld(spec)) return 'task-held'
-    if (clock.now() < spec.notBefore) return 'retry-later'
     if (target === undefined) return 'worker-gone'
     if (target.leaving || journal.draining.has(worker)) return 'worker-leaving'
     // The last line of defence: whatever the decision rests on, a worker is never promised more than it has.
@@ -113,6 +115,7 @@
 
   const run = (): void => {
     observePolicy()
+    announceDue()
     placement.decide(clock.now()).forEach((decision) => {
       const handler = handlers[decision.kind] as (decision: Decision) => DropReason | undefined
       const reason = handler(decision)
@@ -125,7 +128,17 @@
     if (decision.kind !== 'start') return
     const spec = table.specs.get(decision.task)
     logger.info('decision-dropped', { task: decision.task, worker: decision.worker, reason })
-    if (spec !== undefined && !spec.cancelled && isQueued(spec)) placement.observe({ kind: 'task-queued', task: spec.task }, clock.now())
+    if (spec !== undefined) unannounced.add(spec.task.id)
+  }
+
+  const announceDue = (): void => {
+    unannounced.forEach((id) => {
+      const spec = table.specs.get(id)
+      const isWanted = spec !== undefined && !spec.cancelled && isQueued(spec)
+      if (isWanted && (clock.now() < spec.notBefore || options.isHeld(spec))) return
+      unannounced.delete(id)
+      if (isWanted) placement.observe({ kind: 'task-queued', task: spec.task }, clock.now())
+    })
   }
 
   const drainWorker = (id: string, active: boolean): void => {
@@ -176,6 +189,7 @@
 
   return {
     run,
+    announce: (spec) => { unannounced.add(spec.task.id) },
     drainWorker,
     observeReply,
     getTask: describeTask,
--- a/src/coordination/tasks/session.ts
+++ b/src/coordination/tasks/session.ts
@@ -1,4 +1,5 @@
 import { setMaxListeners } from 'node:events'
+import { isDeepStrictEqual } from 'node:util'
 import type { Clock, Logger, Network } from '../../common/index.js'
 import type { AgreedLog, Worker, ZoneAuthority } from '../../state/index.js'
 import { compareTerms, formatTerm, GRANT_MS } from '../authority/terms.js'
@@ -8,15 +9,20 @@
 import type { CoordinatorTerm, ExchangeReply, ExchangeRequest } from './exchange.js'
 import type { JournalMember } from './journalMember.js'
 import { TASK_LEASE_MS, WORKER_LOST_MS } from './leases.js'
-import type { TaskFilter, TaskView } from './table.js'
 import { createNoteReports, readJournal, type RecoveredJournal } from './takeover.js'
 import { startWorkerLink, type WorkerClient, type WorkerLink } from './workerLink.js'
+import type { Session, SessionPhase } from './sessionTypes.js'
 import { WOKEN } from './waking.js'
 
 const TICK_MS = 250
 /** A claim that meets a higher term is given up after this time, ms. */
 const CLAIM_PATIENCE_MS = 3_000
 const FLUSH_TIMEOUT_MS = 1_000
+/** A claim that has not succeeded by then goes on at the pace of the regular exchange, ms. */
+const EAGER_CLAIM_MS = 6_000
+/** A worker that was silent for this long leaves the witness set; it announces itself when it returns, ms. */
+const REMOVE_SILENT_MS = 600_000
+const REMOVE_TIMEOUT_MS = 2_000
 
 export interface SessionOptions {
   clock: Clock
@@ -35,35 +41,17 @@
   onTerm (term: CoordinatorTerm): void
 }
 
-export type SessionPhase = 'claiming' | 'recovering' | 'active' | 'ended'
-
-/** One host's coordination of the zone in one term. */
-export interface Session {
-  readonly term: CoordinatorTerm
-  getPhase (): SessionPhase
-  /** It holds the lease at this moment. */
-  isActive (): boolean
-  getLeaseDeadline (): number
-  listTasks (filter: TaskFilter): TaskView[]
-  getTask (id: string): TaskView | undefined
-  countTasks (): number
-  drainWorker (worker: string, active: boolean): boolean
-  countWorkers (): { up: number, known: number }
-  getPlacement (): Placement | undefined
-  /** Records everything that is known, releases the lease on every worker and ends. */
-  release (): Promise<void>
-  stop (): void
-}
-
 interface WorkerState {
+  controller: AbortController
+  addedAt: number
   link: WorkerLink
-  sequence: number
   seen: { incarnation: string, reply: number } | undefined
   /** When the last reply of an exchange under the active lease was received. */
   heardAt: number
   up: boolean
   noted: number
   leaving: boolean
+  removing: boolean
 }
 
 export function startSession (options: SessionOptions): Session {
@@ -74,6 +62,8 @@
   setMaxListeners(0, signal)
   const startedAt = clock.now()
   const workers = new Map<string, WorkerState>()
+  // Of each worker, also of one whose link was closed and opened again: a worker refuses a number that it has seen.
+  const sequences = new Map<string, number>()
   const witnesses = createWitnesses([zone.witnesses])
   const notes = createNoteReports()
   let phase: SessionPhase = 'claiming'
@@ -102,13 +92,14 @@
 
   const compose = (worker: string): ExchangeRequest => {
     const state = workers.get(worker) as WorkerState
-    state.sequence += 1
+    const sequence = (sequences.get(worker) ?? 0) + 1
+    sequences.set(worker, sequence)
     const isActing = isActive() && active !== undefined
     const { commands, acknowledged } = isActing ? (active as ActiveTerm).attempts.composeCommands(worker) : { commands: [], acknowledged: [] }
     const note = active?.writer.getNote()
     return {
       term,
-      sequence: state.sequence,
+      sequence,
       grantMs,
       taskLeaseMs: TASK_LEASE_MS,
       ...(isActing && state.seen !== undefined ? { seen: state.seen, commands, acknowledged } : { commands: [], acknowledged: [] }),
@@ -117,7 +108,8 @@
   }
 
   const handleReply = (worker: string, reply: ExchangeReply, request: ExchangeRequest, sentAt: number): void => {
-    const state = workers.get(worker) as WorkerState
+    const state = workers.get(worker)
+    if (state === undefined) return
     notes.record(worker, reply.journal)
     if (!reply.granted) {
       witnesses.removeGrant(worker)
@@ -150,12 +142,14 @@
   const addWorker = (worker: Worker): void => {
     if (workers.has(worker.id)) return
     const state: WorkerState = {
-      sequence: 0,
+      controller: new AbortController(),
+      addedAt: clock.now(),
       seen: undefined,
       heardAt: clock.now(),
       up: false,
       noted: 0,
       leaving: false,
+      removing: false,
       link: { worker, wake: () => {} }
     }
     workers.set(worker.id, state)
@@ -163,17 +157,49 @@
       worker,
       client: options.client,
       clock,
-      signal,
-      isClaiming: () => phase !== 'active' || state.seen === undefined,
+      signal: AbortSignal.any([signal, state.controller.signal]),
+      isClaiming: () => (phase !== 'active' || state.seen === undefined) && clock.now() < state.addedAt + EAGER_CLAIM_MS,
       compose: () => compose(worker.id),
       onReply: (reply, request, sentAt) => handleReply(worker.id, reply, request, sentAt)
     })
   }
 
   const syncWorkers = (): void => {
-    Object.values(log.state().workers)
+    const registered = log.state().workers
+    Object.values(registered)
       .filter((worker) => worker.availabilityZone === zone.availabilityZone)
-      .forEach(addWorker)
+      .forEach((worker) => {
+        // A worker that returned elsewhere or with another capacity starts over; what ran on it is found by its report.
+        const known = workers.get(worker.id)
+        if (known !== undefined && !isDeepStrictEqual(known.link.worker, worker)) closeWorker(worker.id, known)
+        addWorker(worker)
+      })
+    workers.forEach((state, id) => {
+      const isIdle = active === undefined || active.table.listOn(id).length === 0
+      if (registered[id] === undefined && isIdle) closeWorker(id, state)
+    })
+  }
+
+  const closeWorker = (id: string, state: WorkerState): void => {
+    state.controller.abort(WOKEN)
+    workers.delete(id)
+    witnesses.removeGrant(id)
+    if (state.up) active?.dispatcher.removeWorker(id)
+  }
+
+  /**
+   * Workers that are gone would outnumber the others in the witness set one day. A coordinator that holds its lease
+   * may remove them: its majority does not include them, so it is a majority of the smaller set too.
+   */
+  const removeGoneWorkers = (): void => {
+    workers.forEach((state, id) => {
+      const isSilent = clock.now() - state.heardAt > REMOVE_SILENT_MS
+      const hasLeft = state.leaving && active?.attempts.isIdle(id) === true
+      if ((!isSilent && !hasLeft) || state.removing || log.state().workers[id] === undefined) return
+      state.removing = true
+      logger.info('worker-remove', { worker: id, reason: hasLeft ? 'leaving' : 'silent' })
+      log.propose({ kind: 'worker.remove', worker: id }, clock.now() + REMOVE_TIMEOUT_MS).then(() => { state.removing = false })
+    })
   }
 
   const activate = async (recovered: RecoveredJournal): Promise<void> => {
@@ -224,6 +250,7 @@
       if (isActive()) {
         demand.update()
         loseSilentWorkers()
+        removeGoneWorkers()
         dispatcher.run()
         summaries.flush()
       }
--- a/src/coordination/tasks/summaries.ts
+++ b/src/coordination/tasks/summaries.ts
@@ -15,20 +15,22 @@
   attempts: Attempts
   table: TaskTable
   availabilityZone: string
+  isLogCurrent (): boolean
 }
 
 /** Brings outcomes from the journal to the agreed log, at most once a second. */
 export interface Summaries { flush (): Promise<void> }
 
-export function createSummaries ({ log, clock, logger, attempts, table, availabilityZone }: SummariesOptions): Summaries {
+export function createSummaries ({ log, clock, logger, attempts, table, availabilityZone, isLogCurrent }: SummariesOptions): Summaries {
   let nextAt = -Infinity
   let busy = false
 
+  const isOver = (task: string): boolean => isSettled(log, availabilityZone, task, isLogCurrent())
+
   const settleDone = (): void => {
     const index = log.status().appliedIndex
     attempts.recorded.forEach((_outcome, task) => {
-      const isDone = isReplica(task) ? !table.specs.has(task) : isSettled(log, task) && !table.specs.has(task)
-      if (isDone) attempts.settle(task, index)
+      if (!table.specs.has(task) && (isReplica(task) || isOver(task))) attempts.settle(task, index)
     })
   }
 
@@ -36,7 +38,7 @@
     if (busy || clock.now() < nextAt) return
     settleDone()
     const outcomes = [...attempts.recorded]
-      .filter(([task]) => !isReplica(task) && !isSettled(log, task))
+      .filter(([task]) => !isReplica(task) && !isOver(task))
       .slice(0, MAX_OUTCOMES)
       .map(([task, outcome]): [string, number, TaskOutcome] => {
         const { job, number } = parseTaskId(task)
--- a/src/coordination/tasks/workerView.ts
+++ b/src/coordination/tasks/workerView.ts
@@ -11,17 +11,21 @@
   strays: WorkerCommand[]
   /** Outcomes that are in the journal; repeated until the worker has processed them. */
   readonly acknowledged: Map<string, { task: string, attempt: number }>
+  /** The worker runs nothing and every outcome was acknowledged. */
+  isIdle (): boolean
   /** Prepares the view for the tasks of a reply. */
   observe (reply: ExchangeReply): void
 }
 
 export function createWorkerView (): WorkerView {
+  let hasOutcomes = true
   const self: WorkerView = {
     incarnation: '',
     view: new Map(),
     once: [],
     strays: [],
     acknowledged: new Map(),
+    isIdle: () => self.view.size === 0 && self.acknowledged.size === 0 && !hasOutcomes,
     observe: (reply) => {
       if (self.incarnation !== reply.incarnation) {
         self.incarnation = reply.incarnation
@@ -31,6 +35,7 @@
       }
       if (reply.full) self.view.clear()
       self.strays = []
+      hasOutcomes = reply.outcomes.length > 0
     }
   }
   return self
--- a/src/fakes/worker.ts
+++ b/src/fakes/worker.ts
@@ -199,10 +199,10 @@
     const order = promised === undefined ? 1 : compareTerms(request.term, promised.term)
     if (promised !== undefined && order < 0) return false
     if (order === 0 && request.sequence <= lastSequence) return false
-    const isFree = promised === undefined || order === 0 || now >= promised.deadline || promised.term.host === request.term.host
-    if (!isFree) return false
-    promised = { term: request.term, deadline: Math.max(order === 0 ? promised?.deadline ?? 0 : 0, now + request.grantMs) }
-    if (request.grantMs === 0) promised.deadline = now
+    // A host that moves to its own next term gives up the previous one.
+    const isOwn = order === 0 || promised?.term.host === request.term.host
+    if (promised !== undefined && !isOwn && now < promised.deadline) return false
+    promised = { term: request.term, deadline: now + request.grantMs }
     lastSequence = request.sequence
     if (request.journal !== undefined) journal = { term: request.term, note: request.journal }
     return true
--- a/src/fakes/zone.ts
+++ b/src/fakes/zone.ts
@@ -20,8 +20,8 @@
   plan?: (task: string, attempt: number) => RunPlan
   createPlacement?: () => Placement
   clock?: ManualClock
-  /** False: the workers exist and are not registered. */
-  register?: boolean
+  /** The first so many workers are registered; without it all are. */
+  registered?: number
   /** Stores that outlive a restart of the host, by host. */
   stores?: Record<string, JournalStore>
   logger?: Logger
@@ -197,7 +197,7 @@
       plan: (start) => plan(start.task, start.attempt),
       onEvent: (event) => events.push({ ...event, at: event.at / (options.clockRates?.[id] ?? 1) })
     }))
-    if (options.register !== false) await propose({ kind: 'worker.register', worker: { id, availabilityZone: ZONE, rack: `rack-${index % 2}`, capacity, url: id } })
+    if (index <= (options.registered ?? options.workers)) await propose({ kind: 'worker.register', worker: { id, availabilityZone: ZONE, rack: `rack-${index % 2}`, capacity, url: id } })
   }
   startLeader(clock, network, group.join('leader'))
   for (const id of names) await startHost(id)
--- a/test/tasks/authority.test.ts
+++ b/test/tasks/authority.test.ts
@@ -185,7 +185,7 @@
 })
 
 test('a zone without workers keeps its tasks until workers announce themselves to any host', async () => {
-  const zone = await createFakeZone({ hosts: 2, workers: 3, register: false })
+  const zone = await createFakeZone({ hosts: 2, workers: 3, registered: 0 })
   await zone.addJob({ id: 'early', tasks: 3 })
   await zone.advance(6_000)
   expect(zone.findActive()!.listTasks({ state: 'queued' })).toHaveLength(3)
@@ -199,7 +199,11 @@
 test('a lease needs a majority of every witness set that may still be in use', () => {
   const witnesses = createWitnesses([['a', 'b', 'c', 'd', 'e'], ['x', 'y', 'z']])
   const grant = (ids: string[]): void => ids.forEach((id) => witnesses.recordGrant(id, 0, 1))
-  grant(['a', 'b', 'c'])
+  grant(['a', 'b', 'x', 'y'])
+  expect(witnesses.getDeadline()).toBe(-Infinity)
+  witnesses.removeGrant('x')
+  witnesses.removeGrant('y')
+  grant(['c'])
   expect([witnesses.getDeadline(), witnesses.isNoted(1)]).toEqual([-Infinity, false])
   grant(['x', 'y'])
   expect([witnesses.getDeadline(), witnesses.isNoted(1), witnesses.isNoted(2)]).toEqual([2_475, true, false])
--- /dev/null
+++ b/test/tasks/combined.test.ts
@@ -0,0 +1,149 @@
+import { expect, test } from 'vitest'
+import type { WorkerCommand } from '../../src/coordination/tasks/index.js'
+import { createFakeZone, FAKE_CAPACITY, ZONE, type FakeZone } from '../../src/fakes/zone.js'
+import { findUnfinished, findViolations } from '../fuzz/taskOracle.js'
+
+const START_MS = 6_000
+
+async function startZone (runMs: number, more: Partial<Parameters<typeof createFakeZone>[0]> = {}): Promise<{ zone: FakeZone, holder: string, standbys: string[] }> {
+  const zone = await createFakeZone({ hosts: 3, workers: 5, plan: () => ({ runMs, result: 'succeeded' }), ...more })
+  await zone.advance(START_MS)
+  const holder = zone.listActive()[0]!
+  return { zone, holder, standbys: [...zone.hosts.keys()].filter((host) => host !== holder) }
+}
+
+function cutBoth (zone: FakeZone, left: string, rights: string[]): void {
+  rights.forEach((right) => {
+    zone.network.cut(left, right)
+    zone.network.cut(right, left)
+  })
+}
+
+async function expectFinished (zone: FakeZone, ms: number): Promise<void> {
+  await zone.advance(ms)
+  expect([...findViolations(zone), ...findUnfinished(zone)]).toEqual([])
+}
+
+const countStarts = (zone: FakeZone): number => zone.events.filter((event) => event.kind === 'started').length
+
+test('a coordinator that keeps only a minority of the workers lets their leases run out', async () => {
+  const { zone, holder, standbys } = await startZone(60_000)
+  await zone.addJob({ id: 'a', tasks: 4, size: { cores: 1, memoryBytes: 1e8, accelerators: 0 } })
+  await zone.advance(3_000)
+  const [worker] = [...new Set(zone.events.map((event) => event.worker))]
+  const others = [...zone.workers.keys()].filter((id) => id !== worker)
+  cutBoth(zone, holder, [...standbys, ...others, 'leader'])
+  cutBoth(zone, worker!, standbys)
+  zone.setLogReachable(holder, false)
+  await zone.advance(40_000)
+  expect(countStarts(zone)).toBe(8)
+  zone.network.healAll()
+  zone.setLogReachable(holder, true)
+  await expectFinished(zone, 70_000)
+})
+
+test('an outcome is acknowledged only when the journal has it, so that a crash cannot lose it', async () => {
+  const { zone, holder, standbys } = await startZone(3_000)
+  await zone.addJob({ id: 'once', tasks: 6, idempotent: false })
+  while (!zone.events.some((event) => event.kind === 'ended')) await zone.advance(10)
+  // The journal cannot be replicated from here on, and the host dies before it gives up its peers.
+  cutBoth(zone, holder, standbys)
+  await zone.advance(1_150)
+  zone.crashHost(holder)
+  await expectFinished(zone, 40_000)
+  expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([6, Array(6).fill('succeeded')])
+})
+
+test('a start is sent only when another host has it in its journal, so that no crash can hide it', async () => {
+  const { zone, holder, standbys } = await startZone(3_000)
+  cutBoth(zone, holder, standbys)
+  await zone.addJob({ id: 'once', tasks: 6, idempotent: false, urgent: true })
+  await zone.advance(1_100)
+  expect(countStarts(zone)).toBe(0)
+  zone.crashHost(holder)
+  await expectFinished(zone, 40_000)
+  expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([6, Array(6).fill('succeeded')])
+})
+
+test('a host whose copy of the log is old does not start what has ended in the meantime', async () => {
+  const { zone, holder, standbys } = await startZone(1_000)
+  await zone.addJob({ id: 'a', tasks: 3 })
+  await zone.advance(100)
+  standbys.forEach((id) => zone.setLogReachable(id, false))
+  await zone.advance(8_000)
+  expect(Object.values(zone.log.state().jobs.a!.outcomes)).toHaveLength(3)
+  cutBoth(zone, 'leader', [...zone.hosts.keys()])
+  zone.crashHost(holder)
+  await zone.advance(20_000)
+  expect([zone.findActive()!.listTasks({}).map((view) => view.state), countStarts(zone)]).toEqual([['held', 'held', 'held'], 3])
+  zone.network.healAll()
+  standbys.forEach((id) => zone.setLogReachable(id, true))
+  await expectFinished(zone, 5_000)
+  expect(countStarts(zone)).toBe(3)
+})
+
+test('the outcome of a job that the next coordinator has not heard of yet is kept until it has', async () => {
+  const { zone, holder, standbys } = await startZone(1_000)
+  standbys.forEach((id) => zone.setLogReachable(id, false))
+  await zone.advance(500)
+  await zone.addJob({ id: 'once', tasks: 3, idempotent: false })
+  zone.setLogReachable(holder, false)
+  await zone.advance(5_000)
+  expect([countStarts(zone), zone.log.state().jobs.once!.outcomes]).toEqual([3, {}])
+  cutBoth(zone, 'leader', [...zone.hosts.keys()])
+  zone.crashHost(holder)
+  await zone.advance(20_000)
+  zone.network.healAll()
+  standbys.forEach((id) => zone.setLogReachable(id, true))
+  await expectFinished(zone, 10_000)
+  expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([3, Array(3).fill('succeeded')])
+})
+
+test('an attempt that no record accounts for is stopped, and its task runs once', async () => {
+  const zone = await createFakeZone({ hosts: 2, workers: 2, plan: () => ({ runMs: 30_000, result: 'succeeded' }) })
+  const worker = zone.workers.get('w1')!
+  const term = { epoch: 0, round: 0, host: 'old' }
+  const request = { term, sequence: 1, grantMs: 10, taskLeaseMs: 600_000, commands: [], acknowledged: [] }
+  const { incarnation, reply } = worker.handle(request)
+  const start: WorkerCommand = {
+    kind: 'start', task: 'gone/0', attempt: 1, token: { epoch: 0, sequence: 1 }, member: 'parish', jobClass: 'match', command: '', cores: 1, memoryBytes: 1, accelerators: 0
+  }
+  worker.handle({ ...request, sequence: 2, seen: { incarnation, reply }, commands: [start] })
+  await zone.advance(12_000)
+  expect([worker.listTasks(), zone.events.at(-1)!.result]).toEqual([[], 'stopped'])
+})
+
+test('a zone that is split while its witness set changes has one coordinator', async () => {
+  const { zone, holder, standbys } = await startZone(60_000, { workers: 9, registered: 3 })
+  await zone.addJob({ id: 'a', tasks: 3 })
+  await zone.advance(3_000)
+  const old = ['w1', 'w2', 'w3']
+  const added = ['w4', 'w5', 'w6', 'w7', 'w8', 'w9']
+  // The coordinator keeps all of its workers; the others see only the workers that register now.
+  cutBoth(zone, holder, [...standbys, ...added, 'leader'])
+  zone.setLogReachable(holder, false)
+  standbys.forEach((host) => cutBoth(zone, host, old))
+  for (const id of added) await zone.propose({ kind: 'worker.register', worker: { id, availabilityZone: ZONE, rack: 'r', capacity: FAKE_CAPACITY, url: id } })
+  for (let second = 0; second < 40; second++) {
+    await zone.advance(1_000)
+    expect(zone.listActive()).toEqual([holder])
+  }
+  zone.network.healAll()
+  zone.setLogReachable(holder, true)
+  await expectFinished(zone, 70_000)
+  expect(countStarts(zone)).toBe(3)
+})
+
+test('workers that left or were silent for ten minutes leave the witness set, and may return', async () => {
+  const { zone } = await startZone(1_000)
+  zone.workers.get('w1')!.setLeaving()
+  zone.crashWorker('w2')
+  await zone.advance(6_000)
+  expect(Object.keys(zone.log.state().workers)).toEqual(['w2', 'w3', 'w4', 'w5'])
+  await zone.advance(600_000)
+  expect(Object.keys(zone.log.state().workers)).toEqual(['w3', 'w4', 'w5'])
+  zone.restartWorker('w2')
+  const back = zone.hosts.get('h1')!.coordinator!.registerWorker({ id: 'w2', availabilityZone: ZONE, rack: 'other', capacity: FAKE_CAPACITY, url: 'w2' })
+  await zone.advance(8_000)
+  expect([await back, zone.findActive()!.status().workers]).toEqual([true, { up: 4, known: 4 }])
+})
