Defer a cancellation while a task may be out of sight

Change: such a cancellation waits until the task can no longer be running or have ended unseen; a task that must not run twice then becomes unknown. Commands are composed from the attempts that need one, strays are looked for only when a reply can contain one, and the lease is computed again only when the last result has run out.

--- a/src/coordination/authority/witnesses.ts
+++ b/src/coordination/authority/witnesses.ts
@@ -7,6 +7,7 @@
   removeGrant (worker: string): void
   /** Until when a majority of each set is held; `-Infinity` without one. */
   getDeadline (): number
+  isHeld (now: number): boolean
   /** A majority of each set holds this version of the journal note. */
   isNoted (version: number): boolean
   setSets (sets: string[][]): void
@@ -17,28 +18,30 @@
 export function createWitnesses (initialSets: string[][]): Witnesses {
   const grants = new Map<string, Grant>()
   let sets = initialSets
-  // The deadline is asked for far more often than a grant arrives.
-  let deadline: number | undefined
+  // A grant only extends the lease, so a former result stays good until it is reached.
+  let heldUntil = -Infinity
+
+  const getDeadline = (): number => Math.min(...sets.map((set) => findMajorityValue(set, (worker) => grants.get(worker)?.deadline)))
 
   return {
     recordGrant: (worker, sentAt, noted) => {
       const granted = sentAt + GRANT_MS * (1 - CLOCK_RATE_BOUND)
       const known = grants.get(worker)?.deadline ?? -Infinity
       grants.set(worker, { deadline: Math.max(granted, known), noted })
-      deadline = undefined
     },
     removeGrant: (worker) => {
       grants.delete(worker)
-      deadline = undefined
+      heldUntil = -Infinity
     },
-    getDeadline: () => {
-      deadline ??= Math.min(...sets.map((set) => findMajorityValue(set, (worker) => grants.get(worker)?.deadline)))
-      return deadline
+    getDeadline,
+    isHeld: (now) => {
+      if (heldUntil <= now) heldUntil = getDeadline()
+      return heldUntil > now
     },
     isNoted: (version) => sets.every((set) => findMajorityValue(set, (worker) => grants.get(worker)?.noted) >= version),
     setSets: (next) => {
       sets = next
-      deadline = undefined
+      heldUntil = -Infinity
     }
   }
 }
--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -1,9 +1,8 @@
-import type { Clock, Logger } from '../../common/index.js'
 import type { Resources, TaskOutcome } from '../../state/index.js'
-import type { Observation } from '../placement/types.js'
-import type { AttemptOutcome, CoordinatorTerm, ExchangeReply, ExchangeRequest, WorkerCommand } from './exchange.js'
+import type { AttemptOutcome, ExchangeReply, ExchangeRequest, WorkerCommand } from './exchange.js'
+import type { Attempts, AttemptsOptions } from './attemptTypes.js'
 import { applyRecord, type JournalEntry, type JournalRecord } from './journal.js'
-import { addResources, isReplica, type TaskSpec, type TaskState, type TaskTable } from './table.js'
+import { addResources, isReplica, type TaskSpec, type TaskState } from './table.js'
 import { createStartCommands } from './startCommand.js'
 import { createWorkerView, type WorkerView } from './workerView.js'
 
@@ -13,52 +12,6 @@
 /** Sequence numbers of one round; a later round of the same epoch starts above them. */
 const SEQUENCES_PER_ROUND = 1e9
 
-export interface AttemptsOptions {
-  table: TaskTable
-  clock: Clock
-  term: CoordinatorTerm
-  logger: Logger
-  observe (observation: Observation): void
-  /** Tells the placement of a task as soon as it may be started. */
-  announce (spec: TaskSpec): void
-  /** Resolves when the records are in the journal, to false when the term has ended before that. */
-  append (records: JournalRecord[]): Promise<boolean>
-  /** A start that must not be repeated is recorded on a second host or on a synced disk. */
-  isDurable (): boolean
-  wakeWorker (worker: string): void
-  /** Attempts of tasks without an entry are numbered from here. */
-  firstAttempt: number
-  /** The journal was lost, so a worker's report of an unknown attempt is evidence. */
-  acceptsUnknown (task: string): boolean
-  /** The log was read recently, so a task without a job is really over. */
-  isLogCurrent (): boolean
-}
-
-/** Carries out and follows the attempts of one coordinator's term. */
-export interface Attempts {
-  start (spec: TaskSpec, worker: string, incarnation: string, size: Resources): void
-  evict (entry: JournalEntry): void
-  cancel (spec: TaskSpec): void
-  throttle (task: string, share: number): void
-  checkpoint (task: string): void
-  /** Takes in what a worker that granted this term reported. */
-  handleReply (worker: string, reply: ExchangeReply, request: ExchangeRequest): void
-  composeCommands (worker: string): { commands: WorkerCommand[], acknowledged: Array<{ task: string, attempt: number }> }
-  /** The leases of everything on the worker have run out. */
-  loseWorker (worker: string): void
-  /** Ends a task without an attempt, as when it can never run. */
-  end (spec: TaskSpec, outcome: TaskOutcome): void
-  sumPromised (worker: string): Resources
-  /** Nothing runs on the worker and every outcome was acknowledged. */
-  isIdle (worker: string): boolean
-  describeState (task: string): TaskState
-  /** Outcomes that are in the journal and may go to the agreed log. */
-  readonly recorded: Map<string, TaskOutcome>
-  settle (task: string, index: number): void
-  /** Removes what is left of a task that this zone owns no longer. */
-  abandon (spec: TaskSpec): void
-}
-
 const NOTHING: Resources = { cores: 0, memoryBytes: 0, accelerators: 0 }
 
 export function createAttempts (options: AttemptsOptions): Attempts {
@@ -72,17 +25,22 @@
   const unrecordedEnds = new Set<string>()
   let sequence = 0
 
-  journal.entries.forEach((entry) => {
-    if (entry.state === 'started' || entry.state === 'stopping') ready.add(formatKey(entry))
-    if (entry.outcome !== undefined) recorded.set(entry.task, entry.outcome)
-  })
-
   const getWorker = (worker: string): WorkerView => {
     const known = workers.get(worker) ?? createWorkerView()
     workers.set(worker, known)
     return known
   }
 
+  const setReady = (worker: string, entry: { task: string, attempt: number }): void => {
+    ready.add(formatKey(entry))
+    getWorker(worker).due.add(entry.task)
+  }
+
+  journal.entries.forEach((entry) => {
+    if (entry.worker !== undefined) setReady(entry.worker, entry)
+    if (entry.outcome !== undefined) recorded.set(entry.task, entry.outcome)
+  })
+
   /** Applies the records here at once and runs `next` when the journal group has them. */
   const record = (records: JournalRecord[], next: () => void): void => {
     records.forEach((item) => {
@@ -101,7 +59,7 @@
     observe({ kind: 'task-started', task, worker })
     record([{ kind: 'start', ...entry }], () => {
       if (entry.once && !options.isDurable()) return undo(entry)
-      ready.add(formatKey(entry))
+      setReady(worker, entry)
       logger.info('task-start', { task: task.id, attempt, worker })
       if (task.urgent) options.wakeWorker(worker)
     })
@@ -155,11 +113,10 @@
     const { task, attempt, worker } = entry
     if (worker === undefined || entry.purpose === 'cancel' || entry.purpose === purpose) return
     observe({ kind: 'task-stopping', task })
-    const key = formatKey(entry)
     // Until the stop is in the journal too, nothing is sent; a start that was not sent yet is not needed any more.
     record([{ kind: 'stop', task, attempt, purpose }], () => {
       if (!isCurrent(entry)) return
-      ready.add(key)
+      setReady(worker, entry)
       options.wakeWorker(worker)
     })
   }
@@ -216,7 +173,7 @@
     const { size, idempotent } = spec.task
     const { incarnation } = getWorker(worker)
     observe({ kind: 'task-started', task: spec.task, worker })
-    record([{ kind: 'start', task, attempt, token, worker, incarnation, size, once: !idempotent }], () => { ready.add(`${task}#${attempt}`) })
+    record([{ kind: 'start', task, attempt, token, worker, incarnation, size, once: !idempotent }], () => setReady(worker, { task, attempt }))
     if (spec.cancelled) cancel(spec)
   }
 
@@ -236,16 +193,20 @@
       if (known.view.get(outcome.task)?.attempt === outcome.attempt) known.view.delete(outcome.task)
       handleOutcome(worker, outcome)
     })
-    known.view.forEach(({ attempt, state }, task) => checkStray(worker, task, attempt, state))
-    endMissing(worker, reply)
+    const mayHaveStrays = reply.full || reply.tasks.length > 0 || known.hadStrays
+    known.hadStrays = false
+    if (mayHaveStrays) known.view.forEach(({ attempt, state }, task) => checkStray(worker, task, attempt, state))
+    // A new process always answers with a full list.
+    if (reply.full) endMissing(worker, reply)
   }
 
   /** Stops an attempt that this coordinator does not account for on the worker. */
   const checkStray = (worker: string, task: string, attempt: number, state: string): void => {
     const entry = journal.entries.get(task)
-    const isKnown = entry !== undefined && entry.attempt === attempt && entry.worker === worker
+    if (entry !== undefined && entry.attempt === attempt && entry.worker === worker) return
+    getWorker(worker).hadStrays = true
     const isUndecided = entry === undefined && !options.isLogCurrent()
-    if (isKnown || isUndecided || state === 'stopping') return
+    if (isUndecided || state === 'stopping') return
     const token = { epoch: term.epoch, sequence: term.round * SEQUENCES_PER_ROUND }
     getWorker(worker).strays.push({ kind: 'stop', task, attempt, token, checkpoint: false })
   }
@@ -282,13 +243,20 @@
 
   const composeCommands: Attempts['composeCommands'] = (worker) => {
     const known = getWorker(worker)
-    const commands = table.listOn(worker).flatMap((entry): WorkerCommand[] => {
-      const { task, attempt, token } = entry
-      if (token === undefined || !ready.has(formatKey(entry))) return []
+    const commands = [...known.due].flatMap((task): WorkerCommand[] => {
+      const entry = journal.entries.get(task)
       const seen = known.view.get(task)
-      const isSeen = seen?.attempt === attempt
-      if (entry.state === 'started') return isSeen ? [] : createStartCommands(entry, specs.get(task))
-      return isSeen && seen.state === 'stopping' ? [] : [{ kind: 'stop', task, attempt, token, checkpoint: entry.purpose === 'evict' }]
+      const isSeen = entry !== undefined && seen?.attempt === entry.attempt
+      const isDone = isSeen && (entry.state === 'started' || seen?.state === 'stopping')
+      if (entry?.token === undefined || entry.worker !== worker || isDone) {
+        known.due.delete(task)
+        return []
+      }
+      const { attempt, token, purpose } = entry
+      if (!ready.has(formatKey(entry))) return []
+      return entry.state === 'started'
+        ? createStartCommands(entry, specs.get(task))
+        : [{ kind: 'stop', task, attempt, token, checkpoint: purpose === 'evict' }]
     })
     const once = known.once
     known.once = []
--- a/src/coordination/tasks/demand.ts
+++ b/src/coordination/tasks/demand.ts
@@ -1,7 +1,7 @@
 import type { Clock } from '../../common/index.js'
 import { findOwner, type AgreedLog, type Entry } from '../../state/index.js'
 import type { Placement } from '../placement/types.js'
-import type { Attempts } from './attempts.js'
+import type { Attempts } from './attemptTypes.js'
 import type { JournalRecord } from './journal.js'
 import { WORKER_LOST_MS } from './leases.js'
 import { isReplica, parseTaskId, type TaskSpec, type TaskTable } from './table.js'
@@ -41,6 +41,8 @@
   const startedAt = clock.now()
   const jobs = new Set<string>()
   const services = new Set<string>()
+  // Cancelled tasks that may be running or may have ended out of sight.
+  const deferred = new Set<TaskSpec>()
   let fullSyncAt = -Infinity
   let readAt = -Infinity
   // In a rebuilt table: tasks up to this index may have been started by an earlier coordinator.
@@ -72,7 +74,7 @@
       else if (entry?.state !== 'final') options.announce(spec)
       if (entry?.state === 'stopping') placement.observe({ kind: 'task-stopping', task: spec.task.id }, clock.now())
     })
-    cancelled.forEach((spec) => attempts.cancel(spec))
+    cancelled.forEach((spec) => deferred.add(spec))
   }
 
   const syncAll = (): void => {
@@ -100,6 +102,17 @@
     jobs.clear()
     services.clear()
     if (table.journal.incomplete) resolveRebuilt()
+    cancelDeferred()
+  }
+
+  const cancelDeferred = (): void => {
+    deferred.forEach((spec) => {
+      const entry = table.journal.entries.get(spec.task.id)
+      const isPlaced = entry !== undefined && entry.state !== 'idle'
+      if (!isPlaced && isHeld(spec) && table.specs.has(spec.task.id)) return
+      deferred.delete(spec)
+      if (table.specs.has(spec.task.id)) attempts.cancel(spec)
+    })
   }
 
   /** Ends the uncertainty after a lost journal, when nothing that was started before can be running unseen. */
--- a/src/coordination/tasks/dispatcher.ts
+++ b/src/coordination/tasks/dispatcher.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger } from '../../common/index.js'
 import type { AgreedLog, Worker } from '../../state/index.js'
 import type { Decision, Placement } from '../placement/types.js'
-import type { Attempts } from './attempts.js'
+import type { Attempts } from './attemptTypes.js'
 import type { ExchangeReply } from './exchange.js'
 import { applyRecord } from './journal.js'
 import type { JournalWriter } from './journalWriter.js'
--- a/src/coordination/tasks/journalWriter.ts
+++ b/src/coordination/tasks/journalWriter.ts
@@ -121,12 +121,16 @@
 
   const isInStep = (peer: Peer): boolean => peer.hasSnapshot && (peer === own || clock.now() - peer.heardAt < OUT_OF_STEP_MS)
 
+  const confirmNote = (note: JournalNote | undefined): void => {
+    const isConfirmed = confirmed && notes.length === 1
+    if (note === undefined || isConfirmed || !options.isNoted(note.version)) return
+    notes = [note]
+    confirmed = true
+  }
+
   const updateNote = (): void => {
     const note = getNote()
-    if (note !== undefined && options.isNoted(note.version)) {
-      notes = [note]
-      confirmed = true
-    }
+    confirmNote(note)
     const inStep = peers.filter(isInStep).map((peer) => peer.host)
     const witnesses = options.countWitnesses()
     const isSame = inStep.length === note?.hosts.length && inStep.every((host) => note.hosts.includes(host)) && witnesses === note.witnesses
--- a/src/coordination/tasks/session.ts
+++ b/src/coordination/tasks/session.ts
@@ -81,7 +81,7 @@
     options.onEnd()
   }
 
-  const isActive = (): boolean => phase === 'active' && witnesses.getDeadline() > clock.now()
+  const isActive = (): boolean => phase === 'active' && witnesses.isHeld(clock.now())
 
   /** Workers that were removed are confirmed to be gone, so they count in no set. */
   const updateSets = (): void => {
@@ -135,7 +135,7 @@
   /** A single worker may hold a promise to a coordinator that has failed since, so it does not end this term alone. */
   const checkOverruled = (promised: CoordinatorTerm): void => {
     options.onTerm(promised)
-    if (witnesses.getDeadline() > clock.now()) return
+    if (witnesses.isHeld(clock.now())) return
     if (phase === 'active' || clock.now() > startedAt + CLAIM_PATIENCE_MS) finish('a higher term holds the workers')
   }
 
@@ -276,7 +276,7 @@
   const run = async (): Promise<void> => {
     updateSets()
     syncWorkers()
-    while (!signal.aborted && witnesses.getDeadline() <= clock.now()) {
+    while (!signal.aborted && !witnesses.isHeld(clock.now())) {
       await clock.sleep(20, signal)
       syncWorkers()
       updateSets()
--- a/src/coordination/tasks/summaries.ts
+++ b/src/coordination/tasks/summaries.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger } from '../../common/index.js'
 import type { AgreedLog, Entry, TaskOutcome } from '../../state/index.js'
-import type { Attempts } from './attempts.js'
+import type { Attempts } from './attemptTypes.js'
 import { isSettled } from './demand.js'
 import { isReplica, parseTaskId, type TaskTable } from './table.js'
 
--- a/src/coordination/tasks/workerLink.ts
+++ b/src/coordination/tasks/workerLink.ts
@@ -38,7 +38,7 @@
 
   const run = async (): Promise<void> => {
     while (!signal.aborted) {
-      controller = new AbortController()
+      if (controller.signal.aborted) controller = new AbortController()
       const sentAt = clock.now()
       const request = options.compose()
       const result = await client.exchange(worker.url, request, sentAt + EXCHANGE_TIMEOUT_MS)
--- a/src/coordination/tasks/workerView.ts
+++ b/src/coordination/tasks/workerView.ts
@@ -5,10 +5,14 @@
   incarnation: string
   /** Attempts that the worker reported, by task. */
   readonly view: Map<string, { attempt: number, state: 'running' | 'stopping' | 'throttled' }>
+  /** Tasks whose start or stop may have to be sent; all others need nothing. */
+  readonly due: Set<string>
   /** Commands that are sent once, because a repetition has no use. */
   once: WorkerCommand[]
   /** Stops of attempts that the coordinator does not account for. */
   strays: WorkerCommand[]
+  /** Such attempts were found and may still be there. */
+  hadStrays: boolean
   /** Outcomes that are in the journal; repeated until the worker has processed them. */
   readonly acknowledged: Map<string, { task: string, attempt: number }>
   /** The worker runs nothing and every outcome was acknowledged. */
@@ -22,8 +26,10 @@
   const self: WorkerView = {
     incarnation: '',
     view: new Map(),
+    due: new Set(),
     once: [],
     strays: [],
+    hadStrays: false,
     acknowledged: new Map(),
     isIdle: () => self.view.size === 0 && self.acknowledged.size === 0 && !hasOutcomes,
     observe: (reply) => {
--- a/test/tasks/combined.test.ts
+++ b/test/tasks/combined.test.ts
@@ -99,6 +99,24 @@
   expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([3, Array(3).fill('succeeded')])
 })
 
+test('a cancellation after the journal was lost does not hide that a task has run', async () => {
+  const { zone } = await startZone(1_000, { hosts: 2 })
+  await zone.addJob({ id: 'once', tasks: 2, idempotent: false })
+  zone.hosts.forEach((_, id) => zone.setLogReachable(id, false))
+  cutBoth(zone, 'leader', [...zone.hosts.keys()])
+  await zone.advance(5_000)
+  expect(countStarts(zone)).toBe(2)
+  for (const id of zone.hosts.keys()) zone.crashHost(id)
+  await zone.propose({ kind: 'job.cancel', job: 'once', member: 'parish' })
+  zone.network.healAll()
+  for (const id of zone.hosts.keys()) {
+    zone.setLogReachable(id, true)
+    await zone.startHost(id)
+  }
+  await expectFinished(zone, 40_000)
+  expect(Object.values(zone.log.state().jobs.once!.outcomes)).toEqual(['unknown', 'unknown'])
+})
+
 test('an attempt that no record accounts for is stopped, and its task runs once', async () => {
   const zone = await createFakeZone({ hosts: 2, workers: 2, plan: () => ({ runMs: 30_000, result: 'succeeded' }) })
   const worker = zone.workers.get('w1')!
