--- a/src/coordination/tasks/activeTerm.ts
+++ b/src/coordination/tasks/activeTerm.ts
@@ -2,7 +2,8 @@
 import type { AgreedLog, Policy, ZoneAuthority } from '../../state/index.js'
 import type { Witnesses } from '../authority/witnesses.js'
 import type { Placement } from '../placement/types.js'
-import { createAttempts, type Attempts } from './attempts.js'
+import { createAttempts } from './attempts.js'
+import type { Attempts } from './attemptTypes.js'
 import { createDemand, type Demand } from './demand.js'
 import { createDispatcher, type Dispatcher, type KnownWorker } from './dispatcher.js'
 import type { CoordinatorTerm } from './exchange.js'
@@ -79,13 +80,25 @@
     // Attempts of a lost journal must not be taken for new ones.
     firstAttempt: complete ? 1 : term.epoch * 1e6 + term.round * 1e3 + 1,
     observe: (observation) => placement.observe(observation, clock.now()),
+    announce: (spec) => dispatcher.announce(spec),
     append: writer.append,
     isDurable: writer.isDurable,
     wakeWorker: options.wakeWorker,
     acceptsUnknown: () => state.incomplete,
     isLogCurrent: () => demand.isLogCurrent()
   })
-  const demand = createDemand({ log, table, attempts, placement, clock, signal, areWorkersKnown: options.areWorkersKnown, record, onChange: options.onDemand })
+  const demand = createDemand({
+    log,
+    table,
+    attempts,
+    placement,
+    clock,
+    signal,
+    record,
+    areWorkersKnown: options.areWorkersKnown,
+    onChange: options.onDemand,
+    announce: (spec) => dispatcher.announce(spec)
+  })
   const dispatcher = createDispatcher({
     clock,
     logger,
@@ -98,6 +111,6 @@
     isHeld: demand.isHeld,
     findWorker: options.findWorker
   })
-  const summaries = createSummaries({ log, clock, logger, attempts, table, availabilityZone })
+  const summaries = createSummaries({ log, clock, logger, attempts, table, availabilityZone, isLogCurrent: demand.isLogCurrent })
   return { table, attempts, writer, placement, demand, dispatcher, summaries }
 }
