--- a/src/fakes/placementModel.ts
+++ b/src/fakes/placementModel.ts
@@ -9,8 +9,10 @@
 const OFFERED_LOAD = 0.9
 /** Work that waits at the start, as the time for which it fills the workers. */
 const FIRST_WORK_MS = 60_000
+const EXCHANGE_MS = 1000
 const STOP_MS = 2000
 const CHECKPOINT_MS = 3000
+const SETTLING_MS = 60_000
 const TASK_LEASE_MS = 15_000
 
 /** What happens during a run, by virtual time. */
@@ -33,6 +35,8 @@
   scenario: ModelScenario
   truth: Truth
   durationMs: number
+  /** The start of all replicas is not judged; 60 s when absent. */
+  settlingMs?: number
 }
 
 /** What the oracle may see and a real policy may not. */
@@ -79,7 +83,7 @@
   const timers: Array<{ at: number, run: () => void }> = []
   let now = 0
 
-  const latency = createModelLatency(truth, scenario, workers)
+  const latency = createModelLatency(truth, scenario, workers, options.settlingMs ?? SETTLING_MS)
   const placement = createPolicy({ truth, tasks, workers, getLoad: (service) => latency.getLoad(service, now) })
   const observe = (observation: Observation): void => {
     const started = performance.now()
@@ -88,6 +92,8 @@
   }
   const schedule = (delayMs: number, run: () => void): void => { timers.push({ at: now + delayMs, run }) }
 
+  // Each worker is exchanged with once a second, so its commands arrive in order.
+  const computeExchangeDelay = (worker: string): number => EXCHANGE_MS - (now + (byId.get(worker)?.phase ?? 0)) % EXCHANGE_MS
   const submit = (known: TaskTruth): void => {
     tasks.set(known.task.id, { ...known, state: 'queued', worker: undefined, progressMs: 0, checkpointMs: 0, checkpointAt: 0, share: 1, queuedAt: now, startedAt: 0, attempt: 0, cancelled: false, promise: known.task.size })
     observe({ kind: 'task-queued', task: known.task })
@@ -134,7 +140,7 @@
     observe({ kind: 'task-started', task: task.task, worker: worker.id })
     const attempt = task.attempt
     // Urgent starts are sent at once, others with the exchange of each second.
-    schedule(task.task.urgent ? 50 : random.below(1000), () => {
+    schedule(task.task.urgent ? 50 : computeExchangeDelay(worker.id), () => {
       if (task.attempt !== attempt || task.state !== 'starting') return
       const end = startOnWorker(worker, task, now)
       if (end === 'refused') {
@@ -154,7 +160,7 @@
 
   const handlers: { [K in Decision['kind']]: (decision: Extract<Decision, { kind: K }>) => void } = {
     start: applyStart,
-    throttle: ({ task, share }) => schedule(random.below(1000), () => { const known = tasks.get(task); if (known !== undefined) known.share = share }),
+    throttle: ({ task, worker, share }) => schedule(computeExchangeDelay(worker), () => { const known = tasks.get(task); if (known !== undefined) known.share = share }),
     checkpoint: ({ task }) => {
       const known = tasks.get(task)
       const attempt = known?.attempt
--- a/src/fakes/placementModelLatency.ts
+++ b/src/fakes/placementModelLatency.ts
@@ -6,14 +6,14 @@
 
 const REPORT_EVERY_MS = 2000
 const WINDOW_MS = 10_000
-/** The start of all replicas is not judged. */
-const SETTLING_MS = 60_000
 const LATENCY_NOISE = 0.08
 const USAGE_NOISE = 0.05
 const LOST_REPORTS = 0.05
 const DUPLICATED_REPORTS = 0.02
 const REQUESTS_PER_REPORT = 400
 const TAIL = 0.01
+/** Counted for a service that has no running replica. */
+const UNSERVED_RATIO = 10
 
 export interface WindowP99 { service: number, window: number, p99Ms: number, objectiveMs: number }
 
@@ -24,7 +24,7 @@
 }
 
 /** True latency of the replicas, and late, noisy reports of it. */
-export function createModelLatency (truth: Truth, scenario: ModelScenario, workers: ModelWorker[]): ModelLatency {
+export function createModelLatency (truth: Truth, scenario: ModelScenario, workers: ModelWorker[], settlingMs: number): ModelLatency {
   const sums = new Map<string, { service: number, window: number, total: number, steps: number }>()
   const replicaCounts = truth.services.map(() => 0)
   const wanted = truth.services.map(() => 0)
@@ -51,7 +51,7 @@
         if (isReportDue(task, now)) sendUsage(task, worker)
       }
     }
-    if (now >= SETTLING_MS) tails.forEach((replicas, service) => { if (replicas.length > 0) addToWindow(service, now, computeMixtureP99(replicas)) })
+    if (now >= settlingMs) tails.forEach((replicas, service) => addToWindow(service, now, computeServiceP99(truth.services[service] as ServiceTruth, replicas)))
 
     function send (observation: Observation): void {
       if (random.next() < LOST_REPORTS) return
@@ -97,6 +97,10 @@
   return (other.serviceIndex < 0 ? truth.interference[service]?.[other.classIndex] : truth.serviceInterference[service]?.[other.serviceIndex]) as number
 }
 
+function computeServiceP99 (service: ServiceTruth, replicas: number[]): number {
+  return replicas.length > 0 ? computeMixtureP99(replicas) : service.objectiveMs * UNSERVED_RATIO
+}
+
 /** p99 over all requests when each replica has an exponential tail and an equal part of the requests. */
 export function computeMixtureP99 (replicas: number[]): number {
   let low = Math.min(...replicas)
--- a/src/fakes/placementModelWorker.ts
+++ b/src/fakes/placementModelWorker.ts
@@ -25,6 +25,8 @@
   capacity: Resources
   up: boolean
   failing: boolean
+  /** Offset of its exchanges, ms. */
+  phase: number
   tasks: Set<ModelTask>
   /** Cores wanted for each core there is. */
   overload: number
@@ -39,7 +41,7 @@
 export function createModelWorker (deployment: ModelDeployment, index: number, failing: boolean): ModelWorker {
   // The failing workers are spread over the racks by a stride that has no factor in common with the rack sizes.
   const rack = `rack-${Math.floor((failing ? (index * 13) % deployment.workers : index) / deployment.rackSize)}`
-  return { id: `worker-${index}`, rack, capacity: deployment.capacity, up: true, failing, tasks: new Set(), overload: 0 }
+  return { id: `worker-${index}`, rack, capacity: deployment.capacity, up: true, failing, phase: (index * 137) % 1000, tasks: new Set(), overload: 0 }
 }
 
 /** A worker's guard refuses a task whose true memory does not fit. */
