Add the routing bench and keep slots from moving to and fro

Cause: with waiting requests the hosts reserved free slots for wants that were not claimed, polled every home each 15 ms, and gave up requests after half of a short remaining time, each of which then occupied a second slot. Change: free slots are always lent; a home offers freed slots instead of being polled; spare slots move only with renewals; silence is at least four times the expected time; the slot of a late request is freed by its answer. The bench runs its load phases in virtual time, since the machine's load changed them.

--- /dev/null
+++ b/src/bench/routingScenario.ts
@@ -0,0 +1,158 @@
+import { build, type Histogram } from 'hdr-histogram-js'
+import { createNoMetrics, createRandom, createSilentLogger, createManualClock, type Clock, type ManualClock, type Random } from '../common/index.js'
+import { createRouter, type ExecutorClient, type ExecutorConnection, type RequestOutcome, type RoutedRequest, type Router } from '../coordination/routing/index.js'
+import { createFakeExecutor, createFakeExecutorClient, startAnnouncer, WORK_HEADER, type FakeExecutor } from '../fakes/executor.js'
+import { createGate, createRoutingNetwork } from '../fakes/routingNetwork.js'
+import { DEFAULT_PRESETS, type Policy, type Service } from '../state/index.js'
+
+export const BENCH_SERVICE = 'desk'
+const ZONES = ['cerro-alegre', 'cerro-baron', 'almendral']
+const HOSTS_PER_ZONE = 2
+const SLOTS = 8
+const CONNECTIONS = 60
+const ZONE_DELAY_MS = 1
+const CONNECT_MS = 0.1
+const WARM_UP_SHARE = 0.25
+const STEP_MS = 50
+
+export interface Subject { route (request: RoutedRequest): Promise<RequestOutcome>, stop (): Promise<void> }
+export interface Load { name: string, requestsPerSecond: number, durationMs: number, member?: string, idempotent?: boolean }
+/** `good` counts whole answers below 500 within the deadline; `goodput` those of them that end within the window, per second. */
+export interface Measured { histogram: Histogram, sent: number, good: number, failed: number, goodput: number }
+export interface Scenario { executors: FakeExecutor[], clock: ManualClock }
+
+/** Service times are exponential with a floor, so that the tail of a healthy set is not flat. */
+export function createExecutors (clock: Clock, random: Random, count: number, meanMs: number): FakeExecutor[] {
+  return Array.from({ length: count }, (_, index) => {
+    const executor = createFakeExecutor({ clock, id: `e${index}`, service: BENCH_SERVICE, availabilityZone: ZONES[index % ZONES.length] as string, slots: SLOTS, connections: CONNECTIONS })
+    executor.behaviour.serviceMs = () => meanMs * (0.5 - 0.5 * Math.log(1 - random.next()))
+    return executor
+  })
+}
+
+/** The routers of the first deployment in one process, with messages in memory. */
+export async function startRouters (scenario: Scenario, seed: number): Promise<Subject> {
+  const { clock, executors } = scenario
+  const hosts = ZONES.flatMap((zone) => Array.from({ length: HOSTS_PER_ZONE }, (_, index) => ({ id: `${zone}-${index}`, availabilityZone: zone })))
+  const getZone = (host: string): string => host.slice(0, host.lastIndexOf('-'))
+  const network = createRoutingNetwork(clock, createRandom(seed), (from, to) => getZone(from) === getZone(to) ? 0 : ZONE_DELAY_MS)
+  const routers = new Map<string, Router>(hosts.map((host, index) => [host.id, createRouter({
+    self: host.id,
+    incarnation: '1',
+    availabilityZone: host.availabilityZone,
+    secret: Buffer.from('bench'),
+    clock,
+    random: createRandom(seed + index),
+    network: network.attach(host.id, createGate()),
+    executors: createClient(clock, executors),
+    getPolicy: () => DEFAULT_PRESETS.ordinary as Policy,
+    getHosts: () => hosts,
+    getService: (id) => ({ id, weight: 1 } as Service),
+    logger: createSilentLogger(),
+    metrics: createNoMetrics()
+  })]))
+  const stoppers = executors.map((executor) => startAnnouncer({
+    clock,
+    executor,
+    listHosts: () => hosts.filter((host) => host.availabilityZone === executor.createAnnouncement().availabilityZone).map((host) => host.id),
+    announce: async (host, input) => routers.get(host)?.announceTarget(input)
+  }))
+  await clock.sleep(1600)
+  const list = [...routers.values()]
+  let next = 0
+  return {
+    route: (request) => (list[next++ % list.length] as Router).routeRequest(request),
+    stop: async () => {
+      stoppers.forEach((stop) => stop())
+      await Promise.all(list.map((router) => router.stop()))
+    }
+  }
+}
+
+/** The comparison: a random executor, three tries for idempotent requests, a queue without limit before each executor. */
+export async function startNaive (scenario: Scenario, seed: number): Promise<Subject> {
+  const { clock, executors } = scenario
+  const random = createRandom(seed)
+  const client = createClient(clock, executors)
+  const lanes = new Map(executors.map((executor) => [executor.id, { busy: 0, waiting: [] as Array<() => void>, idle: [] as ExecutorConnection[] }]))
+  let sequence = 0
+
+  const tryOnce = async (request: RoutedRequest): Promise<RequestOutcome> => {
+    const executor = random.pick(executors)
+    const lane = lanes.get(executor.id) as { busy: number, waiting: Array<() => void>, idle: ExecutorConnection[] }
+    if (lane.busy >= SLOTS) await new Promise<void>((resolve) => lane.waiting.push(resolve))
+    lane.busy += 1
+    const opened = lane.idle.pop() ?? (await client.open(executor.url, 'naive')).unwrap()
+    const result = await opened.send({ ...request, id: `naive/${sequence++}` }, () => {})
+    lane.idle.push(opened)
+    lane.busy -= 1
+    lane.waiting.shift()?.()
+    if (!result.ok) return { kind: 'unknown', reason: 'no-answer', message: result.val.message, next: 'resend' }
+    return { kind: 'answered', ...result.val }
+  }
+  const route = async (request: RoutedRequest): Promise<RequestOutcome> => {
+    let outcome = await tryOnce(request)
+    for (let retry = 0; retry < 2 && (outcome.kind !== 'answered' || outcome.status >= 500); retry++) outcome = await tryOnce(request)
+    return outcome
+  }
+  return { route, stop: async () => {} }
+}
+
+function createClient (clock: Clock, executors: FakeExecutor[]): ExecutorClient {
+  const byUrl = new Map(executors.map((executor) => [executor.url, executor]))
+  return createFakeExecutorClient(clock, CONNECT_MS, (url) => byUrl.get(url))
+}
+
+/** Sends open-loop load: arrivals do not wait for answers. */
+export async function runLoad (subject: Subject, clock: Clock, random: Random, load: Load, timeoutMs: number): Promise<Measured> {
+  const measured: Measured = { histogram: build(), sent: 0, good: 0, failed: 0, goodput: 0 }
+  const open = new Set<Promise<void>>()
+  const begin = clock.now()
+  const warm = begin + load.durationMs * WARM_UP_SHARE
+  const end = begin + load.durationMs
+  let next = clock.now()
+  const sendOne = async (): Promise<void> => {
+    const startedAt = clock.now()
+    const work = `${load.name}-${measured.sent++}`
+    const outcome = await subject.route({
+      member: load.member ?? 'misterios',
+      service: BENCH_SERVICE,
+      method: 'POST',
+      path: '/quote',
+      headers: { [WORK_HEADER]: work },
+      body: Buffer.alloc(0),
+      idempotent: load.idempotent ?? true,
+      deadline: startedAt + timeoutMs
+    })
+    const latencyMs = clock.now() - startedAt
+    const isGood = outcome.kind === 'answered' && outcome.status < 500 && latencyMs <= timeoutMs
+    // A request without a good answer counts as one that took until its deadline, or a slow subject would look fast.
+    measured.histogram.recordValue(Math.round((isGood ? latencyMs : timeoutMs) * 1000))
+    if (isGood) {
+      measured.good += 1
+      if (clock.now() > warm && clock.now() <= end) measured.goodput += 1000 / (end - warm)
+    } else measured.failed += 1
+  }
+  while (clock.now() < end) {
+    for (; next <= clock.now(); next += -Math.log(1 - random.next()) * 1000 / load.requestsPerSecond) {
+      const sending = sendOne().finally(() => open.delete(sending))
+      open.add(sending)
+    }
+    await clock.sleep(1)
+  }
+  await Promise.race([Promise.all(open), clock.sleep(timeoutMs + 1000)])
+  return measured
+}
+
+/** Runs the manual clock until the work is done, so that neither the machine's load nor its speed enters the figures. */
+export async function runInVirtualTime<T> (clock: ManualClock, work: Promise<T>): Promise<T> {
+  const state: { result?: { value: T } } = {}
+  const done = work.then((value) => { state.result = { value } })
+  while (state.result === undefined) await Promise.race([done, clock.advance(STEP_MS)])
+  return state.result.value
+}
+
+export function createScenario (seed: number, executors: number, meanMs: number): Scenario {
+  const clock = createManualClock()
+  return { clock, executors: createExecutors(clock, createRandom(seed), executors, meanMs) }
+}
--- a/src/coordination/routing/attempt.ts
+++ b/src/coordination/routing/attempt.ts
@@ -5,7 +5,7 @@
 
 const LATE_ANSWER_MS = 5000
 const SHORTEST_SILENCE_MS = 250
-const SILENCE_FACTOR = 8
+const SILENCE_FACTOR = 4
 const PROGRESS_FACTOR = 4
 const SHORTEST_PROGRESS_MS = 500
 const HOP_HEADERS = new Set(['connection', 'content-length', 'expect', 'host', 'keep-alive', 'te', 'transfer-encoding', 'upgrade'])
@@ -71,8 +71,7 @@
       return { kind: 'lost', failure: 'silent', message: `no sign of life for ${Math.round(silenceMs)} ms` }
     }
     if (now >= request.deadline) {
-      if (request.idempotent) closeAttempt(executor, id, connection, false, context)
-      else waitForLateAnswer(sending, request.method, id, executor, connection, context)
+      waitForLateAnswer(sending, request.method, id, executor, connection, context)
       return { kind: 'lost', failure: 'deadline-exceeded', message: 'no answer before the deadline' }
     }
   }
@@ -83,8 +82,10 @@
   if (executor.progressMs > 0) return Math.max(SHORTEST_PROGRESS_MS, PROGRESS_FACTOR * executor.progressMs)
   // Without signs of progress a silent connection looks like a slow handler; a request that may not be repeated waits.
   if (!request.idempotent) return Infinity
-  const half = (request.deadline - context.clock.now()) / 2
-  return context.estimateMs === 0 ? half : Math.min(half, Math.max(SHORTEST_SILENCE_MS, SILENCE_FACTOR * context.estimateMs))
+  // Half of a short remaining time would be less than many requests take: each would occupy a second slot.
+  return context.estimateMs === 0
+    ? Math.max(SHORTEST_SILENCE_MS, (request.deadline - context.clock.now()) / 2)
+    : Math.max(SHORTEST_SILENCE_MS, SILENCE_FACTOR * context.estimateMs)
 }
 
 function createHeaders (request: RoutedRequest, id: string, context: AttemptContext): Record<string, string> {
@@ -134,7 +135,7 @@
   context.onSettled()
 }
 
-/** Keeps the exchange open after the caller's deadline, so that a resend can be given the answer. */
+/** Keeps the exchange open after the caller's deadline: the answer shows when the slot is free, and a resend can be given it. */
 async function waitForLateAnswer (
   sending: ReturnType<ExecutorConnection['send']>, method: string, id: string, executor: HeldExecutor, connection: ExecutorConnection, context: AttemptContext
 ): Promise<void> {
--- a/src/coordination/routing/connections.ts
+++ b/src/coordination/routing/connections.ts
@@ -6,6 +6,9 @@
 const CHECK_MS = 250
 const IDLE_MS = 4000
 
+/** Given as a reason because the default one is an exception with a stack trace, which costs time on every request. */
+const SETTLED = Symbol('settled')
+
 interface Idle { connection: ExecutorConnection, provenAt: number }
 
 export interface ConnectionPool {
@@ -112,6 +115,6 @@
 export async function waitAtMost<T> (clock: Clock, work: Promise<T>, ms: number): Promise<T | undefined> {
   const controller = new AbortController()
   const result = await Promise.race([work, clock.sleep(Math.max(0, ms), controller.signal).then(() => undefined)])
-  controller.abort()
+  controller.abort(SETTLED)
   return result
 }
--- a/src/coordination/routing/credits.ts
+++ b/src/coordination/routing/credits.ts
@@ -8,12 +8,17 @@
 const IDLE_MS = 1000
 const EXCHANGE_MS = 250
 const MIN_GAP_MS = 3
-const FRUITLESS_GAP_MS = 15
+/** A home without free slots is asked again after this time; it sends `credit.offer` when slots come free earlier. */
+const ASK_AGAIN_MS = 60
 const SUMMARY_VALID_MS = 3000
 const RECENT_USE_MS = 2000
 /** An exchange that is older than this does not hold back requests to other homes. */
 const PENDING_MS = 30
 const SPARE_SHARE = 0.25
+/** Spare slots are taken while more than the second part of the zone's slots is free, and returned below the first. */
+const SCARCE_SHARE = 0.1
+const AMPLE_SHARE = 0.3
+const WOKEN = Symbol('woken')
 const DRAIN_MS = 1000
 const DRAIN_POLL_MS = 10
 
@@ -27,6 +32,8 @@
   draining: boolean
   /** The home may still count slots as lent to this host. */
   hasLent: boolean
+  renewAt: number
+  askAfter: number
   sequence: number
   pending: { since: number, wants: Map<string, number> }
   wake: () => void
@@ -37,8 +44,10 @@
 /** Borrows slots from homes and returns those that are not needed; one sequential loop for each home. */
 export interface Borrower {
   observeSummary (host: string, summary: TargetsSummary): void
+  /** The home has free slots again. */
+  observeOffer (host: string): void
   /** More slots are wanted now. */
-  wake (): void
+  wake (service: string): void
   /** Called when a slot becomes free; true when it is given back rather than used again. */
   releaseExcess (executor: HeldExecutor): boolean
   countKnownSlots (service: string): number
@@ -54,6 +63,8 @@
   holder: string
   availabilityZone: string
   ledger: HomeLedger
+  /** Called after this host's own exchange with its ledger. */
+  sendOffers (): void
   holdings: Holdings
   health: HealthTable
   getDemand (service: string): Demand
@@ -75,7 +86,7 @@
   const startHome = (host: string, zone: string): Home => {
     const { wait, wake } = createWakeup(clock)
     const home: Home = {
-      host, availabilityZone: zone, services: new Map(), excess: new Map(), lastHeard: 0, draining: false, hasLent: false, sequence: 0, pending: { since: 0, wants: new Map() }, wake
+      host, availabilityZone: zone, services: new Map(), excess: new Map(), lastHeard: 0, draining: false, hasLent: false, renewAt: 0, askAfter: 0, sequence: 0, pending: { since: 0, wants: new Map() }, wake
     }
     homes.set(host, home)
     runHome(home, wait)
@@ -90,24 +101,32 @@
 
   const runHome = async (home: Home, wait: (ms: number) => Promise<void>): Promise<void> => {
     while (!state.stopped) {
-      const request = planExchange(home)
+      const now = clock.now()
+      const wants = planWants(home)
+      const isDue = now >= home.renewAt || wants.length > 0 || hasReturn(home)
+      const request = isDue ? planExchange(home, wants) : undefined
       if (request === undefined) {
-        await wait(IDLE_MS)
+        await wait(computeWait(home))
         continue
       }
+      home.renewAt = now + RENEW_MS
       const gained = await runExchange(home, request)
-      const wanted = request.wants.length > 0
-      await clock.sleep(wanted && !gained ? FRUITLESS_GAP_MS : MIN_GAP_MS)
-      await wait(RENEW_MS)
+      if (wants.length > 0 && !gained) home.askAfter = clock.now() + ASK_AGAIN_MS
+      await clock.sleep(MIN_GAP_MS)
     }
   }
 
-  const planExchange = (home: Home): CreditRequest | undefined => {
+  const computeWait = (home: Home): number => {
+    const now = clock.now()
+    const times = [home.hasLent ? home.renewAt : now + IDLE_MS, home.askAfter, now + IDLE_MS]
+    return Math.min(...times.filter((time) => time > now)) - now
+  }
+
+  const planExchange = (home: Home, wants: CreditRequest['wants']): CreditRequest | undefined => {
     const held = planHeld(home)
-    const wants = state.draining || home.draining ? [] : planWants(home)
     if (held.length === 0 && wants.length === 0 && !home.hasLent) return undefined
     home.sequence += 1
-    return { holder, sequence: home.sequence, held, wants }
+    return { holder, availabilityZone, sequence: home.sequence, held, wants }
   }
 
   /** Lowers the slots that are not needed before the home is told, so that both never count on the same slot. */
@@ -132,21 +151,38 @@
     }
   }
 
+  /** Unused slots that another host may be waiting for; others are returned with the next renewal. */
+  const hasReturn = (home: Home): boolean => holdings.list().some((item) => item.home === home.host &&
+    item.slots > countInUse(item) &&
+    (state.draining || (home.excess.get(item.service) ?? 0) > 0 || (isScarce(item.service) && computeSurplus(item.service) > 0)))
+
   const computeTarget = (service: string): number => {
-    const { queued, recentPeak, lastRequestAt } = getDemand(service)
-    if (queued === 0 && clock.now() - lastRequestAt > RECENT_USE_MS) return 0
+    const { queued, inUse, recentPeak, lastRequestAt } = getDemand(service)
+    if (queued === 0 && clock.now() - lastRequestAt > RECENT_USE_MS) return inUse
+    if (isScarce(service)) return queued + inUse
     return queued + recentPeak + Math.max(1, Math.ceil(recentPeak * SPARE_SHARE))
   }
 
+  /** A home of another zone without free slots is not asked, so it need not wake for each request that waits. */
+  const canLend = (home: Home, service: string): boolean =>
+    home.services.has(service) && (home.availabilityZone === availabilityZone || (home.services.get(service)?.free ?? 0) > 0)
+
+  /** Idle slots are kept for the next request only while the zone has others left. */
+  const isScarce = (service: string): boolean => getFreeShare(service) <= SCARCE_SHARE
+
+  const getFreeShare = (service: string): number =>
+    countKnown(service, (view) => view.free, availabilityZone) / Math.max(1, countKnown(service, (view) => view.slots, availabilityZone))
+
   const computeSurplus = (service: string): number => {
     const slots = holdings.list(service).filter(holdings.canUse).reduce((sum, item) => sum + item.slots, 0)
     return Math.max(0, slots - computeTarget(service))
   }
 
   const planWants = (home: Home): CreditRequest['wants'] => {
+    if (state.draining || home.draining || clock.now() < home.askAfter) return []
     const isOwnZone = home.availabilityZone === availabilityZone
     return [...home.services.keys()].flatMap((service) => {
-      const slots = isOwnZone ? computeDeficit(service) : computeOverflow(home, service)
+      const slots = isOwnZone ? computeDeficit(home, service) : computeOverflow(home, service)
       return slots > 0 ? [{ service, slots, avoid: health.listEjected(service) }] : []
     })
   }
@@ -158,14 +194,20 @@
   const countUsable = (service: string): number => holdings.list(service)
     .reduce((sum, item) => sum + Math.min(holdings.canUse(item) ? item.slots : 0, countInUse(item) + holdings.countFree(item)), 0)
 
-  const computeDeficit = (service: string): number =>
-    Math.max(0, computeTarget(service) - countUsable(service) - countPending(service))
+  /** Slots for requests that wait are wanted at once; spare ones with the next renewal, lest they move to and fro. */
+  const computeDeficit = (home: Home, service: string): number => {
+    const { queued, inUse } = getDemand(service)
+    const mayTakeSpare = clock.now() >= home.renewAt && getFreeShare(service) > AMPLE_SHARE
+    const target = mayTakeSpare ? computeTarget(service) : queued + inUse
+    return Math.max(0, target - countUsable(service) - countPending(service))
+  }
 
   /** Another zone is asked only while requests wait and the own zone has no free slot. */
   const computeOverflow = (home: Home, service: string): number => {
     const { queued } = getDemand(service)
-    const free = home.services.get(service)?.free ?? 0
-    if (queued === 0 || free === 0 || countKnown(service, (view) => view.free, availabilityZone) > 0) return 0
+    const { free = 0, slots = 0 } = home.services.get(service) ?? {}
+    // The last slots of another zone are left to its own hosts.
+    if (queued === 0 || free <= SCARCE_SHARE * slots || countKnown(service, (view) => view.free, availabilityZone) > 0) return 0
     return Math.max(0, Math.min(queued - countPending(service), free))
   }
 
@@ -187,7 +229,11 @@
   }
 
   const sendExchange = async (host: string, request: CreditRequest, sentAt: number): Promise<CreditReply | undefined> => {
-    if (host === network.self) return ledger.take(request)
+    if (host === network.self) {
+      const reply = ledger.take(request)
+      options.sendOffers()
+      return reply
+    }
     const kind = request.wants.length > 0 ? 'credit.take' : 'credit.return'
     const result = await network.request(host, kind, request, sentAt + EXCHANGE_MS)
     const parsed = result.ok ? creditReplySchema.safeParse(result.val) : undefined
@@ -215,6 +261,7 @@
   const releaseExcess: Borrower['releaseExcess'] = (executor) => {
     const home = homes.get(executor.home)
     const excess = home?.excess.get(executor.service) ?? 0
+    if (getDemand(executor.service).queued === 0 && isScarce(executor.service)) home?.wake()
     if (home === undefined || excess === 0 || executor.slots <= countInUse(executor)) return false
     home.excess.set(executor.service, excess - 1)
     holdings.setSlots(executor, executor.slots - 1)
@@ -231,7 +278,13 @@
 
   return {
     observeSummary,
-    wake: () => listLive().forEach((home) => home.wake()),
+    observeOffer: (host) => {
+      const home = homes.get(host)
+      if (home === undefined) return
+      home.askAfter = 0
+      home.wake()
+    },
+    wake: (service) => listLive().filter((home) => canLend(home, service)).forEach((home) => home.wake()),
     releaseExcess,
     countKnownSlots: (service) => countKnown(service, (view) => view.slots),
     drain,
@@ -260,7 +313,7 @@
     },
     wake: () => {
       isWoken = true
-      controller.abort()
+      controller.abort(WOKEN)
     }
   }
 }
--- a/src/coordination/routing/dispatcher.ts
+++ b/src/coordination/routing/dispatcher.ts
@@ -13,6 +13,7 @@
 const HOST_QUEUE_BYTES = 64 * 1024 * 1024
 const PEAK_DECAY = 0.85
 const SERVER_ERROR = 500
+const LEFT_QUEUE = Symbol('left the queue')
 
 interface Job extends Waiting {
   request: RoutedRequest
@@ -144,7 +145,7 @@
     if (surplus !== undefined) rejectQueued(surplus, 'queue-full', 'the queue is full and this member has the longest line in it')
     shedLightest()
     expireJob(job, lane)
-    getBorrower().wake()
+    getBorrower().wake(lane.service)
     pumpLane(lane)
   }
 
@@ -165,7 +166,7 @@
   const leaveQueue = (job: Job): void => {
     queued.items -= 1
     queued.bytes -= job.bytes
-    job.queued?.abort()
+    job.queued?.abort(LEFT_QUEUE)
     job.queued = undefined
   }
 
@@ -259,7 +260,7 @@
     if (holdings.list(lane.service).every((item) => job.tried.has(item.id))) job.tried.clear()
     lane.queue.addFirst(job)
     expireJob(job, lane)
-    getBorrower().wake()
+    getBorrower().wake(lane.service)
   }
 
   /** Ends a request without a good answer: `not-run` only while no attempt could have reached a handler. */
--- a/src/coordination/routing/home.ts
+++ b/src/coordination/routing/home.ts
@@ -12,7 +12,8 @@
 const SETTLE_MS = CREDIT_MS * (DRIFT_FACTOR - 1) + DELIVERY_MS
 /** A holder needs a connection for each slot and one to replace it when the first falls silent. */
 const CONNECTIONS_PER_SLOT = 2
-const WANT_MEMORY_MS = 1000
+/** A holder that still wants slots asks again within this time. */
+const WANT_MEMORY_MS = 150
 
 interface LedgerLoan { slots: number, connections: number, deadline: number }
 
@@ -28,7 +29,7 @@
   loans: Map<string, LedgerLoan>
 }
 
-interface Want { service: string, slots: number, expiry: number }
+interface Want { service: string, slots: number, expiry: number, isOffered: boolean }
 
 /** The home's record of its executors and of the slots and connections that it has lent. */
 export interface HomeLedger {
@@ -36,6 +37,8 @@
   /** Undefined when the request is older than one that was already applied. */
   take (request: CreditRequest): CreditReply | undefined
   summarize (draining: boolean): TargetsSummary
+  /** Holders to be told that slots have come free; each is returned once. */
+  listOffers (): string[]
   list (): Array<{ announcement: Announcement, lentSlots: number, lentConnections: number }>
 }
 
@@ -44,6 +47,7 @@
   const entries = new Map<string, Entry>()
   const sequences = new Map<string, number>()
   const wants = new Map<string, Want>()
+  const ownZone = new Set<string>()
 
   const announce = (input: Announcement): Result<AnnounceReply, AnnounceFailure> => {
     if (input.availabilityZone !== availabilityZone) {
@@ -88,10 +92,11 @@
   const take = (request: CreditRequest): CreditReply | undefined => {
     if (request.sequence <= (sequences.get(request.holder) ?? -1)) return undefined
     sequences.set(request.holder, request.sequence)
+    if (request.availabilityZone === availabilityZone) ownZone.add(request.holder)
     pruneEntries()
     const held = new Map(request.held.map(({ executor, slots }) => [executor, slots]))
     for (const [id, entry] of entries) applyHeld(entry, request.holder, held.get(id) ?? 0)
-    for (const want of request.wants) grantWant(request.holder, want)
+    for (const want of request.wants) grantWant(request.holder, want, request.availabilityZone === availabilityZone)
     const services = new Set([...entries.values()].map((entry) => entry.announcement.service))
     return {
       loans: [...entries.values()].flatMap((entry) => describeLoan(entry, request.holder)),
@@ -125,7 +130,7 @@
     })
   }
 
-  const grantWant = (holder: string, want: CreditRequest['wants'][number]): void => {
+  const grantWant = (holder: string, want: CreditRequest['wants'][number], isOwnZone: boolean): void => {
     const candidates = [...entries.values()].filter((entry) =>
       entry.announcement.service === want.service && !want.avoid.includes(entry.announcement.id) && canLend(entry))
     const wanted = Math.min(want.slots, computeAllowance(want.service, holder))
@@ -136,7 +141,8 @@
       setLoan(best, holder, (best.loans.get(holder)?.slots ?? 0) + 1)
     }
     const name = `${holder} ${want.service}`
-    if (want.slots > granted) wants.set(name, { service: want.service, slots: want.slots - granted, expiry: clock.now() + WANT_MEMORY_MS })
+    // Slots are not taken from hosts of this zone for those of another.
+    if (isOwnZone && want.slots > granted) wants.set(name, { service: want.service, slots: want.slots - granted, expiry: clock.now() + WANT_MEMORY_MS, isOffered: false })
     else wants.delete(name)
   }
 
@@ -150,7 +156,7 @@
     const live = [...wants].filter(([, want]) => want.service === service && want.expiry > now)
     const holders = new Set(live.map(([name]) => name.split(' ')[0] as string))
     const lenders = [...entries.values()].filter((entry) => entry.announcement.service === service)
-    lenders.forEach((entry) => entry.loans.forEach((_, name) => holders.add(name)))
+    lenders.forEach((entry) => entry.loans.forEach((_, name) => { if (ownZone.has(name)) holders.add(name) }))
     holders.add(holder)
     const total = lenders.reduce((sum, entry) => sum + entry.announcement.slots, 0)
     const fair = Math.max(1, Math.floor(total / holders.size))
@@ -162,13 +168,15 @@
   }
 
   const computeExcess = (service: string, holder: string): number => {
-    const { fair, unmet } = computeNeed(service, holder)
-    return Math.min(unmet, Math.max(0, countLent(service, holder) - fair))
+    const { fair: share, unmet } = computeNeed(service, holder)
+    const fair = ownZone.has(holder) ? share : 0
+    return Math.min(Math.max(0, unmet - countFree(service)), Math.max(0, countLent(service, holder) - fair))
   }
 
+  /** A holder below its share is served first; what is free beyond such wants goes to any holder. */
   const computeAllowance = (service: string, holder: string): number => {
     const { fair, unmet } = computeNeed(service, holder)
-    return unmet === 0 ? Infinity : Math.max(0, fair - countLent(service, holder))
+    return Math.max(0, ownZone.has(holder) ? fair - countLent(service, holder) : 0, countFree(service) - unmet)
   }
 
   const countFree = (service: string): number => [...entries.values()]
@@ -230,7 +238,17 @@
     lentConnections: [...entry.loans.values()].reduce((sum, loan) => sum + loan.connections, 0)
   }))
 
-  return { announce, take, summarize, list }
+  const listOffers = (): string[] => {
+    const now = clock.now()
+    const offered = [...wants].filter(([name, want]) => {
+      const holder = name.split(' ')[0] as string
+      return want.expiry > now && !want.isOffered && computeAllowance(want.service, holder) > 0 && countFree(want.service) > 0
+    })
+    offered.forEach(([, want]) => { want.isOffered = true })
+    return offered.map(([name]) => name.split(' ')[0] as string)
+  }
+
+  return { announce, take, summarize, listOffers, list }
 }
 
 /** Reads the time at which this incarnation issued an echo. */
--- a/src/coordination/routing/messages.ts
+++ b/src/coordination/routing/messages.ts
@@ -8,6 +8,7 @@
 export const creditRequestSchema = z.strictObject({
   /** Host and incarnation. */
   holder: z.string(),
+  availabilityZone: z.string(),
   /** Grows with each message of the holder to this home; an older one is ignored. */
   sequence: count,
   /** Slots that the holder keeps, including those in use. */
--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -74,7 +74,7 @@
     metrics
   })
   const borrower: Borrower = createBorrower({
-    clock, random, network, holder, availabilityZone, ledger, holdings, health, getDemand: dispatcher.getDemand, onChange: dispatcher.pump
+    clock, random, network, holder, availabilityZone, ledger, sendOffers: () => sendOffers(), holdings, health, getDemand: dispatcher.getDemand, onChange: dispatcher.pump
   })
   const keyed = createKeyedRequests({
     clock, network, availabilityZone, secret: options.secret, claims, getHosts, run: dispatcher.run, logger
@@ -120,11 +120,26 @@
     borrower.observeSummary(from, summarySchema.parse(body))
     return {}
   })
-  const handleCredit = async (_: string, body: unknown): Promise<unknown> =>
-    ledger.take(creditRequestSchema.parse(body)) ?? { outdated: true }
+  const handleCredit = async (_: string, body: unknown): Promise<unknown> => {
+    const reply = ledger.take(creditRequestSchema.parse(body)) ?? { outdated: true }
+    sendOffers()
+    return reply
+  }
   network.handle('credit.take', handleCredit)
   network.handle('credit.return', handleCredit)
 
+  network.handle('credit.offer', async (from) => {
+    borrower.observeOffer(from)
+    return {}
+  })
+
+  /** Tells hosts that found no free slot that there are some now, so that they need not poll. */
+  const sendOffers = (): void => ledger.listOffers().forEach((name) => {
+    const host = name.slice(0, name.lastIndexOf('/'))
+    if (host === self) borrower.observeOffer(self)
+    else network.request(host, 'credit.offer', {}, clock.now() + SUMMARY_DEADLINE_MS)
+  })
+
   const runSweeper = async (): Promise<void> => {
     let nextSummary = clock.now()
     while (!state.stopped) {
