--- a/src/coordination/routing/attempt.ts
+++ b/src/coordination/routing/attempt.ts
@@ -1,6 +1,7 @@
 import type { Clock } from '../../common/index.js'
 import { waitAtMost } from './connections.js'
 import type { HeldExecutor, Holdings } from './holdings.js'
+import { createCallersAnswer, listEndToEndHeaders } from './requests.js'
 import { EXECUTOR_HEADERS, type Answer, type ExecutorConnection, type ExecutorFailure, type RoutedRequest } from './types.js'
 
 const LATE_ANSWER_MS = 5000
@@ -8,7 +9,6 @@
 const SILENCE_FACTOR = 4
 const PROGRESS_FACTOR = 4
 const SHORTEST_PROGRESS_MS = 500
-const HOP_HEADERS = new Set(['connection', 'content-length', 'expect', 'host', 'keep-alive', 'te', 'transfer-encoding', 'upgrade'])
 
 export type AttemptOutcome =
   | { kind: 'answer', answer: Answer }
@@ -23,6 +23,8 @@
   holder: string
   /** High estimate of the time of one request, ms; 0 when nothing is known. */
   estimateMs: number
+  /** Whether the request can move on at once; it counts as a retry. Otherwise an attempt that seems silent goes on. */
+  claimMove (): boolean
   /** Called when the slot of the attempt is free or is known to stay occupied. */
   onSettled (): void
   /** Called with a whole answer that arrives after the caller's deadline. */
@@ -52,7 +54,7 @@
   const sending = connection.send(
     { id, method: request.method, path: request.path, headers: createHeaders(request, id, context), body: request.body },
     () => { lastSign = clock.now() })
-  const silenceMs = computeSilence(request, executor, context)
+  let silenceMs = computeSilence(request, executor, context)
 
   for (;;) {
     const limit = Math.min(request.deadline, lastSign + silenceMs)
@@ -66,6 +68,7 @@
         : { kind: 'lost', failure: result.val.kind, message: result.val.message }
     }
     const now = clock.now()
+    if (now >= lastSign + silenceMs && executor.progressMs === 0 && !context.claimMove()) silenceMs = Infinity
     if (now >= lastSign + silenceMs) {
       closeAttempt(executor, id, connection, false, context)
       return { kind: 'lost', failure: 'silent', message: `no sign of life for ${Math.round(silenceMs)} ms` }
@@ -89,9 +92,8 @@
 }
 
 function createHeaders (request: RoutedRequest, id: string, context: AttemptContext): Record<string, string> {
-  const passed = Object.entries(request.headers).filter(([name]) => !HOP_HEADERS.has(name.toLowerCase()) && !name.toLowerCase().startsWith('sequoiadrift-'))
   return {
-    ...Object.fromEntries(passed),
+    ...listEndToEndHeaders(request.headers),
     [EXECUTOR_HEADERS.request]: id,
     [EXECUTOR_HEADERS.holder]: context.holder,
     [EXECUTOR_HEADERS.remaining]: String(Math.max(0, Math.floor(request.deadline - context.clock.now()))),
@@ -108,7 +110,7 @@
   executor.pool.release(connection, context.clock.now())
   releaseSlot(executor, id, context)
   const isNotRun = answer.status === 503 && answer.headers[EXECUTOR_HEADERS.notRun] !== undefined
-  return isNotRun ? { kind: 'not-run', message: 'the executor refused the request before running it' } : { kind: 'answer', answer }
+  return isNotRun ? { kind: 'not-run', message: 'the executor refused the request before running it' } : { kind: 'answer', answer: createCallersAnswer(answer) }
 }
 
 /** A connection may deliver an answer twice, so the answer must name the attempt; its body must be as long as it says. */
--- a/src/coordination/routing/connections.ts
+++ b/src/coordination/routing/connections.ts
@@ -91,6 +91,9 @@
     for (let item = idle.pop(); item !== undefined; item = idle.pop()) {
       if (await checkIdle(item, deadline)) return Ok(item.connection)
       retire(item.connection)
+      // Connections to one executor often fall silent together; checking each in turn would take the request's time.
+      const oldest = clock.now() - PROOF_MS
+      closeIdle((other) => other.provenAt < oldest)
     }
     return await openNew(url, deadline)
   }
--- a/src/coordination/routing/credits.ts
+++ b/src/coordination/routing/credits.ts
@@ -143,10 +143,12 @@
     const own = holdings.list(service).filter((item) => item.home === home.host)
     for (const item of own) {
       const unused = Math.max(0, item.slots - countInUse(item))
-      const isUnwanted = !holdings.canUse(item) || health.getAllowance(item.id) === 0 || state.draining
-      const given = isUnwanted ? unused : Math.min(unused, surplus)
+      const isUnwanted = !holdings.canUse(item) || state.draining
+      // One slot of an ejected executor is kept: with it the executor is tried again when its time is over.
+      const isImpaired = health.getAllowance(item.id) !== Infinity
+      const given = isUnwanted ? unused : Math.min(unused, isImpaired ? item.slots - 1 : surplus)
       if (given === 0) continue
-      if (!isUnwanted) surplus -= given
+      if (!isUnwanted && !isImpaired) surplus -= given
       holdings.setSlots(item, item.slots - given)
     }
   }
@@ -174,7 +176,9 @@
     countKnown(service, (view) => view.free, availabilityZone) / Math.max(1, countKnown(service, (view) => view.slots, availabilityZone))
 
   const computeSurplus = (service: string): number => {
-    const slots = holdings.list(service).filter(holdings.canUse).reduce((sum, item) => sum + item.slots, 0)
+    const slots = holdings.list(service)
+      .filter((item) => holdings.canUse(item) && health.getAllowance(item.id) > 0)
+      .reduce((sum, item) => sum + item.slots, 0)
     return Math.max(0, slots - computeTarget(service))
   }
 
@@ -252,6 +256,13 @@
       home.excess.set(service, excess)
     }
     options.onChange()
+    if (home.availabilityZone === availabilityZone) reply.services.forEach(({ service }) => wakeOthers(service))
+  }
+
+  /** Homes of other zones are asked as soon as the own zone turns out to have nothing left. */
+  const wakeOthers = (service: string): void => {
+    if (getDemand(service).queued === 0) return
+    listLive().filter((home) => computeOverflow(home, service) > 0).forEach((home) => home.wake())
   }
 
   const countSlots = (home: Home): number => holdings.list()
--- a/src/coordination/routing/dispatcher.ts
+++ b/src/coordination/routing/dispatcher.ts
@@ -20,6 +20,8 @@
   tried: Set<string>
   /** An attempt was sent whose end is not known. */
   mayHaveRun: boolean
+  /** A retry has been counted already. */
+  hasMove: boolean
   /** A whole answer with a server error, returned when no retry brings a better one. */
   lastAnswer: Answer | undefined
   unknownReason: UnknownReason
@@ -99,6 +101,7 @@
         request,
         tried: new Set(),
         mayHaveRun: false,
+        hasMove: false,
         lastAnswer: undefined,
         unknownReason: 'no-answer',
         beforeSend,
@@ -209,6 +212,10 @@
       holdings,
       holder,
       estimateMs: health.estimateService(lane.service).highMs,
+      claimMove: () => {
+        job.hasMove = holdings.choose(lane.service, job.tried) !== undefined && budget.claim()
+        return job.hasMove
+      },
       onSettled: () => {
         if (stopped) return
         getBorrower().releaseExcess(executor)
@@ -246,7 +253,8 @@
 
   const retryJob = (job: Job, lane: Lane, reason: NotRunReason, message: string): void => {
     const { meanMs } = health.estimateService(lane.service)
-    if (stopped || clock.now() + meanMs >= job.deadline || !budget.claim()) return endJob(job, reason, message)
+    if (stopped || clock.now() + meanMs >= job.deadline || !(job.hasMove || budget.claim())) return endJob(job, reason, message)
+    job.hasMove = false
     metrics.count('retries', 1, { service: lane.service })
     const executor = holdings.choose(lane.service, job.tried)
     if (executor !== undefined) {
--- a/src/coordination/routing/health.ts
+++ b/src/coordination/routing/health.ts
@@ -9,6 +9,7 @@
 const EJECTED_SHARE = 0.3
 const FIRST_EJECTION_MS = 1000
 const LONGEST_EJECTION_MS = 30_000
+const FORGET_MS = 60_000
 const START_LATENCY_MS = 1
 const ESTIMATE_SMOOTHING = 0.05
 /**
@@ -24,6 +25,7 @@
   consecutiveFailures: number
   failureRate: number
   ejections: number
+  lastAttemptAt: number
   /** While ejected: no requests before this time. */
   ejectedUntil: number
   /** Concurrent requests allowed after an ejection; Infinity when fully reinstated. */
@@ -42,7 +44,8 @@
   estimateService (service: string): { meanMs: number, highMs: number }
   setPopulation (service: string, executors: number): void
   listEjected (service: string): string[]
-  remove (executor: string): void
+  /** Forgets executors that have not been used for longer than the longest ejection. */
+  prune (): void
 }
 
 export function createHealthTable (clock: Clock, reportEjection: (executor: string, service: string, reason: string) => void): HealthTable {
@@ -53,7 +56,7 @@
   const getRecord = (executor: string, service: string): Record => {
     const known = records.get(executor)
     if (known !== undefined) return known
-    const created: Record = { service, latencyMs: 0, samples: 0, consecutiveFailures: 0, failureRate: 0, ejections: 0, ejectedUntil: -Infinity, allowance: Infinity }
+    const created: Record = { service, latencyMs: 0, samples: 0, consecutiveFailures: 0, failureRate: 0, ejections: 0, lastAttemptAt: clock.now(), ejectedUntil: -Infinity, allowance: Infinity }
     records.set(executor, created)
     return created
   }
@@ -109,6 +112,7 @@
     const failed = result === 'failure'
     record.latencyMs = record.samples === 0 ? latencyMs : record.latencyMs + SMOOTHING * (latencyMs - record.latencyMs)
     record.samples += 1
+    record.lastAttemptAt = clock.now()
     record.failureRate += SMOOTHING * ((failed ? 1 : 0) - record.failureRate)
     record.consecutiveFailures = failed ? record.consecutiveFailures + 1 : 0
     if (!failed) recordService(service, latencyMs)
@@ -144,6 +148,11 @@
     },
     setPopulation: (service, executors) => { populations.set(service, executors) },
     listEjected: (service) => listOf(service).filter(([, record]) => isEjected(record)).map(([id]) => id),
-    remove: (executor) => { records.delete(executor) }
+    prune: () => {
+      const oldest = clock.now() - FORGET_MS
+      for (const [executor, record] of records) {
+        if (record.lastAttemptAt < oldest) records.delete(executor)
+      }
+    }
   }
 }
--- a/src/coordination/routing/holdings.ts
+++ b/src/coordination/routing/holdings.ts
@@ -8,6 +8,7 @@
 const ABANDONED_LIMIT_MS = 60_000
 /** Bytes sent before an attempt was given up have reached the executor after this time. */
 const DELIVERY_MS = 50
+const SCORE_TOLERANCE = 1.25
 const RECENT_LEAVING_MS = 10_000
 
 /** An executor of which this host holds slots, or held some that are still in use. */
@@ -153,7 +154,8 @@
     const first = random.below(candidates.length)
     const second = (first + 1 + random.below(candidates.length - 1)) % candidates.length
     const pair = [candidates[first], candidates[second]] as [HeldExecutor, HeldExecutor]
-    return computeScore(pair[0]) <= computeScore(pair[1]) ? pair[0] : pair[1]
+    // A small difference is noise; following it would send everything to the same few executors.
+    return computeScore(pair[0]) <= computeScore(pair[1]) * SCORE_TOLERANCE ? pair[0] : pair[1]
   }
 
   const prune = (): void => {
--- a/src/coordination/routing/home.ts
+++ b/src/coordination/routing/home.ts
@@ -5,6 +5,8 @@
 const CREDIT_MS = 1000
 const ANNOUNCE_MS = 250
 const FORGET_MS = 3000
+/** Longer than any message can be on its way. */
+const HOLDER_MS = 60_000
 /** Clocks of two hosts run apart by at most 1%; a granter waits that much longer than the holder. */
 const DRIFT_FACTOR = 1.01
 /** Bytes that a holder sent just before its credit expired have reached the executor after this time. */
@@ -45,7 +47,7 @@
 export function createHomeLedger (options: { clock: Clock, incarnation: string, availabilityZone: string }): HomeLedger {
   const { clock, incarnation, availabilityZone } = options
   const entries = new Map<string, Entry>()
-  const sequences = new Map<string, number>()
+  const sequences = new Map<string, { sequence: number, seenAt: number }>()
   const wants = new Map<string, Want>()
   const ownZone = new Set<string>()
 
@@ -90,8 +92,8 @@
   }
 
   const take = (request: CreditRequest): CreditReply | undefined => {
-    if (request.sequence <= (sequences.get(request.holder) ?? -1)) return undefined
-    sequences.set(request.holder, request.sequence)
+    if (request.sequence <= (sequences.get(request.holder)?.sequence ?? -1)) return undefined
+    sequences.set(request.holder, { sequence: request.sequence, seenAt: clock.now() })
     if (request.availabilityZone === availabilityZone) ownZone.add(request.holder)
     pruneEntries()
     const held = new Map(request.held.map(({ executor, slots }) => [executor, slots]))
@@ -214,6 +216,11 @@
     for (const [name, want] of wants) {
       if (want.expiry <= now) wants.delete(name)
     }
+    for (const [holder, { seenAt }] of sequences) {
+      if (seenAt + HOLDER_MS >= now) continue
+      sequences.delete(holder)
+      ownZone.delete(holder)
+    }
   }
 
   const summarize = (draining: boolean): TargetsSummary => {
--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -7,7 +7,8 @@
 import { createHoldings } from './holdings.js'
 import { createHomeLedger, parseAnnouncement } from './home.js'
 import { createKeyedRequests, type EntryHost } from './idempotency.js'
-import { creditRequestSchema, summarySchema } from './messages.js'
+import { checkRequest } from './requests.js'
+import { creditRequestSchema, summarySchema, type TargetsSummary } from './messages.js'
 import type { AnnounceFailure, AnnounceReply, ExecutorClient, RequestOutcome, RoutedRequest, TargetStatus } from './types.js'
 
 const SWEEP_MS = 100
@@ -60,6 +61,7 @@
   const holdings = createHoldings({ clock, random, client: options.executors, holder, availabilityZone, health })
   const claims = createClaimBook({ clock, host: self, incarnation, availabilityZone, secret: options.secret, limits: options.claimLimits })
   const sweeper = createWakeup(clock)
+  let lastSet = ''
   const state = { stopped: false, draining: false }
 
   const dispatcher = createDispatcher({
@@ -82,6 +84,8 @@
 
   const routeRequest: Router['routeRequest'] = async (request) => {
     const startedAt = clock.now()
+    const invalid = checkRequest(request)
+    if (invalid !== undefined) return invalid
     const key = request.key ?? (request.idempotent ? undefined : claims.issue(request.member))
     const outcome = key === undefined ? await dispatcher.run(request) : await keyed.route(request, key)
     const latencyMs = clock.now() - startedAt
@@ -100,15 +104,15 @@
     const parsed = parseAnnouncement(input)
     if (!parsed.ok) return parsed
     if (state.draining || state.stopped) return Err({ kind: 'draining', message: 'this host is draining; announce to another one of the zone' })
-    const before = JSON.stringify(ledger.summarize(state.draining))
     const result = ledger.announce(parsed.val)
     // Hosts learn at once of an executor that can be used or that is leaving, not with the next regular summary.
-    if (JSON.stringify(ledger.summarize(state.draining)) !== before) sendSummaries()
+    if (describeSet(ledger.summarize(state.draining)) !== lastSet) sendSummaries()
     return result
   }
 
   const sendSummaries = (): void => {
     const summary = ledger.summarize(state.draining)
+    lastSet = describeSet(summary)
     borrower.observeSummary(self, summary)
     getHosts().filter((host) => host.id !== self).forEach((host) => {
       network.request(host.id, 'targets.summary', summary, clock.now() + SUMMARY_DEADLINE_MS)
@@ -147,6 +151,7 @@
         nextSummary = clock.now() + SUMMARY_MS
         sendSummaries()
         claims.prune()
+        health.prune()
         metrics.gauge('claims', claims.count().claims)
       }
       holdings.prune()
@@ -217,3 +222,8 @@
     }
   }
 }
+
+/** What hosts need to know at once; free slots change with every request. */
+function describeSet ({ services, leaving, draining }: TargetsSummary): string {
+  return JSON.stringify([services.map(({ service, slots }) => [service, slots]), leaving, draining])
+}
--- a/src/coordination/routing/types.ts
+++ b/src/coordination/routing/types.ts
@@ -24,7 +24,7 @@
 }
 
 export type NotRunReason =
-  | 'unknown-service' | 'draining' | 'no-capacity' | 'queue-full' | 'shed' | 'deadline-too-close' | 'deadline-in-queue'
+  | 'invalid-request' | 'unknown-service' | 'draining' | 'no-capacity' | 'queue-full' | 'shed' | 'deadline-too-close' | 'deadline-in-queue'
   | 'no-connection' | 'refused-by-executor' | 'claims-full'
 export type UnknownReason =
   | 'no-answer' | 'truncated' | 'connection-lost' | 'wrong-answer' | 'in-progress' | 'issuer-lost' | 'answer-dropped' | 'shutdown'
--- /dev/null
+++ b/test/routing/slots.test.ts
@@ -0,0 +1,130 @@
+import { expect, test } from 'vitest'
+import type { RequestOutcome } from '../../src/coordination/routing/index.js'
+import { createCluster, createRequest, settle, type Cluster } from './cluster.js'
+
+async function start (zones: Record<string, string[]>, executors: Record<string, string>): Promise<Cluster> {
+  const cluster = createCluster()
+  for (const [zone, hosts] of Object.entries(zones)) hosts.forEach((host) => cluster.startHost(host, zone))
+  for (const [id, availabilityZone] of Object.entries(executors)) cluster.addExecutor({ id, availabilityZone })
+  await cluster.clock.advance(2000)
+  return cluster
+}
+
+const sendMany = (cluster: Cluster, host: string, count: number, timeoutMs: number, idempotent = true): Array<Promise<RequestOutcome>> =>
+  Array.from({ length: count }, (_, index) => cluster.router(host).routeRequest(createRequest(cluster, `${host}-${index}`, { idempotent }, timeoutMs)))
+
+const findHome = (cluster: Cluster, executor: string): string =>
+  [...cluster.hosts.values()].find((host) => host.router.listTargets().some((item) => item.id === executor && item.home))?.id ?? ''
+
+test('requests of all hosts together never exceed the slots and connections of an executor, and all of them are served', async () => {
+  const cluster = await start({ z1: ['h1', 'h2'], z2: ['h3'] }, { e1: 'z1' })
+  const { record } = cluster.executors.get('e1') as { record: { maxRunning: number, maxConnections: number } }
+  const work = Promise.all(['h1', 'h2', 'h3'].flatMap((host) => sendMany(cluster, host, 14, 4000)))
+  const outcomes = await settle(cluster, work, 6000)
+  expect(outcomes.filter((outcome) => outcome.kind !== 'answered')).toEqual([])
+  expect(record.maxRunning).toBe(8)
+  expect(record.maxConnections).toBeLessThanOrEqual(60)
+  await cluster.stop()
+})
+
+test('a new home lends no slot that requests of the failed home still occupy', async () => {
+  const cluster = await start({ z1: ['h1', 'h2'] }, { e1: 'z1' })
+  const executor = cluster.executors.get('e1')
+  const home = findHome(cluster, 'e1')
+  const other = home === 'h1' ? 'h2' : 'h1'
+  if (executor !== undefined) executor.behaviour.serviceMs = () => 4000
+  sendMany(cluster, home, 6, 10_000, false)
+  await cluster.clock.advance(500)
+  cluster.crashHost(home)
+  sendMany(cluster, other, 8, 10_000)
+  await cluster.clock.advance(2500)
+  expect(executor?.countRunning()).toBe(8)
+  expect(executor?.record.maxRunning).toBe(8)
+  await cluster.stop()
+})
+
+test('a new home waits until credits of the failed home have expired, because their holders go on using them', async () => {
+  const cluster = await start({ z1: ['h1', 'h2', 'h3'] }, { e1: 'z1' })
+  const executor = cluster.executors.get('e1')
+  const home = findHome(cluster, 'e1')
+  const [holder, other] = ['h1', 'h2', 'h3'].filter((host) => host !== home) as [string, string]
+  const keepBusy = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 20) {
+      sendMany(cluster, holder, 8, 400)
+      await cluster.clock.advance(20)
+    }
+  }
+  await keepBusy(300)
+  cluster.crashHost(home)
+  await keepBusy(600)
+  if (executor !== undefined) executor.behaviour.serviceMs = () => 2000
+  sendMany(cluster, holder, 8, 3000)
+  sendMany(cluster, other, 8, 3000)
+  await cluster.clock.advance(1500)
+  expect(executor?.record.maxRunning).toBe(8)
+  await cluster.stop()
+})
+
+test('the own zone is used first; another one only while the own has no free slot', async () => {
+  const cluster = await start({ z1: ['h1'], z2: ['h2'] }, { e1: 'z1', e2: 'z2' })
+  const count = (id: string): number => cluster.executors.get(id)?.record.runs.length ?? 0
+  await settle(cluster, Promise.all(sendMany(cluster, 'h1', 5, 1000)))
+  expect([count('e1'), count('e2')]).toEqual([5, 0])
+  cluster.executors.forEach((executor) => { executor.behaviour.serviceMs = () => 500 })
+  const outcomes = await settle(cluster, Promise.all(sendMany(cluster, 'h1', 12, 900)))
+  expect(outcomes.every((outcome) => outcome.kind === 'answered')).toBe(true)
+  expect(count('e2')).toBeGreaterThan(0)
+  await cluster.clock.advance(2000)
+  expect(cluster.router('h2').listTargets().find((item) => item.id === 'e2')?.lentSlots).toBe(0)
+  await cluster.stop()
+})
+
+test('a leaving executor gets nothing new within 3 s on any host, even on one that its home cannot reach, and ends what it runs', async () => {
+  const cluster = await start({ z1: ['h1', 'h2'] }, { e1: 'z1' })
+  const executor = cluster.executors.get('e1')
+  const [home, other] = findHome(cluster, 'e1') === 'h1' ? ['h1', 'h2'] : ['h2', 'h1']
+  if (executor !== undefined) executor.behaviour.serviceMs = () => 300
+  await settle(cluster, Promise.all(sendMany(cluster, other as string, 2, 1000)))
+  const running = sendMany(cluster, other as string, 2, 1000)
+  await cluster.clock.advance(50)
+  cluster.network.setCut(home as string, other as string, 'silent')
+  executor?.setLeaving(true)
+  expect((await settle(cluster, Promise.all(running))).every((outcome) => outcome.kind === 'answered')).toBe(true)
+  await cluster.clock.advance(2500)
+  const before = executor?.record.runs.length
+  const outcomes = await settle(cluster, Promise.all(['h1', 'h2'].flatMap((host) => sendMany(cluster, host, 3, 500))))
+  expect(outcomes.every((outcome) => outcome.kind === 'not-run')).toBe(true)
+  expect(executor?.record.runs.length).toBe(before)
+  await cluster.stop()
+})
+
+test('a drain lets requests in flight end, returns credits and leaves the answers with a peer', async () => {
+  const cluster = await start({ z1: ['h1', 'h2'] }, { e1: 'z1' })
+  const executor = cluster.executors.get('e1')
+  const home = findHome(cluster, 'e1')
+  const host = home === 'h1' ? 'h2' : 'h1'
+  if (executor !== undefined) executor.behaviour.serviceMs = () => 400
+  const running = sendMany(cluster, host, 3, 2000, false)
+  await cluster.clock.advance(50)
+  const drained = cluster.router(host).drain()
+  expect(await settle(cluster, cluster.router(host).routeRequest(createRequest(cluster, 'new')))).toMatchObject({ kind: 'not-run', reason: 'draining' })
+  const outcomes = await settle(cluster, Promise.all(running))
+  expect(outcomes.every((outcome) => outcome.kind === 'answered')).toBe(true)
+  await settle(cluster, drained)
+  expect(cluster.router(home).listTargets()[0]?.lentSlots).toBe(0)
+  cluster.crashHost(host)
+  const again = createRequest(cluster, `${host}-0`, { key: outcomes[0]?.key as string })
+  expect(await settle(cluster, cluster.router(home).routeRequest(again))).toMatchObject({ kind: 'answered' })
+  await cluster.stop()
+})
+
+test('the time left until the deadline travels with the request', async () => {
+  const cluster = await start({ z1: ['h1'] }, { e1: 'z1' })
+  const seen: number[] = []
+  const executor = cluster.executors.get('e1')
+  if (executor !== undefined) executor.behaviour.serviceMs = (request) => { seen.push(Number(request.headers['sequoiadrift-remaining-ms'])); return 1 }
+  await settle(cluster, Promise.all(sendMany(cluster, 'h1', 1, 700)))
+  expect(seen[0]).toBeGreaterThan(600)
+  expect(seen[0]).toBeLessThanOrEqual(700)
+  await cluster.stop()
+})
