--- a/src/coordination/routing/attempt.ts
+++ b/src/coordination/routing/attempt.ts
@@ -1,14 +1,14 @@
 import type { Clock } from '../../common/index.js'
 import { waitAtMost } from './connections.js'
 import type { HeldExecutor, Holdings } from './holdings.js'
+import { createCallersAnswer, listEndToEndHeaders } from './requests.js'
 import { EXECUTOR_HEADERS, type Answer, type ExecutorConnection, type ExecutorFailure, type RoutedRequest } from './types.js'
 
 const LATE_ANSWER_MS = 5000
 const SHORTEST_SILENCE_MS = 250
-const SILENCE_FACTOR = 8
+const SILENCE_FACTOR = 4
 const PROGRESS_FACTOR = 4
 const SHORTEST_PROGRESS_MS = 500
-const HOP_HEADERS = new Set(['connection', 'content-length', 'expect', 'host', 'keep-alive', 'te', 'transfer-encoding', 'upgrade'])
 
 export type AttemptOutcome =
   | { kind: 'answer', answer: Answer }
@@ -23,6 +23,8 @@
   holder: string
   /** High estimate of the time of one request, ms; 0 when nothing is known. */
   estimateMs: number
+  /** Whether the request can move on at once; it counts as a retry. Otherwise an attempt that seems silent goes on. */
+  claimMove (): boolean
   /** Called when the slot of the attempt is free or is known to stay occupied. */
   onSettled (): void
   /** Called with a whole answer that arrives after the caller's deadline. */
@@ -52,7 +54,7 @@
   const sending = connection.send(
     { id, method: request.method, path: request.path, headers: createHeaders(request, id, context), body: request.body },
     () => { lastSign = clock.now() })
-  const silenceMs = computeSilence(request, executor, context)
+  let silenceMs = computeSilence(request, executor, context)
 
   for (;;) {
     const limit = Math.min(request.deadline, lastSign + silenceMs)
@@ -66,13 +68,13 @@
         : { kind: 'lost', failure: result.val.kind, message: result.val.message }
     }
     const now = clock.now()
+    if (now >= lastSign + silenceMs && executor.progressMs === 0 && !context.claimMove()) silenceMs = Infinity
     if (now >= lastSign + silenceMs) {
       closeAttempt(executor, id, connection, false, context)
       return { kind: 'lost', failure: 'silent', message: `no sign of life for ${Math.round(silenceMs)} ms` }
     }
     if (now >= request.deadline) {
-      if (request.idempotent) closeAttempt(executor, id, connection, false, context)
-      else waitForLateAnswer(sending, request.method, id, executor, connection, context)
+      waitForLateAnswer(sending, request.method, id, executor, connection, context)
       return { kind: 'lost', failure: 'deadline-exceeded', message: 'no answer before the deadline' }
     }
   }
@@ -83,14 +85,15 @@
   if (executor.progressMs > 0) return Math.max(SHORTEST_PROGRESS_MS, PROGRESS_FACTOR * executor.progressMs)
   // Without signs of progress a silent connection looks like a slow handler; a request that may not be repeated waits.
   if (!request.idempotent) return Infinity
-  const half = (request.deadline - context.clock.now()) / 2
-  return context.estimateMs === 0 ? half : Math.min(half, Math.max(SHORTEST_SILENCE_MS, SILENCE_FACTOR * context.estimateMs))
+  // Half of a short remaining time would be less than many requests take: each would occupy a second slot.
+  return context.estimateMs === 0
+    ? Math.max(SHORTEST_SILENCE_MS, (request.deadline - context.clock.now()) / 2)
+    : Math.max(SHORTEST_SILENCE_MS, SILENCE_FACTOR * context.estimateMs)
 }
 
 function createHeaders (request: RoutedRequest, id: string, context: AttemptContext): Record<string, string> {
-  const passed = Object.entries(request.headers).filter(([name]) => !HOP_HEADERS.has(name.toLowerCase()) && !name.toLowerCase().startsWith('sequoiadrift-'))
   return {
-    ...Object.fromEntries(passed),
+    ...listEndToEndHeaders(request.headers),
     [EXECUTOR_HEADERS.request]: id,
     [EXECUTOR_HEADERS.holder]: context.holder,
     [EXECUTOR_HEADERS.remaining]: String(Math.max(0, Math.floor(request.deadline - context.clock.now()))),
@@ -107,7 +110,7 @@
   executor.pool.release(connection, context.clock.now())
   releaseSlot(executor, id, context)
   const isNotRun = answer.status === 503 && answer.headers[EXECUTOR_HEADERS.notRun] !== undefined
-  return isNotRun ? { kind: 'not-run', message: 'the executor refused the request before running it' } : { kind: 'answer', answer }
+  return isNotRun ? { kind: 'not-run', message: 'the executor refused the request before running it' } : { kind: 'answer', answer: createCallersAnswer(answer) }
 }
 
 /** A connection may deliver an answer twice, so the answer must name the attempt; its body must be as long as it says. */
@@ -134,7 +137,7 @@
   context.onSettled()
 }
 
-/** Keeps the exchange open after the caller's deadline, so that a resend can be given the answer. */
+/** Keeps the exchange open after the caller's deadline: the answer shows when the slot is free, and a resend can be given it. */
 async function waitForLateAnswer (
   sending: ReturnType<ExecutorConnection['send']>, method: string, id: string, executor: HeldExecutor, connection: ExecutorConnection, context: AttemptContext
 ): Promise<void> {
--- a/src/coordination/routing/connections.ts
+++ b/src/coordination/routing/connections.ts
@@ -6,6 +6,9 @@
 const CHECK_MS = 250
 const IDLE_MS = 4000
 
+/** Given as a reason because the default one is an exception with a stack trace, which costs time on every request. */
+const SETTLED = Symbol('settled')
+
 interface Idle { connection: ExecutorConnection, provenAt: number }
 
 export interface ConnectionPool {
@@ -88,6 +91,9 @@
     for (let item = idle.pop(); item !== undefined; item = idle.pop()) {
       if (await checkIdle(item, deadline)) return Ok(item.connection)
       retire(item.connection)
+      // Connections to one executor often fall silent together; checking each in turn would take the request's time.
+      const oldest = clock.now() - PROOF_MS
+      closeIdle((other) => other.provenAt < oldest)
     }
     return await openNew(url, deadline)
   }
@@ -112,6 +118,6 @@
 export async function waitAtMost<T> (clock: Clock, work: Promise<T>, ms: number): Promise<T | undefined> {
   const controller = new AbortController()
   const result = await Promise.race([work, clock.sleep(Math.max(0, ms), controller.signal).then(() => undefined)])
-  controller.abort()
+  controller.abort(SETTLED)
   return result
 }
--- a/src/coordination/routing/dispatcher.ts
+++ b/src/coordination/routing/dispatcher.ts
@@ -13,12 +13,15 @@
 const HOST_QUEUE_BYTES = 64 * 1024 * 1024
 const PEAK_DECAY = 0.85
 const SERVER_ERROR = 500
+const LEFT_QUEUE = Symbol('left the queue')
 
 interface Job extends Waiting {
   request: RoutedRequest
   tried: Set<string>
   /** An attempt was sent whose end is not known. */
   mayHaveRun: boolean
+  /** A retry has been counted already. */
+  hasMove: boolean
   /** A whole answer with a server error, returned when no retry brings a better one. */
   lastAnswer: Answer | undefined
   unknownReason: UnknownReason
@@ -98,6 +101,7 @@
         request,
         tried: new Set(),
         mayHaveRun: false,
+        hasMove: false,
         lastAnswer: undefined,
         unknownReason: 'no-answer',
         beforeSend,
@@ -144,7 +148,7 @@
     if (surplus !== undefined) rejectQueued(surplus, 'queue-full', 'the queue is full and this member has the longest line in it')
     shedLightest()
     expireJob(job, lane)
-    getBorrower().wake()
+    getBorrower().wake(lane.service)
     pumpLane(lane)
   }
 
@@ -165,7 +169,7 @@
   const leaveQueue = (job: Job): void => {
     queued.items -= 1
     queued.bytes -= job.bytes
-    job.queued?.abort()
+    job.queued?.abort(LEFT_QUEUE)
     job.queued = undefined
   }
 
@@ -208,6 +212,10 @@
       holdings,
       holder,
       estimateMs: health.estimateService(lane.service).highMs,
+      claimMove: () => {
+        job.hasMove = holdings.choose(lane.service, job.tried) !== undefined && budget.claim()
+        return job.hasMove
+      },
       onSettled: () => {
         if (stopped) return
         getBorrower().releaseExcess(executor)
@@ -245,7 +253,8 @@
 
   const retryJob = (job: Job, lane: Lane, reason: NotRunReason, message: string): void => {
     const { meanMs } = health.estimateService(lane.service)
-    if (stopped || clock.now() + meanMs >= job.deadline || !budget.claim()) return endJob(job, reason, message)
+    if (stopped || clock.now() + meanMs >= job.deadline || !(job.hasMove || budget.claim())) return endJob(job, reason, message)
+    job.hasMove = false
     metrics.count('retries', 1, { service: lane.service })
     const executor = holdings.choose(lane.service, job.tried)
     if (executor !== undefined) {
@@ -259,7 +268,7 @@
     if (holdings.list(lane.service).every((item) => job.tried.has(item.id))) job.tried.clear()
     lane.queue.addFirst(job)
     expireJob(job, lane)
-    getBorrower().wake()
+    getBorrower().wake(lane.service)
   }
 
   /** Ends a request without a good answer: `not-run` only while no attempt could have reached a handler. */
