--- a/src/coordination/configuration/change.ts
+++ b/src/coordination/configuration/change.ts
@@ -6,6 +6,9 @@
 /** A proposal that a frozen leader holds is repeated after this time; another leader may have been elected. */
 const ATTEMPT_MS = 800
 
+/** A repetition cannot change the others. */
+const RETRIED_FAILURES = new Set<LogFailure['kind']>(['no-leader', 'not-recorded', 'outcome-unknown'])
+
 export interface PresetChange {
   /** Names the operator's request; a resend with the same id returns the first outcome. */
   requestId: string
@@ -44,7 +47,7 @@
 
   let mayBeRecorded = false
   let result = await propose()
-  while (!result.ok && result.val.kind !== 'rejected' && result.val.kind !== 'stopped') {
+  while (!result.ok && RETRIED_FAILURES.has(result.val.kind)) {
     mayBeRecorded ||= result.val.kind === 'outcome-unknown'
     if (clock.now() + RETRY_MS >= deadline) break
     await clock.sleep(RETRY_MS)
@@ -62,6 +65,7 @@
 
 function describeFailure (failure: LogFailure, requestId: string, mayBeRecorded: boolean, change: ConfigurationChange): ChangeOutcome {
   if (failure.kind === 'rejected') return describeRejection(failure, change)
+  if (failure.kind === 'invalid-entry' || failure.kind === 'entry-too-large') return { kind: 'invalid-change', message: failure.message }
   return mayBeRecorded || failure.kind === 'outcome-unknown'
     ? { kind: 'outcome-unknown', requestId, message: failure.message }
     : { kind: 'not-accepted', message: failure.message }
--- a/src/fakes/fakeCluster.ts
+++ b/src/fakes/fakeCluster.ts
@@ -1,4 +1,4 @@
-import { createRandom, createSilentLogger, type Logger, type ManualClock } from '../common/index.js'
+import { createRandom, createSilentLogger, type Logger, type ManualClock, type Network } from '../common/index.js'
 import { createReplica, type Entry, type LogLimits, type Replica, type StoreFailure } from '../state/index.js'
 import { createFakeDisk, type FakeDisk } from './fakeDisk.js'
 import { createHostProcess, type HostProcess } from './hostProcess.js'
@@ -26,6 +26,8 @@
   /** Nothing while the host is down or has not opened its store. */
   replica (): Replica | undefined
   process (): HostProcess
+  /** The endpoint of the running process, for modules above the replica. */
+  endpoint (): Network | undefined
   openFailure (): StoreFailure | undefined
   start (options?: { repair?: boolean }): void
   /** Ends the process. Its disk keeps what was written, but unsynced data is not safe yet. */
@@ -93,6 +95,7 @@
   const rate = CLOCK_RATES[position % CLOCK_RATES.length]
   let process = createHostProcess(clock, rate)
   let replica: Replica | undefined
+  let endpoint: Network | undefined
   let failure: StoreFailure | undefined
   let starts = 0
   let ids = 0
@@ -108,19 +111,21 @@
     disk,
     replica: () => replica,
     process: () => process,
+    endpoint: () => endpoint,
     openFailure: () => failure,
     start: ({ repair } = {}) => {
       starts += 1
       const own = createHostProcess(clock, rate)
       process = own
       failure = undefined
+      endpoint = network.connect(name, own)
       createReplica({
         deployment: 'test',
         self: name,
         availabilityZone: `zone-${position % 3}`,
         clock: own.clock,
         random: createRandom(seed * 1000 + position + 100 * starts),
-        network: network.connect(name, own),
+        network: endpoint,
         logger: logger.child({ host: name }),
         disk: disk?.open(),
         bootstrapVoters: voters,
