--- a/test/configuration/rules.test.ts
+++ b/test/configuration/rules.test.ts
@@ -115,3 +115,15 @@
   const outcome = await proposeChange(log, clock, { requestId: 'r', baseRevision: 0, preset: 'peak', setBy: 'ana', reason: '' }, 1000)
   expect(outcome.kind).toBe('invalid-change')
 })
+
+test('an entry that the log can never record is reported at once, not repeated until the deadline', async () => {
+  const clock = createManualClock()
+  let proposals = 0
+  const propose = async (): Promise<Result<Applied, LogFailure>> => {
+    proposals += 1
+    return Err({ kind: 'entry-too-large', message: 'too large', bytes: 2, limit: 1 })
+  }
+  const log = { ...createMemoryLog('h1'), propose }
+  const outcome = await proposeChange(log, clock, { requestId: 'r', baseRevision: 0, preset: 'peak', setBy: 'ana', reason: '' }, 3000)
+  expect([outcome, proposals]).toEqual([{ kind: 'invalid-change', message: 'too large' }, 1])
+})
