Answer a repeated change of the voters once

Cause: a copy of the request was answered "change in progress" while the first one was being made, so the caller was told of a refusal. Change: the leader remembers its latest answers by the id of the request.

--- a/src/fakes/fakeCluster.ts
+++ b/src/fakes/fakeCluster.ts
@@ -44,6 +44,8 @@
   /** Cuts a host off in both directions, without a word to either side. */
   isolate (name: string): void
   rejoin (name: string): void
+  /** Starts every host that is down or has stopped by itself. One of them may repair its store. */
+  startStopped (repaired?: string): void
 }
 
 /** Replicas over a simulated network and simulated disks; the same seed gives the same run. */
@@ -77,7 +79,14 @@
       .filter((host) => host.replica()?.status().role === 'leader')
       .sort((a, b) => (b.replica()?.status().term ?? 0) - (a.replica()?.status().term ?? 0))[0],
     isolate: (name) => setCut(name, 'silent'),
-    rejoin: (name) => setCut(name, 'none')
+    rejoin: (name) => setCut(name, 'none'),
+    startStopped: (repaired) => hosts.forEach((host) => {
+      host.disk?.setStepListener(undefined)
+      const replica = host.replica()
+      if (replica !== undefined && replica.failure() === undefined) return
+      host.kill()
+      host.start({ repair: host.name === repaired })
+    })
   }
 }
 
--- a/src/state/replica/context.ts
+++ b/src/state/replica/context.ts
@@ -5,7 +5,7 @@
 import { describeStoreFailure, type HardState, type LoadedLog, type LogStore, type StoredSnapshot, type StoreFailure } from '../logStore/index.js'
 import type { Entry } from '../schemas.js'
 import { createEntryLog, type EntryLog } from './entryLog.js'
-import { decodeCommand, decodeSnapshot, encodeCommand, type Command, type Envelope, type JoinRequest, type ProposeReply, type Voter } from './messages.js'
+import { decodeCommand, decodeSnapshot, encodeCommand, type Command, type ChangeReply, type Envelope, type JoinRequest, type ProposeReply, type Voter } from './messages.js'
 import { createNotifier, type Notifier } from './notifier.js'
 import type { LogLimits } from './timing.js'
 
@@ -96,6 +96,8 @@
   readRound: number
   handingOver: boolean
   changing: boolean
+  /** Answers to the latest requests for a change of the voters, so that a repeated message gets the same one. */
+  changes: Map<string, Promise<ChangeReply>>
   snapshotting: boolean
   snapshotInfo: SnapshotInfo | undefined
   snapshotIndex: number
@@ -154,6 +156,7 @@
     readRound: 0,
     handingOver: false,
     changing: false,
+    changes: new Map(),
     snapshotting: false,
     snapshotInfo: snapshot === undefined ? undefined : describeSnapshot(snapshot),
     snapshotIndex: base,
--- a/src/state/replica/membership.ts
+++ b/src/state/replica/membership.ts
@@ -7,6 +7,8 @@
 import { listConfirmed, startRound } from './rounds.js'
 import { FORWARD_TIMEOUT_MS, HANDOVER_WAIT_MS, LEADER_CONTACT_MS, LEADER_WAIT_MS, MAX_VOTERS } from './timing.js'
 
+const MAX_REMEMBERED_CHANGES = 32
+
 type ChangeResult = Result<Voter[], MembershipFailure>
 
 /** Changes the voters, here or on the leader. A change that was made already succeeds again, so a resend is safe. */
@@ -16,13 +18,15 @@
   while (clock.now() < deadline) {
     if (context.stopped) return Err({ kind: 'stopped', message: 'this host has stopped' })
     const { term, leader } = context
+    context.proposalSequence += 1
+    const id = `${context.self}/${context.processId}/${context.proposalSequence}`
     const remainingMs = deadline - clock.now()
     if (isLeading(context, term)) {
-      const reply = await handleChange(context, { term, change, remainingMs })
+      const reply = await handleChange(context, { id, term, change, remainingMs })
       if (reply.kind === 'changed') return Ok(reply.voters)
       if (reply.kind === 'failed') return Err(reply.failure)
     } else if (leader !== undefined && leader !== context.self) {
-      const result = await network.request(leader, 'log.change', { term, change, remainingMs }, deadline)
+      const result = await network.request(leader, 'log.change', { id, term, change, remainingMs }, deadline)
       const reply = result.ok ? result.val as ChangeReply : undefined
       if (reply?.kind === 'changed') return Ok(reply.voters)
       if (reply?.kind === 'failed') return Err(reply.failure)
@@ -34,6 +38,16 @@
 }
 
 export async function handleChange (context: Context, request: ChangeRequest): Promise<ChangeReply> {
+  const known = context.changes.get(request.id)
+  if (known !== undefined) return known
+  const answer = applyChange(context, request)
+  context.changes.set(request.id, answer)
+  const oldest = context.changes.size > MAX_REMEMBERED_CHANGES ? context.changes.keys().next().value : undefined
+  if (oldest !== undefined) context.changes.delete(oldest)
+  return answer
+}
+
+async function applyChange (context: Context, request: ChangeRequest): Promise<ChangeReply> {
   const { term, change, remainingMs } = request
   if (!isLeading(context, term) || context.handingOver) return { kind: 'not-leader' }
   if (context.changing) return { kind: 'failed', failure: { kind: 'change-in-progress', message: 'another change of the voters is in progress' } }
--- a/src/state/replica/messages.ts
+++ b/src/state/replica/messages.ts
@@ -76,7 +76,7 @@
   | { kind: 'not-caught-up', host: string, matchIndex: number, commitIndex: number }
   | LogFailure
 
-export interface ChangeRequest { term: number, change: MembershipChange, remainingMs: number }
+export interface ChangeRequest { id: string, term: number, change: MembershipChange, remainingMs: number }
 export type ChangeReply =
   | { kind: 'not-leader' }
   | { kind: 'changed', voters: Voter[] }
--- a/test/fuzz/replica.test.ts
+++ b/test/fuzz/replica.test.ts
@@ -90,7 +90,7 @@
   cutOneWay: (run, { host, to }) => run.cluster.network.setFaults(host, to, { cut: 'silent' }),
   heal: (run) => {
     run.cluster.network.setAllFaults({ minDelayMs: 1, maxDelayMs: 1, loss: 0, duplication: 0, cut: 'none' })
-    startStopped(run)
+    run.cluster.startStopped(run.lost)
   },
   disturb: (run, { loss, maxDelayMs }) => run.cluster.network.setAllFaults({ loss, duplication: loss, maxDelayMs }),
   failSync: (run, { host }) => run.cluster.getHost(host).disk?.setSyncFailures(1),
@@ -158,17 +158,6 @@
   return isAgreed && (voters[0]?.split(',').length ?? 0) >= 3
 }
 
-function startStopped (run: Run): void {
-  run.cluster.hosts.forEach((target) => {
-    target.disk?.setStepListener(undefined)
-    const hasFailed = target.replica()?.failure() !== undefined
-    if (hasFailed) target.kill()
-    if (target.replica() !== undefined && !hasFailed) return
-    target.kill()
-    target.start({ repair: run.lost === target.name })
-  })
-}
-
 async function settle (run: Run): Promise<void> {
   const { cluster, clock } = run
   cluster.hosts.forEach((target) => {
@@ -178,7 +167,7 @@
   handlers.heal(run, { kind: 'heal' })
   for (let round = 0; round < 8; round += 1) {
     await clock.advance(2500)
-    startStopped(run)
+    cluster.startStopped(run.lost)
   }
 }
 
