--- a/src/state/replica/apply.ts
+++ b/src/state/replica/apply.ts
@@ -17,8 +17,11 @@
       continue
     }
     context.dirtyFrom = last.index + 1
+    const resets = context.logResets
     const written = await store.append(entries)
     if (written.err) return stopOnFailure(context, written.val)
+    // A snapshot replaced the log during the write; what was written is not part of it.
+    if (resets !== context.logResets) continue
     // Entries that were replaced during the write are dirty again.
     context.stableIndex = Math.max(context.stableIndex, Math.min(last.index, context.dirtyFrom - 1))
     context.progress.notify()
@@ -110,6 +113,8 @@
     const saved = await store.saveSnapshot({ index, term, bytes }, log.listFrom(index + 1))
     context.snapshotting = false
     if (saved.err) return stopOnFailure(context, saved.val)
+    // A newer snapshot from the leader was saved after this one.
+    if (index < (context.snapshotInfo?.index ?? 0)) return
     context.snapshotInfo = describeSnapshot({ index, term, bytes })
     context.logger.info('log.snapshot', { index, bytes: bytes.length })
   }
--- a/src/state/replica/context.ts
+++ b/src/state/replica/context.ts
@@ -75,6 +75,8 @@
   log: EntryLog
   /** The lowest entry that is not on the disk in its present form. */
   dirtyFrom: number
+  /** How often a snapshot from a leader has replaced the log. */
+  logResets: number
   /** Entries up to here are on the disk. */
   stableIndex: number
   /** Latest last. The latest is in force even before it is committed. */
@@ -139,6 +141,7 @@
     electionDeadline: -Infinity,
     log: createEntryLog(base, content.term, entries),
     dirtyFrom: base + entries.length + 1,
+    logResets: 0,
     stableIndex: base + entries.length,
     memberships: snapshot === undefined ? [] : [{ index: base, voters: content.voters }],
     commitIndex: base,
--- a/src/state/replica/follower.ts
+++ b/src/state/replica/follower.ts
@@ -112,6 +112,7 @@
   following.forEach((entry) => log.append(entry))
   context.memberships = [{ index, voters: content.voters }, ...laterMemberships]
   context.dirtyFrom = log.lastIndex + 1
+  context.logResets += 1
   context.stableIndex = store === undefined ? log.lastIndex : 0
   context.state = content.state
   context.commitIndex = index
--- a/test/state/rules.test.ts
+++ b/test/state/rules.test.ts
@@ -68,7 +68,7 @@
   expect((await second).val).toEqual((await first).val)
 })
 
-test('a snapshot that arrives twice is not confirmed before it is on the disk', async () => {
+test.each([0, 600])('a snapshot that arrives twice, after %i entries that conflict, is not confirmed before it is on the disk', async (count) => {
   const { clock, cluster, formation, stranger } = await startWithStranger({ syncMs: 50, voters: ['a', 'b', 'c'] })
   const bytes = encodeSnapshot({ index: 500, term: 90, voters: [], state: createAgreedState() })
   const request = { formation, to: 'a-0', term: 99, index: 500, lastTerm: 90, size: bytes.length, checksum: crc32(bytes), offset: 0, bytes }
@@ -82,6 +82,11 @@
     const result = await stranger.request('a', 'log.snapshot', request, clock.now() + 5000)
     return result.ok && (result.val as SnapshotReply).offset === bytes.length
   }
+  const { commitIndex: prevIndex, term: prevTerm } = cluster.getHost('a').replica()!.status()
+  const entries = Array.from({ length: count }, () => [50, encodeCommand({ kind: 'noop' })])
+  stranger.request('a', 'log.append', { formation, to: 'a-0', term: 99, prevIndex, prevTerm, commit: 0, entries }, clock.now() + 5000)
+  // The term is saved by then, and the entries are being written.
+  await clock.advance(60)
   send()
   await clock.advance(5)
   const progress = { isConfirmed: false }
