--- a/src/coordination/tasks/session.ts
+++ b/src/coordination/tasks/session.ts
@@ -175,8 +175,9 @@
         addWorker(worker)
       })
     workers.forEach((state, id) => {
+      if (registered[id] !== undefined) return
       const isIdle = active === undefined || active.table.listOn(id).length === 0
-      if (registered[id] === undefined && isIdle) closeWorker(id, state)
+      if (isIdle) closeWorker(id, state)
     })
   }
 
--- a/test/tasks/combined.test.ts
+++ b/test/tasks/combined.test.ts
@@ -117,6 +117,46 @@
   expect(Object.values(zone.log.state().jobs.once!.outcomes)).toEqual(['unknown', 'unknown'])
 })
 
+test('after the journal was lost, tasks wait until the leases of an unanswering worker have run out', async () => {
+  const { zone } = await startZone(60_000)
+  await zone.addJob({ id: 'a', tasks: 4 })
+  await zone.advance(4_000)
+  expect(zone.events.map((event) => event.worker)).toEqual(['w1', 'w1', 'w1', 'w1'])
+  for (const id of zone.hosts.keys()) zone.crashHost(id)
+  cutBoth(zone, 'w1', [...zone.hosts.keys()])
+  for (const id of zone.hosts.keys()) await zone.startHost(id)
+  await zone.advance(10_000)
+  expect([zone.findActive()!.listTasks({ state: 'held' }).length, countStarts(zone)]).toEqual([4, 4])
+  await zone.advance(20_000)
+  expect(countStarts(zone)).toBe(8)
+  zone.network.healAll()
+  await expectFinished(zone, 70_000)
+})
+
+test('a task that must not run twice is not sent when its second copy is lost while it is recorded', async () => {
+  const { zone, standbys } = await startZone(1_000, { hosts: 2 })
+  zone.crashHost(standbys[0]!)
+  await zone.addJob({ id: 'once', tasks: 2, idempotent: false, urgent: true })
+  await zone.advance(10_000)
+  expect([countStarts(zone), zone.findActive()!.listTasks({ state: 'queued' }).length]).toEqual([0, 2])
+  await zone.startHost(standbys[0]!)
+  await expectFinished(zone, 10_000)
+  expect(countStarts(zone)).toBe(2)
+})
+
+test('a host that restarts at once does not go on in the epoch of its previous process', async () => {
+  const { zone, holder } = await startZone(20_000, { hosts: 2 })
+  await zone.addJob({ id: 'once', tasks: 4, idempotent: false })
+  await zone.advance(4_000)
+  const { epoch } = zone.findActive()!.status()
+  zone.crashHost(holder)
+  await zone.startHost(holder)
+  await zone.advance(6_000)
+  expect(zone.findActive()!.status().epoch).toBe(epoch + 1)
+  await expectFinished(zone, 30_000)
+  expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([4, Array(4).fill('succeeded')])
+})
+
 test('an attempt that no record accounts for is stopped, and its task runs once', async () => {
   const zone = await createFakeZone({ hosts: 2, workers: 2, plan: () => ({ runMs: 30_000, result: 'succeeded' }) })
   const worker = zone.workers.get('w1')!
