Let workers keep outcomes until the agreed log has them

Change: an outcome that ends a task is acknowledged when the agreed log has it. Replies list outcomes that are new since the reply that was seen, so that keeping them costs no traffic, and say whether acknowledgements were carried out. A state is reported as final when a second host or the log has it.

--- a/src/coordination/tasks/activeTerm.ts
+++ b/src/coordination/tasks/activeTerm.ts
@@ -84,6 +84,7 @@
     announce: (spec) => dispatcher.announce(spec),
     append: writer.append,
     isDurable: writer.isDurable,
+    isCopied: writer.isCopied,
     wakeWorker: options.wakeWorker,
     acceptsUnknown: () => state.incomplete,
     isLogCurrent: () => demand.isLogCurrent()
--- a/src/coordination/tasks/attemptTypes.ts
+++ b/src/coordination/tasks/attemptTypes.ts
@@ -17,6 +17,8 @@
   append (records: JournalRecord[]): Promise<boolean>
   /** A start that must not be repeated is recorded on a second host or on a synced disk. */
   isDurable (): boolean
+  /** Another host has everything that is recorded. */
+  isCopied (): boolean
   wakeWorker (worker: string): void
   /** Attempts of tasks without an entry are numbered from here. */
   firstAttempt: number
--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -23,6 +23,8 @@
   const recorded = new Map<string, TaskOutcome>()
   // Attempts whose end is applied here and not yet in the journal, so that the worker has to keep its outcome.
   const unrecordedEnds = new Set<string>()
+  // Outcomes that were reported as final.
+  const reported = new Set<string>()
   let sequence = 0
 
   const getWorker = (worker: string): WorkerView => {
@@ -78,10 +80,7 @@
     const key = formatKey(entry)
     ready.delete(key)
     unrecordedEnds.add(key)
-    record([{ kind: 'ended', task, attempt, result, checkpoint }], () => {
-      unrecordedEnds.delete(key)
-      acknowledge(worker, task, attempt)
-    })
+    record([{ kind: 'ended', task, attempt, result, checkpoint }], () => { unrecordedEnds.delete(key) })
     observe({ kind: 'task-ended', task, worker, result })
     logger.info('attempt-end', { task, attempt, worker, result })
     const spec = specs.get(task)
@@ -99,16 +98,11 @@
     record([{ kind: 'outcome', task, attempt, outcome }], () => {
       unrecordedEnds.delete(key)
       recorded.set(task, outcome)
-      if (worker !== undefined) acknowledge(worker, task, attempt)
     })
     if (worker !== undefined) observe({ kind: 'task-ended', task, worker, result })
     logger.info('task-end', { task, attempt, worker, outcome })
   }
 
-  const acknowledge = (worker: string, task: string, attempt: number): void => {
-    getWorker(worker).acknowledged.set(`${task}#${attempt}`, { task, attempt })
-  }
-
   const stop = (entry: JournalEntry, purpose: 'evict' | 'cancel'): void => {
     const { task, attempt, worker } = entry
     if (worker === undefined || entry.purpose === 'cancel' || entry.purpose === purpose) return
@@ -148,20 +142,23 @@
   }
 
   const handleOutcome = (worker: string, outcome: AttemptOutcome): void => {
-    const { task, attempt, token } = outcome
     adopt(worker, outcome)
-    const entry = journal.entries.get(task)
-    if (entry === undefined) {
-      // An outcome of an unknown task is kept by the worker until the log can tell whether the task is over.
-      if (!specs.has(task) && options.isLogCurrent()) acknowledge(worker, task, attempt)
-      return
-    }
+    const entry = journal.entries.get(outcome.task)
+    if (entry === undefined || !isCurrent(outcome)) return
     // Numbers may repeat after the journal was lost; tokens do not.
-    if (!isCurrent(outcome) || entry.token?.sequence !== token.sequence || entry.token.epoch !== token.epoch) {
-      if (!unrecordedEnds.has(formatKey(outcome))) acknowledge(worker, task, attempt)
-      return
-    }
-    outcomeHandlers[outcome.result](entry, outcome, worker)
+    const { token } = outcome
+    if (entry.token?.sequence === token.sequence && entry.token.epoch === token.epoch) outcomeHandlers[outcome.result](entry, outcome, worker)
+  }
+
+  /**
+   * A worker keeps the outcome that ended a task until the agreed log has it: then it survives even the loss of
+   * every copy of the journal. Other outcomes are needed until the journal has them.
+   */
+  const mayForget = (outcome: AttemptOutcome): boolean => {
+    const entry = journal.entries.get(outcome.task)
+    if (entry === undefined) return !specs.has(outcome.task) && options.isLogCurrent()
+    if (entry.attempt !== outcome.attempt) return entry.attempt > outcome.attempt
+    return entry.state === 'idle' && !unrecordedEnds.has(formatKey(outcome))
   }
 
   /** After the journal was lost, what a worker reports is recorded as if this coordinator had started it. */
@@ -179,7 +176,7 @@
 
   const handleReply = (worker: string, reply: ExchangeReply, request: ExchangeRequest): void => {
     const known = getWorker(worker)
-    request.acknowledged.forEach((item) => known.acknowledged.delete(formatKey(item)))
+    if (reply.applied) request.acknowledged.forEach((item) => known.outcomes.delete(formatKey(item)))
     known.observe(reply)
     reply.tasks.forEach(({ task, attempt, state, checkpoint, token }) => {
       adopt(worker, { task, attempt, token })
@@ -191,8 +188,9 @@
     })
     reply.outcomes.forEach((outcome) => {
       if (known.view.get(outcome.task)?.attempt === outcome.attempt) known.view.delete(outcome.task)
-      handleOutcome(worker, outcome)
+      known.outcomes.set(formatKey(outcome), outcome)
     })
+    known.outcomes.forEach((outcome) => handleOutcome(worker, outcome))
     const mayHaveStrays = reply.full || reply.tasks.length > 0 || known.hadStrays
     known.hadStrays = false
     if (mayHaveStrays) known.view.forEach(({ attempt, state }, task) => checkStray(worker, task, attempt, state))
@@ -260,7 +258,7 @@
     })
     const once = known.once
     known.once = []
-    const acknowledged = [...known.acknowledged.values()]
+    const acknowledged = [...known.outcomes.values()].filter(mayForget).map(({ task, attempt }) => ({ task, attempt }))
     return { commands: [...commands, ...once, ...known.strays], acknowledged }
   }
 
@@ -271,11 +269,18 @@
     options.wakeWorker(entry.worker)
   }
 
+  /** An outcome that only this host has recorded could still be forgotten, so it is not reported as final. */
+  const describeOutcome = (task: string): TaskState => {
+    const outcome = recorded.get(task)
+    if (outcome === undefined || (!reported.has(task) && !options.isCopied())) return 'ending'
+    reported.add(task)
+    return outcome
+  }
+
   const describeState = (task: string): TaskState => {
     const entry = journal.entries.get(task)
     if (entry === undefined || entry.state === 'idle') return 'queued'
-    // An outcome that is not in the journal yet would be forgotten if this host failed now.
-    if (entry.state === 'final') return recorded.get(task) ?? 'ending'
+    if (entry.state === 'final') return describeOutcome(task)
     if (entry.state === 'stopping') return 'evicting'
     const isSeen = workers.get(entry.worker ?? '')?.view.get(task)?.attempt === entry.attempt
     return isSeen ? 'running' : 'starting'
@@ -300,6 +305,7 @@
     sumPromised: (worker) => table.listOn(worker).reduce((sum, entry) => addResources(sum, entry.size ?? NOTHING), NOTHING),
     settle: (task, index) => {
       recorded.delete(task)
+      reported.delete(task)
       record([{ kind: 'settled', task, index }], () => {})
     },
     abandon: (spec) => {
--- a/src/coordination/tasks/exchange.ts
+++ b/src/coordination/tasks/exchange.ts
@@ -85,20 +85,22 @@
   reply: z.number().int(),
   /** False when the request was refused; its commands were then not carried out. */
   granted: z.boolean(),
+  /** The commands and acknowledgements were carried out. */
+  applied: z.boolean(),
   /** The term that the worker holds a promise for, when it is not the requester's. */
   promised: coordinatorTermSchema.optional(),
   /** The newest note held; sent when the request carries none and the requester's term has none. */
   journal: z.strictObject({ term: coordinatorTermSchema, note: journalNoteSchema }).optional(),
   /** Version of the requester's own note that the worker holds. */
   noted: z.number().int(),
-  /** True: `tasks` lists every task. False: only those that changed since the reply that the request named. */
+  /** True: `tasks` and `outcomes` are complete. False: they list what changed since the reply that the request named. */
   full: z.boolean(),
   tasks: z.array(z.strictObject({
     ...attemptFields,
     state: z.enum(['running', 'stopping', 'throttled']),
     checkpoint: z.string().optional()
   })),
-  /** Every outcome that has not been acknowledged. */
+  /** The worker keeps an outcome until it is acknowledged. */
   outcomes: z.array(attemptOutcomeSchema),
   /** Measurements made since the reply that the request named. */
   usage: z.array(z.strictObject({ task: z.string(), cores: z.number(), memoryBytes: z.number(), measuredAgoMs: z.number() })),
--- a/src/coordination/tasks/journalWriter.ts
+++ b/src/coordination/tasks/journalWriter.ts
@@ -43,6 +43,8 @@
   isWritable (): boolean
   /** A record would be on a second host or on a synced disk. */
   isDurable (): boolean
+  /** A second host is in step. */
+  isCopied (): boolean
   countPending (): number
 }
 
@@ -161,6 +163,8 @@
     return own.hasSnapshot && confirmed && (group.length < 3 || inStep > group.length / 2)
   }
 
+  const isCopied = (): boolean => peers.filter((peer) => notes.every((note) => note.hosts.includes(peer.host))).length > 1
+
   signal.addEventListener('abort', () => {
     waiting.forEach((item) => item.resolve(false))
     waiting = []
@@ -178,7 +182,8 @@
     getNote,
     update,
     isWritable,
-    isDurable: () => peers.filter((peer) => notes.every((note) => note.hosts.includes(peer.host))).length > 1 || own.synced,
+    isCopied,
+    isDurable: () => isCopied() || own.synced,
     countPending: () => waiting.length
   }
 }
--- a/src/coordination/tasks/workerView.ts
+++ b/src/coordination/tasks/workerView.ts
@@ -1,4 +1,4 @@
-import type { ExchangeReply, WorkerCommand } from './exchange.js'
+import type { AttemptOutcome, ExchangeReply, WorkerCommand } from './exchange.js'
 
 /** What a coordinator knows of one worker from its replies, and what it still has to tell it. */
 export interface WorkerView {
@@ -13,16 +13,15 @@
   strays: WorkerCommand[]
   /** Such attempts were found and may still be there. */
   hadStrays: boolean
-  /** Outcomes that are in the journal; repeated until the worker has processed them. */
-  readonly acknowledged: Map<string, { task: string, attempt: number }>
-  /** The worker runs nothing and every outcome was acknowledged. */
+  /** Outcomes that the worker keeps, by task and attempt. */
+  readonly outcomes: Map<string, AttemptOutcome>
+  /** The worker runs nothing and keeps no outcome. */
   isIdle (): boolean
   /** Prepares the view for the tasks of a reply. */
   observe (reply: ExchangeReply): void
 }
 
 export function createWorkerView (): WorkerView {
-  let hasOutcomes = true
   const self: WorkerView = {
     incarnation: '',
     view: new Map(),
@@ -30,18 +29,18 @@
     once: [],
     strays: [],
     hadStrays: false,
-    acknowledged: new Map(),
-    isIdle: () => self.view.size === 0 && self.acknowledged.size === 0 && !hasOutcomes,
+    outcomes: new Map(),
+    isIdle: () => self.incarnation !== '' && self.view.size === 0 && self.outcomes.size === 0,
     observe: (reply) => {
       if (self.incarnation !== reply.incarnation) {
         self.incarnation = reply.incarnation
         self.once = []
-        self.acknowledged.clear()
+      }
+      if (reply.full) {
         self.view.clear()
+        self.outcomes.clear()
       }
-      if (reply.full) self.view.clear()
       self.strays = []
-      hasOutcomes = reply.outcomes.length > 0
     }
   }
   return self
