Tell the placement at once what became of a dropped start

A host that was paused went on claiming in vain. Change: a drop is followed by an observation of the task's true state. The only host left gets a new epoch once its own term has ended. A claim that was made because of a silence ends when the coordinator is heard. FUZZ_PATH repeats one scenario of a seed.

--- a/src/coordination/authority/supervisor.ts
+++ b/src/coordination/authority/supervisor.ts
@@ -103,7 +103,9 @@
     const allowance = isHolderPresent ? TAKEOVER_ALLOWANCE_MS * 2 ** doublings : HEARTBEAT_LIMIT_MS
     if (zone.epoch > 0 && sinceGrant <= allowance) return undefined
     const others = candidates.filter((host) => host !== zone.host)
-    return others[zone.epoch % Math.max(1, others.length)] ?? (isHolderPresent ? undefined : candidates[0])
+    // The only host left needs no new epoch while it claims its lease; when its term has ended, it does.
+    const isClaiming = isHolderPresent && heard.get(zone.host)?.heartbeat.coordinator?.term.epoch === zone.epoch
+    return others[zone.epoch % Math.max(1, others.length)] ?? (isClaiming ? undefined : candidates[0])
   }
 
   const grant = async (zone: ZoneAuthority, host: string): Promise<void> => {
--- a/src/coordination/tasks/coordinator.ts
+++ b/src/coordination/tasks/coordinator.ts
@@ -8,6 +8,7 @@
 import type { Eviction } from './dispatcher.js'
 import type { PolicyInForce } from './activeTerm.js'
 import { appendRequestSchema, createJournalMember } from './journalMember.js'
+import { KEEPALIVE_MS } from './journalWriter.js'
 import { startSession } from './session.js'
 import type { Session, SessionPhase } from './sessionTypes.js'
 import type { TaskFilter, TaskView } from './table.js'
@@ -126,12 +127,19 @@
     if (isMine && zone.epoch > highest.epoch) return start(zone, { epoch: zone.epoch, round: 0, host: network.self })
     const isOutdated = session !== undefined && (zone.epoch > session.term.epoch || highest.epoch > session.term.epoch)
     if (isOutdated) return await releaseSession()
+    if (isNeedlessClaim()) return session?.stop()
     if (session === undefined && isCoordinatorSilent(zone)) {
       const { epoch, round } = compareTerms(highest, { epoch: zone.epoch, round: 0, host: '' }) > 0 ? highest : { epoch: zone.epoch, round: 0 }
       start(zone, { epoch, round: round + 1, host: network.self })
     }
   }
 
+  /** A claim that was made because of a silence, as after a pause, ends when the coordinator is heard again. */
+  const isNeedlessClaim = (): boolean => {
+    const isRaised = session !== undefined && session.getPhase() === 'claiming' && session.term.round > 0
+    return isRaised && clock.now() - coordinatorHeardAt < KEEPALIVE_MS
+  }
+
   const releaseSession = async (): Promise<void> => {
     const previous = session
     session = undefined
--- a/src/coordination/tasks/dispatcher.ts
+++ b/src/coordination/tasks/dispatcher.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger } from '../../common/index.js'
 import type { AgreedLog, Worker } from '../../state/index.js'
-import type { Decision, EvictionCause, Placement } from '../placement/types.js'
+import type { Decision, EvictionCause, Observation, Placement } from '../placement/types.js'
 import type { Attempts } from './attemptTypes.js'
 import type { ExchangeReply } from './exchange.js'
 import { applyRecord } from './journal.js'
@@ -144,7 +144,14 @@
     if (decision.kind !== 'start') return
     const spec = table.specs.get(decision.task)
     logger.info('decision-dropped', { task: decision.task, worker: decision.worker, reason })
-    if (spec !== undefined) unannounced.add(spec.task.id)
+    placement.observe(describeForPlacement(decision.task, spec), clock.now())
+  }
+
+  const describeForPlacement = (task: string, spec: TaskSpec | undefined): Observation => {
+    const worker = journal.entries.get(task)?.worker
+    if (spec !== undefined && worker !== undefined) return { kind: 'task-started', task: spec.task, worker }
+    const isWanted = spec !== undefined && !spec.cancelled && isQueued(spec)
+    return isWanted ? { kind: 'task-queued', task: spec.task } : { kind: 'task-cancelled', task }
   }
 
   const announceDue = (): void => {
--- a/test/fuzz/tasks.test.ts
+++ b/test/fuzz/tasks.test.ts
@@ -164,5 +164,5 @@
     } while (findUnfinished(zone).length > 0 && zone.clock.now() < deadline)
     expect([...findViolations(zone), ...checkOutcomes(zone), ...findUnfinished(zone)]).toEqual([])
     zone.hosts.forEach((_, id) => zone.crashHost(id))
-  }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
+  }), { seed: SEED, numRuns: RUNS, path: process.env.FUZZ_PATH, endOnFailure: true })
 }, 600_000)
--- a/test/tasks/authority.test.ts
+++ b/test/tasks/authority.test.ts
@@ -162,6 +162,25 @@
   expect(countAttempts(zone)).toBe(12)
 })
 
+test('a host whose term was overruled coordinates again when the one that overruled it dies', async () => {
+  const { zone, holder } = await startBusyZone(2)
+  const other = holder === 'h1' ? 'h2' : 'h1'
+  zone.hosts.forEach((_, id) => isolate(zone, id, ['leader']))
+  zone.pauseHost(holder, true)
+  await zone.advance(8_000)
+  expect(zone.listActive()).toContain(other)
+  zone.pauseHost(holder, false)
+  await zone.advance(2_000)
+  zone.network.healAll()
+  zone.hosts.forEach((_, id) => zone.setLogReachable(id, true))
+  await zone.advance(3_000)
+  expect(zone.listActive()).toEqual([other])
+  zone.crashHost(other)
+  expect(await measureTakeover(zone, other)).toBeLessThanOrEqual(4_000)
+  await zone.startHost(other)
+  await expectFinished(zone, 60_000)
+})
+
 test('a planned stop hands over faster than a failure is detected', async () => {
   const { zone, holder } = await startBusyZone(3)
   const stopped = zone.hosts.get(holder)!.coordinator!.stop()
--- a/test/tasks/lifecycle.test.ts
+++ b/test/tasks/lifecycle.test.ts
@@ -176,6 +176,16 @@
   expect(FAKE_CAPACITY.cores).toBe(4)
 })
 
+test('a start that was dropped takes no room in the placement once its task is cancelled', async () => {
+  const zone = await startZone(1_000, { hosts: 1, workers: 1 })
+  await zone.addJob({ id: 'once', tasks: 4, idempotent: false })
+  await zone.advance(3_000)
+  await zone.propose({ kind: 'job.cancel', job: 'once', member: 'parish' })
+  await zone.addJob({ id: 'a', tasks: 4 })
+  await expectFinished(zone, 8_000)
+  expect([listOutcomes(zone, 'once'), listOutcomes(zone, 'a')]).toEqual([Array(4).fill('cancelled'), Array(4).fill('succeeded')])
+})
+
 test('replicas of a service run in the zone, return after a failure, and end with the service', async () => {
   let failures = 1
   const zone = await startZone(0, { plan: () => failures-- > 0 ? { runMs: 1_000, result: 'failed' } : { runMs: Infinity, result: 'succeeded' } })
