--- a/src/coordination/placement/candidates.ts
+++ b/src/coordination/placement/candidates.ts
@@ -12,6 +12,8 @@
 const UNPROVEN_PER_WORKER = 1
 /** A class whose size is not reported within this time is placed by its declaration. */
 const UNPROVEN_MS = 30_000
+/** A worker is avoided for this long after a failure, and no longer, so that its health becomes known. */
+const AVOIDED_MS = 10_000
 
 export interface Choice {
   worker: WorkerRecord | undefined
@@ -121,7 +123,8 @@
   const load = Math.max((worker.held.cores + size.cores) / worker.capacity.cores, (worker.held.memoryBytes + size.memoryBytes) / worker.capacity.memoryBytes)
   const inRack = candidate.jobTasks === 0 ? 0 : (candidate.racks?.get(worker.rack) ?? 0) / candidate.jobTasks
   const imbalance = Math.abs((worker.held.cores + size.cores) / worker.capacity.cores - (worker.held.memoryBytes + size.memoryBytes) / worker.capacity.memoryBytes)
-  const shared = 0.1 * throughputWeight * imbalance + 0.1 * evictionWeight * load * load + 0.05 * inRack + 0.3 * worker.health.failures.size
+  const shared = 0.1 * throughputWeight * imbalance + 0.1 * evictionWeight * load * load + 0.05 * inRack +
+    (now - worker.health.lastFailureAt < AVOIDED_MS ? 0.3 * worker.health.failures.size : 0)
   if (record.task.service !== undefined) {
     const alike = worker.replicas.filter(({ task }) => task.service === record.task.service).length
     const added = getOutlook(state, worker, now).reduce((sum, { model, factor }) => sum + size.cores / worker.capacity.cores * factor * model.getCost(record.task.jobClass), 0)
--- a/src/coordination/placement/health.ts
+++ b/src/coordination/placement/health.ts
@@ -67,6 +67,7 @@
     known.nextTrial = now + Math.min(LONGEST_TRIAL_MS, FIRST_TRIAL_MS * 2 ** known.trials)
     known.trials += 1
   }
+  health.lastFailureAt = now
   health.failures.set(key, (health.failures.get(key) ?? 0) + 1)
   state.suspects.add(worker)
 }
--- a/src/coordination/placement/placement.ts
+++ b/src/coordination/placement/placement.ts
@@ -7,7 +7,7 @@
 import { recordDecisions } from './reasons.js'
 import { planStarts } from './starts.js'
 import { createPlacementState, type PlacementOptions, type PlacementState } from './state.js'
-import type { Decision, Placement } from './types.js'
+import type { Decision, Explanation, Placement, Subject } from './types.js'
 
 /** In this order: what protects comes before what adds work. */
 const PLANS: Array<(state: PlacementState, now: number) => Decision[]> = [
@@ -29,6 +29,15 @@
       decisions.forEach((decision) => { if (decision.kind === 'refuse') state.tasks.delete(decision.task) })
       return decisions
     },
-    explain: (subject) => state.explanations.list(subject)
+    explain: (subject) => listExplanations(state, subject)
   }
 }
+
+/** Of waiting tasks of one shape only the oldest is examined; its reason holds for all of them. */
+function listExplanations (state: PlacementState, subject: Subject): Explanation[] {
+  const own = state.explanations.list(subject)
+  const record = subject.kind === 'task' ? state.tasks.get(subject.id) : undefined
+  const head = record?.state === 'queued' ? state.queue.findHead(record) : undefined
+  if (head === undefined || head === record) return own
+  return [...own, ...state.explanations.list({ kind: 'task', id: head.task.id }).slice(-1)]
+}
--- a/src/coordination/placement/queue.ts
+++ b/src/coordination/placement/queue.ts
@@ -17,6 +17,8 @@
   /** Groups of one member; replicas first, then resumed tasks, then in order of the oldest task. */
   list (member: string): WaitingGroup[]
   listMembers (): string[]
+  /** The oldest task of the same shape, which is the one that is examined. */
+  findHead (record: TaskRecord): TaskRecord | undefined
 }
 
 export function createWaitingQueue (): WaitingQueue {
@@ -45,7 +47,11 @@
       if (groups.size === 0) members.delete(record.task.member)
     },
     list: (member) => [...members.get(member)?.values() ?? []].sort(compareGroups),
-    listMembers: () => [...members.keys()]
+    listMembers: () => [...members.keys()],
+    findHead: (record) => {
+      const group = members.get(record.task.member)?.get(getShape(record))
+      return group === undefined ? undefined : getHead(group)
+    }
   }
 }
 
--- a/src/coordination/placement/records.ts
+++ b/src/coordination/placement/records.ts
@@ -100,6 +100,7 @@
   state: HealthState
   /** Failures since the last success, by class. */
   failures: Map<string, number>
+  lastFailureAt: number
   deadline: number
   quarantines: number
   /** Successes since the worker began to return. */
@@ -174,7 +175,7 @@
     guardDeadline: -Infinity,
     withheld: createResources(),
     withheldDeadline: -Infinity,
-    health: { state: 'healthy', failures: new Map(), deadline: 0, quarantines: 0, successes: 0, losses: [], since: 0 },
+    health: { state: 'healthy', failures: new Map(), lastFailureAt: -Infinity, deadline: 0, quarantines: 0, successes: 0, losses: [], since: 0 },
     reservedFor: undefined,
     reservedAt: 0,
     checkedAt: -Infinity
