Try unknown pairs after a wait and move what throttles do not help

Cause: a class with a large unknown cost was rejected on every worker that serves and so never became known; and a move needed a contribution that no task has at the lowest share, so the move stage was never reached. Change: after 60 s an unknown pair is tried on its mean cost; a neighbour is judged for a move by its cost at full share.

--- a/src/coordination/placement/candidates.ts
+++ b/src/coordination/placement/candidates.ts
@@ -12,6 +12,10 @@
 const UNPROVEN_PER_WORKER = 1
 /** A class whose size is not reported within this time is placed by its declaration. */
 const UNPROVEN_MS = 30_000
+/** Wait after which caution about interference no longer holds a task back. */
+const RELAXED_MS = 60_000
+/** A pair whose cost has this standard deviation or more is as good as unknown. */
+const UNKNOWN_DEVIATION = 0.5
 /** A worker is avoided for this long after a failure, and no longer, so that its health becomes known. */
 const AVOIDED_MS = 10_000
 
@@ -35,6 +39,8 @@
   batch: boolean
   unproven: boolean
   explore: boolean
+  /** After a long wait the present load and the mean cost of an unknown pair decide, since throttles can still protect. */
+  relaxed: boolean
   guardBand: number
   /** Standard deviations added to the cost of uncertain pairs. */
   caution: number
@@ -47,7 +53,7 @@
   const count = state.workerList.length
   const start = count <= state.sample ? 0 : state.random.below(count)
   const choice: Choice = { worker: undefined, score: Infinity, added: 0, explored: explore, alternatives: [], rejections: new Map() }
-  const candidate = createCandidate(state, record, size, explore)
+  const candidate = createCandidate(state, record, size, explore, now)
   for (let index = 0; index < count; index++) {
     if (index >= state.sample && choice.worker !== undefined) break
     const worker = state.workerList[(start + index) % count] as WorkerRecord
@@ -65,7 +71,8 @@
   return choice
 }
 
-function createCandidate (state: PlacementState, record: TaskRecord, size: Resources, explore: boolean): Candidate {
+function createCandidate (state: PlacementState, record: TaskRecord, size: Resources, explore: boolean, now: number): Candidate {
+  const relaxed = now - record.queuedAt > RELAXED_MS
   const { tailLatencyWeight, throughputWeight } = state.policy.policy
   const known = state.sizes.find(record.task)
   const racks = state.spread.get(record.task.job)
@@ -75,6 +82,7 @@
     batch: isBatch(record.task),
     unproven: record.task.service === undefined && !record.task.urgent && (known?.evidence ?? 0) === 0,
     explore,
+    relaxed,
     guardBand: computeGuardBand(state),
     caution: explore ? 0 : tailLatencyWeight / (tailLatencyWeight + throughputWeight + 1e-9),
     racks,
@@ -137,7 +145,9 @@
     const cost = outlook.model.getCost(record.task.jobClass)
     const deviation = outlook.model.getDeviation(record.task.jobClass)
     const expected = part * outlook.factor * (cost + candidate.caution * deviation)
-    if (!record.task.urgent && outlook.preparedRatio + expected > -candidate.guardBand) return outlook.rejection
+    const isTrial = candidate.relaxed && deviation > UNKNOWN_DEVIATION
+    const excess = isTrial ? outlook.ratio + part * outlook.factor * cost : outlook.preparedRatio + expected + candidate.guardBand
+    if (!record.task.urgent && excess > 0) return outlook.rejection
     added += part * outlook.factor * cost
     latency += expected * (0.2 + outlook.pressure)
     // An exploration is worth most where least is known.
--- a/src/coordination/placement/protection.ts
+++ b/src/coordination/placement/protection.ts
@@ -117,7 +117,7 @@
   if (missed === undefined || replica === undefined) return []
   const index = outlooks.indexOf(missed)
   const victim = neighbours
-    .filter(({ record, fullPart, costs }) => fullPart * record.share * (costs[index] as number) >= SMALLEST_COST &&
+    .filter(({ record, fullPart, costs }) => fullPart * (costs[index] as number) >= SMALLEST_COST &&
       findEvictionBar(state, record, 'interference', replica.task.member, now) === undefined)
     .sort((one, other) => (other.costs[index] as number) * other.fullPart - (one.costs[index] as number) * one.fullPart)[0]
   if (victim === undefined) return []
