--- a/src/coordination/routing/credits.ts
+++ b/src/coordination/routing/credits.ts
@@ -50,7 +50,8 @@
   wake (service: string): void
   /** Called when a slot becomes free; true when it is given back rather than used again. */
   releaseExcess (executor: HeldExecutor): boolean
-  countKnownSlots (service: string): number
+  /** An equal share of the zone's slots, which this host can hold soon if it does not yet. */
+  countShare (service: string): number
   /** Returns everything that is not in use. */
   drain (): Promise<void>
   stop (): void
@@ -81,6 +82,15 @@
     home.services = new Map(summary.services.map((item) => [item.service, { free: item.free, slots: item.slots, executors: item.executors }]))
     summary.leaving.forEach(({ executor, incarnation }) => holdings.setLeaving(executor, incarnation))
     home.services.forEach((_, service) => health.setPopulation(service, countKnown(service, (view) => view.executors)))
+    // Requests may have waited for this home's first executor.
+    if (summary.services.some(({ service, free }) => free > 0 && getDemand(service).queued > 0)) observeOffer(host)
+  }
+
+  const observeOffer: Borrower['observeOffer'] = (host) => {
+    const home = homes.get(host)
+    if (home === undefined) return
+    home.askAfter = 0
+    home.wake()
   }
 
   const startHome = (host: string, zone: string): Home => {
@@ -289,15 +299,13 @@
 
   return {
     observeSummary,
-    observeOffer: (host) => {
-      const home = homes.get(host)
-      if (home === undefined) return
-      home.askAfter = 0
-      home.wake()
-    },
+    observeOffer,
     wake: (service) => listLive().filter((home) => canLend(home, service)).forEach((home) => home.wake()),
     releaseExcess,
-    countKnownSlots: (service) => countKnown(service, (view) => view.slots),
+    countShare: (service) => {
+      const hosts = listLive().filter((home) => home.availabilityZone === availabilityZone).length
+      return Math.floor(countKnown(service, (view) => view.slots, availabilityZone) / Math.max(1, hosts))
+    },
     drain,
     stop: () => {
       state.stopped = true
