Keep messages of many small entries below 64 KB

Cause: the size of an append counted the bytes of its entries only; each entry adds its term and lengths, which for thousands of small entries is a third more. Change: each entry counts 10 bytes more, and an append has at most 62 KB. Figures: with 9,000 waiting empty entries the largest message is within 64 KB; without the 10 bytes the new test fails. Conclusion: messages of the log are bounded by 64 KB.

--- a/src/state/agreedLog.ts
+++ b/src/state/agreedLog.ts
@@ -26,7 +26,10 @@
   learners: string[]
   /** Known on the leader only. */
   progress: Array<{ host: string, matchIndex: number, votes: boolean, lastHeardAgoMs: number }>
-  /** Voters that may still be lost before changes stop. */
+  /**
+   * Voters that may still be lost before changes stop. The leader counts those that it has heard lately; other hosts
+   * report what the number of voters allows, and 0 without a leader.
+   */
   survivableLosses: number
 }
 
--- a/src/state/replica/entryLog.ts
+++ b/src/state/replica/entryLog.ts
@@ -1,5 +1,8 @@
 import type { StoredEntry } from '../logStore/index.js'
 
+/** Term and lengths of one entry in a message. */
+const ENTRY_OVERHEAD_BYTES = 10
+
 /** The entries after the base, in memory. The base is the last entry that was dropped. */
 export interface EntryLog {
   readonly baseIndex: number
@@ -39,7 +42,7 @@
       let size = 0
       let end = start
       while (end < entries.length) {
-        size += entries[end]?.bytes.length ?? 0
+        size += ENTRY_OVERHEAD_BYTES + (entries[end]?.bytes.length ?? 0)
         if (size > maxBytes && end > start) break
         end += 1
       }
--- a/src/state/replica/replication.ts
+++ b/src/state/replica/replication.ts
@@ -2,7 +2,7 @@
 import { getPeerKey, getVoters, isLeading, isSelf, stopOnFailure, updateTerm, type Context, type Peer, type SnapshotInfo } from './context.js'
 import type { AppendReply, AppendRequest, RefusedReply, SnapshotReply, SnapshotRequest } from './messages.js'
 import { createNotifier } from './notifier.js'
-import { APPEND_TIMEOUT_MS, HEARTBEAT_MS, LEARNER_HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_IN_FLIGHT, MAX_MESSAGE_BYTES } from './timing.js'
+import { APPEND_TIMEOUT_MS, HEARTBEAT_MS, LEARNER_HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_IN_FLIGHT, MAX_APPEND_BYTES } from './timing.js'
 
 /** Starts a loop for each voter and learner that has none, and ends those of hosts that are neither. */
 export function updatePeers (context: Context): void {
@@ -71,7 +71,7 @@
 async function sendAppend (context: Context, peer: Peer, term: number): Promise<void> {
   const { clock, log, network } = context
   const prevIndex = peer.nextIndex - 1
-  const entries = peer.mode === 'replicate' ? log.listFrom(peer.nextIndex, MAX_MESSAGE_BYTES) : []
+  const entries = peer.mode === 'replicate' ? log.listFrom(peer.nextIndex, MAX_APPEND_BYTES) : []
   const request: AppendRequest = {
     formation: context.formation ?? 0,
     to: peer.incarnation,
--- a/src/state/replica/timing.ts
+++ b/src/state/replica/timing.ts
@@ -20,7 +20,8 @@
 export const LEARNER_SILENCE_MS = 3000
 /** Appends of one peer that may wait for an answer at the same time. */
 export const MAX_IN_FLIGHT = 4
-export const MAX_MESSAGE_BYTES = 64 * 1024
+/** Entries of one append; with the other fields a message stays below 64 KB. */
+export const MAX_APPEND_BYTES = 62 * 1024
 /** Leaves room for the other fields of a snapshot message. */
 export const MAX_CHUNK_BYTES = 63 * 1024
 /** An entry travels in one message. */
--- a/test/state/failures.test.ts
+++ b/test/state/failures.test.ts
@@ -185,6 +185,19 @@
   expect(interrupted.bytes).toBeLessThan(straight.bytes + 150_000)
 })
 
+test('many small entries are sent in messages of at most 64 KB', async () => {
+  const { clock, cluster, run, proposeOn } = await startCluster()
+  const leader = cluster.findLeader()!
+  const others = [...cluster.hosts.keys()].filter((name) => name !== leader.name)
+  const setCut = (cut: 'silent' | 'none') => others.forEach((name) => cluster.network.setFaults(leader.name, name, { cut }))
+  setCut('silent')
+  const results = Array.from({ length: 9000 }, () => proposeOn(leader, { kind: 'noop' }, 10_000))
+  await clock.advance(300)
+  setCut('none')
+  expect((await run(Promise.all(results))).every((result) => result.ok)).toBe(true)
+  others.forEach((name) => expect(cluster.network.getTraffic(name).largestBytes).toBeLessThanOrEqual(64 * 1024))
+})
+
 test('an entry that does not fit into one message is refused', async () => {
   const { cluster, run, proposeOn } = await startCluster()
   const outcomes = Array.from({ length: 1500 }, (_, index): [string, number, 'succeeded'] => ['x'.repeat(60), index, 'succeeded'])
