Let the fake cluster cut links between groups

Cause: six tests built the same one-way cuts by hand. Change: setCut loses messages from one group of hosts to another.

--- a/src/fakes/fakeCluster.ts
+++ b/src/fakes/fakeCluster.ts
@@ -41,6 +41,8 @@
   listRunning (): FakeHost[]
   /** The leader with the highest term. */
   findLeader (): FakeHost | undefined
+  /** Loses every message from one group to another, in this direction only, or ends that. */
+  setCut (from: string[], to: string[], cut: 'silent' | 'none'): void
   /** Cuts a host off in both directions, without a word to either side. */
   isolate (name: string): void
   rejoin (name: string): void
@@ -63,12 +65,12 @@
     return host
   }
   const listRunning = (): FakeHost[] => [...hosts.values()].filter((host) => host.replica() !== undefined)
-  const setCut = (name: string, cut: 'silent' | 'none'): void => {
-    const others = names.filter((other) => other !== name)
-    others.forEach((other) => {
-      network.setFaults(name, other, { cut })
-      network.setFaults(other, name, { cut })
-    })
+  const setCut = (from: string[], to: string[], cut: 'silent' | 'none'): void => from.forEach((source) => {
+    to.filter((target) => target !== source).forEach((target) => network.setFaults(source, target, { cut }))
+  })
+  const setIsolation = (name: string, cut: 'silent' | 'none'): void => {
+    setCut([name], names, cut)
+    setCut(names, [name], cut)
   }
   return {
     hosts,
@@ -78,8 +80,9 @@
     findLeader: () => listRunning()
       .filter((host) => host.replica()?.status().role === 'leader')
       .sort((a, b) => (b.replica()?.status().term ?? 0) - (a.replica()?.status().term ?? 0))[0],
-    isolate: (name) => setCut(name, 'silent'),
-    rejoin: (name) => setCut(name, 'none'),
+    setCut,
+    isolate: (name) => setIsolation(name, 'silent'),
+    rejoin: (name) => setIsolation(name, 'none'),
     startStopped: (repaired) => hosts.forEach((host) => {
       host.disk?.setStepListener(undefined)
       const replica = host.replica()
--- a/test/state/failures.test.ts
+++ b/test/state/failures.test.ts
@@ -40,8 +40,8 @@
   const leader = cluster.findLeader()!
   const { term } = getStatus(leader)
   const cut = listFollowers(cluster)[0]!
-  cluster.network.setFaults(leader.name, cut.name, { cut: 'silent' })
-  cluster.network.setFaults(cut.name, leader.name, { cut: 'silent' })
+  cluster.setCut([leader.name], [cut.name], 'silent')
+  cluster.setCut([cut.name], [leader.name], 'silent')
   await clock.advance(20_000)
   expect(getStatus(leader)).toMatchObject({ role: 'leader', term })
 })
@@ -49,10 +49,9 @@
 test.each(['to', 'from'])('a one-way cut %s the leader leaves one leader that can commit', async (direction) => {
   const { clock, cluster, run, proposeOn } = await startCluster()
   const leader = cluster.findLeader()!
-  const others = [...cluster.hosts.keys()].filter((name) => name !== leader.name)
-  others.forEach((other) => direction === 'to'
-    ? cluster.network.setFaults(other, leader.name, { cut: 'silent' })
-    : cluster.network.setFaults(leader.name, other, { cut: 'silent' }))
+  const names = [...cluster.hosts.keys()]
+  if (direction === 'to') cluster.setCut(names, [leader.name], 'silent')
+  else cluster.setCut([leader.name], names, 'silent')
   await clock.advance(4000)
   const next = cluster.findLeader()!
   expect(next.name).not.toBe(leader.name)
@@ -166,11 +165,10 @@
   await run(Promise.all(Array.from({ length: 300 }, (_, index) => proposeOn(leader, createJob(`j${index}`, undefined, 'x'.repeat(4000))))))
   const before = cluster.network.getTraffic(host.name).bytes
   host.start()
-  const setCut = (cut: 'silent' | 'none') => cluster.network.setFaults(leader.name, host.name, { cut })
   while (cluster.network.getTraffic(host.name).bytes - before < 500_000) await clock.advance(1)
-  if (isInterrupted) setCut('silent')
+  if (isInterrupted) cluster.setCut([leader.name], [host.name], 'silent')
   await clock.advance(700)
-  setCut('none')
+  cluster.rejoin(host.name)
   await clock.advance(3000)
   const { bytes, largestBytes } = cluster.network.getTraffic(host.name)
   return { bytes: bytes - before, largestBytes, jobs: Object.keys(host.replica()!.state().jobs).length }
@@ -188,14 +186,12 @@
 test('many small entries are sent in messages of at most 64 KB', async () => {
   const { clock, cluster, run, proposeOn } = await startCluster()
   const leader = cluster.findLeader()!
-  const others = [...cluster.hosts.keys()].filter((name) => name !== leader.name)
-  const setCut = (cut: 'silent' | 'none') => others.forEach((name) => cluster.network.setFaults(leader.name, name, { cut }))
-  setCut('silent')
+  cluster.isolate(leader.name)
   const results = Array.from({ length: 9000 }, () => proposeOn(leader, { kind: 'noop' }, 10_000))
   await clock.advance(300)
-  setCut('none')
+  cluster.rejoin(leader.name)
   expect((await run(Promise.all(results))).every((result) => result.ok)).toBe(true)
-  others.forEach((name) => expect(cluster.network.getTraffic(name).largestBytes).toBeLessThanOrEqual(64 * 1024))
+  cluster.hosts.forEach((host) => expect(cluster.network.getTraffic(host.name).largestBytes).toBeLessThanOrEqual(64 * 1024))
 })
 
 test('an entry that does not fit into one message is refused', async () => {
--- a/test/state/membership.test.ts
+++ b/test/state/membership.test.ts
@@ -57,10 +57,8 @@
   const [left, right] = listFollowers(cluster) as [FakeHost, FakeHost]
   // The old leader keeps only the spares, which do not vote yet.
   const inside = [old.name, 'd', 'e']
-  inside.forEach((from) => [left, right].forEach((to) => {
-    cluster.network.setFaults(from, to.name, { cut: 'silent' })
-    cluster.network.setFaults(to.name, from, { cut: 'silent' })
-  }))
+  cluster.setCut(inside, [left.name, right.name], 'silent')
+  cluster.setCut([left.name, right.name], inside, 'silent')
   const changes = await run(Promise.all(['d', 'e'].map((host) => old.replica()!.addVoter(host, deadlineOf(old)))))
   expect(changes.map((change) => change.err && change.val.kind)).toEqual([expect.stringMatching(/unsafe-change|not-recorded|outcome-unknown|no-leader/), 'change-in-progress'])
   const next = cluster.findLeader()!
@@ -113,7 +111,7 @@
     const others = [...cluster.hosts.keys()].filter((name) => name !== leader.name)
     const first = leader.replica()!.addVoter('d', deadlineOf(leader, 100))
     await clock.advance(cutAfterMs)
-    others.forEach((name) => cluster.network.setFaults(leader.name, name, { cut: 'silent' }))
+    cluster.setCut([leader.name], others, 'silent')
     await clock.advance(150)
     const isOpen = (await first).err && getStatus(leader).voters.includes('d')
     const second = await run(leader.replica()!.addVoter('e', deadlineOf(leader, 100)), 200)
--- a/test/state/rules.test.ts
+++ b/test/state/rules.test.ts
@@ -56,8 +56,7 @@
   const { clock, cluster, stranger } = await startWithStranger()
   const leader = cluster.findLeader()!
   const term = leader.replica()!.status().term
-  const others = ['a', 'b', 'c'].filter((name) => name !== leader.name)
-  others.forEach((name) => cluster.network.setFaults(leader.name, name, { cut: 'silent' }))
+  cluster.setCut([leader.name], ['a', 'b', 'c'], 'silent')
   const send = () => stranger.request(leader.name, 'log.propose', { term, origin: 'x/1', sequence: 1, entry: { kind: 'noop' }, remainingMs: 5000 }, clock.now() + 9000)
   const first = send()
   await clock.advance(2000)
