Count the holds of a rebuilt table from when the coordinator acts

Change: holds, and the index that separates old tasks from new ones, begin with the first pass under the lease. A term names the incarnation of its host, so that a restarted process cannot repeat one, and tokens start above every one that is known.

--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -1,5 +1,5 @@
 import type { Resources, TaskOutcome } from '../../state/index.js'
-import type { AttemptOutcome, ExchangeReply, ExchangeRequest, WorkerCommand } from './exchange.js'
+import type { AttemptOutcome, ExchangeReply, ExchangeRequest, FencingToken, WorkerCommand } from './exchange.js'
 import type { Attempts, AttemptsOptions } from './attemptTypes.js'
 import { applyRecord, type JournalEntry, type JournalRecord } from './journal.js'
 import { addResources, isReplica, type TaskSpec, type TaskState } from './table.js'
@@ -25,7 +25,7 @@
   const unrecordedEnds = new Set<string>()
   // Outcomes that were reported as final.
   const reported = new Set<string>()
-  let sequence = 0
+  let sequence = term.round * SEQUENCES_PER_ROUND
 
   const getWorker = (worker: string): WorkerView => {
     const known = workers.get(worker) ?? createWorkerView()
@@ -33,6 +33,11 @@
     return known
   }
 
+  /** Two processes may have used the same round, so new tokens are higher than every one that is known. */
+  const observeToken = (token: FencingToken): void => {
+    if (token.epoch === term.epoch) sequence = Math.max(sequence, token.sequence)
+  }
+
   const setReady = (worker: string, entry: { task: string, attempt: number }): void => {
     ready.add(formatKey(entry))
     getWorker(worker).due.add(entry.task)
@@ -40,6 +45,7 @@
 
   journal.entries.forEach((entry) => {
     if (entry.worker !== undefined) setReady(entry.worker, entry)
+    if (entry.token !== undefined) observeToken(entry.token)
     if (entry.outcome !== undefined) recorded.set(entry.task, entry.outcome)
   })
 
@@ -56,7 +62,7 @@
     const { task } = spec
     const attempt = Math.max(options.firstAttempt, (journal.entries.get(task.id)?.attempt ?? 0) + 1)
     sequence += 1
-    const token = { epoch: term.epoch, sequence: term.round * SEQUENCES_PER_ROUND + sequence }
+    const token = { epoch: term.epoch, sequence }
     const entry = { task: task.id, attempt, token, worker, incarnation, size, once: !task.idempotent }
     observe({ kind: 'task-started', task, worker })
     record([{ kind: 'start', ...entry }], () => {
@@ -179,6 +185,7 @@
     if (reply.applied) request.acknowledged.forEach((item) => known.outcomes.delete(formatKey(item)))
     known.observe(reply)
     reply.tasks.forEach(({ task, attempt, state, checkpoint, token }) => {
+      observeToken(token)
       adopt(worker, { task, attempt, token })
       known.view.set(task, { attempt, state })
       const entry = journal.entries.get(task)
@@ -187,6 +194,7 @@
       }
     })
     reply.outcomes.forEach((outcome) => {
+      observeToken(outcome.token)
       if (known.view.get(outcome.task)?.attempt === outcome.attempt) known.view.delete(outcome.task)
       known.outcomes.set(formatKey(outcome), outcome)
     })
--- a/src/coordination/tasks/coordinator.ts
+++ b/src/coordination/tasks/coordinator.ts
@@ -73,6 +73,8 @@
   const logger = options.logger.child({ host: network.self, zone: availabilityZone })
   const controller = new AbortController()
   const { signal } = controller
+  // A process that restarts must not continue a term of the previous one, whose promises and notes it does not know.
+  const holder = `${network.self}~${incarnation}`
   const local = await createJournalMember(options.journalStore ?? createMemoryJournalStore())
   const supervisor = startSupervisor({ clock, network, logger, log, signal })
   let session: Session | undefined
@@ -85,6 +87,8 @@
     if (compareTerms(term, highest) > 0) highest = term
   }
 
+  observeTerm(local.getPromised())
+
   const getPolicy = options.getPolicy ?? ((): PolicyInForce => {
     const { preset, revision, presets } = log.state().configuration
     return { preset, revision, policy: presets[preset] as PolicyInForce['policy'], isolated: false }
@@ -124,13 +128,13 @@
   const reviewZone = async (zone: ZoneAuthority): Promise<void> => {
     if (zone.retired) return await releaseSession()
     const isMine = zone.host === network.self && zone.incarnation === incarnation
-    if (isMine && zone.epoch > highest.epoch) return start(zone, { epoch: zone.epoch, round: 0, host: network.self })
+    if (isMine && zone.epoch > highest.epoch) return start(zone, { epoch: zone.epoch, round: 0, host: holder })
     const isOutdated = session !== undefined && (zone.epoch > session.term.epoch || highest.epoch > session.term.epoch)
     if (isOutdated) return await releaseSession()
     if (isNeedlessClaim()) return session?.stop()
     if (session === undefined && isCoordinatorSilent(zone)) {
       const { epoch, round } = compareTerms(highest, { epoch: zone.epoch, round: 0, host: '' }) > 0 ? highest : { epoch: zone.epoch, round: 0 }
-      start(zone, { epoch, round: round + 1, host: network.self })
+      start(zone, { epoch, round: round + 1, host: holder })
     }
   }
 
--- a/src/coordination/tasks/demand.ts
+++ b/src/coordination/tasks/demand.ts
@@ -38,13 +38,14 @@
 
 export function createDemand (options: DemandOptions): Demand {
   const { log, table, attempts, placement, clock, signal } = options
-  const startedAt = clock.now()
   const jobs = new Set<string>()
   const services = new Set<string>()
   // Cancelled tasks that may be running or may have ended out of sight.
   const deferred = new Set<TaskSpec>()
   let fullSyncAt = -Infinity
   let readAt = -Infinity
+  // When this coordinator began to act: only then do workers report to it, and the holds count from there.
+  let startedAt = Infinity
   // In a rebuilt table: tasks up to this index may have been started by an earlier coordinator.
   let rebuiltIndex: number | undefined
 
@@ -87,6 +88,7 @@
   }
 
   const update = (): void => {
+    if (startedAt === Infinity) startedAt = clock.now()
     if (clock.now() >= fullSyncAt + FULL_SYNC_MS) syncAll()
     const state = log.state()
     const index = log.status().appliedIndex
@@ -142,7 +144,8 @@
       const result = await log.readBarrier(askedAt + READ_INTERVAL_MS)
       if (result.ok) {
         readAt = askedAt
-        rebuiltIndex ??= result.val
+        // A task that is in the first comparison must not count as newer than the index.
+        if (askedAt > startedAt) rebuiltIndex ??= result.val
       }
       await clock.sleep(READ_INTERVAL_MS, signal)
     }
--- a/src/coordination/tasks/exchange.ts
+++ b/src/coordination/tasks/exchange.ts
@@ -4,6 +4,7 @@
 export const coordinatorTermSchema = z.strictObject({
   epoch: z.number().int().nonnegative(),
   round: z.number().int().nonnegative(),
+  /** The host and the incarnation of its process. */
   host: z.string()
 })
 export type CoordinatorTerm = z.infer<typeof coordinatorTermSchema>
--- a/src/coordination/tasks/journalMember.ts
+++ b/src/coordination/tasks/journalMember.ts
@@ -36,8 +36,8 @@
   append (request: AppendRequest): Promise<AppendReply>
   /** Promises the term, so that a coordinator of a lower term can record nothing here any more. */
   read (term: CoordinatorTerm): Promise<ReadReply>
-  /** The highest term seen, and when its coordinator was last heard. */
-  getPromised (): CoordinatorTerm | undefined
+  /** The highest term seen. */
+  getPromised (): CoordinatorTerm
 }
 
 const NO_TERM: CoordinatorTerm = { epoch: 0, round: 0, host: '' }
--- a/test/tasks/authority.test.ts
+++ b/test/tasks/authority.test.ts
@@ -135,6 +135,24 @@
   await expectFinished(zone, 10_000)
 })
 
+test('a zone that is cut off and restarts again and again never uses a term twice', async () => {
+  const { zone } = await startBusyZone(2)
+  zone.hosts.forEach((_, id) => isolate(zone, id, ['leader']))
+  const terms = new Set<string>()
+  for (let time = 0; time < 4; time++) {
+    for (const id of zone.hosts.keys()) zone.crashHost(id)
+    for (const id of zone.hosts.keys()) await zone.startHost(id)
+    await zone.advance(12_000)
+    expect(zone.listActive()).toHaveLength(1)
+    terms.add(JSON.stringify(zone.findActive()!.status().term))
+  }
+  expect(terms.size).toBe(4)
+  await zone.addJob({ id: 'more', tasks: 4 })
+  zone.network.healAll()
+  zone.hosts.forEach((_, id) => zone.setLogReachable(id, true))
+  await expectFinished(zone, 90_000)
+})
+
 test('after the journal was lost, a non-idempotent task that no worker reports becomes unknown', async () => {
   const { zone } = await startBusyZone(2)
   zone.hosts.forEach((_, id) => isolate(zone, id, ['leader']))
--- a/test/tasks/combined.test.ts
+++ b/test/tasks/combined.test.ts
@@ -166,6 +166,24 @@
   expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([4, Array(4).fill('succeeded')])
 })
 
+test('a coordinator that had to wait for a second host still asks the workers before it starts anything', async () => {
+  const { zone } = await startZone(3_000)
+  await zone.addJob({ id: 'once', tasks: 4, idempotent: false })
+  await zone.advance(2_000)
+  expect(countStarts(zone)).toBe(4)
+  const [first, second] = [...zone.hosts.keys()]
+  for (const id of zone.hosts.keys()) zone.crashHost(id)
+  await zone.advance(3_000)
+  await zone.startHost(first!)
+  await zone.advance(25_000)
+  await zone.addJob({ id: 'later', tasks: 1 })
+  // The second host is no candidate, so that the first one acts after its long wait.
+  zone.network.cut(second!, 'leader')
+  await zone.startHost(second!)
+  await expectFinished(zone, 20_000)
+  expect([countStarts(zone), Object.values(zone.log.state().jobs.once!.outcomes)]).toEqual([5, Array(4).fill('succeeded')])
+})
+
 test('an attempt that no record accounts for is stopped, and its task runs once', async () => {
   const zone = await createFakeZone({ hosts: 2, workers: 2, plan: () => ({ runMs: 30_000, result: 'succeeded' }) })
   const worker = zone.workers.get('w1')!
