Never dispatch a keyed request away from its issuer

Cause: an idempotent request with a key ran at another host when its issuer was out of reach; the local queue could then refuse it with "not-run" although an earlier copy had run at the issuer. Change: such a resend is "unknown" with the next step "resend". The fuzz run now gives keys to idempotent requests too. Conclusion: only the issuing incarnation dispatches a key, whatever the request.

--- a/src/coordination/routing/idempotency.ts
+++ b/src/coordination/routing/idempotency.ts
@@ -99,9 +99,8 @@
     if (reply?.success && reply.data.kind === 'outcome') return reply.data.outcome as RequestOutcome
     const isGone = parts.host === network.self || (reply?.success === true && reply.data.kind === 'not-issuer')
     const recorded = await askPeers(parts, { key, member, fingerprint }, request.deadline, isGone)
-    // An idempotent request may run again, so it need not wait for its issuer.
-    const mayRunHere = idempotent && recorded.kind === 'unknown' && clock.now() < request.deadline
-    return mayRunHere ? await run(request, {}) : recorded
+    // Run here, a later "not-run" of the issuer would be wrong; the caller may send an idempotent request without the key.
+    return recorded.kind === 'unknown' && idempotent ? { ...recorded, next: 'resend' } : recorded
   }
 
   const askPeers = async (parts: KeyParts, ask: { key: string, member: string, fingerprint: string }, deadline: number, isGone: boolean): Promise<RequestOutcome> => {
--- a/src/coordination/routing/types.ts
+++ b/src/coordination/routing/types.ts
@@ -30,7 +30,7 @@
   | 'no-answer' | 'truncated' | 'connection-lost' | 'wrong-answer' | 'in-progress' | 'issuer-lost' | 'answer-dropped' | 'claims-full'
 /**
  * `ask-again`: a resend with the same key returns the recorded answer or the present state and never runs the work twice.
- * `resend`: the request is idempotent, so it may be sent again. `check-by-other-means`: no host will ever know more.
+ * `resend`: the request is idempotent, so it may be sent again, with a new key or none. `check-by-other-means`: no host will ever know more.
  */
 export type NextStep = 'ask-again' | 'resend' | 'check-by-other-means'
 export type KeyFailureKind = 'malformed-key' | 'forged-key' | 'wrong-member' | 'expired-key' | 'key-reused'
--- a/test/routing/oracle.ts
+++ b/test/routing/oracle.ts
@@ -95,7 +95,9 @@
     request: ({ host, idempotent, timeoutMs, count }) => {
       for (let n = 0; n < count; n++) {
         const work = `w${sequence++}`
-        send(host, createRequest(cluster, work, { idempotent, member: n % 2 === 0 ? 'misterios' : 'rum' }, timeoutMs), work, 'none')
+        const member = n % 2 === 0 ? 'misterios' : 'rum'
+        const key = n % 3 === 0 ? { key: cluster.router(host).issueKey(member) } : {}
+        send(host, createRequest(cluster, work, { idempotent, member, ...key }, timeoutMs), work, 'none')
       }
     },
     resend: ({ host, pick, change }) => resend(host, pick, change),
