Show explanations and hosts in a form for people

Cause: explain printed its reasons as JSON in a table cell, and host list left out how many losses are survivable.

--- a/src/programs/cli/commands/operations.ts
+++ b/src/programs/cli/commands/operations.ts
@@ -1,7 +1,7 @@
 import { boolean, command, flag, number, oneOf, option, optional, positional, string, subcommands } from 'cmd-ts'
 import { describeSettingsFailure, loadSettings } from '../../settings/index.js'
 import { createRequestId } from '../client.js'
-import { EXIT_CODES } from '../output.js'
+import { EXIT_CODES, renderExplanations, renderHosts } from '../output.js'
 import { by, connection, createId, createRead, createSize, json, requestId, runChange, runRead, runReport, size } from './shared.js'
 
 export const presetCommands = subcommands({
@@ -67,7 +67,7 @@
 export const hostCommands = subcommands({
   name: 'host',
   cmds: {
-    list: createRead('list entry hosts, voters and how many losses are survivable', '/v1/hosts', (value: { hosts: unknown }) => value.hosts),
+    list: createRead('list entry hosts, voters and how many losses are survivable', '/v1/hosts', renderHosts),
     add: command({
       name: 'add',
       args: {
@@ -128,7 +128,7 @@
   name: 'explain',
   description: 'the decisions about a task, a job, a worker or a preset, in order',
   args: { kind: positional({ type: oneOf(['task', 'job', 'worker', 'preset'] as const), displayName: 'kind' }), id: createId('id'), json, ...connection },
-  handler: async (args) => await runRead(args, args.json, `/v1/explain/${args.kind}/${encodeURIComponent(args.id)}`)
+  handler: async (args) => await runRead(args, args.json, `/v1/explain/${args.kind}/${encodeURIComponent(args.id)}`, renderExplanations)
 })
 
 export const reportCommands = subcommands({
--- a/src/programs/cli/commands/shared.ts
+++ b/src/programs/cli/commands/shared.ts
@@ -28,20 +28,20 @@
 }
 
 /** A command that reads: prints a table, or JSON with `--json`. */
-export function createRead (description: string, path: string, pick?: (value: never) => unknown): ReturnType<typeof command> {
+export function createRead (description: string, path: string, render: (value: never) => string = renderValue): ReturnType<typeof command> {
   return command({
     name: description,
     description,
     args: { ...connection, json },
-    handler: async ({ json, ...flags }) => await runRead(flags, json, path, pick)
+    handler: async ({ json, ...flags }) => await runRead(flags, json, path, render)
   }) as ReturnType<typeof command>
 }
 
-export async function runRead (flags: Connection, json: boolean, path: string, pick?: (value: never) => unknown): Promise<void> {
+export async function runRead (flags: Connection, json: boolean, path: string, render: (value: never) => string = renderValue): Promise<void> {
   const answer = await runCall(flags, { method: 'GET', path })
   if (answer === undefined) return
   const value = JSON.parse(answer.text) as never
-  console.log(json ? JSON.stringify(value, null, 2) : renderValue(pick === undefined ? value : pick(value)))
+  console.log(json ? JSON.stringify(value, null, 2) : render(value))
 }
 
 export async function runChange (flags: Connection, call: Call): Promise<void> {
--- a/src/programs/cli/output.ts
+++ b/src/programs/cli/output.ts
@@ -24,6 +24,47 @@
   return entries.map(([key, field]) => `${key.padEnd(width)}  ${formatCell(field)}`).join('\n')
 }
 
+interface ShownExplanation {
+  at: number
+  repeated: number
+  decision: string
+  task?: string
+  worker?: string
+  reason: {
+    summary: string
+    figures: Array<{ name: string, value: number, unit: string, ageMs: number }>
+    alternatives: Array<{ worker: string, score: number, rejectedBecause: string }>
+    preset: string
+    revision: number
+  }
+}
+
+/** Renders decisions in order, each with its figures, their age and the alternatives that lost. */
+export function renderExplanations (explanations: ShownExplanation[]): string {
+  return explanations.length === 0 ? 'no decisions' : explanations.map(renderExplanation).join('\n')
+}
+
+function renderExplanation ({ at, repeated, decision, task, worker, reason }: ShownExplanation): string {
+  const subject = [decision, task, worker === undefined ? undefined : `on ${worker}`].filter((part) => part !== undefined).join(' ')
+  const times = repeated > 1 ? `, ${repeated} times` : ''
+  const figures = reason.figures.map(({ name, value, unit, ageMs }) =>
+    `    ${name}: ${formatNumber(value)} ${unit}${ageMs > 0 ? `, ${formatNumber(ageMs)} ms old` : ''}`)
+  const alternatives = reason.alternatives.map(({ worker: other, score, rejectedBecause }) =>
+    `    not ${other} (score ${formatNumber(score)}): ${rejectedBecause}`)
+  return [
+    `${(at / 1000).toFixed(1)} s  ${subject}${times}: ${reason.summary} (preset ${reason.preset}, revision ${reason.revision})`,
+    ...figures,
+    ...alternatives
+  ].join('\n')
+}
+
+interface ShownHosts { leader: string | null, term: number, commitIndex: number, survivableLosses: number, hosts: Array<Record<string, unknown>> }
+
+/** Renders the entry hosts and what the voters can still lose. */
+export function renderHosts ({ leader, term, commitIndex, survivableLosses, hosts }: ShownHosts): string {
+  return `${renderTable(hosts)}\n\nleader ${leader ?? 'none'}, term ${term}, log committed up to ${commitIndex}, ${survivableLosses} more voter(s) may be lost`
+}
+
 export function describeClientFailure (failure: ClientFailure): string {
   const describe: { [K in ClientFailure['kind']]: (f: Extract<ClientFailure, { kind: K }>) => string } = {
     'no-answer': (f) => ['no entry host answered:', ...f.tried.map(({ endpoint, message }) => `  ${endpoint}: ${message}`)].join('\n'),
@@ -44,3 +85,7 @@
   if (typeof value === 'object') return JSON.stringify(value)
   return String(value)
 }
+
+function formatNumber (value: number): string {
+  return Number(value.toPrecision(4)).toString()
+}
--- a/src/programs/entryHost/operations.ts
+++ b/src/programs/entryHost/operations.ts
@@ -61,7 +61,8 @@
         preset: preset ?? null,
         lastKnownPreset,
         revision,
-        since: new Date(since).toISOString(),
+        // The first configuration comes from the settings and has no time.
+        since: since === 0 ? null : new Date(since).toISOString(),
         setBy,
         reason,
         certainty: certainty.kind,
