Do not take a stall of this process for silence of the other end

Timers fire before sockets are read, so a process that was stalled for 0.5 s judged signs missing that had already arrived. Change: silence is confirmed once, 50 ms later, after the sockets were read; the same for links between entry hosts.

--- a/src/coordination/routing/attempt.ts
+++ b/src/coordination/routing/attempt.ts
@@ -9,6 +9,7 @@
 const SILENCE_FACTOR = 4
 const PROGRESS_FACTOR = 4
 const SHORTEST_PROGRESS_MS = 500
+const CONFIRM_MS = 50
 
 export type AttemptOutcome =
   | { kind: 'answer', answer: Answer }
@@ -58,7 +59,9 @@
 
   for (;;) {
     const limit = Math.min(request.deadline, lastSign + silenceMs)
-    const result = await waitAtMost(clock, sending, limit - clock.now())
+    // When this process was stalled, a sign may have arrived that was not read yet, so the wait is confirmed once.
+    const result = await waitAtMost(clock, sending, limit - clock.now()) ??
+      await waitAtMost(clock, sending, Math.min(CONFIRM_MS, request.deadline - clock.now()))
     if (result?.ok) return applyAnswer(result.val, request.method, id, executor, connection, context)
     if (result !== undefined) {
       const isUnsent = result.val.kind === 'not-sent'
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -10,6 +10,8 @@
 const PING_INTERVAL_MS = 500
 /** Without any byte from the peer for this long the connection is given up and a new one is opened. */
 const SILENCE_LIMIT_MS = 1_500
+/** When this process was stalled, bytes may have arrived that were not read yet, so silence is confirmed after this wait. */
+const CONFIRM_MS = 50
 const FIRST_RETRY_MS = 50
 const MAX_RETRY_MS = 1_000
 /** More than this waiting to be sent means that the peer does not read. */
@@ -92,7 +94,8 @@
     while (!closed.signal.aborted && !stopping.signal.aborted) {
       await clock.sleep(PING_INTERVAL_MS, closed.signal)
       if (closed.signal.aborted) break
-      if (clock.now() - watched.lastHeardAt > SILENCE_LIMIT_MS) {
+      if (isSilent(watched)) await clock.sleep(CONFIRM_MS, closed.signal)
+      if (isSilent(watched)) {
         logger.warn('peer connection is silent and was retired')
         break
       }
@@ -104,6 +107,8 @@
     watched.waiters.forEach((waiter) => waiter.finish(Err(failure)))
   }
 
+  const isSilent = ({ lastHeardAt }: Connection): boolean => clock.now() - lastHeardAt > SILENCE_LIMIT_MS
+
   const receiveMessage = (from: Connection, data: Buffer): void => {
     from.lastHeardAt = clock.now()
     const envelope = decodeEnvelope(data)
