Let reads within 100 ms share one round of the leader

Cause: each renewal of a lease and each coordinator's read made a message to every host; 18 appends a second reached a follower at rest instead of 4. Change: reads share a round, and only voters confirm it.

--- a/src/state/replica/context.ts
+++ b/src/state/replica/context.ts
@@ -96,6 +96,11 @@
   lastElected: number
   lastJoin: number
   readRound: number
+  /** The last round that learners confirm too. */
+  wideRound: number
+  lastRoundAt: number
+  /** The highest round that a timer will start. */
+  scheduledRound: number
   handingOver: boolean
   changing: boolean
   /** Answers to the latest requests for a change of the voters, so that a repeated message gets the same one. */
@@ -157,6 +162,9 @@
     lastElected: -Infinity,
     lastJoin: -Infinity,
     readRound: 0,
+    wideRound: 0,
+    lastRoundAt: -Infinity,
+    scheduledRound: 0,
     handingOver: false,
     changing: false,
     changes: new Map(),
--- a/src/state/replica/proposals.ts
+++ b/src/state/replica/proposals.ts
@@ -4,7 +4,7 @@
 import { appendCommand, createUnknown, isLeading, type Context } from './context.js'
 import { encodeCommand, type ProposeReply, type ProposeRequest, type ReadReply } from './messages.js'
 import { waitUntil } from './notifier.js'
-import { startRound, waitForRound } from './rounds.js'
+import { scheduleReadRound, waitForRound } from './rounds.js'
 import { FORWARD_TIMEOUT_MS, HEARTBEAT_MS, LEADER_WAIT_MS, MAX_ENTRY_BYTES, MAX_PENDING } from './timing.js'
 
 /** Answers remembered for each origin; a repeated message that is older than these gets no definite answer. */
@@ -111,7 +111,7 @@
     !isLeading(context, term) || context.log.getTerm(context.commitIndex) === term)
   if (!isReady || !isLeading(context, term)) return undefined
   const index = context.commitIndex
-  const isConfirmed = await waitForRound(context, term, startRound(context), deadline)
+  const isConfirmed = await waitForRound(context, term, scheduleReadRound(context), deadline)
   return isConfirmed ? index : undefined
 }
 
--- a/src/state/replica/replication.ts
+++ b/src/state/replica/replication.ts
@@ -65,7 +65,7 @@
 function hasNews (context: Context, peer: Peer): boolean {
   if (peer.mode !== 'replicate') return false
   if (peer.nextIndex <= context.log.lastIndex) return peer.inFlight < MAX_IN_FLIGHT
-  return peer.inFlight === 0 && (peer.sentCommit < context.commitIndex || peer.confirmedRound < context.readRound)
+  return peer.inFlight === 0 && (peer.sentCommit < context.commitIndex || peer.confirmedRound < (peer.isVoter ? context.readRound : context.wideRound))
 }
 
 async function sendAppend (context: Context, peer: Peer, term: number): Promise<void> {
--- a/src/state/replica/timing.ts
+++ b/src/state/replica/timing.ts
@@ -6,6 +6,8 @@
 /** After a failed election; short, so that a split vote does not delay a new leader beyond 2 s. */
 export const ELECTION_RETRY_MIN_MS = 100
 export const ELECTION_RETRY_MAX_MS = 350
+/** Reads wait up to this long to share a round of messages. */
+export const READ_ROUND_GAP_MS = 100
 /** A leader that has not reached a majority for this long steps down. */
 export const LEADER_CONTACT_MS = 800
 export const LEADER_CHECK_MS = 100
