Release throttles sooner, limit displacement by quota, weigh the throttle band

Change: releases in larger steps after 2 s, placements prepare for little of the peak load, displacement by quota at most once a minute and never where the services leave no room, the throttle band follows the weight of tail latency, class holds do not apply to urgent tasks.

--- a/src/coordination/placement/displacement.ts
+++ b/src/coordination/placement/displacement.ts
@@ -2,6 +2,7 @@
 import { getHeld, setShare } from './accounts.js'
 import { countRecentEvictions, findEvictionBar, planStop } from './evictions.js'
 import { findHealthRejection } from './health.js'
+import { isCrowded } from './outlook.js'
 import { isAboveQuota, isBarredFromEvicting } from './quotas.js'
 import { createFigure, createReason } from './reasons.js'
 import { computeHeldCores, type TaskRecord, type WorkerRecord } from './records.js'
@@ -14,6 +15,8 @@
 const DISPLACEMENT_MS = 6000
 /** Wait of a member below its quota before it displaces one above, times the weight of evictions. */
 const QUOTA_WAIT_MS = 180_000
+/** At most one displacement by quota within this time; with a lasting backlog each waiting task would order its own. */
+const QUOTA_PAUSE_MS = 60_000
 
 export interface Displacement { decisions: Decision[], worker: WorkerRecord | undefined }
 
@@ -29,9 +32,13 @@
 /** Lets a member below its quota displace tasks of members above theirs after a long wait. */
 export function planQuotaRoom (state: PlacementState, record: TaskRecord, size: Resources, now: number): Decision[] {
   const wait = QUOTA_WAIT_MS * Math.max(1, state.policy.policy.evictionWeight)
-  if (now - record.queuedAt < wait || now < (record.displacementDeadline ?? -Infinity)) return []
+  if (now - record.queuedAt < wait || now - state.quotaDisplacedAt < QUOTA_PAUSE_MS) return []
   if (isBarredFromEvicting(state, record.task.member, size)) return []
-  return planStops(state, state.workerList.filter((worker) => isUsable(worker, record, now)), record, size, 'quota', now)
+  // Room does not help a task that waits because of the services.
+  const workers = state.workerList.filter((worker) => isUsable(worker, record, now) && !isCrowded(state, worker, record.task.jobClass, size.cores, now))
+  const decisions = planStops(state, workers, record, size, 'quota', now)
+  if (decisions.length > 0) state.quotaDisplacedAt = now
+  return decisions
 }
 
 function isUsable (worker: WorkerRecord, record: TaskRecord, now: number): boolean {
--- a/src/coordination/placement/outlook.ts
+++ b/src/coordination/placement/outlook.ts
@@ -29,7 +29,7 @@
 /** Part of the way from the present load to the recent peak that placements prepare for. */
 export function computePreparation (state: PlacementState): number {
   const { tailLatencyWeight, throughputWeight } = state.policy.policy
-  return tailLatencyWeight / (tailLatencyWeight + 8 * throughputWeight + 1e-9)
+  return tailLatencyWeight / (tailLatencyWeight + 20 * throughputWeight + 1e-9)
 }
 
 /** Part of the objective, as ln, that is kept free for noise and change. */
@@ -38,6 +38,13 @@
   return 0.04 + 0.05 * tailLatencyWeight / (tailLatencyWeight + throughputWeight + 1e-9)
 }
 
+/** True when a task of this class and size would bring a service of the worker too near its objective. */
+export function isCrowded (state: PlacementState, worker: WorkerRecord, jobClass: string, cores: number, now: number): boolean {
+  const guardBand = computeGuardBand(state)
+  return getOutlook(state, worker, now).some(({ model, preparedRatio, factor }) =>
+    preparedRatio + cores / worker.capacity.cores * factor * model.getCost(jobClass) + guardBand > 0)
+}
+
 export function getOutlook (state: PlacementState, worker: WorkerRecord, now: number): ServiceOutlook[] {
   if (worker.outlook !== undefined && now - worker.outlookAt < KEPT_MS) return worker.outlook
   const services = [...new Set(worker.replicas.map(({ task }) => task.service as string))].filter((service) => state.services.has(service))
--- a/src/coordination/placement/protection.ts
+++ b/src/coordination/placement/protection.ts
@@ -7,15 +7,16 @@
 import type { PlacementState } from './state.js'
 import type { Decision } from './types.js'
 
-/** Neighbours are throttled when ln of expected p99 over the objective is above the first, and released below the second. */
-const THROTTLE_ABOVE = -0.06
-const RELEASE_BELOW = -0.12
+/** Part of the objective, as ln, at which neighbours are throttled when only tail latency counts. */
+const LARGEST_BAND = 0.12
+/** Further distance from the objective at which they are released again. */
+const HYSTERESIS = 0.06
 const SMALLEST_SHARE = 0.1
 const SHARE_STEP = 0.05
 /** Changes of less cost than this are not worth a throttle. */
 const SMALLEST_COST = 0.05
-const LARGEST_RELEASE = 0.3
-const RELEASE_PAUSE_MS = 3000
+const LARGEST_RELEASE = 0.6
+const RELEASE_PAUSE_MS = 2000
 const CHECK_EVERY_MS = 500
 const FRESH_MS = 12_000
 /** Time at the lowest share with a missed objective before a move, times the weight of evictions. */
@@ -29,11 +30,17 @@
     if (!worker.up || worker.tasks.size === 0 || now - worker.checkedAt < CHECK_EVERY_MS) return []
     worker.checkedAt = now
     const outlooks = getOutlook(state, worker, now)
-    if (outlooks.some(({ ratio }) => ratio > THROTTLE_ABOVE)) return planThrottles(state, worker, outlooks, now)
+    if (outlooks.some(({ ratio }) => ratio > getThrottleLimit(state))) return planThrottles(state, worker, outlooks, now)
     return planReleases(state, worker, outlooks, now)
   })
 }
 
+/** Neighbours are throttled when ln of expected p99 over the objective is above this. */
+function getThrottleLimit (state: PlacementState): number {
+  const { tailLatencyWeight, throughputWeight } = state.policy.policy
+  return -LARGEST_BAND * tailLatencyWeight / (tailLatencyWeight + throughputWeight + 1e-9)
+}
+
 function listThrottleable (worker: WorkerRecord, outlooks: ServiceOutlook[]): Neighbour[] {
   return [...worker.tasks]
     .filter(({ task, state }) => task.service === undefined && !task.urgent && state === 'running')
@@ -45,7 +52,8 @@
 }
 
 function planThrottles (state: PlacementState, worker: WorkerRecord, outlooks: ServiceOutlook[], now: number): Decision[] {
-  const needs = outlooks.map(({ ratio }) => ratio - THROTTLE_ABOVE)
+  const limit = getThrottleLimit(state)
+  const needs = outlooks.map(({ ratio }) => ratio - limit)
   const getEffect = ({ costs }: Neighbour): number => costs.reduce((most, cost, index) => (needs[index] as number) > 0 ? Math.max(most, cost) : most, 0)
   const neighbours = listThrottleable(worker, outlooks).sort((one, other) => getEffect(other) - getEffect(one))
   const decisions: Decision[] = []
@@ -65,9 +73,10 @@
 
 function planReleases (state: PlacementState, worker: WorkerRecord, outlooks: ServiceOutlook[], now: number): Decision[] {
   resetMisses(worker)
+  const limit = getThrottleLimit(state) - HYSTERESIS
   const throttled = [...worker.tasks].some(({ share }) => share < 1)
-  if (!throttled || outlooks.some(({ ratio, measuredAt }) => ratio > RELEASE_BELOW || now - measuredAt > FRESH_MS)) return []
-  const slacks = outlooks.map(({ ratio }) => RELEASE_BELOW - ratio + SHARE_STEP)
+  if (!throttled || outlooks.some(({ ratio, measuredAt }) => ratio > limit || now - measuredAt > FRESH_MS)) return []
+  const slacks = outlooks.map(({ ratio }) => limit - ratio + SHARE_STEP)
   const neighbours = listThrottleable(worker, outlooks)
     .filter(({ record }) => record.share < 1 && now - record.shareChangedAt >= RELEASE_PAUSE_MS)
     .sort((one, other) => Math.max(0, ...one.costs) - Math.max(0, ...other.costs))
--- a/src/coordination/placement/reservations.ts
+++ b/src/coordination/placement/reservations.ts
@@ -1,6 +1,6 @@
 import type { Resources } from '../../state/schemas.js'
 import { recordReservation } from './displacement.js'
-import { getOutlook } from './outlook.js'
+import { isCrowded } from './outlook.js'
 import { isBatch, type TaskRecord, type WorkerRecord } from './records.js'
 import { isWithin } from './resources.js'
 import type { PlacementState } from './state.js'
@@ -43,9 +43,7 @@
     limit.memoryBytes -= promise.memoryBytes
     limit.accelerators -= promise.accelerators
   })
-  const crowded = getOutlook(state, worker, now).some(({ model, ratio }) =>
-    ratio + size.cores / worker.capacity.cores * model.getCost(record.task.jobClass) > 0)
-  if (crowded) return false
+  if (isCrowded(state, worker, record.task.jobClass, size.cores, now)) return false
   if (isBatch(record.task)) limit.cores = Math.min(limit.cores, worker.capacity.cores * state.policy.policy.batchShare)
   return isWithin(size, limit)
 }
--- a/src/coordination/placement/starts.ts
+++ b/src/coordination/placement/starts.ts
@@ -78,7 +78,8 @@
 function planTask (state: PlacementState, record: TaskRecord, now: number): TaskPlan {
   const refusal = findRefusal(state, record)
   if (refusal !== undefined) return { decisions: [refusal], placed: true }
-  const hold = findClassHold(state, record, now)
+  // An urgent task is tried even when its class is held, because a wait costs more than a failure.
+  const hold = record.task.urgent ? undefined : findClassHold(state, record, now)
   if (hold !== undefined) return recordWaiting(state, record, `waits: ${hold}`, [], [], now)
   const estimate = estimateSize(state, record)
   const explore = canExplore(state, record)
--- a/src/coordination/placement/state.ts
+++ b/src/coordination/placement/state.ts
@@ -36,6 +36,8 @@
   spread: Map<string, Map<string, number>>
   /** Times of evictions that count against the allowance, within the last minute. */
   evictionTimes: number[]
+  /** When a wait of a member below its quota last displaced tasks. */
+  quotaDisplacedAt: number
   /** Explorations that the policy allows now. */
   explorationTokens: number
   random: Random
@@ -76,6 +78,7 @@
     moves: new Set(),
     spread: new Map(),
     evictionTimes: [],
+    quotaDisplacedAt: -Infinity,
     explorationTokens: 0,
     explanations: createExplanationLog(),
     random: createRandom(options.seed),
