--- a/src/bench/placementMain.ts
+++ b/src/bench/placementMain.ts
@@ -11,4 +11,4 @@
     ...deployments !== 'all' && { deployments: deployments.split(',') },
     ...scenarios !== undefined && { scenarios: scenarios.split(',') }
   })
-figures.forEach(({ name, value, unit }) => process.stdout.write(`${name}=${value} ${unit}\n`))
+figures.forEach(({ name, value }) => process.stdout.write(`${name}=${value}\n`))
