Give a zone its share of a quota and tell the placement of checkpoints

Cause: each zone enforced the whole quota of a member, so three zones allowed three times as much; the placement waited 10 s for a checkpoint that had already been reported; a throttle that makes room was sent after the start. Change: quotas are divided by the capacity of the zones' workers, checkpoints are observed, throttles go before starts.

--- a/src/coordination/tasks/activeTerm.ts
+++ b/src/coordination/tasks/activeTerm.ts
@@ -90,6 +90,7 @@
     isLogCurrent: () => demand.isLogCurrent()
   })
   const demand = createDemand({
+    availabilityZone,
     log,
     table,
     attempts,
--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -191,6 +191,7 @@
       const entry = journal.entries.get(task)
       if (entry?.attempt === attempt && checkpoint !== undefined && checkpoint !== entry.checkpoint && isCurrent(entry)) {
         record([{ kind: 'checkpoint', task, attempt, checkpoint }], () => {})
+        observe({ kind: 'task-checkpointed', task, worker })
       }
     })
     reply.outcomes.forEach((outcome) => {
@@ -267,7 +268,10 @@
     const once = known.once
     known.once = []
     const acknowledged = [...known.outcomes.values()].filter(mayForget).map(({ task, attempt }) => ({ task, attempt }))
-    return { commands: [...commands, ...once, ...known.strays], acknowledged }
+    // A throttle may make room for a start, so it goes first, unless it is for a task that starts with it.
+    const starting = new Set(commands.map(({ task }) => task))
+    const [later, earlier] = [once.filter(({ task }) => starting.has(task)), once.filter(({ task }) => !starting.has(task))]
+    return { commands: [...earlier, ...commands, ...later, ...known.strays], acknowledged }
   }
 
   const sendOnce = (task: string, compose: (entry: JournalEntry, fields: { task: string, attempt: number, token: NonNullable<JournalEntry['token']> }) => WorkerCommand): void => {
--- a/src/coordination/tasks/demand.ts
+++ b/src/coordination/tasks/demand.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import { findOwner, type AgreedLog, type Entry } from '../../state/index.js'
+import { findOwner, type AgreedLog, type Entry, type Resources, type Worker } from '../../state/index.js'
 import type { Placement } from '../placement/types.js'
 import type { Attempts } from './attemptTypes.js'
 import type { JournalRecord } from './journal.js'
@@ -13,6 +13,7 @@
 const FULL_SYNC_MS = 10_000
 
 export interface DemandOptions {
+  availabilityZone: string
   log: AgreedLog
   table: TaskTable
   attempts: Attempts
@@ -37,7 +38,7 @@
 }
 
 export function createDemand (options: DemandOptions): Demand {
-  const { log, table, attempts, placement, clock, signal } = options
+  const { log, table, attempts, placement, clock, signal, availabilityZone } = options
   const jobs = new Set<string>()
   const services = new Set<string>()
   // Cancelled tasks that may be running or may have ended out of sight.
@@ -57,12 +58,15 @@
     if (entry.kind === 'service.put') services.add(entry.service.id)
     if (entry.kind === 'service.remove') services.add(entry.service)
     if (entry.kind === 'member.put') observeMember(entry.member.id)
+    if (entry.kind === 'worker.register' || entry.kind === 'worker.remove') Object.keys(log.state().members).forEach(observeMember)
     if (jobs.size + services.size > 0) options.onChange()
   }
 
   const observeMember = (id: string): void => {
     const member = log.state().members[id]
-    if (member !== undefined) placement.observe({ kind: 'member', member: id, quota: member.quota, weight: member.weight }, clock.now())
+    if (member === undefined) return
+    const quota = computeZoneQuota(member.quota, Object.values(log.state().workers), availabilityZone)
+    placement.observe({ kind: 'member', member: id, quota, weight: member.weight }, clock.now())
   }
 
   const applyChanges = ({ added, cancelled, removed }: ReturnType<TaskTable['syncJob']>): void => {
@@ -158,6 +162,17 @@
   return { update, isHeld, isLogCurrent: () => clock.now() < readAt + LOG_CURRENT_MS }
 }
 
+/** A member's quota is for the whole deployment; a zone enforces its share by the capacity of its workers. */
+export function computeZoneQuota (quota: Resources, workers: Worker[], availabilityZone: string): Resources {
+  const own = workers.filter((worker) => worker.availabilityZone === availabilityZone)
+  const computeShare = (dimension: keyof Resources): number => {
+    const total = workers.reduce((sum, { capacity }) => sum + capacity[dimension], 0)
+    const held = own.reduce((sum, { capacity }) => sum + capacity[dimension], 0)
+    return total === 0 ? quota[dimension] : quota[dimension] * held / total
+  }
+  return { cores: computeShare('cores'), memoryBytes: computeShare('memoryBytes'), accelerators: computeShare('accelerators') }
+}
+
 /**
  * Whether the agreed state has no use for the outcome: it holds one, another zone owns the task, or the job is gone.
  * A job that is not known may also be one that this host has not heard of yet, so that needs a current log.
--- /dev/null
+++ b/test/tasks/quota.test.ts
@@ -0,0 +1,15 @@
+import { expect, test } from 'vitest'
+import { computeZoneQuota } from '../../src/coordination/tasks/demand.js'
+import type { Worker } from '../../src/state/index.js'
+
+const createWorker = (id: string, availabilityZone: string, cores: number): Worker =>
+  ({ id, availabilityZone, rack: 'r', url: '', capacity: { cores, memoryBytes: cores * 1e9, accelerators: 0 } })
+
+test('zones together enforce a quota once, not each of them the whole of it', () => {
+  const workers = [createWorker('w1', 'a', 30), createWorker('w2', 'b', 10), createWorker('w3', 'b', 20)]
+  const quota = { cores: 12, memoryBytes: 6e9, accelerators: 2 }
+  const shares = ['a', 'b', 'c'].map((zone) => computeZoneQuota(quota, workers, zone))
+  expect(shares.map(({ cores, memoryBytes }) => [cores, memoryBytes])).toEqual([[6, 3e9], [6, 3e9], [0, 0]])
+  expect(computeZoneQuota(quota, workers, 'a').accelerators).toBe(2)
+  expect(computeZoneQuota(quota, [], 'a')).toEqual(quota)
+})
