Use the usual terms of the field for names that needed explaining

Cause: a reader had to learn lane, book, stray and patience first. Change: service queue, store, estimates, unaccounted, timeout; pings only on links that are otherwise quiet; empty summaries are sent once; an offer between hosts is accepted once. Conclusion: names only, but for the three changes to links.

--- a/src/bench/routingScenario.ts
+++ b/src/bench/routingScenario.ts
@@ -74,19 +74,19 @@
   const { clock, executors } = scenario
   const random = createRandom(seed)
   const client = createClient(clock, executors)
-  const lanes = new Map(executors.map((executor) => [executor.id, { busy: 0, waiting: [] as Array<() => void>, idle: [] as ExecutorConnection[] }]))
+  const serviceQueues = new Map(executors.map((executor) => [executor.id, { busy: 0, waiting: [] as Array<() => void>, idle: [] as ExecutorConnection[] }]))
   let sequence = 0
 
   const tryOnce = async (request: RoutedRequest): Promise<RequestOutcome> => {
     const executor = random.pick(executors)
-    const lane = lanes.get(executor.id) as { busy: number, waiting: Array<() => void>, idle: ExecutorConnection[] }
-    if (lane.busy >= SLOTS) await new Promise<void>((resolve) => lane.waiting.push(resolve))
-    lane.busy += 1
-    const opened = lane.idle.pop() ?? (await client.open(executor.url, 'naive')).unwrap()
+    const serviceQueue = serviceQueues.get(executor.id) as { busy: number, waiting: Array<() => void>, idle: ExecutorConnection[] }
+    if (serviceQueue.busy >= SLOTS) await new Promise<void>((resolve) => serviceQueue.waiting.push(resolve))
+    serviceQueue.busy += 1
+    const opened = serviceQueue.idle.pop() ?? (await client.open(executor.url, 'naive')).unwrap()
     const result = await opened.send({ ...request, id: `naive/${sequence++}` }, () => {})
-    lane.idle.push(opened)
-    lane.busy -= 1
-    lane.waiting.shift()?.()
+    serviceQueue.idle.push(opened)
+    serviceQueue.busy -= 1
+    serviceQueue.waiting.shift()?.()
     if (!result.ok) return { kind: 'unknown', reason: 'no-answer', message: result.val.message, next: 'resend' }
     return { kind: 'answered', ...result.val }
   }
--- a/src/coordination/authority/supervisor.ts
+++ b/src/coordination/authority/supervisor.ts
@@ -55,7 +55,7 @@
   // Since when hosts of the zone are heard without a gap.
   const heardSince = new Map<string, number>()
   // Epochs since a coordinator of the zone was last seen to act.
-  const inVain = new Map<string, number>()
+  const failedGrants = new Map<string, number>()
   let leadsSince = Infinity
 
   const isHeard = (host: string): boolean => {
@@ -92,7 +92,7 @@
     const coordinator = findCoordinator(zone)
     if (coordinator?.active === true) {
       settled.set(zone.availabilityZone, zone.epoch)
-      inVain.set(zone.availabilityZone, 0)
+      failedGrants.set(zone.availabilityZone, 0)
       const mayRegrant = sinceGrant > REGRANT_INTERVAL_MS && hasChangedWitnesses(zone)
       return mayRegrant && candidates.includes(coordinator.host) ? coordinator.host : undefined
     }
@@ -107,7 +107,7 @@
   const chooseSuccessor = (zone: ZoneAuthority, candidates: string[], sinceGrant: number): string | undefined => {
     const isHolderPresent = candidates.includes(zone.host) && heard.get(zone.host)?.heartbeat.incarnation === zone.incarnation
     // A holder that is heard is taking over; it may have to wait until the previous lease has run out.
-    const doublings = Math.min(MAX_DOUBLINGS, inVain.get(zone.availabilityZone) ?? 0)
+    const doublings = Math.min(MAX_DOUBLINGS, failedGrants.get(zone.availabilityZone) ?? 0)
     const allowance = isHolderPresent ? TAKEOVER_ALLOWANCE_MS * 2 ** doublings : HEARTBEAT_LIMIT_MS
     if (zone.epoch > 0 && sinceGrant <= allowance) return undefined
     // A zone that can be reached again may have a coordinator whose heartbeat is still under way.
@@ -124,7 +124,7 @@
     const incarnation = heard.get(host)?.heartbeat.incarnation ?? ''
     const settledEpoch = settled.get(availabilityZone)
     grantedAt.set(availabilityZone, clock.now())
-    inVain.set(availabilityZone, (inVain.get(availabilityZone) ?? -1) + 1)
+    failedGrants.set(availabilityZone, (failedGrants.get(availabilityZone) ?? -1) + 1)
     logger.info('zone-grant', { availabilityZone, host, previousEpoch: epoch })
     const entry = { kind: 'zone.grant' as const, availabilityZone, previousEpoch: epoch, host, incarnation, settledEpoch }
     const result = await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)
--- a/src/coordination/placement/interference.ts
+++ b/src/coordination/placement/interference.ts
@@ -45,7 +45,7 @@
   learn (count: number, p99Ms: number, neighbours: Neighbour[], measuredAt: number, now: number): { load: number, difference: number }
 }
 
-export interface InterferenceBook {
+export interface InterferenceEstimates {
   getService (service: string): ServiceModel
 }
 
@@ -53,7 +53,7 @@
  * ln p99 of a replica is modelled as a polynomial in its load plus, for each class of neighbours, its cost times the
  * part of the worker that it uses, times a factor that is linear in the load. Costs are never negative.
  */
-export function createInterferenceBook (): InterferenceBook {
+export function createInterferenceEstimates (): InterferenceEstimates {
   const services = new Map<string, ServiceModel & { findCost (jobClass: string): number | undefined }>()
   const getPrior = (jobClass: string): { cost: number, variance: number } => {
     const costs = [...services.values()].map((service) => service.findCost(jobClass)).filter((cost) => cost !== undefined)
--- a/src/coordination/placement/sizes.ts
+++ b/src/coordination/placement/sizes.ts
@@ -31,7 +31,7 @@
   updatedAt: number
 }
 
-export interface SizeBook {
+export interface SizeEstimates {
   find (task: PlacementTask): ClassSize | undefined
   estimate (task: PlacementTask, startingMargin: number): SizeEstimate
   estimateRunMs (task: PlacementTask): number
@@ -42,7 +42,7 @@
   canOverrule (task: PlacementTask): boolean
 }
 
-export function createSizeBook (): SizeBook {
+export function createSizeEstimates (): SizeEstimates {
   const classes = new Map<string, ClassSize>()
   const getClass = (task: PlacementTask): ClassSize => {
     const key = getClassKey(task)
--- a/src/coordination/placement/state.ts
+++ b/src/coordination/placement/state.ts
@@ -2,13 +2,13 @@
 import type { Policy, Resources } from '../../state/schemas.js'
 import { createExplanationLog, type ExplanationLog } from './explanations.js'
 import type { ClassHealth } from './health.js'
-import { createInterferenceBook, type InterferenceBook } from './interference.js'
+import { createInterferenceEstimates, type InterferenceEstimates } from './interference.js'
 import { createWaitingQueue, type WaitingQueue } from './queue.js'
 import {
   createMemberRecord, type MemberRecord, type PolicyInForce, type ServiceRecord, type TaskRecord, type WorkerRecord
 } from './records.js'
 import { addResources, createResources } from './resources.js'
-import { createSizeBook, type SizeBook } from './sizes.js'
+import { createSizeEstimates, type SizeEstimates } from './sizes.js'
 
 export interface PlacementOptions {
   /** Seeds sampling and exploration, so that the same observations give the same decisions. */
@@ -24,9 +24,9 @@
   members: Map<string, MemberRecord>
   services: Map<string, ServiceRecord>
   queue: WaitingQueue
-  sizes: SizeBook
+  sizes: SizeEstimates
   explanations: ExplanationLog
-  interference: InterferenceBook
+  interference: InterferenceEstimates
   classHealth: Map<string, ClassHealth>
   /** Workers with failures or losses to be judged. */
   suspects: Set<WorkerRecord>
@@ -71,8 +71,8 @@
     members: new Map(),
     services: new Map(),
     queue: createWaitingQueue(),
-    sizes: createSizeBook(),
-    interference: createInterferenceBook(),
+    sizes: createSizeEstimates(),
+    interference: createInterferenceEstimates(),
     classHealth: new Map(),
     suspects: new Set(),
     moves: new Set(),
--- a/src/coordination/routing/claims.ts
+++ b/src/coordination/routing/claims.ts
@@ -25,7 +25,7 @@
 export type AskReply = { kind: 'none' } | { kind: 'in-progress' } | { kind: 'outcome', outcome: RequestOutcome }
 
 /** Keys issued by this incarnation, the claims on them, and copies of other hosts' claims. */
-export interface ClaimBook {
+export interface ClaimStore {
   issue (member: string): string
   isIssuer (parts: KeyParts): boolean
   /** The first claim on a key is `isNew`; only then may the request be dispatched. */
@@ -41,9 +41,9 @@
 export interface ClaimLimits { claims: number, copies: number, answerBytes: number, keyLifetimeMs: number }
 const DEFAULT_LIMITS: ClaimLimits = { claims: MAX_CLAIMS, copies: MAX_COPIES, answerBytes: MAX_ANSWER_BYTES, keyLifetimeMs: KEY_LIFETIME_MS }
 
-export function createClaimBook (options: {
+export function createClaimStore (options: {
   clock: Clock, host: string, incarnation: string, availabilityZone: string, secret: Uint8Array, limits?: Partial<ClaimLimits>
-}): ClaimBook {
+}): ClaimStore {
   const { clock, host, incarnation, availabilityZone, secret } = options
   const limits = { ...DEFAULT_LIMITS, ...options.limits }
   const claims = new Map<string, Claim>()
@@ -55,7 +55,7 @@
     availabilityZone, host, incarnation, member, sequence: sequence++, expiry: clock.now() + limits.keyLifetimeMs
   }, secret)
 
-  const claim: ClaimBook['claim'] = (key, parts, fingerprint) => {
+  const claim: ClaimStore['claim'] = (key, parts, fingerprint) => {
     const known = claims.get(key)
     if (known !== undefined && known.fingerprint !== fingerprint) {
       return Err({ kind: 'key-reused', message: 'the idempotency key was used for another request' })
@@ -69,7 +69,7 @@
     return Ok({ claim: created, isNew: true })
   }
 
-  const recordOutcome: ClaimBook['recordOutcome'] = (target, outcome) => {
+  const recordOutcome: ClaimStore['recordOutcome'] = (target, outcome) => {
     if (claims.get(target.key) !== target) return target.finish()
     answerBytes -= target.bytes
     target.bytes = countBytes(outcome)
@@ -90,7 +90,7 @@
     }
   }
 
-  const recordCopy: ClaimBook['recordCopy'] = ({ key, member, fingerprint, remainingMs, outcome }) => {
+  const recordCopy: ClaimStore['recordCopy'] = ({ key, member, fingerprint, remainingMs, outcome }) => {
     const known = copies.get(key)
     if (known?.outcome !== undefined && (outcome === undefined || known.outcome.kind === 'answered')) return
     if (known === undefined && copies.size >= limits.copies) removeCopy(copies.keys().next().value as string)
@@ -105,7 +105,7 @@
     copies.delete(key)
   }
 
-  const find: ClaimBook['find'] = ({ key, member, fingerprint }) => {
+  const find: ClaimStore['find'] = ({ key, member, fingerprint }) => {
     const known = claims.get(key) ?? copies.get(key)
     if (known === undefined || known.member !== member || known.expiry <= clock.now()) return { kind: 'none' }
     if (known.fingerprint !== fingerprint) {
--- a/src/coordination/routing/dispatcher.ts
+++ b/src/coordination/routing/dispatcher.ts
@@ -31,7 +31,7 @@
   settle: (outcome: RequestOutcome) => void
 }
 
-interface Lane {
+interface ServiceQueue {
   service: string
   queue: FairQueue<Job>
   peak: number
@@ -69,7 +69,7 @@
   metrics: Metrics
 }): Dispatcher {
   const { clock, holder, holdings, health, getBorrower, getPolicy, getService, metrics, logger } = options
-  const lanes = new Map<string, Lane>()
+  const serviceQueues = new Map<string, ServiceQueue>()
   const budget = createRetryBudget()
   let sequence = 0
   const queued = { items: 0, bytes: 0 }
@@ -77,12 +77,12 @@
   let draining = false
   let stopped = false
 
-  const getLane = (service: string): Lane => {
-    const known = lanes.get(service)
+  const getServiceQueue = (service: string): ServiceQueue => {
+    const known = serviceQueues.get(service)
     if (known !== undefined) return known
-    const lane: Lane = { service, queue: createFairQueue<Job>(), peak: 0, lastRequestAt: -Infinity }
-    lanes.set(service, lane)
-    return lane
+    const serviceQueue: ServiceQueue = { service, queue: createFairQueue<Job>(), peak: 0, lastRequestAt: -Infinity }
+    serviceQueues.set(service, serviceQueue)
+    return serviceQueue
   }
 
   const countInUse = (service: string): number =>
@@ -120,46 +120,46 @@
     const { request } = job
     if (draining || stopped) return endJob(job, 'draining', 'this host accepts no new requests')
     if (getService(request.service) === undefined) return endJob(job, 'unknown-service', `no service ${request.service}`)
-    const lane = getLane(request.service)
-    lane.lastRequestAt = clock.now()
+    const serviceQueue = getServiceQueue(request.service)
+    serviceQueue.lastRequestAt = clock.now()
     budget.recordRequest()
-    const executor = lane.queue.count() === 0 ? holdings.choose(lane.service, job.tried) : undefined
+    const executor = serviceQueue.queue.count() === 0 ? holdings.choose(serviceQueue.service, job.tried) : undefined
     if (executor !== undefined) {
-      startJob(job, lane, executor)
+      startJob(job, serviceQueue, executor)
       return
     }
-    if (isHopeless(job, lane)) return endJob(job, 'deadline-too-close', 'the deadline would pass in the queue')
-    enqueueJob(job, lane)
+    if (isHopeless(job, serviceQueue)) return endJob(job, 'deadline-too-close', 'the deadline would pass in the queue')
+    enqueueJob(job, serviceQueue)
   }
 
-  const isHopeless = (job: Job, lane: Lane): boolean => {
-    const { meanMs } = health.estimateService(lane.service)
-    const slots = countSlots(lane.service)
-    const waitMs = slots === 0 ? 0 : lane.queue.countAhead(job.member) * meanMs / slots
+  const isHopeless = (job: Job, serviceQueue: ServiceQueue): boolean => {
+    const { meanMs } = health.estimateService(serviceQueue.service)
+    const slots = countSlots(serviceQueue.service)
+    const waitMs = slots === 0 ? 0 : serviceQueue.queue.countAhead(job.member) * meanMs / slots
     return clock.now() + waitMs + meanMs > job.deadline
   }
 
-  const enqueueJob = (job: Job, lane: Lane): void => {
+  const enqueueJob = (job: Job, serviceQueue: ServiceQueue): void => {
     // A burst on a host that holds few slots yet may wait for those that it is about to borrow.
-    const slots = Math.max(countSlots(lane.service), getBorrower().countShare(lane.service))
+    const slots = Math.max(countSlots(serviceQueue.service), getBorrower().countShare(serviceQueue.service))
     const limit = Math.max(QUEUE_FLOOR, Math.ceil(getPolicy().queuePerSlot * slots))
     job.queued = new AbortController()
     queued.items += 1
     queued.bytes += job.bytes
-    const surplus = lane.queue.add(job, limit)
+    const surplus = serviceQueue.queue.add(job, limit)
     if (surplus !== undefined) rejectQueued(surplus, 'queue-full', 'the queue is full and this member has the longest line in it')
     shedLightest()
-    expireJob(job, lane)
-    getBorrower().wake(lane.service)
-    pumpLane(lane)
+    expireJob(job, serviceQueue)
+    getBorrower().wake(serviceQueue.service)
+    pumpQueue(serviceQueue)
   }
 
   /** Requests of the services with the least weight give way when the host as a whole holds too many. */
   const shedLightest = (): void => {
     while (queued.items > HOST_QUEUE_LIMIT || queued.bytes > HOST_QUEUE_BYTES) {
-      const lightest = [...lanes.values()]
-        .filter((lane) => lane.queue.count() > 0)
-        .reduce((best, lane) => getWeight(lane.service) < getWeight(best.service) ? lane : best)
+      const lightest = [...serviceQueues.values()]
+        .filter((serviceQueue) => serviceQueue.queue.count() > 0)
+        .reduce((best, serviceQueue) => getWeight(serviceQueue.service) < getWeight(best.service) ? serviceQueue : best)
       const victim = lightest.queue.removeLast()
       if (victim === undefined) return
       rejectQueued(victim, 'shed', 'the host is overloaded and the service has the least weight')
@@ -180,54 +180,54 @@
     endJob(job, reason, message)
   }
 
-  const expireJob = async (job: Job, lane: Lane): Promise<void> => {
+  const expireJob = async (job: Job, serviceQueue: ServiceQueue): Promise<void> => {
     const signal = job.queued?.signal
     await clock.sleep(job.deadline - clock.now(), signal)
-    if (signal === undefined || signal.aborted || !lane.queue.discard(job)) return
-    rejectQueued(job, countSlots(lane.service) === 0 ? 'no-capacity' : 'deadline-in-queue', 'the deadline passed in the queue')
+    if (signal === undefined || signal.aborted || !serviceQueue.queue.discard(job)) return
+    rejectQueued(job, countSlots(serviceQueue.service) === 0 ? 'no-capacity' : 'deadline-in-queue', 'the deadline passed in the queue')
   }
 
-  const pumpLane = (lane: Lane): void => {
-    for (let job = lane.queue.find(); job !== undefined; job = lane.queue.find()) {
-      if (clock.now() + health.estimateService(lane.service).meanMs > job.deadline) {
-        lane.queue.discard(job)
+  const pumpQueue = (serviceQueue: ServiceQueue): void => {
+    for (let job = serviceQueue.queue.find(); job !== undefined; job = serviceQueue.queue.find()) {
+      if (clock.now() + health.estimateService(serviceQueue.service).meanMs > job.deadline) {
+        serviceQueue.queue.discard(job)
         rejectQueued(job, 'deadline-in-queue', 'the time left is shorter than a request of this service takes')
         continue
       }
-      const executor = holdings.choose(lane.service, job.tried)
+      const executor = holdings.choose(serviceQueue.service, job.tried)
       if (executor === undefined) return
-      lane.queue.remove(job)
+      serviceQueue.queue.remove(job)
       leaveQueue(job)
-      startJob(job, lane, executor)
+      startJob(job, serviceQueue, executor)
     }
   }
 
-  const startJob = async (job: Job, lane: Lane, executor: HeldExecutor): Promise<void> => {
+  const startJob = async (job: Job, serviceQueue: ServiceQueue, executor: HeldExecutor): Promise<void> => {
     const id = `${holder}/${sequence++}`
     const startedAt = clock.now()
     executor.active.set(id, startedAt)
-    lane.peak = Math.max(lane.peak, countInUse(lane.service))
+    serviceQueue.peak = Math.max(serviceQueue.peak, countInUse(serviceQueue.service))
     job.tried.add(executor.id)
     await job.beforeSend()
     const outcome = await runAttempt(job.request, id, executor, {
       clock,
       holdings,
       holder,
-      estimateMs: health.estimateService(lane.service).highMs,
+      estimateMs: health.estimateService(serviceQueue.service).highMs,
       claimMove: () => {
-        job.hasMove = holdings.choose(lane.service, job.tried) !== undefined && budget.claim()
+        job.hasMove = holdings.choose(serviceQueue.service, job.tried) !== undefined && budget.claim()
         return job.hasMove
       },
       onSettled: () => {
         if (stopped) return
         getBorrower().releaseExcess(executor)
         // The answer is handed over first; it does not wait for the next request.
-        queueMicrotask(() => pumpLane(lane))
+        queueMicrotask(() => pumpQueue(serviceQueue))
       },
       onLateAnswer: job.onLateAnswer
     })
-    recordHealth(executor, lane.service, outcome, clock.now() - startedAt)
-    handleAttempt(job, lane, executor, outcome)
+    recordHealth(executor, serviceQueue.service, outcome, clock.now() - startedAt)
+    handleAttempt(job, serviceQueue, executor, outcome)
   }
 
   const recordHealth = (executor: HeldExecutor, service: string, outcome: AttemptOutcome, latencyMs: number): void => {
@@ -238,39 +238,39 @@
     }
   }
 
-  const handleAttempt = (job: Job, lane: Lane, executor: HeldExecutor, outcome: AttemptOutcome): void => {
+  const handleAttempt = (job: Job, serviceQueue: ServiceQueue, executor: HeldExecutor, outcome: AttemptOutcome): void => {
     if (outcome.kind === 'answer') {
       const isFinal = outcome.answer.status < SERVER_ERROR || !job.request.idempotent
       if (isFinal) return job.settle({ kind: 'answered', ...outcome.answer })
       job.lastAnswer = outcome.answer
-      return retryJob(job, lane, 'refused-by-executor', 'the executor failed')
+      return retryJob(job, serviceQueue, 'refused-by-executor', 'the executor failed')
     }
-    if (outcome.kind === 'not-sent') return retryJob(job, lane, 'no-connection', outcome.message)
-    if (outcome.kind === 'not-run') return retryJob(job, lane, 'refused-by-executor', outcome.message)
+    if (outcome.kind === 'not-sent') return retryJob(job, serviceQueue, 'no-connection', outcome.message)
+    if (outcome.kind === 'not-run') return retryJob(job, serviceQueue, 'refused-by-executor', outcome.message)
     job.mayHaveRun = true
     job.unknownReason = describeLoss(outcome.failure)
-    if (job.request.idempotent) retryJob(job, lane, 'no-connection', outcome.message)
+    if (job.request.idempotent) retryJob(job, serviceQueue, 'no-connection', outcome.message)
     else endJob(job, 'no-connection', `${executor.id}: ${outcome.message}`)
   }
 
-  const retryJob = (job: Job, lane: Lane, reason: NotRunReason, message: string): void => {
-    const { meanMs } = health.estimateService(lane.service)
+  const retryJob = (job: Job, serviceQueue: ServiceQueue, reason: NotRunReason, message: string): void => {
+    const { meanMs } = health.estimateService(serviceQueue.service)
     if (stopped || clock.now() + meanMs >= job.deadline || !(job.hasMove || budget.claim())) return endJob(job, reason, message)
     job.hasMove = false
-    metrics.count('retries', 1, { service: lane.service })
-    const executor = holdings.choose(lane.service, job.tried)
+    metrics.count('retries', 1, { service: serviceQueue.service })
+    const executor = holdings.choose(serviceQueue.service, job.tried)
     if (executor !== undefined) {
-      startJob(job, lane, executor)
+      startJob(job, serviceQueue, executor)
       return
     }
     job.queued = new AbortController()
     queued.items += 1
     queued.bytes += job.bytes
     // With every known executor tried, any may be tried again.
-    if (holdings.list(lane.service).every((item) => job.tried.has(item.id))) job.tried.clear()
-    lane.queue.addFirst(job)
-    expireJob(job, lane)
-    getBorrower().wake(lane.service)
+    if (holdings.list(serviceQueue.service).every((item) => job.tried.has(item.id))) job.tried.clear()
+    serviceQueue.queue.addFirst(job)
+    expireJob(job, serviceQueue)
+    getBorrower().wake(serviceQueue.service)
   }
 
   /** Ends a request without a good answer: `not-run` only while no attempt could have reached a handler. */
@@ -284,26 +284,26 @@
   return {
     run,
     getDemand: (service) => {
-      const lane = lanes.get(service)
+      const serviceQueue = serviceQueues.get(service)
       const inUse = countInUse(service)
       return {
-        queued: lane?.queue.count() ?? 0,
+        queued: serviceQueue?.queue.count() ?? 0,
         inUse,
-        recentPeak: Math.max(inUse, Math.ceil(lane?.peak ?? 0)),
-        lastRequestAt: lane?.lastRequestAt ?? -Infinity
+        recentPeak: Math.max(inUse, Math.ceil(serviceQueue?.peak ?? 0)),
+        lastRequestAt: serviceQueue?.lastRequestAt ?? -Infinity
       }
     },
-    pump: () => lanes.forEach(pumpLane),
-    decayPeaks: () => lanes.forEach((lane) => {
-      const decayed = lane.peak * PEAK_DECAY
-      lane.peak = Math.max(countInUse(lane.service), decayed < 1 ? 0 : decayed)
+    pump: () => serviceQueues.forEach(pumpQueue),
+    decayPeaks: () => serviceQueues.forEach((serviceQueue) => {
+      const decayed = serviceQueue.peak * PEAK_DECAY
+      serviceQueue.peak = Math.max(countInUse(serviceQueue.service), decayed < 1 ? 0 : decayed)
     }),
     countOpen: () => open + holdings.list().reduce((sum, item) => sum + item.active.size, 0),
     setDraining: () => { draining = true },
     stop: () => {
       stopped = true
-      lanes.forEach((lane) => {
-        for (let job = lane.queue.removeLast(); job !== undefined; job = lane.queue.removeLast()) {
+      serviceQueues.forEach((serviceQueue) => {
+        for (let job = serviceQueue.queue.removeLast(); job !== undefined; job = serviceQueue.queue.removeLast()) {
           rejectQueued(job, 'draining', 'this host is stopping')
         }
       })
--- a/src/coordination/routing/idempotency.ts
+++ b/src/coordination/routing/idempotency.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger, Network } from '../../common/index.js'
-import type { Claim, ClaimBook } from './claims.js'
+import type { Claim, ClaimStore } from './claims.js'
 import { waitAtMost } from './connections.js'
 import type { RunOptions } from './dispatcher.js'
 import { computeFingerprint, parseKey, type KeyParts } from './keys.js'
@@ -25,7 +25,7 @@
   network: Network
   availabilityZone: string
   secret: Uint8Array
-  claims: ClaimBook
+  claims: ClaimStore
   getHosts (): EntryHost[]
   run (request: RoutedRequest, options: RunOptions): Promise<RequestOutcome>
   logger: Logger
--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -1,6 +1,6 @@
 import { Err, type Clock, type Logger, type Metrics, type Network, type Random, type Result } from '../../common/index.js'
 import type { Policy, Service } from '../../state/index.js'
-import { createClaimBook, type ClaimLimits } from './claims.js'
+import { createClaimStore, type ClaimLimits } from './claims.js'
 import { createBorrower, createWakeup, type Borrower } from './credits.js'
 import { createDispatcher } from './dispatcher.js'
 import { createHealthTable } from './health.js'
@@ -59,10 +59,10 @@
     metrics.count('ejections', 1, { service })
   })
   const holdings = createHoldings({ clock, random, client: options.executors, holder, availabilityZone, health })
-  const claims = createClaimBook({ clock, host: self, incarnation, availabilityZone, secret: options.secret, limits: options.claimLimits })
+  const claims = createClaimStore({ clock, host: self, incarnation, availabilityZone, secret: options.secret, limits: options.claimLimits })
   const sweeper = createWakeup(clock)
   let lastSet = ''
-  const state = { stopped: false, draining: false }
+  const state = { stopped: false, draining: false, sentEmpty: false }
 
   const dispatcher = createDispatcher({
     clock,
@@ -115,10 +115,18 @@
     const summary = ledger.summarize(state.draining)
     lastSet = describeSet(summary)
     borrower.observeSummary(self, summary)
+    const isEmpty = summary.services.length === 0 && summary.leaving.length === 0 && !summary.draining
+    const isNews = !isEmpty || !state.sentEmpty
+    state.sentEmpty = isEmpty
+    // A host without executors says so once; the others forget an earlier summary by themselves.
+    if (isNews) sendToHosts(summary)
+    dispatcher.pump()
+  }
+
+  const sendToHosts = (summary: TargetsSummary): void => {
     getHosts().filter((host) => host.id !== self).forEach((host) => {
       network.request(host.id, 'targets.summary', summary, clock.now() + SUMMARY_DEADLINE_MS)
     })
-    dispatcher.pump()
   }
 
   network.handle('targets.summary', async (from, body) => {
--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -200,22 +200,22 @@
       known.outcomes.set(formatKey(outcome), outcome)
     })
     known.outcomes.forEach((outcome) => handleOutcome(worker, outcome))
-    const mayHaveStrays = reply.full || reply.tasks.length > 0 || known.hadStrays
-    known.hadStrays = false
-    if (mayHaveStrays) known.view.forEach(({ attempt, state }, task) => checkStray(worker, task, attempt, state))
+    const mayHaveUnaccounted = reply.full || reply.tasks.length > 0 || known.hadUnaccounted
+    known.hadUnaccounted = false
+    if (mayHaveUnaccounted) known.view.forEach(({ attempt, state }, task) => checkUnaccounted(worker, task, attempt, state))
     // A new process always answers with a full list.
     if (reply.full) endMissing(worker, reply)
   }
 
   /** Stops an attempt that this coordinator does not account for on the worker. */
-  const checkStray = (worker: string, task: string, attempt: number, state: string): void => {
+  const checkUnaccounted = (worker: string, task: string, attempt: number, state: string): void => {
     const entry = journal.entries.get(task)
     if (entry !== undefined && entry.attempt === attempt && entry.worker === worker) return
-    getWorker(worker).hadStrays = true
+    getWorker(worker).hadUnaccounted = true
     const isUndecided = entry === undefined && !options.isLogCurrent()
     if (isUndecided || state === 'stopping') return
     const token = { epoch: term.epoch, sequence: term.round * SEQUENCES_PER_ROUND }
-    getWorker(worker).strays.push({ kind: 'stop', task, attempt, token, checkpoint: false })
+    getWorker(worker).unaccounted.push({ kind: 'stop', task, attempt, token, checkpoint: false })
   }
 
   /** Another process of the worker answers than the one that was given the task, so the task died with that one. */
@@ -271,7 +271,7 @@
     // A throttle may make room for a start, so it goes first, unless it is for a task that starts with it.
     const starting = new Set(commands.map(({ task }) => task))
     const [later, earlier] = [once.filter(({ task }) => starting.has(task)), once.filter(({ task }) => !starting.has(task))]
-    return { commands: [...earlier, ...commands, ...later, ...known.strays], acknowledged }
+    return { commands: [...earlier, ...commands, ...later, ...known.unaccounted], acknowledged }
   }
 
   const sendOnce = (task: string, compose: (entry: JournalEntry, fields: { task: string, attempt: number, token: NonNullable<JournalEntry['token']> }) => WorkerCommand): void => {
--- a/src/coordination/tasks/session.ts
+++ b/src/coordination/tasks/session.ts
@@ -17,10 +17,10 @@
 
 const TICK_MS = 250
 /** A claim that meets a higher term is given up after this time, ms. */
-const CLAIM_PATIENCE_MS = 3_000
+const CLAIM_TIMEOUT_MS = 3_000
 const FLUSH_TIMEOUT_MS = 1_000
 /** A claim that has not succeeded by then goes on at the pace of the regular exchange, ms. */
-const EAGER_CLAIM_MS = 6_000
+const FREQUENT_CLAIM_MS = 6_000
 /** A worker that was silent for this long leaves the witness set; it announces itself when it returns, ms. */
 const REMOVE_SILENT_MS = 600_000
 const REMOVE_TIMEOUT_MS = 2_000
@@ -138,7 +138,7 @@
   const checkOverruled = (promised: CoordinatorTerm): void => {
     options.onTerm(promised)
     if (witnesses.isHeld(clock.now())) return
-    if (phase === 'active' || clock.now() > startedAt + CLAIM_PATIENCE_MS) finish('a higher term holds the workers')
+    if (phase === 'active' || clock.now() > startedAt + CLAIM_TIMEOUT_MS) finish('a higher term holds the workers')
   }
 
   const addWorker = (worker: Worker): void => {
@@ -160,7 +160,7 @@
       client: options.client,
       clock,
       signal: AbortSignal.any([signal, state.controller.signal]),
-      isClaiming: () => (phase !== 'active' || state.seen === undefined) && clock.now() < state.addedAt + EAGER_CLAIM_MS,
+      isClaiming: () => (phase !== 'active' || state.seen === undefined) && clock.now() < state.addedAt + FREQUENT_CLAIM_MS,
       compose: () => compose(worker.id),
       onReply: (reply, request, sentAt) => handleReply(worker.id, reply, request, sentAt)
     })
--- a/src/coordination/tasks/takeover.ts
+++ b/src/coordination/tasks/takeover.ts
@@ -6,7 +6,7 @@
 
 const READ_TIMEOUT_MS = 500
 /** A host that is named by the note may be restarting or slow, so it is asked again for this long, ms. */
-const READ_PATIENCE_MS = 2_000
+const TOTAL_READ_TIMEOUT_MS = 2_000
 
 export interface TermNote { term: CoordinatorTerm, note: JournalNote }
 
@@ -50,7 +50,7 @@
 /** Reads the journal that the previous coordinator left, from any host that its last note names. */
 export async function readJournal (options: RecoveryOptions): Promise<RecoveredJournal | undefined> {
   const { clock, network, group, local, term, notes, signal, logger } = options
-  const deadline = clock.now() + READ_PATIENCE_MS
+  const deadline = clock.now() + TOTAL_READ_TIMEOUT_MS
   for (;;) {
     const note = notes.findNewest()
     const hosts = [...new Set([...note?.note.hosts ?? [], ...group])].filter((host) => host !== network.self)
--- a/src/coordination/tasks/workerView.ts
+++ b/src/coordination/tasks/workerView.ts
@@ -10,9 +10,9 @@
   /** Commands that are sent once, because a repetition has no use. */
   once: WorkerCommand[]
   /** Stops of attempts that the coordinator does not account for. */
-  strays: WorkerCommand[]
+  unaccounted: WorkerCommand[]
   /** Such attempts were found and may still be there. */
-  hadStrays: boolean
+  hadUnaccounted: boolean
   /** Outcomes that the worker keeps, by task and attempt. */
   readonly outcomes: Map<string, AttemptOutcome>
   /** The worker runs nothing and keeps no outcome. */
@@ -27,8 +27,8 @@
     view: new Map(),
     due: new Set(),
     once: [],
-    strays: [],
-    hadStrays: false,
+    unaccounted: [],
+    hadUnaccounted: false,
     outcomes: new Map(),
     isIdle: () => self.incarnation !== '' && self.view.size === 0 && self.outcomes.size === 0,
     observe: (reply) => {
@@ -40,7 +40,7 @@
         self.view.clear()
         self.outcomes.clear()
       }
-      self.strays = []
+      self.unaccounted = []
     }
   }
   return self
--- a/src/transport/peerAuth.ts
+++ b/src/transport/peerAuth.ts
@@ -1,6 +1,6 @@
 import { createHmac, randomBytes, timingSafeEqual } from 'node:crypto'
 
-/** An offer is refused when it is older than this, so that a recorded one cannot be used again much later. */
+/** An offer is refused when it is older than this, which bounds how long accepted ones are remembered. */
 const MAX_OFFER_AGE_MS = 60_000
 
 /** Headers that a host sends when it opens a connection to a peer. */
@@ -18,6 +18,24 @@
   return { host, to, nonce, signedAt, signature: computeSignature(secret, host, to, nonce, signedAt) }
 }
 
+/** Offers that were accepted, so that none is accepted twice. */
+export interface OfferRegistry {
+  accept (offer: PeerOffer, wallTime: number): boolean
+}
+
+export function createOfferRegistry (secret: string, self: string): OfferRegistry {
+  const expiries = new Map<string, number>()
+  return {
+    accept: (offer, wallTime) => {
+      expiries.forEach((expiry, nonce) => { if (expiry < wallTime) expiries.delete(nonce) })
+      if (expiries.has(offer.nonce) || !checkPeerOffer(secret, self, offer, wallTime)) return false
+      // An offer may be dated ahead by as much as it may be old.
+      expiries.set(offer.nonce, wallTime + 2 * MAX_OFFER_AGE_MS)
+      return true
+    }
+  }
+}
+
 /** True when the offer was signed with the deployment's secret for this host and is recent. */
 export function checkPeerOffer (secret: string, self: string, offer: PeerOffer, wallTime: number): boolean {
   if (offer.to !== self) return false
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -6,7 +6,7 @@
 import type { TrafficCounter } from './traffic.js'
 
 const CONNECT_TIMEOUT_MS = 1_000
-/** A connection that is in use is probed this often. */
+/** A connection on which nothing was heard for this long is probed, and checked this often. */
 const PING_INTERVAL_MS = 500
 /** Without any byte from the peer for this long the connection is given up and a new one is opened. */
 const SILENCE_LIMIT_MS = 1_500
@@ -99,7 +99,8 @@
         logger.warn('peer connection is silent and was retired')
         break
       }
-      watched.socket.ping()
+      // Replies prove as much as a pong, so a connection in use needs no pings.
+      if (clock.now() - watched.lastHeardAt >= PING_INTERVAL_MS) watched.socket.ping()
     }
     if (connection === watched) connection = undefined
     watched.socket.terminate()
--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -3,7 +3,7 @@
 import type { AddressInfo } from 'node:net'
 import type { Clock, Logger, Metrics, Network, RequestHandler } from '../common/index.js'
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
-import { checkPeerOffer, type PeerOffer } from './peerAuth.js'
+import { createOfferRegistry, type PeerOffer } from './peerAuth.js'
 import { createPeerLink, type PeerLink } from './peerLink.js'
 import { createTrafficCounter, type TrafficCounter, type TrafficView } from './traffic.js'
 
@@ -57,13 +57,14 @@
 }
 
 function openServer (options: PeerNetworkOptions): Promise<WebSocketServer> {
+  const offers = createOfferRegistry(options.secret, options.self)
   return new Promise((resolve, reject) => {
     const server = new WebSocketServer({
       host: options.listenHost,
       port: options.listenPort,
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
-      verifyClient: ({ req }: { req: IncomingMessage }) => checkPeerOffer(options.secret, options.self, readOffer(req), options.clock.wall())
+      verifyClient: ({ req }: { req: IncomingMessage }) => offers.accept(readOffer(req), options.clock.wall())
     })
     server.once('listening', () => resolve(server))
     server.once('error', reject)
--- a/test/placement/interference.test.ts
+++ b/test/placement/interference.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import type { Decision, Observation, PlacementTask } from '../../src/coordination/placement/index.js'
-import { createInterferenceBook } from '../../src/coordination/placement/interference.js'
+import { createInterferenceEstimates } from '../../src/coordination/placement/interference.js'
 import { createScript, createTask, GB, renderDecisions, type Script } from './helpers.js'
 
 const OBJECTIVE_MS = 20
@@ -39,7 +39,7 @@
 }
 
 test('costs are told apart by what ran beside the replica in each report', () => {
-  const book = createInterferenceBook()
+  const book = createInterferenceEstimates()
   const model = book.getService('desk')
   const noisy = [{ jobClass: 'noisy', part: 0.25, service: undefined }, { jobClass: 'quiet', part: 0.25, service: undefined }]
   const quiet = [{ jobClass: 'quiet', part: 0.25, service: undefined }]
@@ -74,7 +74,7 @@
 })
 
 test('an estimate without new reports becomes uncertain again, so that old costs do not bind for ever', () => {
-  const model = createInterferenceBook().getService('desk')
+  const model = createInterferenceEstimates().getService('desk')
   const neighbours = [{ jobClass: 'batch', part: 0.25, service: undefined }]
   for (let round = 0; round < 100; round++) model.learn(400, 10, neighbours, round * 1000, round * 1000)
   const certain = model.getPair('batch').deviation
--- a/test/transport/peerNetwork.test.ts
+++ b/test/transport/peerNetwork.test.ts
@@ -1,6 +1,7 @@
 import { afterEach, expect, test } from 'vitest'
 import { createNoMetrics, createSilentLogger, createSystemClock } from '../../src/common/index.js'
 import { openPeerNetwork, type PeerNetwork } from '../../src/transport/index.js'
+import { createOfferRegistry, createPeerOffer } from '../../src/transport/peerAuth.js'
 import { openRelay } from '../support/relay.js'
 
 const clock = createSystemClock()
@@ -68,3 +69,13 @@
   expect((await a.request('b', 'echo', 3, soon())).val).toBe(3)
   expect(relay.countConnections()).toBe(2)
 })
+
+test('an offer is accepted once, while it is fresh, by the host that it names', () => {
+  const book = createOfferRegistry('secret', 'b')
+  const offer = createPeerOffer('secret', 'a', 'b', 1_000_000)
+  const forOther = createPeerOffer('secret', 'a', 'c', 1_000_000)
+  const altered = { ...createPeerOffer('secret', 'a', 'b', 1_000_000), host: 'x' }
+  const old = createPeerOffer('secret', 'a', 'b', 1_000_000 - 60_001)
+  expect([offer, offer, forOther, altered, old].map((each) => book.accept(each, 1_000_000))).toEqual([true, false, false, false, false])
+  expect(book.accept(offer, 1_000_000 + 120_001)).toBe(false)
+})
