--- a/src/bench/capacity.ts
+++ b/src/bench/capacity.ts
@@ -39,6 +39,7 @@
 
 async function runCapacity (): Promise<void> {
   const only = process.argv[2]
+  const commit = execFileSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' }).trim()
   const chosen = SERIES.filter(({ name }) => only === undefined || name.includes(only))
   const points = new Map<string, Point>()
   for (const plan of chosen.flatMap((series) => series.plans)) {
@@ -49,7 +50,7 @@
   }
   const getPoint = (plan: PointPlan): Point => points.get(JSON.stringify(plan)) as Point
   const lines = [
-    `commit=${execFileSync('git', ['rev-parse', '--short', 'HEAD'], { encoding: 'utf8' }).trim()}`,
+    `commit=${commit}`,
     ...chosen.flatMap((series) => renderSeries(series, getPoint)),
     ...[...points.values()].flatMap(renderPoint)
   ]
--- a/src/transport/http/server.ts
+++ b/src/transport/http/server.ts
@@ -1,4 +1,6 @@
 import 'reflect-metadata'
+import { STATUS_CODES } from 'node:http'
+import type { Socket } from 'node:net'
 import { Catch, HttpException, Module, type ArgumentsHost, type DynamicModule, type ExceptionFilter } from '@nestjs/common'
 import { NestFactory } from '@nestjs/core'
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify'
@@ -12,15 +14,18 @@
 
 /** The largest body of a request, in bytes. */
 export const MAX_BODY_BYTES = 1024 * 1024
-/** A request that has not arrived whole by then is answered with a timeout. */
 const REQUEST_ARRIVAL_MS = 15_000
 const IDLE_CONNECTION_MS = 75_000
+/** The runtime looks for late requests this often; its default of 30 s would double the time allowed. */
+const ARRIVAL_CHECK_MS = 1_000
 
 export interface HttpServerOptions {
   host: string
   port: number
   entryHost: EntryHost
   logger: Logger
+  /** A request that has not arrived whole by then is answered with a timeout, ms. */
+  arrivalMs?: number
 }
 
 export interface HttpServer {
@@ -28,10 +33,12 @@
   close (): Promise<void>
 }
 
-export async function openHttpServer ({ host, port, entryHost, logger }: HttpServerOptions): Promise<HttpServer> {
+export async function openHttpServer ({ host, port, entryHost, logger, arrivalMs = REQUEST_ARRIVAL_MS }: HttpServerOptions): Promise<HttpServer> {
   const adapter = new FastifyAdapter({
     bodyLimit: MAX_BODY_BYTES,
-    requestTimeout: REQUEST_ARRIVAL_MS,
+    requestTimeout: arrivalMs,
+    http: { headersTimeout: arrivalMs, connectionsCheckingInterval: Math.min(ARRIVAL_CHECK_MS, arrivalMs) },
+    clientErrorHandler: rejectConnection,
     keepAliveTimeout: IDLE_CONNECTION_MS,
     forceCloseConnections: 'idle',
     routerOptions: { maxParamLength: 128 }
@@ -59,6 +66,24 @@
 /** Failures that the framework raises by itself, by status code. */
 const FRAMEWORK_FAILURES: Record<number, ApiFailureKind> = { 400: 'invalid', 404: 'not-found', 408: 'timeout', 413: 'too-large', 414: 'invalid', 415: 'invalid' }
 
+/** Errors of the HTTP parser by their code; any other is malformed input. */
+const PARSER_FAILURES: Record<string, ApiFailure> = {
+  ERR_HTTP_REQUEST_TIMEOUT: createFailure('timeout', 'the request did not arrive whole in time'),
+  HPE_HEADER_OVERFLOW: createFailure('too-large', 'the headers are too large')
+}
+
+/** Answers input that never becomes a request, and closes its connection only. */
+function rejectConnection (error: Error & { code?: string }, socket: Socket): void {
+  if (!socket.writable || error.code === 'ECONNRESET') {
+    socket.destroy()
+    return
+  }
+  const failure = PARSER_FAILURES[error.code ?? ''] ?? createFailure('invalid', 'the request is not valid HTTP')
+  const status = HTTP_STATUS[failure.kind]
+  const body = JSON.stringify({ error: failure })
+  socket.end(`HTTP/1.1 ${status} ${STATUS_CODES[status]}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+}
+
 @Catch()
 class FailureFilter implements ExceptionFilter {
   constructor (private readonly logger: Logger) {}
