Tell hosts that do not vote of a new leader and repeat unclear proposals

Cause: after kill -9 of the leader a change through a host without a disk was accepted only after 3.1 s, although a new leader was elected within 1.1 s: such a host noticed by 3 s of silence. The operator was told outcome-unknown. Change: a new leader sends log.lead to the hosts that do not vote; an entry with a request id is proposed again until the deadline. The new test failed before.

--- a/src/programs/entryHost/work.ts
+++ b/src/programs/entryHost/work.ts
@@ -6,6 +6,7 @@
 import type { QueryService } from './queries.js'
 
 const PROPOSE_TIMEOUT_MS = 4_000
+const REPEAT_MS = 50
 
 type WorkOperations = Pick<EntryHost,
   'putService' | 'removeService' | 'listServices' | 'createJob' | 'listJobs' | 'getJob' | 'listTasks' | 'cancelJob' | 'resolveTask'>
@@ -17,10 +18,23 @@
   availabilityZone: string
 }
 
-/** Proposes an entry and tells the caller what became of it. */
+/**
+ * Proposes an entry and tells the caller what became of it. An entry with a request id is proposed again after an
+ * unclear attempt, since its first outcome is returned when it was recorded.
+ */
 export async function proposeEntry (log: AgreedLog, clock: Clock, entry: Entry): Promise<Result<{ revision?: number, epoch?: number }, ApiFailure>> {
-  const result = await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)
-  return result.ok ? Ok(result.val.value) : Err(describeLogFailure(result.val))
+  const deadline = clock.now() + PROPOSE_TIMEOUT_MS
+  const repeatUntil = 'requestId' in entry && entry.requestId !== undefined ? deadline - REPEAT_MS : -Infinity
+  let result = await log.propose(entry, deadline)
+  let isUnclear = !result.ok && result.val.kind === 'outcome-unknown'
+  while (isUnclear && clock.now() < repeatUntil) {
+    await clock.sleep(REPEAT_MS)
+    result = await log.propose(entry, deadline)
+    // A certain refusal of the repetition says nothing about the first attempt.
+    isUnclear = !result.ok && result.val.kind !== 'rejected'
+  }
+  if (result.ok) return Ok(result.val.value)
+  return Err(describeLogFailure(isUnclear && 'message' in result.val ? { kind: 'outcome-unknown', message: result.val.message } : result.val))
 }
 
 /** The part of an entry host that members create services and jobs with. */
--- a/src/state/replica/election.ts
+++ b/src/state/replica/election.ts
@@ -3,7 +3,7 @@
   appendCommand, checkEnvelope, countMajority, getPeerKey, getVoters, isLeading, isSelf, isVoter, resetElectionDeadline,
   saveFormation, saveHardState, updateTerm, type Context
 } from './context.js'
-import { sendJoin } from './joining.js'
+import { announceLeadership, sendJoin } from './joining.js'
 import type { RefusedReply, Voter, VoteReply, VoteRequest } from './messages.js'
 import { updatePeers } from './replication.js'
 import {
@@ -83,6 +83,7 @@
   appendCommand(context, { kind: 'noop' })
   updatePeers(context)
   updateCommit(context)
+  announceLeadership(context)
   context.progress.notify()
 }
 
--- a/src/state/replica/joining.ts
+++ b/src/state/replica/joining.ts
@@ -1,4 +1,4 @@
-import { appendEntry, saveFormation, saveHardState, updateTerm, type Context } from './context.js'
+import { appendEntry, getVoters, isVoter, saveFormation, saveHardState, updateTerm, type Context } from './context.js'
 import { encodeCommand, type HelloReply, type JoinReply, type JoinRequest, type Voter } from './messages.js'
 import { waitUntil } from './notifier.js'
 import { updatePeers } from './replication.js'
@@ -31,6 +31,22 @@
   return { leader: context.leader, isLeader }
 }
 
+/** Tells hosts that do not vote of the new leader; they would otherwise notice only when its predecessor stayed silent. */
+export function announceLeadership (context: Context): void {
+  const voters = new Set(getVoters(context).map((voter) => voter.host))
+  Object.keys(context.state.hosts)
+    .filter((host) => !voters.has(host))
+    .forEach((host) => { sendRequest(context, host, 'log.lead', {}) })
+}
+
+/** Joins the new leader. A host that does not lead any more ignores that. */
+export async function handleLead (context: Context, from: string): Promise<object> {
+  const { incarnation, availabilityZone, store } = context
+  const request: JoinRequest = { incarnation, availabilityZone, hasDisk: store !== undefined }
+  if (!context.stopped && !isVoter(context)) await sendRequest<JoinReply>(context, from, 'log.join', request)
+  return {}
+}
+
 export async function handleHello (context: Context): Promise<HelloReply> {
   const { incarnation, availabilityZone, store, formation } = context
   return { incarnation, availabilityZone, hasDisk: store !== undefined, formed: formation !== undefined }
--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -8,7 +8,7 @@
 import { countMajority, createContext, getPeerKey, getVoters, isSelf, isVoter, stopContext, type Context, type ReplicaFailure } from './context.js'
 import { handleHandover, handleVote, releaseLeadership, runElections } from './election.js'
 import { handleAppend, handleSnapshot } from './follower.js'
-import { handleHello, handleJoin, runFounding } from './joining.js'
+import { handleHello, handleJoin, handleLead, runFounding } from './joining.js'
 import { handleChange, updateMembership } from './membership.js'
 import type { AppendRequest, ChangeRequest, JoinRequest, MembershipFailure, ProposeRequest, SnapshotRequest, Voter, VoteRequest } from './messages.js'
 import { handlePropose, handleRead, propose, readBarrier } from './proposals.js'
@@ -122,6 +122,7 @@
   network.handle('log.propose', (_from, body) => handlePropose(context, body as ProposeRequest))
   network.handle('log.read', (_from, body) => handleRead(context, body as { remainingMs: number }))
   network.handle('log.join', (from, body) => handleJoin(context, from, body as JoinRequest))
+  network.handle('log.lead', (from) => handleLead(context, from))
   network.handle('log.hello', () => handleHello(context))
   network.handle('log.handover', (_from, body) => handleHandover(context, body as { formation: number, to: string, term: number }))
   network.handle('log.change', (_from, body) => handleChange(context, body as ChangeRequest))
--- /dev/null
+++ b/test/proposeEntry.test.ts
@@ -0,0 +1,30 @@
+import { expect, test } from 'vitest'
+import { createSystemClock, Err, Ok, type Result } from '../src/common/index.js'
+import { createMemberEntry } from '../src/fakes/entries.js'
+import { proposeEntry } from '../src/programs/entryHost/work.js'
+import type { AgreedLog, Applied, LogFailure } from '../src/state/index.js'
+
+type Answer = Result<Applied, LogFailure>
+const unclear: Answer = Err({ kind: 'outcome-unknown', message: 'the leader was lost' })
+const refused: Answer = Err({ kind: 'not-recorded', message: 'no majority' })
+const accepted: Answer = Ok({ index: 7, value: {} })
+
+async function propose (requestId: string | undefined, answers: Answer[]): Promise<unknown> {
+  const left = [...answers]
+  const log = { propose: async () => left.length > 1 ? left.shift() : left[0] } as unknown as AgreedLog
+  const clock = createSystemClock()
+  // Time passes quickly, so that a case that stays unclear ends at once.
+  const start = clock.now()
+  const fast = { ...clock, now: () => start + (clock.now() - start) * 40 }
+  const result = await proposeEntry(log, fast, createMemberEntry('m', requestId))
+  return result.ok ? 'accepted' : result.val.kind
+}
+
+test('an unclear proposal is repeated only with a request id, and is never called unrecorded because its repetition was', async () => {
+  expect(await Promise.all([
+    propose('r', [unclear, unclear, accepted]),
+    propose(undefined, [unclear, accepted]),
+    propose('r', [unclear, refused]),
+    propose('r', [refused])
+  ])).toEqual(['accepted', 'outcome-unknown', 'outcome-unknown', 'not-recorded'])
+})
--- a/test/state/replica.test.ts
+++ b/test/state/replica.test.ts
@@ -44,3 +44,21 @@
   }
   expect(Math.max(...times)).toBeLessThan(2000)
 })
+
+test('a host that does not vote learns of a new leader with its election, not only after the old one was silent for long', async () => {
+  const clock = createManualClock()
+  const cluster = createFakeCluster({ clock, seed: 4, voters: ['a', 'b', 'c'], learners: ['d'] })
+  cluster.hosts.forEach((host) => host.start())
+  await clock.advance(3000)
+  const leader = cluster.findLeader()!
+  const host = { availabilityZone: 'a', region: 'r', peerAddress: '', httpAddress: '', hasDisk: false }
+  const added = leader.replica()!.propose({ kind: 'host.add', host: { ...host, id: 'd' } }, clock.now() + 1000)
+  await clock.advance(200)
+  expect(await added).toMatchObject({ ok: true })
+  leader.kill()
+  const others = [...cluster.hosts.values()].filter((each) => each !== leader && each.name !== 'd')
+  while (!others.some((each) => each.replica()!.status().role === 'leader')) await clock.advance(10)
+  await clock.advance(200)
+  const next = others.find((each) => each.replica()!.status().role === 'leader')!
+  expect(cluster.getHost('d').replica()!.status().leader).toBe(next.name)
+})
