Name log events alike

Cause: events were written as phrases, with dots and with hyphens. Change: hyphens for all but the log's own events, which keep their prefix.

--- a/src/coordination/authority/supervisor.ts
+++ b/src/coordination/authority/supervisor.ts
@@ -8,7 +8,7 @@
 export const HEARTBEAT_LIMIT_MS = 1_500
 /** A new coordinator may need this long to claim its lease and to recover the journal, ms. */
 const TAKEOVER_ALLOWANCE_MS = 6_000
-/** Without a majority of the workers no host can take over, so the allowance doubles with each epoch in vain. */
+/** Without a majority of the workers no host can take over, so the allowance doubles with each epoch that failed. */
 const MAX_DOUBLINGS = 3
 /** Witness sets that follow registrations are not issued more often than this, ms. */
 const REGRANT_INTERVAL_MS = 2_000
--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -67,7 +67,7 @@
     state.stopping ??= stopGracefully(settings, parts.val, server.val, state, clock)
     return state.stopping
   }
-  logger.info('entry host started', { http: settings.self.httpAddress, peer: settings.self.peerAddress, zone: settings.self.availabilityZone, disk: settings.self.hasDisk })
+  logger.info('host-started', { http: settings.self.httpAddress, peer: settings.self.peerAddress, zone: settings.self.availabilityZone, disk: settings.self.hasDisk })
   foundDeployment(settings, parts.val, state)
   return Ok({
     stop,
@@ -225,7 +225,7 @@
   while (state.ready && !log.state().founded) {
     if (log.status().role === 'leader') {
       const result = await log.propose(entry, clock.now() + FOUND_TIMEOUT_MS)
-      if (result.ok) logger.info('deployment founded', { deployment: settings.deployment.name, hosts: entry.hosts.length, members: entry.members.length })
+      if (result.ok) logger.info('deployment-founded', { deployment: settings.deployment.name, hosts: entry.hosts.length, members: entry.members.length })
     }
     await clock.sleep(FOUND_RETRY_MS)
   }
@@ -235,13 +235,13 @@
   const { logger } = parts
   const deadline = clock.now() + settings.host.ready_grace_ms + settings.host.drain_ms
   state.ready = false
-  logger.info('entry host is draining')
+  logger.info('host-draining')
   // The balancer needs this long to see that the host is not ready any more.
   await clock.sleep(settings.host.ready_grace_ms)
   await Promise.race([server.close(), clock.sleep(deadline - clock.now())])
   await Promise.race([parts.router.drain(), clock.sleep(deadline - clock.now())])
   await stopParts(parts)
-  logger.info('entry host stopped')
+  logger.info('host-stopped')
 }
 
 async function stopParts ({ router, coordinator, configuration, log, network, metrics }: Parts): Promise<void> {
--- a/src/transport/http/server.ts
+++ b/src/transport/http/server.ts
@@ -101,7 +101,7 @@
     const kind = status === undefined ? undefined : FRAMEWORK_FAILURES[status]
     const message = exception instanceof Error ? exception.message : 'unknown error'
     if (kind !== undefined) return createFailure(kind, message)
-    this.logger.error('request failed unexpectedly', { error: message, stack: exception instanceof Error ? exception.stack : undefined })
+    this.logger.error('request-failed', { error: message, stack: exception instanceof Error ? exception.stack : undefined })
     return createFailure('internal', 'internal error; the log of this host has the details')
   }
 }
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -96,7 +96,7 @@
       if (closed.signal.aborted) break
       if (isSilent(watched)) await clock.sleep(CONFIRM_MS, closed.signal)
       if (isSilent(watched)) {
-        logger.warn('peer connection is silent and was retired')
+        logger.warn('peer-connection-silent')
         break
       }
       // Replies prove as much as a pong, so a connection in use needs no pings.
@@ -114,7 +114,7 @@
     from.lastHeardAt = clock.now()
     const envelope = decodeEnvelope(data)
     if (!envelope.ok || envelope.val.type === 'request') {
-      logger.warn('peer sent a malformed reply', { bytes: data.length })
+      logger.warn('peer-reply-malformed', { bytes: data.length })
       from.socket.terminate()
       return
     }
--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -79,13 +79,13 @@
 function handleConnection (options: PeerNetworkOptions, handlers: Map<string, RequestHandler>, traffic: TrafficCounter, socket: WebSocket, request: IncomingMessage): void {
   const from = readOffer(request).host
   const logger = options.logger.child({ peer: from })
-  logger.info('peer connected')
-  socket.on('error', (error) => logger.warn('peer connection failed', { error: error.message }))
-  socket.on('close', () => logger.info('peer disconnected'))
+  logger.info('peer-connected')
+  socket.on('error', (error) => logger.warn('peer-connection-failed', { error: error.message }))
+  socket.on('close', () => logger.info('peer-disconnected'))
   socket.on('message', (data: Buffer) => {
     const envelope = decodeEnvelope(data)
     if (!envelope.ok || envelope.val.type !== 'request') {
-      logger.warn('peer sent a malformed message', { bytes: data.length })
+      logger.warn('peer-message-malformed', { bytes: data.length })
       socket.terminate()
       return
     }
@@ -95,7 +95,7 @@
       (reply) => sendReply(socket, traffic, kind, { type: 'reply', id, body: reply }),
       (error: unknown) => {
         const message = error instanceof Error ? error.message : 'handler failed'
-        logger.warn('request of a peer failed', { kind, error: message })
+        logger.warn('peer-request-failed', { kind, error: message })
         sendReply(socket, traffic, kind, { type: 'failure', id, message })
       }
     )
