--- a/src/fakes/deployment.ts
+++ b/src/fakes/deployment.ts
@@ -1,5 +1,5 @@
 import { mkdtemp, rm } from 'node:fs/promises'
-import { createServer, type AddressInfo } from 'node:net'
+import { createServer } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { request } from 'undici'
@@ -7,15 +7,26 @@
 
 export const TOKENS = { operator: 'test-operator-token', target: 'test-target-token', parish: 'test-token-of-parish', rival: 'test-token-of-rival' }
 
+/** Below the range from which the system takes ports of outgoing connections, which could take the port of a host that restarts. */
+const FIRST_PORT = 10_000
+const PORTS = 22_000
+
 /** Ports of loopback that were free a moment ago. */
 export async function findPorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, () => new Promise<ReturnType<typeof createServer>>((resolve) => {
+  const ports = new Set<number>()
+  while (ports.size < count) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS)
+    if (await isFree(port)) ports.add(port)
+  }
+  return [...ports]
+}
+
+function isFree (port: number): Promise<boolean> {
+  return new Promise((resolve) => {
     const server = createServer()
-    server.listen(0, '127.0.0.1', () => resolve(server))
-  })))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map((server) => new Promise((resolve) => server.close(resolve))))
-  return ports
+    server.once('error', () => resolve(false))
+    server.listen(port, '127.0.0.1', () => server.close(() => resolve(true)))
+  })
 }
 
 export interface Deployment {
--- a/src/programs/demo/daemons.ts
+++ b/src/programs/demo/daemons.ts
@@ -17,12 +17,12 @@
 }
 
 /** Starts one daemon as a process of its own; its log goes to a file. */
-export function startDaemon (options: { config: string, id: string, http: string, folder: string, program?: string }): DaemonProcess {
-  const { config, id, http, folder, program = DAEMON } = options
+export function startDaemon (options: { config: string, id: string, http: string, folder: string, program?: string, flags?: string[] }): DaemonProcess {
+  const { config, id, http, folder, program = DAEMON, flags = [] } = options
   mkdirSync(folder, { recursive: true })
   const log = openSync(join(folder, `${id}.log`), 'a')
   // A small young generation keeps the resident size down; the daemon allocates little.
-  const child = spawn(process.execPath, ['--max-semi-space-size=1', program, '--config', config, '--host', id], { stdio: ['ignore', log, log] })
+  const child = spawn(process.execPath, ['--max-semi-space-size=1', program, '--config', config, '--host', id, ...flags], { stdio: ['ignore', log, log] })
   const exited = new Promise<number | null>((resolve) => child.once('exit', (code) => resolve(code)))
   return { id, url: `http://${http}`, child, kill: (signal) => { child.kill(signal) }, waitUntilExit: () => exited }
 }
--- a/src/programs/demo/targets.ts
+++ b/src/programs/demo/targets.ts
@@ -16,6 +16,8 @@
   memoryBytes: number
   serviceMs: number
   taskMs: number
+  /** Goes before the ids of the targets, which are unique in a deployment. */
+  prefix?: string
 }
 
 /** Base URLs of the entry hosts of each zone. */
@@ -32,13 +34,14 @@
 export async function openFakeTargets (plan: TargetPlan, zoneHosts: ZoneHosts, token: string): Promise<FakeTargets> {
   const clock = createSystemClock()
   const zones = Object.keys(zoneHosts)
+  const prefix = plan.prefix === undefined ? '' : `${plan.prefix}-`
   const stopping = new AbortController()
   const chooseZone = (index: number): string => zones[index % zones.length] as string
   const executors = await Promise.all(Array.from({ length: plan.executors }, (_, index) => openHttpExecutor({
-    clock, id: `executor-${index + 1}`, service: plan.service, availabilityZone: chooseZone(index), serviceMs: plan.serviceMs
+    clock, id: `${prefix}executor-${index + 1}`, service: plan.service, availabilityZone: chooseZone(index), serviceMs: plan.serviceMs
   })))
   const workers = await Promise.all(Array.from({ length: plan.workers }, (_, index) => openHttpWorker({
-    clock, id: `worker-${index + 1}`, plan: ({ command }): RunPlan => ({ runMs: parseRunMs(command) ?? plan.taskMs, result: 'succeeded' })
+    clock, id: `${prefix}worker-${index + 1}`, plan: ({ command }): RunPlan => ({ runMs: parseRunMs(command) ?? plan.taskMs, result: 'succeeded' })
   })))
   const announce = createAnnouncer(clock, token, stopping.signal)
   const loops = [
