--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -6,7 +6,7 @@
 import { createRouter, type Router } from '../../coordination/routing/index.js'
 import { createZoneCoordinator, type PolicyInForce, type ZoneCoordinator } from '../../coordination/tasks/index.js'
 import { createFailure, type EntryHost } from '../../protocol/index.js'
-import { createAgreedState, createReplica, DEFAULT_PRESETS, describeStoreFailure, openDisk, openFileJournalStore, type Replica, type ReplicaFailure } from '../../state/index.js'
+import { createAgreedState, createReplica, DEFAULT_PRESETS, describeStoreFailure, openDisk, openFileJournalStore, type FileJournalStore, type Replica, type ReplicaFailure } from '../../state/index.js'
 import { createExecutorClient, createWorkerClient, openHttpServer, openPeerNetwork, type PeerNetwork } from '../../transport/index.js'
 import { createHost, createMembers, createPresets, type HostSettings } from '../settings/index.js'
 import { createOperations, describeHosts } from './operations.js'
@@ -46,6 +46,8 @@
   router: Router
   coordinator: ZoneCoordinator
   recorder: ReportRecorder
+  /** Absent on a host without a disk. */
+  journalStore: FileJournalStore | undefined
 }
 
 /** Starts every part of an entry host and its HTTP interface. */
@@ -148,7 +150,7 @@
     getPolicy: () => getPolicyInForce(configuration)
   })
   known.coordinator = coordinator
-  return Ok({ clock, logger, metrics, network, log, configuration, router, coordinator, recorder })
+  return Ok({ clock, logger, metrics, network, log, configuration, router, coordinator, recorder, journalStore })
 }
 
 function getPolicyInForce (configuration: ConfigurationModule): PolicyInForce {
@@ -244,9 +246,10 @@
   logger.info('host-stopped')
 }
 
-async function stopParts ({ router, coordinator, configuration, log, network, metrics }: Parts): Promise<void> {
+async function stopParts ({ router, coordinator, configuration, log, network, metrics, journalStore }: Parts): Promise<void> {
   await router.stop()
   await coordinator.stop()
+  await journalStore?.close()
   await configuration.stop()
   await log.stop()
   await network.close()
--- a/src/state/replica/membership.ts
+++ b/src/state/replica/membership.ts
@@ -55,7 +55,7 @@
   try {
     const deadline = context.clock.now() + remainingMs
     const leaving = change.kind === 'add' ? undefined : getVoters(context).find((voter) => voter.host === change.host)
-    if (leaving !== undefined && isSelf(context, leaving) && getVoters(context).length > 1) return await handleOwnRemoval(context)
+    if (leaving !== undefined && isSelf(context, leaving) && getVoters(context).length > 1) return await handleOwnRemoval(context, change, deadline)
     const result = await changeHandlers[change.kind](context, change as never, deadline)
     return result.ok ? { kind: 'changed', voters: getVoters(context) } : { kind: 'failed', failure: result.val }
   } finally {
@@ -152,8 +152,14 @@
   return Err({ kind: 'unsafe-change', message: 'no majority of the new voters can be reached', reachable, needed })
 }
 
-/** The leader does not remove itself: it hands over first, and the change is made by its successor. */
-async function handleOwnRemoval (context: Context): Promise<ChangeReply> {
+/**
+ * The leader does not remove itself: it hands over first, and the change is made by its successor.
+ * A replacement that is bound to be refused costs no change of the leader.
+ */
+async function handleOwnRemoval (context: Context, change: MembershipChange, deadline: number): Promise<ChangeReply> {
+  const isNew = change.kind === 'replace' && findVoter(context, change.by) === undefined
+  const candidate = isNew ? await waitForCandidate(context, change.by, deadline) : undefined
+  if (candidate?.err) return { kind: 'failed', failure: candidate.val }
   const isReleased = await releaseLeadership(context, context.clock.now() + HANDOVER_WAIT_MS)
   return isReleased
     ? { kind: 'not-leader' }
--- a/test/state/membership.test.ts
+++ b/test/state/membership.test.ts
@@ -123,3 +123,17 @@
   expect(outcomes.length).toBeGreaterThan(0)
   expect(outcomes.filter((kind) => !['not-connected', 'not-recorded'].includes(kind))).toEqual([])
 })
+
+test('a replacement of the leader that is refused does not cost it the leadership', async () => {
+  const { cluster, run, proposeOn, deadlineOf } = await startCluster()
+  const leader = cluster.findLeader()!
+  const { term } = getStatus(leader)
+  // As the command does: only known hosts hear of a new leader at once.
+  const host = { id: 'd', availabilityZone: 'a', region: 'r', peerAddress: '', httpAddress: '', hasDisk: true }
+  expect(await run(proposeOn(leader, { kind: 'host.add', host }))).toMatchObject({ ok: true })
+  const refused = await run(leader.replica()!.replaceVoter(leader.name, 'nobody', deadlineOf(leader)))
+  expect(refused).toMatchObject({ err: true, val: { kind: 'not-connected', host: 'nobody' } })
+  expect(getStatus(leader)).toMatchObject({ role: 'leader', term })
+  expect(await run(leader.replica()!.replaceVoter(leader.name, 'd', deadlineOf(leader)))).toMatchObject({ ok: true })
+  expect(cluster.findLeader()!.name).not.toBe(leader.name)
+})
