--- /dev/null
+++ b/test/api.test.ts
@@ -0,0 +1,22 @@
+import { readFileSync } from 'node:fs'
+import { expect, test } from 'vitest'
+import { announcementSchema, jobBodySchema, serviceBodySchema } from '../src/protocol/index.js'
+
+/** The objects of each JSON block of the page, one after the other. */
+function listExamples (): unknown[] {
+  const page = readFileSync('docs/api.md', 'utf8')
+  return [...page.matchAll(/```json\n([\s\S]*?)```/g)]
+    .flatMap(([, block]) => block!.trim().split(/\n(?=\{)/))
+    .map((text) => JSON.parse(text) as unknown)
+}
+
+test('the bodies that docs/api.md shows are accepted as they stand', () => {
+  const examples = listExamples() as Array<Record<string, unknown>>
+  const find = (key: string) => examples.filter((example) => key in example)
+  const results = [
+    ...find('objective').map((example) => serviceBodySchema.safeParse(example)),
+    ...find('jobClass').map((example) => jobBodySchema.safeParse(example)),
+    ...find('kind').map((example) => announcementSchema.safeParse(example))
+  ]
+  expect(results.map(({ success, error }) => success ? 'accepted' : error.message)).toEqual(['accepted', 'accepted', 'accepted', 'accepted'])
+})
