Keep titles and legends of the report's charts apart

Cause: seen in a browser, the title of each chart lay over its legend and the page touched the edge of the window. Change: title to the left, legend below it, padding of the page.

--- a/src/coordination/reports/charts.ts
+++ b/src/coordination/reports/charts.ts
@@ -114,9 +114,9 @@
 function createOption ({ title, unit, categories, series, stacked }: BarChart): EChartsCoreOption {
   return {
     animation: false,
-    title: { text: title, textStyle: { fontSize: 14 } },
-    legend: { top: 22, type: 'plain' },
-    grid: { left: LABEL_WIDTH, right: 24, top: 56, bottom: 44 },
+    title: { text: title, left: 'left', top: 0, padding: 0, textStyle: { fontSize: 14 } },
+    legend: { left: LABEL_WIDTH, top: 26, type: 'plain' },
+    grid: { left: LABEL_WIDTH, right: 24, top: 60, bottom: 44 },
     xAxis: { type: 'value', name: unit, nameLocation: 'middle', nameGap: 26 },
     yAxis: { type: 'category', inverse: true, data: categories.map(formatCell), axisLabel: { width: LABEL_WIDTH - 12, overflow: 'truncate' } },
     series: series.map(({ name, values }) => ({ type: 'bar', name: formatCell(name), data: values, stack: stacked ? 'all' : undefined }))
--- a/src/coordination/reports/renderHtml.ts
+++ b/src/coordination/reports/renderHtml.ts
@@ -3,7 +3,7 @@
 import { describeReport, formatCell, listTables, type ReportTable } from './tables.js'
 
 const STYLE = `
-body { font: 14px/1.4 system-ui, sans-serif; margin: 24px auto; max-width: 1200px; color: #222 }
+body { font: 14px/1.4 system-ui, sans-serif; margin: 24px auto; padding: 0 16px; max-width: 1200px; color: #222 }
 table { border-collapse: collapse; margin: 0 0 24px }
 th, td { border-bottom: 1px solid #ddd; padding: 3px 10px; text-align: left; white-space: nowrap }
 td.mark { color: #b00020; font-weight: bold }
