Read the current revision before a change that names none

Cause: the kill test failed once: a host that had just returned filled in an old base revision, and the rejection was the recorded outcome of every resend with the same request id. Change: without a base revision the host reads the log's current state first; without a leader nothing is proposed. Conclusion: a lagging host no longer pins a conflict on an operator's request.

--- a/src/programs/entryHost/operations.ts
+++ b/src/programs/entryHost/operations.ts
@@ -9,6 +9,7 @@
 import { proposeEntry } from './work.js'
 
 const PRESET_TIMEOUT_MS = 4_500
+const READ_TIMEOUT_MS = 2_000
 const MEMBERSHIP_TIMEOUT_MS = 4_500
 
 type Operations = Pick<EntryHost, 'getPreset' | 'setPreset' | 'putMember' | 'listMembers' | 'listHosts' | 'addHost' | 'removeHost' | 'retireZone'>
@@ -72,9 +73,12 @@
     },
 
     setPreset: async ({ baseRevision, requestId, ...body }) => {
+      // A host that lags would fill in an old revision, and the rejection would be the outcome of every resend.
+      const barrier = baseRevision === undefined ? await log.readBarrier(clock.now() + READ_TIMEOUT_MS) : undefined
+      if (barrier?.err) return Err(describeLogFailure(barrier.val))
       const outcome = await configuration.changePreset({
         ...body,
-        baseRevision: baseRevision ?? configuration.getConfiguration().revision,
+        baseRevision: baseRevision ?? log.state().configuration.revision,
         requestId: requestId ?? randomUUID()
       }, clock.now() + PRESET_TIMEOUT_MS)
       const describe = changeTable[outcome.kind] as (outcome: ChangeOutcome, preset: string) => Result<object, ApiFailure>
