--- a/src/protocol/api.ts
+++ b/src/protocol/api.ts
@@ -18,7 +18,7 @@
 
 export const presetBodySchema = z.strictObject({
   preset: identifierSchema,
-  /** Absent: the revision that this host knows. */
+  /** Absent: the revision that is current when the request arrives. */
   baseRevision: z.number().int().nonnegative().optional(),
   presets: z.record(identifierSchema, policySchema).default({}),
   setBy: z.string().min(1).max(200),
