Run workflows on the prepared platform: agreed assignments, worker sessions, adapter, deploy file

Thin whole path: settings, discovery over seeds, catalog put and read back, liveness reports, submission, starts, holds, ends, status, cancel, readiness, SIGTERM.

--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,5 +1,5 @@
 export { createManualClock, createSystemClock, type Clock, type ManualClock } from './clock.js'
-export { createLogger, createSilentLogger, type LogFields, type Logger, type LogLevel } from './log.js'
+export { createBoundedLogger, createLogger, createSilentLogger, type LogFields, type Logger, type LogLevel } from './log.js'
 export { createNoMetrics, createStatsdMetrics, type Metrics, type MetricTags } from './metrics.js'
 export { type Network, type NetworkFailure, type RequestHandler } from './network.js'
 export { createRandom, type Random } from './random.js'
--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -1,6 +1,7 @@
 import { pino, type DestinationStream, type Logger as PinoLogger } from 'pino'
 import * as logfmt from 'pino-logfmt'
 
+const STANDARD_OUTPUT = 1
 const STANDARD_ERROR = 2
 
 // The package's type declarations omit its default export.
@@ -35,6 +36,57 @@
   return createPinoLogger(pino(options, stream).child(fields))
 }
 
+/** Bytes that may wait for a reader that stalls; later lines are dropped and counted. */
+const MAX_WAITING_BYTES = 256 * 1024
+/** Lines of one event in a second; more of them are counted and the number is logged with the next second's first line. */
+const DEFAULT_EVENT_LINES_PER_SECOND = 100
+
+interface LineBudget { second: number, lines: number, suppressed: number }
+
+/**
+ * Writes to standard output without ever waiting for its reader. The rate of each event is bounded, so that a
+ * burst cannot spend the processor on logs.
+ */
+export function createBoundedLogger (clock: { now (): number, wall (): number }, fields: LogFields = {}, linesPerSecond = DEFAULT_EVENT_LINES_PER_SECOND): Logger & { close (): void } {
+  const destination = pino.destination({ dest: STANDARD_OUTPUT, sync: false, minLength: 0, maxLength: MAX_WAITING_BYTES })
+  // A reader that has gone must not end the process.
+  destination.on('error', () => {})
+  const budgets = new Map<string, LineBudget>()
+
+  const takeSuppressed = (event: string): number | undefined => {
+    const second = Math.floor(clock.now() / 1000)
+    const budget = budgets.get(event) ?? { second, lines: 0, suppressed: 0 }
+    budgets.set(event, budget)
+    const suppressed = budget.second === second ? 0 : budget.suppressed
+    if (budget.second !== second) Object.assign(budget, { second, lines: 0, suppressed: 0 })
+    budget.lines += 1
+    if (budget.lines <= linesPerSecond) return suppressed
+    budget.suppressed += 1
+    return undefined
+  }
+
+  const createChild = (common: string): Logger => {
+    const write = (level: string) => (event: string, own: LogFields = {}): void => {
+      const suppressed = takeSuppressed(event)
+      if (suppressed === undefined) return
+      const counted = suppressed > 0 ? ` suppressed=${suppressed}` : ''
+      destination.write(`time=${new Date(clock.wall()).toISOString()} level=${level} event=${event}${common}${formatFields(own)}${counted}\n`)
+    }
+    return { info: write('info'), warn: write('warn'), error: write('error'), child: (more) => createChild(common + formatFields(more)) }
+  }
+
+  return { ...createChild(formatFields(fields)), close: () => { destination.flushSync() } }
+}
+
+function formatFields (fields: LogFields): string {
+  return Object.entries(fields).map(([key, value]) => value === undefined ? '' : ` ${key}=${formatValue(value)}`).join('')
+}
+
+function formatValue (value: string | number | boolean): string {
+  const text = String(value)
+  return /[\s"=]/.test(text) || text === '' ? JSON.stringify(text) : text
+}
+
 /** A logger for tests and for embedding; it writes nothing. */
 export function createSilentLogger (): Logger {
   const logger: Logger = { info: () => {}, warn: () => {}, error: () => {}, child: () => logger }
--- /dev/null
+++ b/src/coordination/membership/index.ts
@@ -0,0 +1,1 @@
+export { chooseVoterChange, createVoterKeeper, type VoterChange, type VoterKeeper } from './keeper.js'
--- /dev/null
+++ b/src/coordination/workflows/catalog.ts
@@ -0,0 +1,55 @@
+import { Err, Ok, type Clock, type Logger, type Result } from '../../common/index.js'
+import type { AgreedLog, Catalog, LogFailure } from '../../state/index.js'
+
+export type CatalogProblem =
+  | { kind: 'unknown-service', queue: string, service: string }
+  | { kind: 'same-place', queues: [string, string] }
+  | { kind: 'same-name', name: string }
+  | { kind: 'no-timeout', queue: string }
+
+export type CatalogFailure = { kind: 'invalid-catalog', problem: CatalogProblem } | LogFailure
+
+export interface CatalogStore {
+  /** Resolves with the version in force once it is at least that of `catalog`. */
+  putCatalog (catalog: Catalog, deadline: number): Promise<Result<number, CatalogFailure>>
+  /** The newest catalog, or nothing before the first. */
+  readCatalog (deadline: number): Promise<Result<Catalog | undefined, LogFailure>>
+}
+
+export function createCatalogStore ({ clock, logger, log }: { clock: Clock, logger: Logger, log: AgreedLog }): CatalogStore {
+  return {
+    putCatalog: async (catalog, deadline) => {
+      const startedAt = clock.now()
+      const problem = findProblem(catalog)
+      if (problem !== undefined) {
+        logger.warn('catalog.invalid', { version: catalog.version, problem: problem.kind })
+        return Err({ kind: 'invalid-catalog', problem })
+      }
+      const before = log.state().workflows.catalog?.version
+      const result = await log.propose({ kind: 'catalog.put', catalog }, deadline)
+      logger.info('catalog.put', { version: catalog.version, before, queues: catalog.queues.length, outcome: result.ok ? 'recorded' : result.val.kind, ms: Math.round(clock.now() - startedAt) })
+      return result.ok ? Ok(Math.max(catalog.version, before ?? 0)) : Err(result.val)
+    },
+    readCatalog: async (deadline) => {
+      const current = await log.readBarrier(deadline)
+      return current.ok ? Ok(log.state().workflows.catalog) : Err(current.val)
+    }
+  }
+}
+
+/** The first rule that a catalog breaks, or nothing. */
+export function findProblem ({ queues, pools }: Catalog): CatalogProblem | undefined {
+  const services = new Set(pools.map(({ service }) => service))
+  const unknown = queues.find(({ service }) => !services.has(service))
+  if (unknown !== undefined) return { kind: 'unknown-service', queue: unknown.name, service: unknown.service }
+  const untimed = queues.find(({ requestTimeoutMs }) => requestTimeoutMs <= 0)
+  if (untimed !== undefined) return { kind: 'no-timeout', queue: untimed.name }
+  const places = new Map<string, string>()
+  for (const { name, hostName, pathPrefix } of queues) {
+    const place = `${hostName.toLowerCase()} ${pathPrefix}`
+    const other = places.get(place)
+    if (other !== undefined) return { kind: 'same-place', queues: [other, name] }
+    places.set(place, name)
+  }
+  return undefined
+}
--- /dev/null
+++ b/src/coordination/workflows/coordinator.ts
@@ -0,0 +1,75 @@
+import type { Clock, Logger, Metrics, Network } from '../../common/index.js'
+import type { AgreedLog } from '../../state/index.js'
+import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
+import type { WorkerClient } from './orders.js'
+import { createWorkflowService } from './service.js'
+import { startTerm, type Term } from './term.js'
+
+/** How often a host looks whether it has become the leader; a part of the time a takeover may take. */
+const LEADER_POLL_MS = 50
+const BARRIER_TIMEOUT_MS = 1000
+
+export interface WorkflowCoordinatorOptions {
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  network: Network
+  log: AgreedLog
+  client: WorkerClient
+}
+
+export interface WorkflowCoordinator {
+  getTerm (): Term | undefined
+  stop (): Promise<void>
+}
+
+/** Coordinates workflows while this host leads the log, and answers entry hosts. */
+export function createWorkflowCoordinator (options: WorkflowCoordinatorOptions): WorkflowCoordinator {
+  const { clock, logger, log, network } = options
+  let stopped = false
+  let term: Term | undefined
+  const getTerm = (): Term | undefined => term
+
+  const service = createWorkflowService({ ...options, getTerm })
+  network.handle(WORKFLOW_MESSAGE, async (from, body): Promise<WorkflowReply> => {
+    const request = workflowRequestSchema.safeParse(body)
+    if (request.success) return service.handle(request.data)
+    logger.warn('workflow.request-malformed', { from })
+    return { kind: 'invalid', message: 'the request between hosts is malformed' }
+  })
+
+  const runTerms = async (): Promise<void> => {
+    while (!stopped) {
+      const status = log.status()
+      const isLeading = status.role === 'leader'
+      if (term !== undefined && (!isLeading || status.term !== term.fence)) {
+        term.stop()
+        term = undefined
+      }
+      if (isLeading && term === undefined) await openTerm(status.term)
+      await clock.sleep(LEADER_POLL_MS)
+    }
+  }
+
+  /** Orders are given only once everything that earlier leaders recorded is known here. */
+  const openTerm = async (fence: number): Promise<void> => {
+    const current = await log.readBarrier(clock.now() + BARRIER_TIMEOUT_MS)
+    const status = log.status()
+    if (stopped || !current.ok || status.role !== 'leader' || status.term !== fence) return
+    term = startTerm({ ...options, fence })
+  }
+
+  const loop = runTerms().catch((error: unknown) => {
+    logger.error('workflow.coordinator-failed', { message: error instanceof Error ? error.stack : String(error) })
+  })
+
+  return {
+    getTerm,
+    stop: async () => {
+      stopped = true
+      term?.stop()
+      term = undefined
+      await loop
+    }
+  }
+}
--- /dev/null
+++ b/src/coordination/workflows/directory.ts
@@ -0,0 +1,57 @@
+import { Err, Ok, type Clock, type Logger, type Result } from '../../common/index.js'
+import type { AgreedLog, LogFailure, WorkerLife, WorkflowsState } from '../../state/index.js'
+
+/** What a report led to. `stale`: a later life is known under the id or at the address. */
+export type ReportOutcome = 'unchanged' | 'recorded' | 'stale'
+
+export interface WorkerDirectory {
+  /** Resolves once what the report says is agreed. */
+  reportLife (life: WorkerLife, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
+  /** The worker has ended by itself; `bornAt` is unknown where the message does not say it. */
+  removeLife (worker: string, bornAt: number | undefined, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
+}
+
+/** Keeps the agreed table of workers. A report that changes nothing costs no message. */
+export function createWorkerDirectory ({ clock, logger, log }: { clock: Clock, logger: Logger, log: AgreedLog }): WorkerDirectory {
+  const getState = (): WorkflowsState => log.state().workflows
+
+  return {
+    reportLife: async (life, deadline) => {
+      const known = getState().workers[life.id]?.life
+      if (isStale(getState(), life)) {
+        logger.info('worker.report-stale', { worker: life.id, bornAt: life.bornAt, knownBornAt: known?.bornAt })
+        return Ok('stale')
+      }
+      if (known !== undefined && isSameReport(known, life)) return Ok('unchanged')
+      const result = await log.propose({ kind: 'life.report', life }, deadline)
+      logger.info('worker.report', { worker: life.id, bornAt: life.bornAt, address: life.address, draining: life.draining, knownBornAt: known?.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
+      return result.ok ? Ok('recorded') : Err(result.val)
+    },
+
+    removeLife: async (worker, bornAt, deadline) => {
+      const known = getState().workers[worker]?.life
+      if (known === undefined || (bornAt !== undefined && bornAt !== known.bornAt)) return Ok('stale')
+      const result = await log.propose({ kind: 'life.remove', worker, bornAt: known.bornAt, at: clock.wall() }, deadline)
+      logger.info('worker.left', { worker, bornAt: known.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
+      if (result.ok) return Ok('recorded')
+      return result.val.kind === 'rejected' ? Ok('stale') : Err(result.val)
+    }
+  }
+}
+
+/** A report that was held up may arrive after its sender has been replaced. */
+function isStale (state: WorkflowsState, life: WorkerLife): boolean {
+  const known = state.workers[life.id]?.life
+  if (known !== undefined) return life.bornAt < known.bornAt
+  return Object.values(state.workers).some((other) => other.life.address === life.address && other.life.bornAt > life.bornAt)
+}
+
+/** A draining worker's time left only shrinks, so it is recorded once. */
+function isSameReport (known: WorkerLife, life: WorkerLife): boolean {
+  if (known.bornAt !== life.bornAt) return false
+  if (known.draining) return true
+  return !life.draining &&
+    known.address === life.address && known.service === life.service && known.host === life.host &&
+    known.availabilityZone === life.availabilityZone && known.cores === life.cores && known.memoryMb === life.memoryMb &&
+    known.accelerators === life.accelerators && known.labels.join() === life.labels.join()
+}
--- /dev/null
+++ b/src/coordination/workflows/index.ts
@@ -0,0 +1,9 @@
+export { createWorkflowCoordinator, type WorkflowCoordinator, type WorkflowCoordinatorOptions } from './coordinator.js'
+export { createWorkflowGateway, type WorkflowGateway, type WorkflowGatewayOptions } from './gateway.js'
+export { type QueueAddress, type WorkflowReply, type WorkflowRequest, type WorkflowStatus } from './messages.js'
+export {
+  type HoldOrder, type HoldReply, type OrderRefusal, type OrderReply, type PaceOrder, type RunOrder, type RunRow, type StartOrder,
+  type WorkerClient, type WorkerFailure
+} from './orders.js'
+export { createCatalogStore, type CatalogFailure, type CatalogProblem, type CatalogStore } from './catalog.js'
+export { createWorkerDirectory, type ReportOutcome, type WorkerDirectory } from './directory.js'
--- /dev/null
+++ b/src/coordination/workflows/plan.ts
@@ -0,0 +1,85 @@
+import { countOccurrences, getLocalName, isStepDone, isStepReady, type Queue, type Step, type WorkflowRecord } from '../../state/index.js'
+
+/** A later start than this after the due time is late for the requester anyway; nothing is started before it. */
+const EARLY_MS = 0
+
+/** Tasks of one occurrence and step that may be assigned now. */
+export interface WaitingGroup {
+  record: WorkflowRecord
+  occurrence: number
+  stepNumber: number
+  step: Step
+  indexes: number[]
+  priority: number
+  /** Wall-clock ms by which the workflow should have ended. */
+  dueAt: number
+}
+
+/** Estimated length of the longest chain of steps, ms. */
+export function estimateChainMs (steps: readonly Step[]): number {
+  const ends = steps.reduce<number[]>((known, step) => {
+    const ready = Math.max(0, ...step.dependsOn.map((earlier) => known[earlier] ?? 0))
+    return [...known, ready + step.expectedRunMs]
+  }, [])
+  return Math.max(0, ...ends)
+}
+
+export function getOccurrenceStart (record: WorkflowRecord, occurrence: number): number {
+  const { recurrence } = record.workflow
+  return recurrence === undefined ? record.submittedAt : recurrence.firstAt + occurrence * recurrence.intervalMs
+}
+
+/** Lists the tasks of a workflow that nobody runs and that may start at `wallTime`. */
+export function listWaiting (record: WorkflowRecord, queue: Queue | undefined, wallTime: number): WaitingGroup[] {
+  if (record.outcome !== undefined) return []
+  const { workflow } = record
+  const objectiveMs = (queue?.slackFactor ?? 1) * estimateChainMs(workflow.steps) + (queue?.objectiveMs ?? 0)
+  return Array.from({ length: countOccurrences(workflow) }, (_, occurrence) => occurrence)
+    .filter((occurrence) => workflow.recurrence === undefined || getOccurrenceStart(record, occurrence) <= wallTime + EARLY_MS)
+    .flatMap((occurrence) => workflow.steps.map((step, stepNumber) => ({
+      record,
+      occurrence,
+      stepNumber,
+      step,
+      indexes: listWaitingIndexes(record, occurrence, stepNumber, step),
+      priority: queue?.priority ?? 0,
+      dueAt: getOccurrenceStart(record, occurrence) + objectiveMs
+    })))
+    .filter(({ indexes }) => indexes.length > 0)
+}
+
+function listWaitingIndexes (record: WorkflowRecord, occurrence: number, stepNumber: number, step: Step): number[] {
+  if (isStepDone(record, occurrence, stepNumber) || !isStepReady(record, occurrence, step)) return []
+  const all = Array.from({ length: step.count }, (_, index) => index)
+  const waiting = all.filter((index) => {
+    const known = record.tasks[getLocalName({ occurrence, step: stepNumber, index })]
+    return known === undefined || (!known.succeeded && known.worker === undefined)
+  })
+  // Members of a gang start together, so none starts while one of the last attempt is still there.
+  return step.gang && waiting.length < step.count ? [] : waiting
+}
+
+/** The next time at which an occurrence falls due, or nothing. */
+export function findNextOccurrence (record: WorkflowRecord, wallTime: number): number | undefined {
+  const { recurrence } = record.workflow
+  if (recurrence === undefined || record.outcome !== undefined) return undefined
+  const next = Array.from({ length: recurrence.count }, (_, occurrence) => getOccurrenceStart(record, occurrence))
+    .find((due) => due > wallTime + EARLY_MS)
+  return next
+}
+
+/** Priority first, then what is due first; what is hopelessly late comes after what can still be on time. */
+export function compareGroups (wallTime: number): (a: WaitingGroup, b: WaitingGroup) => number {
+  return (a, b) => a.priority - b.priority ||
+    Number(isHopeless(a, wallTime)) - Number(isHopeless(b, wallTime)) ||
+    a.dueAt - b.dueAt
+}
+
+/** A workflow is worth nothing after three times its objective. */
+const WORTHLESS_FACTOR = 3
+
+function isHopeless (group: WaitingGroup, wallTime: number): boolean {
+  if (group.step.lasting) return false
+  const start = getOccurrenceStart(group.record, group.occurrence)
+  return wallTime > start + WORTHLESS_FACTOR * (group.dueAt - start)
+}
--- /dev/null
+++ b/src/coordination/workflows/timing.ts
@@ -0,0 +1,32 @@
+/**
+ * Length of the leases that the leader gives. Longer than the change of a leader (docs/design.md: under 2 s) and the
+ * first looks of the new one, so that nothing stops for it; short, because the tasks of a silent worker wait for its end.
+ */
+export const LEASE_MS = 6000
+/** Added to the end of a lease before tasks are given to others: rounding and delivery of the worker's own timer. */
+export const EXPIRY_MARGIN_MS = 150
+/** A look at a busy worker waits this long for an end; at most 2,000 by the platform's contract. */
+export const HOLD_WAIT_MS = 1500
+/** The same on workers whose readings decide about pacing; readings cover half a second. */
+export const SHORT_HOLD_MS = 500
+/** A worker without runs is looked at this often, which keeps the reading of its clock fresh. */
+export const IDLE_LOOK_MS = 20_000
+/** An answer later than this after the agreed wait counts as none: some hundred times a round trip. */
+export const REPLY_SLACK_MS = 800
+export const ORDER_TIMEOUT_MS = 700
+export const MAX_START_TRIES = 4
+/** A stop that shows no effect is sent again after this long. */
+export const RESEND_STOP_MS = 400
+/** Pause before the next look at a worker that did not answer; doubles up to the largest. */
+export const FIRST_RETRY_MS = 100
+export const MAX_RETRY_MS = 1000
+/** A leader that has not heard a majority for this long gives no orders; it steps down after 800 ms. */
+export const AUTHORITY_MS = 800
+/** How often the leader looks at its own authority. */
+export const AUTHORITY_CHECK_MS = 100
+/** Deadline of changes that the leader itself proposes. */
+export const PROPOSE_TIMEOUT_MS = 3000
+/** A worker that refused a start for want of room gets none for this long. */
+export const NO_ROOM_PAUSE_MS = 500
+/** A worker that refused a start as unhealthy gets none for this long. */
+export const UNHEALTHY_PAUSE_MS = 2000
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -52,7 +52,11 @@
   'outcome-is-final': (r) => createFailure('conflict', `task ${r.task} of job "${r.job}" has already ended as ${r.outcome}`, r),
   'no-unknown-outcome': (r) => createFailure('conflict', `task ${r.task} of job "${r.job}" has no unknown outcome to decide`, r),
   'already-founded': () => createFailure('conflict', 'the deployment already exists'),
-  'invalid-division': (r) => createFailure('internal', `the job has ${r.expected} tasks but ${r.actual} were assigned to zones`, r)
+  'invalid-division': (r) => createFailure('internal', `the job has ${r.expected} tasks but ${r.actual} were assigned to zones`, r),
+  'unknown-queue': (r) => createFailure('not-found', `queue "${r.queue}" does not exist`, r),
+  'unknown-workflow': (r) => createFailure('not-found', `workflow "${r.workflow}" does not exist`, r),
+  'unknown-wave': (r) => createFailure('not-found', `wave ${r.wave} does not exist`, r),
+  'stale-life': (r) => createFailure('conflict', `worker "${r.worker}" has started again since ${r.bornAt}`, r)
 }
 
 export function createFailure (kind: ApiFailureKind, message: string, details?: object): ApiFailure {
--- a/src/state/agreedState.ts
+++ b/src/state/agreedState.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from '../common/index.js'
 import type { Entry, EntryKind, Host, Job, Member, Policy, Service, TaskOutcome, Worker } from './schemas.js'
+import { createWorkflowsState, workflowHandlers, type WorkflowRejection, type WorkflowsState } from './workflows/index.js'
 
 const MAX_REMEMBERED_REQUESTS = 10_000
 /** A zone's share of a job keeps the ids of its ended tasks only until the whole job has ended. */
@@ -61,6 +62,7 @@
   hosts: Record<string, Host>
   workers: Record<string, Worker>
   zones: Record<string, ZoneAuthority>
+  workflows: WorkflowsState
   requests: Record<string, Outcome>
   /** Request ids, oldest first. */
   requestOrder: string[]
@@ -86,6 +88,7 @@
   | { kind: 'no-unknown-outcome', job: string, task: number }
   | { kind: 'already-founded' }
   | { kind: 'invalid-division', expected: number, actual: number }
+  | WorkflowRejection
 
 export interface Acceptance { revision?: number, epoch?: number }
 export type Outcome = { accepted: true, value: Acceptance } | { accepted: false, rejection: Rejection }
@@ -113,6 +116,7 @@
     hosts: {},
     workers: {},
     zones: {},
+    workflows: createWorkflowsState(),
     requests: {},
     requestOrder: []
   }
@@ -150,7 +154,18 @@
     .filter((task) => record.outcomes[task] === undefined && findOwner(record, task) === availabilityZone)
 }
 
+type WorkflowEntryKind = keyof typeof workflowHandlers
+
+/** Lets the handlers of workflows see only their own part of the state. */
+function createWorkflowHandlers (): Pick<Handlers, WorkflowEntryKind> {
+  const wrapped = Object.entries(workflowHandlers).map(([kind, handler]) =>
+    [kind, (state: AgreedState, entry: Entry) => handler(state.workflows, entry as never)])
+  return Object.fromEntries(wrapped) as Pick<Handlers, WorkflowEntryKind>
+}
+
 const handlers: Handlers = {
+  ...createWorkflowHandlers(),
+
   noop: () => Ok({}),
 
   'deployment.found': (state, { hosts, members }) => {
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -19,3 +19,4 @@
   createReplica, ELECTION_MAX_MS, ELECTION_MIN_MS, HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_ENTRY_BYTES, MAX_VOTERS,
   type CreateReplicaOptions, type LogLimits, type MembershipFailure, type Replica, type ReplicaFailure, type Voter
 } from './replica/index.js'
+export * from './workflows/index.js'
--- a/src/state/replica/timing.ts
+++ b/src/state/replica/timing.ts
@@ -26,8 +26,8 @@
 export const MAX_APPEND_BYTES = 62 * 1024
 /** Leaves room for the other fields of a snapshot message. */
 export const MAX_CHUNK_BYTES = 63 * 1024
-/** An entry travels in one message. */
-export const MAX_ENTRY_BYTES = 60 * 1024
+/** An entry travels in one message; a catalog of many queues is the largest. */
+export const MAX_ENTRY_BYTES = 1024 * 1024
 export const MAX_SYNC_BYTES = 1024 * 1024
 export const MAX_PENDING = 10_000
 export const MAX_VOTERS = 7
--- a/src/state/schemas.ts
+++ b/src/state/schemas.ts
@@ -1,4 +1,5 @@
 import { z } from 'zod'
+import { workflowEntrySchemas } from './workflows/schemas.js'
 
 /** Resource amounts. Used for declared sizes, capacities, quotas and usage. */
 export const resourcesSchema = z.strictObject({
@@ -118,6 +119,7 @@
 
 /** Every change of the agreed state. `requestId` makes a resend by an operator return the first outcome. */
 export const entrySchema = z.discriminatedUnion('kind', [
+  ...workflowEntrySchemas,
   z.strictObject({ kind: z.literal('noop') }),
   /** What the settings of a new deployment name; accepted once. */
   z.strictObject({ kind: z.literal('deployment.found'), hosts: z.array(hostSchema), members: z.array(memberSchema) }),
--- /dev/null
+++ b/src/state/workflows/index.ts
@@ -0,0 +1,11 @@
+export {
+  assignmentSchema, catalogSchema, endCauseSchema, queueSchema, recurrenceSchema, runEndSchema, stepSchema, upkeepWaveSchema,
+  workerLifeSchema, workerPoolSchema, workflowEntrySchemas, workflowSchema,
+  type AdvicePolicy, type Assignment, type Catalog, type EndCause, type Queue, type Recurrence, type RunEnd, type Step,
+  type UpkeepWave, type WorkerLife, type WorkerPool, type Workflow
+} from './schemas.js'
+export {
+  countOccurrences, createWorkflowsState, findTask, formatTaskName, getLocalName, isStepDone, isStepReady, parseTaskName, workflowHandlers,
+  type TaskName, type TaskRecord, type WaveRecord, type WorkerRecord, type WorkflowOutcome, type WorkflowRecord,
+  type WorkflowRejection, type WorkflowsState
+} from './state.js'
--- /dev/null
+++ b/src/state/workflows/state.ts
@@ -0,0 +1,299 @@
+import { Err, Ok, type Result } from '../../common/index.js'
+import type { Catalog, EndCause, RunEnd, Step, UpkeepWave, WorkerLife, Workflow } from './schemas.js'
+
+/** Records of ended workflows are kept at least this long, so that their state can be asked for. */
+const KEEP_ENDED_MS = 600_000
+const MAX_ENDED = 20_000
+
+export interface TaskRecord {
+  /** The highest attempt that was ever assigned. */
+  attempt: number
+  failures: number
+  succeeded: boolean
+  checkpoint: string
+  /** Where the current attempt was assigned to. */
+  worker: string | undefined
+}
+
+export type WorkflowOutcome = 'completed' | 'failed' | 'cancelled'
+
+export interface WorkflowRecord {
+  workflow: Workflow
+  queue: string
+  service: string
+  maxAttempts: number
+  submittedAt: number
+  /** True once any task has been assigned. */
+  started: boolean
+  /** Only tasks that were ever assigned, by occurrence, step and index. */
+  tasks: Record<string, TaskRecord>
+  /** Number of tasks that have succeeded, by occurrence and step. */
+  succeeded: Record<string, number>
+  outcome: WorkflowOutcome | undefined
+  endedAt: number
+}
+
+export interface WorkerRecord {
+  life: WorkerLife
+  /** The last numbered end that was recorded. */
+  lastEnd: number
+  /** True when nothing that was ordered there can still run. */
+  expired: boolean
+  /** Tasks that are assigned to this life. */
+  assigned: Record<string, true>
+}
+
+export interface WaveRecord { wave: UpkeepWave, ordered: string[], done: string[] }
+
+export interface WorkflowsState {
+  catalog: Catalog | undefined
+  workflows: Record<string, WorkflowRecord>
+  /** Ids of ended workflows, oldest first. */
+  ended: string[]
+  workers: Record<string, WorkerRecord>
+  waves: Record<string, WaveRecord>
+}
+
+export type WorkflowRejection =
+  | { kind: 'unknown-queue', queue: string }
+  | { kind: 'unknown-workflow', workflow: string }
+  | { kind: 'unknown-wave', wave: number }
+  | { kind: 'stale-life', worker: string, bornAt: number }
+
+export function createWorkflowsState (): WorkflowsState {
+  return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {} }
+}
+
+export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
+
+export function formatTaskName ({ workflow, occurrence, step, index }: TaskName): string {
+  return `${workflow}.${occurrence}.${step}.${index}`
+}
+
+export function parseTaskName (task: string): TaskName | undefined {
+  const parts = task.split('.')
+  const [index, step, occurrence] = parts.splice(-3).reverse().map(Number)
+  const workflow = parts.join('.')
+  return workflow !== '' && Number.isInteger(index) && Number.isInteger(step) && Number.isInteger(occurrence)
+    ? { workflow, occurrence: occurrence as number, step: step as number, index: index as number }
+    : undefined
+}
+
+export function findTask (state: WorkflowsState, task: string): TaskRecord | undefined {
+  const name = parseTaskName(task)
+  return name === undefined ? undefined : state.workflows[name.workflow]?.tasks[getLocalName(name)]
+}
+
+export function getLocalName ({ occurrence, step, index }: Omit<TaskName, 'workflow'>): string {
+  return `${occurrence}.${step}.${index}`
+}
+
+export function countOccurrences (workflow: Workflow): number {
+  return workflow.recurrence?.count ?? 1
+}
+
+/** True when the tasks of a step may start as far as the steps before it are concerned. */
+export function isStepReady (record: WorkflowRecord, occurrence: number, step: Step): boolean {
+  return step.dependsOn.every((earlier) => isStepDone(record, occurrence, earlier))
+}
+
+export function isStepDone (record: WorkflowRecord, occurrence: number, step: number): boolean {
+  const definition = record.workflow.steps[step]
+  return definition === undefined || (record.succeeded[`${occurrence}.${step}`] ?? 0) >= definition.count
+}
+
+type Change = Result<Record<string, never>, WorkflowRejection>
+
+export const workflowHandlers = {
+  'catalog.put': (state: WorkflowsState, { catalog }: { catalog: Catalog }): Change => {
+    // A version that is not higher changes nothing and is acknowledged all the same.
+    if (catalog.version > (state.catalog?.version ?? -1)) state.catalog = catalog
+    return Ok({})
+  },
+
+  'workflow.submit': (state: WorkflowsState, { queue, workflow, at }: { queue: string, workflow: Workflow, at: number }): Change => {
+    if (state.workflows[workflow.id] !== undefined) return Ok({})
+    const definition = state.catalog?.queues.find(({ name }) => name === queue)
+    if (definition === undefined) return Err({ kind: 'unknown-queue', queue })
+    state.workflows[workflow.id] = {
+      workflow,
+      queue,
+      service: definition.service,
+      maxAttempts: definition.maxAttempts,
+      submittedAt: at,
+      started: false,
+      tasks: {},
+      succeeded: {},
+      outcome: undefined,
+      endedAt: 0
+    }
+    return Ok({})
+  },
+
+  'workflow.cancel': (state: WorkflowsState, { id, at }: { id: string, at: number }): Change => {
+    const record = state.workflows[id]
+    if (record === undefined) return Err({ kind: 'unknown-workflow', workflow: id })
+    closeWorkflow(state, record, 'cancelled', at)
+    return Ok({})
+  },
+
+  'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Array<[string, string, number]> }): Change => {
+    assignments.forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
+    return Ok({})
+  },
+
+  'workflow.end': (state: WorkflowsState, { worker, bornAt, ends, at }: { worker: string, bornAt: number, ends: RunEnd[], at: number }): Change => {
+    const record = state.workers[worker]
+    if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
+    ends.forEach((end) => applyEnd(state, record, end, at))
+    return Ok({})
+  },
+
+  'life.report': (state: WorkflowsState, { life }: { life: WorkerLife }): Change => {
+    const known = state.workers[life.id]
+    if (known === undefined || known.life.bornAt < life.bornAt) {
+      if (known !== undefined) releaseTasks(state, known)
+      state.workers[life.id] = { life, lastEnd: 0, expired: false, assigned: {} }
+    } else if (known.life.bornAt === life.bornAt) {
+      // A life that has announced that it leaves never returns to work.
+      const draining = known.life.draining || life.draining
+      known.life = { ...life, draining, leavesAt: known.life.draining ? known.life.leavesAt ?? life.leavesAt : life.leavesAt }
+    }
+    return Ok({})
+  },
+
+  'life.expire': (state: WorkflowsState, { worker, bornAt }: { worker: string, bornAt: number, at: number }): Change => {
+    const record = state.workers[worker]
+    if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
+    releaseTasks(state, record)
+    record.expired = true
+    return Ok({})
+  },
+
+  'life.remove': (state: WorkflowsState, { worker, bornAt }: { worker: string, bornAt: number, at: number }): Change => {
+    const record = state.workers[worker]
+    if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
+    releaseTasks(state, record)
+    delete state.workers[worker]
+    return Ok({})
+  },
+
+  'wave.open': (state: WorkflowsState, { wave }: { wave: UpkeepWave }): Change => {
+    state.waves[wave.id] ??= { wave, ordered: [], done: [] }
+    return Ok({})
+  },
+
+  'wave.order': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
+    const record = state.waves[wave]
+    if (record === undefined) return Err({ kind: 'unknown-wave', wave })
+    if (!record.ordered.includes(host)) record.ordered.push(host)
+    return Ok({})
+  },
+
+  'wave.done': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
+    const record = state.waves[wave]
+    if (record === undefined) return Err({ kind: 'unknown-wave', wave })
+    if (!record.done.includes(host)) record.done.push(host)
+    return Ok({})
+  }
+}
+
+function applyAssignment (state: WorkflowsState, task: string, worker: string, attempt: number): void {
+  const name = parseTaskName(task)
+  const record = name === undefined ? undefined : state.workflows[name.workflow]
+  const target = state.workers[worker]
+  if (name === undefined || record === undefined || target === undefined || record.outcome !== undefined) return
+  const local = getLocalName(name)
+  const known = record.tasks[local]
+  // Two assignments can only cross when a leader was replaced; the first one stands.
+  if (known !== undefined && (known.succeeded || known.worker !== undefined || known.attempt >= attempt)) return
+  record.tasks[local] = {
+    attempt,
+    failures: known?.failures ?? 0,
+    succeeded: false,
+    checkpoint: known?.checkpoint ?? '',
+    worker
+  }
+  record.started = true
+  target.assigned[task] = true
+  target.expired = false
+}
+
+const FAILURE_CAUSES: ReadonlySet<EndCause> = new Set(['failed'])
+
+function applyEnd (state: WorkflowsState, worker: WorkerRecord, [number, task, attempt, cause, checkpoint]: RunEnd, at: number): void {
+  if (number > 0 && number <= worker.lastEnd) return
+  if (number > 0) worker.lastEnd = number
+  const name = parseTaskName(task)
+  const record = name === undefined ? undefined : state.workflows[name.workflow]
+  const known = name === undefined ? undefined : record?.tasks[getLocalName(name)]
+  if (name === undefined || record === undefined || known === undefined) return
+  const isCurrent = known.worker === worker.life.id && known.attempt === attempt
+  // A worker may list an end of an attempt whose number it saw and this state did not.
+  known.attempt = Math.max(known.attempt, attempt)
+  if (isCurrent) releaseTask(state, task, known)
+  if (checkpoint !== '') known.checkpoint = checkpoint
+  if (cause === 'succeeded') {
+    applySuccess(state, record, name, known, at)
+  } else if (FAILURE_CAUSES.has(cause)) {
+    applyFailure(state, record, name, known, at)
+  }
+}
+
+function applySuccess (state: WorkflowsState, record: WorkflowRecord, name: TaskName, known: TaskRecord, at: number): void {
+  const step = record.workflow.steps[name.step]
+  if (known.succeeded || step === undefined || step.lasting) return
+  const key = `${name.occurrence}.${name.step}`
+  if (step.gang) {
+    // One end stands for all members of a gang.
+    record.succeeded[key] = step.count
+  } else {
+    known.succeeded = true
+    record.succeeded[key] = (record.succeeded[key] ?? 0) + 1
+  }
+  const { workflow } = record
+  const isDone = Array.from({ length: countOccurrences(workflow) })
+    .every((_, occurrence) => workflow.steps.every((_step, number) => isStepDone(record, occurrence, number)))
+  if (isDone) closeWorkflow(state, record, 'completed', at)
+}
+
+function applyFailure (state: WorkflowsState, record: WorkflowRecord, name: TaskName, known: TaskRecord, at: number): void {
+  known.failures += 1
+  const step = record.workflow.steps[name.step]
+  const isExhausted = known.failures >= record.maxAttempts && step?.lasting !== true
+  if (isExhausted && !known.succeeded && !isStepDone(record, name.occurrence, name.step)) closeWorkflow(state, record, 'failed', at)
+}
+
+/** Ends a workflow. Tasks that are still assigned stay so until their workers have stopped them. */
+function closeWorkflow (state: WorkflowsState, record: WorkflowRecord, outcome: WorkflowOutcome, at: number): void {
+  if (record.outcome !== undefined) return
+  record.outcome = outcome
+  record.endedAt = at
+  state.ended.push(record.workflow.id)
+  pruneEnded(state, at)
+}
+
+function pruneEnded (state: WorkflowsState, at: number): void {
+  while (state.ended.length > 0) {
+    const id = state.ended[0] as string
+    const record = state.workflows[id]
+    const isKept = record !== undefined && state.ended.length <= MAX_ENDED && at - record.endedAt < KEEP_ENDED_MS
+    if (isKept) return
+    state.ended.shift()
+    delete state.workflows[id]
+  }
+}
+
+function releaseTasks (state: WorkflowsState, worker: WorkerRecord): void {
+  Object.keys(worker.assigned).forEach((task) => {
+    const known = findTask(state, task)
+    if (known !== undefined && known.worker === worker.life.id) releaseTask(state, task, known)
+  })
+  worker.assigned = {}
+}
+
+function releaseTask (state: WorkflowsState, task: string, known: TaskRecord): void {
+  const worker = known.worker === undefined ? undefined : state.workers[known.worker]
+  if (worker !== undefined) delete worker.assigned[task]
+  known.worker = undefined
+}
