--- a/eslint.config.js
+++ b/eslint.config.js
@@ -29,7 +29,7 @@
 }
 
 export default [
-  ...neostandard({ ts: true, ignores: ['dist/**', 'node_modules/**', 'data/**'] }),
+  ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'data/**'] }),
   {
     files: ['src/**/*.ts'],
     plugins: { 'import-x': plugins['import-x'], sequoiadrift: { rules: { verb: verbRule } } },
--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,9 +1,10 @@
 import type { Queue, Step, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
-import { couldHold, type Candidate } from './placing.js'
 import { estimateChainMs } from './plan.js'
 
 /** A workflow is worth nothing once it has taken this many times its objective. */
 const WORTHLESS_FACTOR = 3
+/** Cores that lasting work uses of those it requests. */
+const LASTING_USE = 0.5
 const MIN_RETRY_AFTER_MS = 1000
 const MAX_RETRY_AFTER_MS = 30_000
 
@@ -40,7 +41,7 @@
     .filter(({ life, expired }) => life.service === queue.service && !life.draining && !expired)
     .reduce((sum, { life }) => sum + life.cores, 0)
   const open = Object.values(state.workflows).filter((record) => record.outcome === undefined && record.service === queue.service)
-  const lastingCores = open.reduce((sum, record) => sum + record.workflow.steps.filter(({ lasting }) => lasting).reduce((total, step) => total + step.cores * step.count, 0), 0)
+  const lastingCores = LASTING_USE * open.reduce((sum, record) => sum + record.workflow.steps.filter(({ lasting }) => lasting).reduce((total, step) => total + step.cores * step.count, 0), 0)
   const work = open
     .filter((record) => (priorities.get(record.queue) ?? 0) <= queue.priority)
     .reduce((sum, record) => sum + estimateOpenWork(record), 0)
@@ -58,8 +59,3 @@
 function estimateStepWork (step: Step, succeeded: number): number {
   return step.lasting ? 0 : Math.max(0, step.count - succeeded) * step.cores * step.expectedRunMs
 }
-
-/** True when some worker of the pool could run every step if it were empty. */
-export function isPossible (workflow: Workflow, candidates: readonly Candidate[]): boolean {
-  return workflow.steps.every((step) => candidates.some((candidate) => couldHold(candidate, step)))
-}
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,14 +1,17 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
 import { formatTaskName, getLocalName, parseTaskName, type Assignment, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import type { HoldReply } from './orders.js'
-import { canHold, chooseWorker, isServing, type Candidate, type PlacementNeeds } from './placing.js'
+import { addTask, canHold, chooseWorker, isServing, type Candidate, type PlacementNeeds } from './placing.js'
 import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
 import type { Run, Session } from './session.js'
+import { createSharing, type FillingRun, type ServingRun, type Sharing } from './sharing.js'
 import type { Signal } from './signal.js'
 import type { WorkerHealth } from './workerHealth.js'
 
 /** Passes over the waiting tasks are at least this far apart, so that a burst of changes shares one. */
 const PASS_GAP_MS = 4
+/** How often the load is logged. */
+const LOAD_LOG_MS = 1000
 /** Assignments of one pass; an entry of the log stays small. */
 const MAX_ASSIGNMENTS = 400
 
@@ -38,15 +41,39 @@
 /** Gives waiting tasks to workers, most urgent first. One pass at a time; each is one entry of the log. */
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { clock, logger, getState, wake } = options
+  const sharing = createSharing()
   let stopped = false
+  let loadLoggedAt = -Infinity
+
+  const logLoad = (groups: WaitingGroup[], candidates: Map<string, Placing[]>): void => {
+    const now = clock.now()
+    if (now - loadLoggedAt < LOAD_LOG_MS) return
+    loadLoggedAt = now
+    const all = [...candidates.values()].flat()
+    logger.info('dispatch.load', {
+      waiting: groups.reduce((sum, { indexes }) => sum + indexes.length, 0),
+      groups: groups.length,
+      workers: all.length,
+      cores: Math.round(all.reduce((sum, { cores }) => sum + cores, 0)),
+      freeCores: Math.round(all.reduce((sum, { freeCores }) => sum + freeCores, 0)),
+      freeMemoryMb: Math.round(all.reduce((sum, { freeMemoryMb }) => sum + freeMemoryMb, 0)),
+      spareCores: Math.round(all.reduce((sum, { spareCores }) => sum + spareCores, 0)),
+      serving: all.reduce((sum, { serving }) => sum + serving.length, 0),
+      servingWorkers: all.filter(({ serving }) => serving.length > 0).length,
+      filling: all.reduce((sum, { filling }) => sum + filling.length, 0),
+      mixedWorkers: all.filter(({ serving, filling }) => serving.length > 0 && filling.length > 0).length,
+      slowWorkers: all.filter(({ slowness }) => slowness > 2).length
+    })
+  }
 
   const runPass = async (): Promise<void> => {
     const wallTime = clock.wall()
     const candidates = listCandidates(options)
     const groups = listGroups(getState(), wallTime)
+    logLoad(groups, candidates)
     const assignments: Assignment[] = []
     groups.forEach((group) => {
-      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, getState()))
+      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, sharing))
     })
     stopStalled(options)
     if (assignments.length === 0) return
@@ -69,7 +96,7 @@
 
   return {
     schedule: () => wake.notify(),
-    observeReply: () => {},
+    observeReply: (session) => observeSharing(options, sharing, session),
     findTicket: () => undefined,
     stop: () => {
       stopped = true
@@ -111,10 +138,11 @@
     memoryMb: life.memoryMb,
     accelerators: life.accelerators,
     freeCores: life.cores,
+    spareCores: life.cores,
     freeMemoryMb: life.memoryMb,
     freeAccelerators: life.accelerators,
-    serving: 0,
-    filling: 0,
+    serving: [],
+    filling: [],
     slowness,
     peers: new Map()
   }
@@ -132,29 +160,25 @@
 }
 
 function addRun (candidate: Placing, step: Step, peerKey: string): void {
-  candidate.freeCores -= step.cores
-  candidate.freeMemoryMb -= step.memoryMb
-  candidate.freeAccelerators -= step.accelerators
-  if (isServing(step)) candidate.serving += 1
-  if (step.fills) candidate.filling += 1
+  addTask(candidate, step)
   candidate.peers.set(peerKey, (candidate.peers.get(peerKey) ?? 0) + 1)
 }
 
 /** Places the tasks of a group as far as there is room; a gang whole or not at all. */
-function placeGroup (group: WaitingGroup, candidates: Map<string, Placing[]>, state: WorkflowsState): Assignment[] {
+function placeGroup (group: WaitingGroup, candidates: Map<string, Placing[]>, sharing: Sharing): Assignment[] {
   const { record, occurrence, stepNumber, step, indexes } = group
   const workers = candidates.get(record.service) ?? []
   const peerKey = getPeerKey(record.workflow.id, occurrence, stepNumber)
   const needs: PlacementNeeds = {
     step,
     countPeers: (worker) => workers.find(({ id }) => id === worker)?.peers.get(peerKey) ?? 0,
-    isAvoided: () => false
+    estimateRisk: sharing.estimateRisk
   }
   const gangAttempt = 1 + Math.max(0, ...indexes.map((index) => findAttempt(group, index)))
   if (step.gang && !canHoldGang(workers, needs, indexes.length)) return []
   const placed: Assignment[] = []
   indexes.every((index) => {
-    const worker = chooseWorker(workers, needs) as Placing | undefined
+    const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
     addRun(worker, step, peerKey)
     const attempt = step.gang ? gangAttempt : findAttempt(group, index) + 1
@@ -172,7 +196,7 @@
 function canHoldGang (workers: Placing[], needs: PlacementNeeds, count: number): boolean {
   const { step } = needs
   const places = workers.filter((worker) => canHold(worker, needs)).reduce((sum, worker) => {
-    const byCores = step.cores > 0 ? Math.floor(worker.freeCores / step.cores) : count
+    const byCores = step.cores > 0 ? Math.floor((step.fills ? worker.spareCores : worker.freeCores) / step.cores) : count
     const byMemory = step.memoryMb > 0 ? Math.floor(worker.freeMemoryMb / step.memoryMb) : count
     const byPeers = step.maxPerWorker === undefined ? count : step.maxPerWorker - needs.countPeers(worker.id)
     return sum + Math.min(byCores, byMemory, byPeers)
@@ -180,15 +204,44 @@
   return places >= count
 }
 
+/** Learns from the tails on a worker and acts on those over their targets. */
+function observeSharing (options: DispatcherOptions, sharing: Sharing, session: Session): void {
+  const { clock, getState, stopRun, pace, logger } = options
+  const cores = getState().workers[session.worker]?.life.cores ?? 1
+  const serving: ServingRun[] = []
+  const filling: FillingRun[] = []
+  session.runs.forEach((run) => {
+    const step = findStep(getState(), run.task)
+    if (run.row === undefined || run.stopReason !== undefined || step === undefined) return
+    // A task that still starts has no tail of its own.
+    const tailMs = run.row.percent === 100 ? run.row.reading : undefined
+    if (step.tailTargetMs !== undefined) serving.push({ task: run.task, image: step.image ?? '', tailMs, targetMs: step.tailTargetMs })
+    if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores, heldSince: run.heldSince })
+  })
+  if (serving.length === 0) return
+  const now = clock.now()
+  sharing.observe(serving, filling, now)
+  sharing.planActions(session.worker, serving, filling, now).forEach(({ kind, task }) => {
+    const run = session.runs.get(task)
+    if (run === undefined) return
+    if (kind === 'move') return stopRun(session, run, 'interference')
+    run.heldSince = now
+    const worst = serving.reduce((a, b) => (b.tailMs ?? 0) / b.targetMs > (a.tailMs ?? 0) / a.targetMs ? b : a)
+    logger.info('run.hold', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
+    pace(session, run, 0)
+  })
+}
+
+function findStep (state: WorkflowsState, task: string): Step | undefined {
+  const name = parseTaskName(task)
+  return name === undefined ? undefined : state.workflows[name.workflow]?.workflow.steps[name.step]
+}
+
 /** Ends runs that stand still, so that they go on elsewhere. */
 function stopStalled ({ sessions, health, getState, stopRun }: DispatcherOptions): void {
-  const findStep = (task: string): Step | undefined => {
-    const name = parseTaskName(task)
-    return name === undefined ? undefined : getState().workflows[name.workflow]?.workflow.steps[name.step]
-  }
   sessions.forEach((session) => {
     if (!session.reachable || session.runs.size === 0) return
-    health.listStandstill(session, findStep).forEach((task) => {
+    health.listStandstill(session, (task) => findStep(getState(), task)).forEach((task) => {
       const run = session.runs.get(task)
       if (run !== undefined) stopRun(session, run, 'standstill')
     })
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -9,13 +9,16 @@
   cores: number
   memoryMb: number
   accelerators: number
+  /** Not requested by anybody whose cores count. */
   freeCores: number
+  /** Expected to be unused; what fills can use. */
+  spareCores: number
   freeMemoryMb: number
   freeAccelerators: number
-  /** Runs of tasks that serve users under a tail target. */
-  serving: number
-  /** Runs of tasks that use what others leave. */
-  filling: number
+  /** Tasks that serve users under a tail target. */
+  serving: Array<{ image: string, targetMs: number }>
+  /** Tasks that use what others leave, and their part of the worker's cores. */
+  filling: Array<{ image: string, part: number }>
   /** Work takes this many times as long as on a sound worker. */
   slowness: number
 }
@@ -24,62 +27,87 @@
   step: Step
   /** Tasks of the same occurrence and step on a worker. */
   countPeers (worker: string): number
-  /** Workers on which the last attempts of the task failed, tried last. */
-  isAvoided (worker: string): boolean
+  /** How far the worst tail is expected above what is safe, as a logarithm. */
+  estimateRisk (serving: Candidate['serving'], filling: Candidate['filling']): number
 }
 
-/** Serving and filling tasks disturb each other, so sharing a worker costs more than any difference of load. */
-const MIX_PENALTY = 10
-/** Other tasks also disturb those that serve, a little. */
-const SERVING_NEIGHBOUR_PENALTY = 0.5
-const AVOIDED_PENALTY = 100
+/** Cores that a task that serves uses on average, as a share of what it requests; they swing by half around 0.42 in the reference loads. */
+const SERVING_USE = 0.5
 const REMOTE_DATA_PENALTY = 2
 /** Weight of the slowness of a worker above 1. */
-const SLOWNESS_WEIGHT = 3
+const SLOWNESS_WEIGHT = 0.5
+/** Weight of the expected distance of the worst tail from its target. */
+const RISK_WEIGHT = 0.5
+/** Logarithm of a tail that is far below its target; less risk than this is no advantage. */
+const NO_RISK = -1.5
+/** Costs of a worker for a task that serves, in the order in which they are avoided. */
+const NEW_SERVING_WORKER_COST = 0.3
+const MIXED_SERVICES_COST = 0.4
+const FILLED_WORKER_COST = 0.2
+
+export function isServing (step: Step): boolean {
+  return step.tailTargetMs !== undefined
+}
 
 export function canHold (candidate: Candidate, { step, countPeers }: PlacementNeeds): boolean {
-  return candidate.freeCores >= step.cores &&
+  const hasCores = step.fills ? candidate.spareCores >= step.cores : candidate.freeCores >= step.cores
+  return hasCores &&
     candidate.freeMemoryMb >= step.memoryMb &&
     candidate.freeAccelerators >= step.accelerators &&
     (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel)) &&
     (step.maxPerWorker === undefined || countPeers(candidate.id) < step.maxPerWorker)
 }
 
-/** True when the worker could hold the task if nothing else ran there. */
-export function couldHold (candidate: Candidate, step: Step): boolean {
-  return candidate.cores >= step.cores && candidate.memoryMb >= step.memoryMb && candidate.accelerators >= step.accelerators &&
-    (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel))
+/** Takes the room of one more task from a candidate. */
+export function addTask (candidate: Candidate, step: Step): void {
+  if (!step.fills) candidate.freeCores -= step.cores
+  candidate.spareCores -= isServing(step) ? step.cores * SERVING_USE : step.cores
+  candidate.freeMemoryMb -= step.memoryMb
+  candidate.freeAccelerators -= step.accelerators
+  if (step.tailTargetMs !== undefined) candidate.serving.push({ image: step.image ?? '', targetMs: step.tailTargetMs })
+  if (step.fills) candidate.filling.push({ image: step.image ?? '', part: step.cores / Math.max(1, candidate.cores) })
 }
 
-/**
- * Chooses the worker with the lowest cost. Tasks that serve are packed on few workers and tasks that fill are
- * spread over the others; everything else goes where most is free.
- */
-export function chooseWorker (candidates: readonly Candidate[], needs: PlacementNeeds): Candidate | undefined {
+/** Chooses the worker with the lowest cost; one on which a tail would come close to its target is no choice. */
+export function chooseWorker<T extends Candidate> (candidates: readonly T[], needs: PlacementNeeds): T | undefined {
   return candidates
     .filter((candidate) => canHold(candidate, needs))
-    .reduce<{ candidate: Candidate, cost: number } | undefined>((best, candidate) => {
+    .reduce<{ candidate: T, cost: number } | undefined>((best, candidate) => {
       const cost = scoreWorker(candidate, needs)
-      return best === undefined || cost < best.cost ? { candidate, cost } : best
+      return cost < (best?.cost ?? Infinity) ? { candidate, cost } : best
     }, undefined)?.candidate
 }
 
-/** Lower is better. */
+/** Lower is better; infinite when the task must not run there. */
 export function scoreWorker (candidate: Candidate, needs: PlacementNeeds): number {
   const { step } = needs
-  const used = 1 - (candidate.freeCores - step.cores) / Math.max(1, candidate.cores)
-  return getSharingCost(candidate, step, used) +
-    (needs.isAvoided(candidate.id) ? AVOIDED_PENALTY : 0) +
+  const risk = estimateSharingRisk(candidate, needs)
+  if (risk > 0) return Infinity
+  const used = 1 - (candidate.spareCores - step.cores) / Math.max(1, candidate.cores)
+  return getLoadCost(candidate, step, used) +
+    Math.max(0, risk - NO_RISK) * RISK_WEIGHT +
     (step.dataRack !== undefined && !candidate.labels.includes(step.dataRack) ? REMOTE_DATA_PENALTY : 0) +
     (candidate.slowness - 1) * SLOWNESS_WEIGHT
 }
 
-function getSharingCost (candidate: Candidate, step: Step, used: number): number {
-  if (isServing(step)) return (candidate.filling > 0 ? MIX_PENALTY + candidate.filling : 0) + (candidate.serving > 0 ? 0 : 1) + used / 2
-  if (step.fills) return (candidate.serving > 0 ? MIX_PENALTY + candidate.serving : 0) + used
-  return (candidate.serving > 0 ? SERVING_NEIGHBOUR_PENALTY : 0) + used
+/**
+ * Tasks that serve are packed, each image by itself, so that a task that fills finds workers all of whose services
+ * bear it. All others go where most is unused.
+ */
+function getLoadCost (candidate: Candidate, step: Step, used: number): number {
+  if (!isServing(step)) return used
+  const others = candidate.serving.filter(({ image }) => image !== (step.image ?? '')).length
+  const isEmpty = candidate.serving.length === 0
+  const free = (candidate.freeCores - step.cores) / Math.max(1, candidate.cores)
+  return (isEmpty ? NEW_SERVING_WORKER_COST : free / 10) + Math.min(others, 1) * MIXED_SERVICES_COST + candidate.filling.length * FILLED_WORKER_COST
 }
 
-export function isServing (step: Step): boolean {
-  return step.tailTargetMs !== undefined
+function estimateSharingRisk (candidate: Candidate, { step, estimateRisk }: PlacementNeeds): number {
+  if (step.fills && candidate.serving.length > 0) {
+    return estimateRisk(candidate.serving, [...candidate.filling, { image: step.image ?? '', part: step.cores / Math.max(1, candidate.cores) }])
+  }
+  if (step.tailTargetMs !== undefined && candidate.filling.length > 0) {
+    return estimateRisk([...candidate.serving, { image: step.image ?? '', targetMs: step.tailTargetMs }], candidate.filling)
+  }
+  return -Infinity
 }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -27,7 +27,8 @@
   row: RunRow | undefined
   /** When `row.percent` last changed. */
   progressAt: number
-  pace: number
+  /** Set while the run is held because it presses others. */
+  heldSince: number | undefined
   ticket: string | undefined
 }
 
@@ -105,7 +106,7 @@
     stopAcknowledgedAt: undefined,
     row: undefined,
     progressAt: now,
-    pace: 100,
+    heldSince: undefined,
     ticket: undefined
   }
 }
