Let the next look decide about a start whose answer was lost; give a silent worker no lease

Looks at a silent worker kept extending its lease, so its tasks were never given to others. Tests fail on the code before.

--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -144,7 +144,8 @@
   const sentAt = clock.now()
   const isFirst = session.reading === undefined
   const waitMs = isFirst || !session.reachable || session.runs.size === 0 ? 0 : getWaitMs(session, context.getState())
-  const leaseUntil = extendLease(context, session)
+  // Looks at a silent worker give no lease: what runs there has to end before its tasks are given to others.
+  const leaseUntil = session.reachable ? extendLease(context, session) : undefined
   const acknowledged = record.lastEnd
   const reply = await client.hold(record.life, { fence: context.fence, leaseUntil, acknowledged, waitMs }, sentAt + waitMs + REPLY_SLACK_MS)
   session.lastLookAt = sentAt
@@ -312,8 +313,9 @@
   if (reason === 'late') return true
   context.onRefused(session, run, reason)
   run.stopReason = reason
-  // A copy of the order that is still under way must not be executed after the task was given to another worker.
-  if (run.unanswered && reason !== 'superseded') stopRun(context, session, run, reason)
+  // A copy of an order without an answer may have been executed and may even have ended: the next look tells.
+  if (reason === 'superseded') run.stopAcknowledgedAt = context.clock.now()
+  else if (run.unanswered) stopRun(context, session, run, reason)
   else releaseRun(context, session, run, 'not-started')
   return false
 }
--- a/src/fakes/memoryLog.ts
+++ b/src/fakes/memoryLog.ts
@@ -1,4 +1,4 @@
-import { Err, Ok } from '../common/index.js'
+import { Err, Ok, type Clock } from '../common/index.js'
 import { applyEntry, createAgreedState, type AgreedLog, type Entry } from '../state/index.js'
 
 /** An agreed log of one process without a disk. Several fake hosts may share it. */
@@ -7,7 +7,8 @@
   setReachable (reachable: boolean): void
 }
 
-export function createMemoryLog (host: string): MemoryLog {
+/** With a clock each proposal takes `commitMs`, as if a disk were synced. */
+export function createMemoryLog (host: string, slow?: { clock: Clock, commitMs: number }): MemoryLog {
   const state = createAgreedState()
   const listeners = new Set<(entry: Entry, index: number) => void>()
   let index = 0
@@ -16,6 +17,7 @@
   return {
     propose: async (entry) => {
       if (!reachable) return Err({ kind: 'no-leader', message: 'no leader can be reached' })
+      if (slow !== undefined) await slow.clock.sleep(slow.commitMs)
       const outcome = applyEntry(state, entry)
       index += 1
       listeners.forEach((listener) => listener(entry, index))
@@ -33,7 +35,7 @@
       appliedIndex: index,
       voters: [host],
       learners: [],
-      progress: [],
+      progress: [{ host, matchIndex: index, votes: true, lastHeardAgoMs: 0 }],
       survivableLosses: 0
     }),
     subscribe: (listener) => {
--- /dev/null
+++ b/src/fakes/runWorker.ts
@@ -0,0 +1,197 @@
+import { Err, Ok, type Clock, type Result } from '../common/index.js'
+import type { HoldOrder, HoldReply, OrderRefusal, OrderReply, RunRow, WorkerClient, WorkerFailure } from '../coordination/workflows/index.js'
+import type { RunEnd, WorkerLife } from '../state/index.js'
+
+/** A hold that waits looks for ends this often. */
+const POLL_MS = 10
+
+export interface RunPlan { runMs: number, result: 'succeeded' | 'failed' | 'never' }
+export type OrderKind = 'start' | 'stop' | 'hold' | 'pace'
+/** `lost-order`: never arrives. `lost-answer`: executed, without an answer. `late`: executed after `lateMs`, without an answer. */
+export type OrderFault = 'none' | 'lost-order' | 'lost-answer' | 'late'
+
+export interface RunEvent { at: number, kind: 'started' | 'ended' | 'acknowledged', worker: string, task: string, attempt: number, cause?: string }
+
+interface RunningTask { attempt: number, startedAt: number, plan: RunPlan, pace: number, reading: number | undefined }
+
+/** A worker that follows the contract of orders: fences, one lease for all runs, numbered ends. */
+export interface FakeRunWorker {
+  readonly life: WorkerLife
+  readonly running: Map<string, RunningTask>
+  /** Called for each order; decides what happens to it. */
+  fault: (kind: OrderKind, task: string | undefined) => OrderFault
+  reachable: boolean
+  setReading (task: string, reading: number): void
+  /** Everything that runs ends without a word, as in a crash. */
+  crash (): void
+}
+
+export interface FakeRunFleet {
+  readonly client: WorkerClient
+  readonly events: RunEvent[]
+  readonly workers: Map<string, FakeRunWorker>
+  addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
+  /** How long the tasks run; by default 1 s to success. */
+  plan: (task: string) => RunPlan
+}
+
+const DEFAULT_LIFE: Omit<WorkerLife, 'id'> = {
+  bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 128_000, accelerators: 0, labels: [], draining: false
+}
+const LATE_MS = 3000
+
+export function createFakeRunFleet (clock: Clock): FakeRunFleet {
+  const events: RunEvent[] = []
+  const workers = new Map<string, FakeRunWorker>()
+  const states = new Map<string, FakeState>()
+  const fleet: FakeRunFleet = {
+    events,
+    workers,
+    plan: () => ({ runMs: 1000, result: 'succeeded' }),
+    addWorker: (partial) => {
+      const life = { ...DEFAULT_LIFE, ...partial }
+      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, plan: (task) => fleet.plan(task) }
+      const worker: FakeRunWorker = {
+        life,
+        running: state.running,
+        fault: () => 'none',
+        reachable: true,
+        setReading: (task, reading) => {
+          const run = state.running.get(task)
+          if (run !== undefined) run.reading = reading
+        },
+        crash: () => {
+          state.running.clear()
+          state.ended.clear()
+          worker.reachable = false
+        }
+      }
+      workers.set(life.id, worker)
+      states.set(life.id, state)
+      return worker
+    },
+    client: {
+      start: (life, order, deadline) => deliver(life, 'start', order.task, deadline, (state) => handleStart(state, order)),
+      stop: (life, order, deadline) => deliver(life, 'stop', order.task, deadline, (state) => handleStop(state, order)),
+      pace: (life, order, deadline) => deliver(life, 'pace', order.task, deadline, (state) => handlePace(state, order)),
+      hold: (life, order, deadline) => deliver(life, 'hold', undefined, deadline, (state) => handleHold(state, order)),
+      forget: () => {}
+    }
+  }
+
+  const deliver = async <T>(life: WorkerLife, kind: OrderKind, task: string | undefined, deadline: number, execute: (state: FakeState) => Promise<Result<T, WorkerFailure>>): Promise<Result<T, WorkerFailure>> => {
+    const worker = workers.get(life.id)
+    const state = states.get(life.id)
+    await clock.sleep(1)
+    const fault = worker?.reachable === true ? worker.fault(kind, task) : 'lost-order'
+    if (state === undefined || fault === 'lost-order') return giveUp(deadline)
+    if (fault === 'late') clock.sleep(LATE_MS).then(() => execute(state))
+    if (fault === 'late') return giveUp(deadline)
+    if (state.life.bornAt !== life.bornAt) return Err({ kind: 'other-life' })
+    const reply = await execute(state)
+    if (fault === 'lost-answer' || worker?.reachable !== true) return giveUp(deadline)
+    await clock.sleep(1)
+    return reply
+  }
+
+  const giveUp = async (deadline: number): Promise<Result<never, WorkerFailure>> => {
+    await clock.sleep(deadline - clock.now())
+    return Err({ kind: 'no-answer', message: 'no answer in time' })
+  }
+  return fleet
+}
+
+interface FakeState {
+  clock: Clock
+  life: WorkerLife
+  events: RunEvent[]
+  running: Map<string, RunningTask>
+  /** The highest attempt that was stopped or ended, by task. */
+  ended: Map<string, number>
+  fence: number
+  leaseUntil: number
+  ends: RunEnd[]
+  lastEnd: number
+  plan (task: string): RunPlan
+}
+
+function advance (state: FakeState): void {
+  const now = state.clock.now()
+  state.running.forEach((run, task) => {
+    const endsAt = run.plan.result === 'never' ? Infinity : run.startedAt + run.plan.runMs
+    if (endsAt <= Math.min(now, state.leaseUntil)) endRun(state, task, run.plan.result === 'failed' ? 'failed' : 'succeeded', endsAt)
+    else if (state.leaseUntil <= now) endRun(state, task, 'lease-expired', state.leaseUntil)
+  })
+}
+
+function endRun (state: FakeState, task: string, cause: RunEnd[3], at: number): void {
+  const run = state.running.get(task)
+  if (run === undefined) return
+  state.running.delete(task)
+  state.ended.set(task, Math.max(run.attempt, state.ended.get(task) ?? 0))
+  state.lastEnd += 1
+  state.ends.push([state.lastEnd, task, run.attempt, cause, ''])
+  state.events.push({ at, kind: 'ended', worker: state.life.id, task, attempt: run.attempt, cause })
+}
+
+function checkFence (state: FakeState, fence: number): Result<void, WorkerFailure> {
+  advance(state)
+  if (fence < state.fence) return refuse(state, 'fenced')
+  state.fence = fence
+  return Ok(undefined)
+}
+
+function refuse (state: FakeState, reason: OrderRefusal): Result<never, WorkerFailure> {
+  return Err({ kind: 'refused', reason, clock: state.clock.now() })
+}
+
+async function handleStart (state: FakeState, order: { task: string, attempt: number, fence: number, leaseUntil: number }): Promise<Result<OrderReply, WorkerFailure>> {
+  const fenced = checkFence(state, order.fence)
+  if (fenced.err) return fenced
+  const now = state.clock.now()
+  if (order.leaseUntil <= now) return refuse(state, 'late')
+  state.leaseUntil = Math.max(state.leaseUntil, order.leaseUntil)
+  const current = state.running.get(order.task)
+  if (current?.attempt === order.attempt) return Ok({ clock: now })
+  if ((state.ended.get(order.task) ?? 0) >= order.attempt || current !== undefined) return refuse(state, 'superseded')
+  state.running.set(order.task, { attempt: order.attempt, startedAt: now, plan: state.plan(order.task), pace: 100, reading: undefined })
+  state.events.push({ at: now, kind: 'started', worker: state.life.id, task: order.task, attempt: order.attempt })
+  return Ok({ clock: now })
+}
+
+async function handleStop (state: FakeState, order: { task: string, attempt: number, fence: number }): Promise<Result<OrderReply, WorkerFailure>> {
+  const fenced = checkFence(state, order.fence)
+  if (fenced.err) return fenced
+  state.ended.set(order.task, Math.max(order.attempt, state.ended.get(order.task) ?? 0))
+  if (state.running.get(order.task)?.attempt === order.attempt) endRun(state, order.task, 'stopped', state.clock.now())
+  return Ok({ clock: state.clock.now() })
+}
+
+async function handlePace (state: FakeState, order: { task: string, fence: number, percent: number }): Promise<Result<OrderReply, WorkerFailure>> {
+  const fenced = checkFence(state, order.fence)
+  if (fenced.err) return fenced
+  const run = state.running.get(order.task)
+  if (run !== undefined) run.pace = order.percent
+  return Ok({ clock: state.clock.now() })
+}
+
+async function handleHold (state: FakeState, order: HoldOrder): Promise<Result<HoldReply, WorkerFailure>> {
+  const fenced = checkFence(state, order.fence)
+  if (fenced.err) return fenced
+  const { clock } = state
+  if (order.leaseUntil !== undefined && order.leaseUntil > clock.now()) state.leaseUntil = Math.max(state.leaseUntil, order.leaseUntil)
+  state.ends.filter(([number]) => number <= order.acknowledged).forEach(([, task, attempt, cause]) => {
+    state.events.push({ at: clock.now(), kind: 'acknowledged', worker: state.life.id, task, attempt, cause })
+  })
+  state.ends = state.ends.filter(([number]) => number > order.acknowledged)
+  const until = clock.now() + order.waitMs
+  advance(state)
+  while (state.ends.length === 0 && clock.now() < until) {
+    await clock.sleep(Math.min(POLL_MS, until - clock.now()))
+    advance(state)
+  }
+  const running = [...state.running].map(([task, { attempt, startedAt, plan, reading }]): RunRow => ({
+    task, attempt, checkpoint: '', percent: plan.result === 'never' ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)), reading
+  }))
+  return Ok({ clock: clock.now(), running, ends: [...state.ends] })
+}
--- /dev/null
+++ b/test/workflows/runs.test.ts
@@ -0,0 +1,122 @@
+import { expect, test } from 'vitest'
+import type { RunEvent } from '../../src/fakes/runWorker.js'
+import { createScene, type Scene } from './support.js'
+
+function getOutcome ({ log }: Scene, id: string): string | undefined {
+  return log.state().workflows.workflows[id]?.outcome
+}
+
+/** Pairs of runs of one task that overlap in time. */
+function findOverlaps (events: RunEvent[]): string[] {
+  const ends = events.filter(({ kind }) => kind === 'ended')
+  const runs = events.filter(({ kind }) => kind === 'started').map((start) => ({
+    ...start, until: ends.find(({ worker, task, attempt }) => worker === start.worker && task === start.task && attempt === start.attempt)?.at ?? Infinity
+  }))
+  return runs.flatMap((run, position) => runs.slice(position + 1)
+    .filter((other) => other.task === run.task && other.at < run.until && run.at < other.until)
+    .map((other) => `${run.task} on ${run.worker} and ${other.worker}`))
+}
+
+test('steps run in the order of their dependencies and the workflow completes', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  expect(await scene.submit('a1', [{ count: 3 }, { count: 2, dependsOn: [0] }])).toEqual({ kind: 'accepted' })
+  await scene.run(3000)
+  const lastOfFirst = Math.max(...scene.listEvents('ended').filter(({ task }) => task.startsWith('a1.0.0.')).map(({ at }) => at))
+  const firstOfSecond = Math.min(...scene.listEvents('started').filter(({ task }) => task.startsWith('a1.0.1.')).map(({ at }) => at))
+  expect([getOutcome(scene, 'a1'), scene.listEvents('started').length, firstOfSecond > lastOfFirst]).toEqual(['completed', 5, true])
+})
+
+test('a run that ended while the answer to its start was lost is not started again', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 300, result: 'succeeded' })
+  const lost = new Set<string>()
+  scene.fleet.workers.forEach((worker) => {
+    // The look that would tell of the end is lost as well.
+    worker.fault = (kind) => {
+      if (kind !== 'start' && (kind !== 'hold' || !lost.has('start') || lost.has('hold'))) return 'none'
+      const isFirst = !lost.has(kind)
+      lost.add(kind)
+      return isFirst ? 'lost-answer' : 'none'
+    }
+  })
+  await scene.submit('a1', [{ count: 1 }])
+  await scene.run(6000)
+  expect([getOutcome(scene, 'a1'), scene.listEvents('started').length]).toEqual(['completed', 1])
+})
+
+test('the tasks of a silent worker are given to others only after its lease has ended', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 60_000, result: 'succeeded' })
+  await scene.submit('a1', [{ count: 4 }])
+  await scene.run(500)
+  const silent = scene.fleet.workers.get('w1')
+  const held = [...silent?.running.keys() ?? []]
+  if (silent !== undefined) silent.reachable = false
+  await scene.run(9000)
+  const restarted = scene.listEvents('started').filter(({ attempt }) => attempt > 1).map(({ task }) => task).sort()
+  if (silent !== undefined) silent.reachable = true
+  await scene.run(2000)
+  expect(restarted).toEqual(held.sort())
+  expect(findOverlaps(scene.fleet.events)).toEqual([])
+})
+
+test('a start that is executed late does not make a task run twice', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 4000, result: 'succeeded' })
+  let late = 0
+  scene.fleet.workers.forEach((worker) => {
+    worker.fault = (kind) => kind === 'start' && late++ < 2 ? 'late' : 'none'
+  })
+  await scene.submit('a1', [{ count: 6 }])
+  await scene.run(12_000)
+  expect(findOverlaps(scene.fleet.events)).toEqual([])
+  expect([getOutcome(scene, 'a1'), scene.listEvents('started').length]).toEqual(['completed', 6])
+})
+
+test('a cancelled workflow is stopped and none of its tasks starts again', async () => {
+  const scene = await createScene(['w1'])
+  scene.fleet.plan = () => ({ runMs: 60_000, result: 'succeeded' })
+  await scene.submit('a1', [{ count: 3, lasting: true }])
+  await scene.run(500)
+  expect(await scene.send({ kind: 'cancel', address: { hostName: 'desk.example', path: '/quotes/a1' }, remainingMs: 1000 })).toEqual({ kind: 'accepted' })
+  await scene.run(2000)
+  expect([scene.fleet.workers.get('w1')?.running.size, scene.listEvents('started').length, scene.listEvents('acknowledged').length]).toEqual([0, 3, 3])
+})
+
+test('a task that fails as often as its queue allows fails the workflow, and no more often', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 100, result: 'failed' })
+  await scene.submit('a1', [{ count: 1 }])
+  await scene.run(4000)
+  expect([getOutcome(scene, 'a1'), scene.listEvents('started').length]).toEqual(['failed', 2])
+})
+
+test('a lasting task is started again however it ends', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 400, result: 'failed' })
+  await scene.submit('a1', [{ count: 1, lasting: true }])
+  await scene.run(2500)
+  expect(getOutcome(scene, 'a1')).toBeUndefined()
+  expect(scene.listEvents('started').length).toBeGreaterThan(3)
+})
+
+test('a workflow that is sent again is the same workflow', async () => {
+  const scene = await createScene(['w1'])
+  await scene.submit('a1', [{ count: 2 }])
+  expect(await scene.submit('a1', [{ count: 2 }])).toEqual({ kind: 'accepted' })
+  await scene.run(2500)
+  expect(await scene.submit('a1', [{ count: 2 }])).toEqual({ kind: 'accepted' })
+  await scene.run(2500)
+  expect(scene.listEvents('started').length).toBe(2)
+})
+
+test('no worker is given more than it holds', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  await scene.submit('a1', [{ count: 40, cores: 5, memoryMb: 10_000 }])
+  let most = 0
+  for (let round = 0; round < 100; round += 1) {
+    await scene.run(50)
+    most = Math.max(most, ...[...scene.fleet.workers.values()].map(({ running }) => running.size))
+  }
+  expect(most).toBe(6)
+})
--- /dev/null
+++ b/test/workflows/support.ts
@@ -0,0 +1,73 @@
+import { createManualClock, createNoMetrics, createSilentLogger, type ManualClock, type RequestHandler } from '../../src/common/index.js'
+import { createWorkflowCoordinator, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
+import { WORKFLOW_MESSAGE } from '../../src/coordination/workflows/messages.js'
+import { createMemoryLog, type MemoryLog } from '../../src/fakes/memoryLog.js'
+import { createFakeRunFleet, type FakeRunFleet, type RunEvent } from '../../src/fakes/runWorker.js'
+import type { Catalog, Entry, Step, Workflow } from '../../src/state/index.js'
+
+const COMMIT_MS = 12
+
+export const STEP: Step = {
+  count: 1, cores: 2, memoryMb: 1000, accelerators: 0, expectedRunMs: 1000, dependsOn: [], gang: false, rackSensitive: false, speculative: false, checkpoints: false, lasting: false, fills: false
+}
+
+export const CATALOG: Catalog = {
+  version: 1,
+  queues: [{ name: 'quotes', hostName: 'desk.example', pathPrefix: '/quotes/', service: 'desk', requestTimeoutMs: 3000, priority: 0, maxAttempts: 2, slackFactor: 2, objectiveMs: 500 }],
+  pools: [{ service: 'desk', rejectsOverload: true, maxConnections: 64, standby: false }],
+  document: '{}'
+}
+
+export interface Scene {
+  clock: ManualClock
+  log: MemoryLog
+  fleet: FakeRunFleet
+  coordinator: WorkflowCoordinator
+  send (request: WorkflowRequest): Promise<WorkflowReply>
+  /** Sends a request and lets time pass until the answer. */
+  submit (id: string, steps: Array<Partial<Step>>, more?: Partial<Workflow>): Promise<WorkflowReply>
+  /** Advances in small steps, so that orders and answers interleave as they would. */
+  run (ms: number): Promise<void>
+  listEvents (kind: RunEvent['kind']): RunEvent[]
+}
+
+/** One leading host over an agreed log in memory, with workers that can fail. */
+export async function createScene (workers: string[], catalog: Catalog = CATALOG): Promise<Scene> {
+  const clock = createManualClock(1000)
+  const log = createMemoryLog('h1', { clock, commitMs: COMMIT_MS })
+  const fleet = createFakeRunFleet(clock)
+  const handlers = new Map<string, RequestHandler>()
+  const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
+  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), network, log, client: fleet.client })
+  const record = async (entry: Entry): Promise<void> => {
+    log.propose(entry, Infinity)
+    await clock.advance(COMMIT_MS)
+  }
+  await record({ kind: 'catalog.put', catalog })
+  for (const id of workers) {
+    const { life } = fleet.addWorker({ id, address: `127.0.0.1:${fleet.workers.size + 1}` })
+    await record({ kind: 'life.report', life })
+  }
+  const run = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 10) await clock.advance(10)
+  }
+  await run(200)
+  const send = async (request: WorkflowRequest): Promise<WorkflowReply> => {
+    let reply: WorkflowReply | undefined
+    handlers.get(WORKFLOW_MESSAGE)?.('edge', request).then((value) => { reply = value as WorkflowReply })
+    while (reply === undefined) await clock.advance(1)
+    return reply
+  }
+  return {
+    clock,
+    log,
+    fleet,
+    coordinator,
+    send,
+    run,
+    submit: (id, steps, more = {}) => send({
+      kind: 'submit', address: { hostName: 'desk.example', path: `/quotes/${id}` }, remainingMs: 1000, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...STEP, ...step })), ...more }
+    }),
+    listEvents: (kind) => fleet.events.filter((event) => event.kind === kind)
+  }
+}
