--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -26,7 +26,6 @@
   /** Resolves when the assignments are recorded, or it is known that they were not, or nothing is known. */
   assign (assignments: Assignment[]): Promise<void>
   stopRun (session: Session, run: Run, reason: string): void
-  pace (session: Session, run: Run, percent: number): Promise<boolean>
   wake: Signal
 }
 
@@ -206,7 +205,7 @@
 
 /** Learns from the tails on a worker and acts on those over their targets. */
 function observeSharing (options: DispatcherOptions, sharing: Sharing, session: Session): void {
-  const { clock, getState, stopRun, pace, logger } = options
+  const { clock, getState, stopRun, logger } = options
   const cores = getState().workers[session.worker]?.life.cores ?? 1
   const serving: ServingRun[] = []
   const filling: FillingRun[] = []
@@ -216,19 +215,17 @@
     // A task that still starts has no tail of its own.
     const tailMs = run.row.percent === 100 ? run.row.reading : undefined
     if (step.tailTargetMs !== undefined) serving.push({ task: run.task, image: step.image ?? '', tailMs, targetMs: step.tailTargetMs })
-    if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores, heldSince: run.heldSince })
+    if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores })
   })
   if (serving.length === 0) return
   const now = clock.now()
   sharing.observe(serving, filling, now)
-  sharing.planActions(session.worker, serving, filling, now).forEach(({ kind, task }) => {
+  sharing.listPressing(session.worker, serving, filling).forEach((task) => {
     const run = session.runs.get(task)
     if (run === undefined) return
-    if (kind === 'move') return stopRun(session, run, 'interference')
-    run.heldSince = now
     const worst = serving.reduce((a, b) => (b.tailMs ?? 0) / b.targetMs > (a.tailMs ?? 0) / a.targetMs ? b : a)
-    logger.info('run.hold', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
-    pace(session, run, 0)
+    logger.info('run.pressing', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
+    stopRun(session, run, 'interference')
   })
 }
 
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -27,7 +27,7 @@
   step: Step
   /** Tasks of the same occurrence and step on a worker. */
   countPeers (worker: string): number
-  /** How far the worst tail is expected above what is safe, as a logarithm. */
+  /** How far the highest load of a task that serves is expected above what its tail allows. */
   estimateRisk (serving: Candidate['serving'], filling: Candidate['filling']): number
 }
 
@@ -37,9 +37,9 @@
 /** Weight of the slowness of a worker above 1. */
 const SLOWNESS_WEIGHT = 0.5
 /** Weight of the expected distance of the worst tail from its target. */
-const RISK_WEIGHT = 0.5
-/** Logarithm of a tail that is far below its target; less risk than this is no advantage. */
-const NO_RISK = -1.5
+const RISK_WEIGHT = 1
+/** Expected distance of the load from what a tail allows below which more distance is no advantage. */
+const NO_RISK = -0.3
 /** Costs of a worker for a task that serves, in the order in which they are avoided. */
 const NEW_SERVING_WORKER_COST = 0.3
 const MIXED_SERVICES_COST = 0.4
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -27,8 +27,6 @@
   row: RunRow | undefined
   /** When `row.percent` last changed. */
   progressAt: number
-  /** Set while the run is held because it presses others. */
-  heldSince: number | undefined
   ticket: string | undefined
 }
 
@@ -106,7 +104,6 @@
     stopAcknowledgedAt: undefined,
     row: undefined,
     progressAt: now,
-    heldSince: undefined,
     ticket: undefined
   }
 }
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -1,81 +1,111 @@
-import { createInterferenceEstimates, type Neighbour } from '../placement/interference.js'
+import { createFit, type Fit } from '../placement/fit.js'
 
-/** Distance to keep between the expected logarithm of a tail and that of its target: tails vary by about this much by themselves. */
-const SAFETY_MARGIN = 0.35
-/**
- * Costs of neighbours are learned for a task that uses this part of a worker. Tasks of the reference loads use about
- * half of it, which keeps the costs near those that the estimates expect before any report.
- */
-const REFERENCE_PART = 0.2
-/** Readings over the target in a row before everything that fills beside the task is held, not only the worst. */
-const READINGS_BEFORE_ALL = 2
-/** A run that was held this long is moved, so that it works on elsewhere. */
-const HELD_BEFORE_MOVE_MS = 900
+/** Mean load of a task that serves, as a share of what saturates it, expected before any reading. */
+const EXPECTED_LOAD = 0.42
+const LOAD_VARIANCE = 0.05 ** 2
+/** Load that an unseen neighbour on the whole worker adds, and how far that may be off. */
+const EXPECTED_PRESSURE = 0.5
+const PRESSURE_VARIANCE = 3 ** 2
+/** Variance of one reading; large, because readings of half a second follow a load that swings over many seconds. */
+const READING_VARIANCE = 0.25 ** 2
+const LARGEST_SURPRISE = 3
+const FORGETTING_MS = 3_600_000
+/** Highest load as a multiple of the mean; services of the reference loads swing by half. */
+const PEAK_FACTOR = 1.25
+/** Tail without load as a share of the smallest tail seen; the smallest load of the reference services is about 0.2. */
+const UNLOADED_SHARE = 0.78
+/** Tail without load as a share of the target, before any reading. */
+const UNLOADED_SHARE_OF_TARGET = 0.2
 /** Tails above this share of the target count as pressed. */
-const PRESSED_SHARE = 0.95
+const PRESSED_SHARE = 0.8
+/** Readings over the target in a row before everything that fills beside the task is moved, not only the worst. */
+const READINGS_BEFORE_ALL = 2
+/** Neighbours that add less than this to the load are not to blame for a tail. */
+const BLAMELESS_PRESSURE = 0.02
 
 /** A task that serves: what it runs, its latest tail and its target, ms. */
 export interface ServingRun { task: string, image: string, tailMs: number | undefined, targetMs: number }
 /** A task that fills: what it runs and the part of the worker's cores that it uses. */
-export interface FillingRun { task: string, image: string, part: number, heldSince: number | undefined }
-
-export type SharingAction =
-  | { kind: 'hold', task: string }
-  | { kind: 'move', task: string }
+export interface FillingRun { task: string, image: string, part: number }
 
 export interface Sharing {
   /** Learns from a reading of all runs on a worker. */
   observe (serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): void
-  /** How far the worst tail is expected above what is safe, as a logarithm; at most 0 is safe. */
+  /** How far the highest load is expected above what keeps every tail below its target; at most 0 is safe. */
   estimateRisk (serving: ReadonlyArray<{ image: string, targetMs: number }>, filling: ReadonlyArray<{ image: string, part: number }>): number
-  /** What to do about tails that are over their targets on a worker. */
-  planActions (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): SharingAction[]
+  /** Filling tasks that have to leave a worker, because tails are close to or over their targets. */
+  listPressing (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[]): string[]
 }
 
+interface ServiceModel { fit: Fit, base: number, pairs: Map<string, number>, smallestTailMs: number }
+
 /**
- * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, and holds,
- * then moves, what presses a task over its target. The load is batch work in waves beside lasting services.
+ * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, and moves what
+ * presses a task over its target. The load is batch work in waves beside lasting services.
+ *
+ * A tail grows as `unloaded / (1 - load)`; the load of a task is its own plus, for each neighbour, a pressure that
+ * depends on both images times the part of the worker that the neighbour uses.
  */
 export function createSharing (): Sharing {
-  const estimates = createInterferenceEstimates()
+  const models = new Map<string, ServiceModel>()
   const pressedReadings = new Map<string, number>()
 
-  const getCost = (serving: ReadonlyArray<{ image: string }>, run: FillingRun): number =>
-    Math.max(0, ...serving.map(({ image }) => estimates.getService(image).getCost(run.image) * run.part))
+  const getModel = (image: string): ServiceModel => {
+    const known = models.get(image)
+    if (known !== undefined) return known
+    const fit = createFit(FORGETTING_MS)
+    const created: ServiceModel = { fit, base: fit.add(EXPECTED_LOAD, LOAD_VARIANCE), pairs: new Map(), smallestTailMs: Infinity }
+    models.set(image, created)
+    return created
+  }
+
+  const getPair = (model: ServiceModel, image: string): number => {
+    const known = model.pairs.get(image)
+    if (known !== undefined) return known
+    const index = model.fit.add(EXPECTED_PRESSURE, PRESSURE_VARIANCE, 0)
+    model.pairs.set(image, index)
+    return index
+  }
+
+  const computePressure = (model: ServiceModel, filling: ReadonlyArray<{ image: string, part: number }>): number =>
+    filling.reduce((sum, { image, part }) => sum + model.fit.getValue(getPair(model, image)) * part, 0)
+
+  const getUnloadedTail = (model: ServiceModel, targetMs: number): number =>
+    model.smallestTailMs === Infinity ? targetMs * UNLOADED_SHARE_OF_TARGET : model.smallestTailMs * UNLOADED_SHARE
+
+  const learn = (run: ServingRun, filling: readonly FillingRun[], now: number): void => {
+    if (run.tailMs === undefined || run.tailMs <= 0) return
+    const model = getModel(run.image)
+    model.smallestTailMs = Math.min(model.smallestTailMs, run.tailMs)
+    const load = 1 - getUnloadedTail(model, run.targetMs) / run.tailMs
+    const parts = new Map<string, number>()
+    filling.forEach(({ image, part }) => parts.set(image, (parts.get(image) ?? 0) + part))
+    const difference = load - model.fit.getValue(model.base) - computePressure(model, filling)
+    const features = [{ index: model.base, weight: 1 }, ...[...parts].map(([image, part]) => ({ index: getPair(model, image), weight: part }))]
+    model.fit.update(features, difference, READING_VARIANCE, LARGEST_SURPRISE, now)
+  }
 
   return {
-    observe: (serving, filling, now) => {
-      const neighbours = listNeighbours(filling.filter(({ heldSince }) => heldSince === undefined))
-      serving.forEach(({ image, tailMs }) => {
-        if (tailMs !== undefined && tailMs > 0) estimates.getService(image).learn(1, tailMs, neighbours, now, now)
-      })
-    },
+    observe: (serving, filling, now) => serving.forEach((run) => learn(run, filling, now)),
 
-    estimateRisk: (serving, filling) => {
-      const neighbours = listNeighbours(filling)
-      return serving.reduce((worst, { image, targetMs }) =>
-        Math.max(worst, estimates.getService(image).predict(1, neighbours) + SAFETY_MARGIN - Math.log(targetMs)), -Infinity)
-    },
+    estimateRisk: (serving, filling) => serving.reduce((worst, { image, targetMs }) => {
+      const model = getModel(image)
+      const allowed = 1 - getUnloadedTail(model, targetMs) / targetMs
+      const expected = PEAK_FACTOR * (model.fit.getValue(model.base) + computePressure(model, filling))
+      return Math.max(worst, expected - allowed)
+    }, -Infinity),
 
-    planActions: (worker, serving, filling, now) => {
+    listPressing: (worker, serving, filling) => {
       const pressed = serving.filter(({ tailMs, targetMs }) => (tailMs ?? 0) > PRESSED_SHARE * targetMs)
-      const moves = filling
-        .filter(({ heldSince }) => heldSince !== undefined && now - heldSince >= HELD_BEFORE_MOVE_MS)
-        .map(({ task }): SharingAction => ({ kind: 'move', task }))
-      if (pressed.length === 0) {
-        pressedReadings.delete(worker)
-        return moves
-      }
+      if (pressed.length === 0) pressedReadings.delete(worker)
+      if (pressed.length === 0 || filling.length === 0) return []
       const readings = (pressedReadings.get(worker) ?? 0) + 1
       pressedReadings.set(worker, readings)
-      const working = filling.filter(({ heldSince }) => heldSince === undefined)
-        .sort((a, b) => getCost(pressed, b) - getCost(pressed, a))
-      const held = readings >= READINGS_BEFORE_ALL ? working : working.slice(0, 1)
-      return [...moves, ...held.map(({ task }): SharingAction => ({ kind: 'hold', task }))]
+      const blamed = filling
+        .map((run) => ({ run, pressure: Math.max(...pressed.map(({ image }) => computePressure(getModel(image), [run]))) }))
+        .sort((a, b) => b.pressure - a.pressure)
+      const chosen = readings >= READINGS_BEFORE_ALL ? blamed.filter(({ pressure }) => pressure > BLAMELESS_PRESSURE) : blamed.slice(0, 1)
+      return (chosen.length === 0 ? blamed.slice(0, 1) : chosen).map(({ run }) => run.task)
     }
   }
 }
-
-function listNeighbours (filling: ReadonlyArray<{ image: string, part: number }>): Neighbour[] {
-  return filling.map(({ image, part }) => ({ jobClass: image, part: part / REFERENCE_PART, service: undefined }))
-}
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -198,12 +198,6 @@
       if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length, reason: result.val.kind })
     },
     stopRun: (session: Session, run: Run, reason: string) => { stopRun(context, session, run, reason) },
-    pace: async (session, run, percent) => {
-      const record = getState().workers[session.worker]
-      if (record === undefined) return false
-      const reply = await options.client.pace(record.life, { task: run.task, attempt: run.attempt, fence, percent }, clock.now() + PROPOSE_TIMEOUT_MS / 3)
-      return reply.ok
-    },
     wake: createSignal(clock)
   })
   const unsubscribe = log.subscribe((entry) => {
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -88,7 +88,7 @@
     listStandstill: (session, findStep) => {
       const now = clock.now()
       const tasks = [...session.runs.values()]
-        .filter((run) => run.confirmedAt !== undefined && run.stopReason === undefined && run.heldSince === undefined && run.row !== undefined && now - run.progressAt > STANDSTILL_MS)
+        .filter((run) => run.confirmedAt !== undefined && run.stopReason === undefined && run.row !== undefined && now - run.progressAt > STANDSTILL_MS)
         .filter((run) => findStep(run.task)?.lasting !== true && run.row?.percent !== 100)
         .map((run) => run.task)
       if (tasks.length > 0) pause(session.worker, STANDSTILL_PAUSE_MS, 'standstill')
