--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -17,9 +17,9 @@
 /** Tail without load as a share of the target, before any reading. */
 const UNLOADED_SHARE_OF_TARGET = 0.2
 /** Tails above this share of the target count as pressed. */
-const PRESSED_SHARE = 0.8
+const PRESSED_SHARE = 0.95
 /** Readings over the target in a row before everything that fills beside the task is moved, not only the worst. */
-const READINGS_BEFORE_ALL = 2
+const READINGS_BEFORE_ALL = 3
 /** Neighbours that add less than this to the load are not to blame for a tail. */
 const BLAMELESS_PRESSURE = 0.02
 
