--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -10,6 +10,8 @@
 
 /** Passes over the waiting tasks are at least this far apart, so that a burst of changes shares one. */
 const PASS_GAP_MS = 4
+/** A workflow of which nothing runs for this long gets a task placed even beside a service that bears it badly. */
+const STARVED_MS = 1000
 /** How often the load is logged. */
 const LOAD_LOG_MS = 1000
 /** Assignments of one pass; an entry of the log stays small. */
@@ -41,6 +43,8 @@
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { clock, logger, getState, wake } = options
   const sharing = createSharing()
+  /** Since when a step waits while nothing of it runs. */
+  const idleSince = new Map<string, number>()
   let stopped = false
   let loadLoggedAt = -Infinity
 
@@ -71,8 +75,9 @@
     const groups = listGroups(getState(), wallTime)
     logLoad(groups, candidates)
     const assignments: Assignment[] = []
+    const starved = updateStarved(idleSince, groups, clock.now())
     groups.forEach((group) => {
-      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, sharing))
+      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, sharing, starved.has(group)))
     })
     stopStalled(options)
     if (assignments.length === 0) return
@@ -112,6 +117,19 @@
     .sort(compareGroups(wallTime))
 }
 
+/** Groups of which nothing has run for long; lasting tasks count each by itself. */
+function updateStarved (idleSince: Map<string, number>, groups: WaitingGroup[], now: number): Set<WaitingGroup> {
+  const idle = groups.filter(({ step, indexes, record, occurrence, stepNumber }) =>
+    step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0))
+  const keys = new Map(idle.map((group) => [getPeerKey(group.record.workflow.id, group.occurrence, group.stepNumber), group]))
+  idleSince.forEach((_since, key) => { if (!keys.has(key)) idleSince.delete(key) })
+  return new Set([...keys].filter(([key]) => {
+    const since = idleSince.get(key) ?? now
+    idleSince.set(key, since)
+    return now - since >= STARVED_MS
+  }).map(([, group]) => group))
+}
+
 interface Placing extends Candidate { peers: Map<string, number> }
 
 /** Workers that may get work now, with what is left of them. */
@@ -164,14 +182,15 @@
 }
 
 /** Places the tasks of a group as far as there is room; a gang whole or not at all. */
-function placeGroup (group: WaitingGroup, candidates: Map<string, Placing[]>, sharing: Sharing): Assignment[] {
+function placeGroup (group: WaitingGroup, candidates: Map<string, Placing[]>, sharing: Sharing, isStarved: boolean): Assignment[] {
   const { record, occurrence, stepNumber, step, indexes } = group
   const workers = candidates.get(record.service) ?? []
   const peerKey = getPeerKey(record.workflow.id, occurrence, stepNumber)
   const needs: PlacementNeeds = {
     step,
     countPeers: (worker) => workers.find(({ id }) => id === worker)?.peers.get(peerKey) ?? 0,
-    estimateRisk: sharing.estimateRisk
+    estimateRisk: sharing.estimateRisk,
+    acceptsRisk: isStarved
   }
   const gangAttempt = 1 + Math.max(0, ...indexes.map((index) => findAttempt(group, index)))
   if (step.gang && !canHoldGang(workers, needs, indexes.length)) return []
@@ -179,6 +198,8 @@
   indexes.every((index) => {
     const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
+    // One task is enough for a workflow to go on; each lasting task has users of its own.
+    needs.acceptsRisk = isStarved && step.lasting
     addRun(worker, step, peerKey)
     const attempt = step.gang ? gangAttempt : findAttempt(group, index) + 1
     placed.push([formatTaskName({ workflow: record.workflow.id, occurrence, step: stepNumber, index }), worker.id, attempt])
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -29,6 +29,8 @@
   countPeers (worker: string): number
   /** How far the highest load of a task that serves is expected above what its tail allows. */
   estimateRisk (serving: Candidate['serving'], filling: Candidate['filling']): number
+  /** Set when the task has waited so long that a tail close to its target is the smaller harm. */
+  acceptsRisk: boolean
 }
 
 /** Cores that a task that serves uses on average, as a share of what it requests; they swing by half around 0.42 in the reference loads. */
@@ -38,6 +40,8 @@
 const SLOWNESS_WEIGHT = 0.5
 /** Weight of the expected distance of the worst tail from its target. */
 const RISK_WEIGHT = 1
+/** Added to the weight for risk beyond what is safe. */
+const UNSAFE_WEIGHT = 10
 /** Expected distance of the load from what a tail allows below which more distance is no advantage. */
 const NO_RISK = -0.3
 /** Costs of a worker for a task that serves, in the order in which they are avoided. */
@@ -82,10 +86,10 @@
 export function scoreWorker (candidate: Candidate, needs: PlacementNeeds): number {
   const { step } = needs
   const risk = estimateSharingRisk(candidate, needs)
-  if (risk > 0) return Infinity
+  if (risk > 0 && !needs.acceptsRisk) return Infinity
   const used = 1 - (candidate.spareCores - step.cores) / Math.max(1, candidate.cores)
   return getLoadCost(candidate, step, used) +
-    Math.max(0, risk - NO_RISK) * RISK_WEIGHT +
+    Math.max(0, risk - NO_RISK) * RISK_WEIGHT + Math.max(0, risk) * UNSAFE_WEIGHT +
     (step.dataRack !== undefined && !candidate.labels.includes(step.dataRack) ? REMOTE_DATA_PENALTY : 0) +
     (candidate.slowness - 1) * SLOWNESS_WEIGHT
 }
