--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -4,6 +4,7 @@
 import type { WorkerClient } from './orders.js'
 import { createWorkflowService } from './service.js'
 import { startTerm, type Term } from './term.js'
+import type { HostClient } from './upkeep.js'
 
 /** How often a host looks whether it has become the leader; a part of the time a takeover may take. */
 const LEADER_POLL_MS = 50
@@ -16,6 +17,7 @@
   network: Network
   log: AgreedLog
   client: WorkerClient
+  hosts: HostClient
 }
 
 export interface WorkflowCoordinator {
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
 import { formatTaskName, getLocalName, parseTaskName, type Assignment, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { listEvacuated, UNKNOWN_STAY_MS } from './evacuation.js'
 import type { HoldReply } from './orders.js'
 import { addTask, canHold, chooseWorker, isServing, type Candidate, type PlacementNeeds } from './placing.js'
 import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
@@ -9,13 +10,15 @@
 import type { WorkerHealth } from './workerHealth.js'
 
 /** Passes over the waiting tasks are at least this far apart, so that a burst of changes shares one. */
-const PASS_GAP_MS = 4
+const PASS_GAP_MS = 8
 /** A workflow of which nothing runs for this long gets a task placed even beside a service that bears it badly. */
 const STARVED_MS = 1000
 /** How often the load is logged. */
 const LOAD_LOG_MS = 1000
 /** Assignments of one pass; an entry of the log stays small. */
 const MAX_ASSIGNMENTS = 400
+/** Names of tasks whose steps are remembered; several times what runs at the size aimed at. */
+const MAX_KNOWN_TASKS = 50_000
 
 export interface DispatcherOptions {
   clock: Clock
@@ -25,6 +28,8 @@
   health: WorkerHealth
   getState (): WorkflowsState
   isActive (): boolean
+  /** True for a worker whose host is about to go down. */
+  isClosing (worker: string): boolean
   /** Resolves when the assignments are recorded, or it is known that they were not, or nothing is known. */
   assign (assignments: Assignment[]): Promise<void>
   stopRun (session: Session, run: Run, reason: string): void
@@ -34,6 +39,8 @@
 export interface Dispatcher {
   /** Asks for a pass soon. */
   schedule (): void
+  /** The waiting tasks of a workflow, or of all, may have changed. */
+  markChanged (workflow?: string): void
   observeReply (session: Session, reply: HoldReply): void
   findTicket (task: string, worker: string): string | undefined
   stop (): void
@@ -43,6 +50,8 @@
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { clock, logger, getState, wake } = options
   const sharing = createSharing()
+  const waiting = createWaitingIndex(options)
+  const tasks = createTaskIndex(getState)
   /** Since when a step waits while nothing of it runs. */
   const idleSince = new Map<string, number>()
   let stopped = false
@@ -71,8 +80,8 @@
 
   const runPass = async (): Promise<void> => {
     const wallTime = clock.wall()
-    const candidates = listCandidates(options)
-    const groups = listGroups(getState(), wallTime)
+    const candidates = listCandidates(options, tasks)
+    const groups = waiting.listGroups(wallTime)
     logLoad(groups, candidates)
     const assignments: Assignment[] = []
     const starved = updateStarved(idleSince, groups, clock.now())
@@ -80,6 +89,7 @@
       if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, sharing, starved.has(group)))
     })
     stopStalled(options)
+    evacuateDraining(options)
     if (assignments.length === 0) return
     assignments.forEach(([task, worker, attempt]) => logger.info('run.assign', { task, attempt, worker }))
     options.metrics.count('run.assigned', assignments.length)
@@ -100,6 +110,7 @@
 
   return {
     schedule: () => wake.notify(),
+    markChanged: (workflow) => waiting.markChanged(workflow),
     observeReply: (session) => observeSharing(options, sharing, session),
     findTicket: () => undefined,
     stop: () => {
@@ -109,12 +120,49 @@
   }
 }
 
-function listGroups (state: WorkflowsState, wallTime: number): WaitingGroup[] {
-  const queues = new Map(state.catalog?.queues.map((queue) => [queue.name, queue]) ?? [])
-  return Object.values(state.workflows)
-    .filter((record) => record.outcome === undefined)
-    .flatMap((record) => listWaiting(record, queues.get(record.queue), wallTime))
-    .sort(compareGroups(wallTime))
+interface WaitingIndex {
+  listGroups (wallTime: number): WaitingGroup[]
+  markChanged (workflow: string | undefined): void
+}
+
+/** Keeps the waiting tasks of each workflow until it changes; most workflows do not change between two passes. */
+function createWaitingIndex ({ getState }: DispatcherOptions): WaitingIndex {
+  const known = new Map<string, WaitingGroup[]>()
+  return {
+    markChanged: (workflow) => workflow === undefined ? known.clear() : known.delete(workflow),
+    listGroups: (wallTime) => {
+      const state = getState()
+      const queues = new Map(state.catalog?.queues.map((queue) => [queue.name, queue]) ?? [])
+      return Object.values(state.workflows)
+        .filter((record) => record.outcome === undefined)
+        .flatMap((record) => {
+          const { id, recurrence } = record.workflow
+          const groups = known.get(id) ?? listWaiting(record, queues.get(record.queue), wallTime)
+          // The tasks of a recurring workflow also change as time passes.
+          if (recurrence === undefined) known.set(id, groups)
+          return groups
+        })
+        .sort(compareGroups(wallTime))
+    }
+  }
+}
+
+interface TaskShape { step: Step, peerKey: string }
+
+/** Finds the step of a task by its name, and remembers it. */
+function createTaskIndex (getState: () => WorkflowsState): (task: string) => TaskShape | undefined {
+  const known = new Map<string, TaskShape>()
+  return (task) => {
+    const shape = known.get(task)
+    if (shape !== undefined) return shape
+    const name = parseTaskName(task)
+    const step = name === undefined ? undefined : getState().workflows[name.workflow]?.workflow.steps[name.step]
+    if (name === undefined || step === undefined) return undefined
+    if (known.size >= MAX_KNOWN_TASKS) known.clear()
+    const created = { step, peerKey: getPeerKey(name.workflow, name.occurrence, name.step) }
+    known.set(task, created)
+    return created
+  }
 }
 
 /** Groups of which nothing has run for long; lasting tasks count each by itself. */
@@ -133,19 +181,21 @@
 interface Placing extends Candidate { peers: Map<string, number> }
 
 /** Workers that may get work now, with what is left of them. */
-function listCandidates ({ sessions, health, getState }: DispatcherOptions): Map<string, Placing[]> {
+function listCandidates ({ sessions, health, getState, isClosing }: DispatcherOptions, findShape: (task: string) => TaskShape | undefined): Map<string, Placing[]> {
   const state = getState()
   const byService = new Map<string, Placing[]>()
   sessions.forEach((session) => {
     const record = state.workers[session.worker]
-    if (record === undefined || !session.reachable || session.ended || record.life.draining || health.isPaused(session.worker)) return
-    const candidate = createCandidate(state, record, session, health.getSlowness(session.worker))
-    byService.set(record.life.service, [...byService.get(record.life.service) ?? [], candidate])
+    if (record === undefined || !session.reachable || session.ended || record.life.draining || isClosing(session.worker) || health.isPaused(session.worker)) return
+    const candidate = createCandidate(findShape, record, session, health.getSlowness(session.worker))
+    const others = byService.get(record.life.service)
+    if (others === undefined) byService.set(record.life.service, [candidate])
+    else others.push(candidate)
   })
   return byService
 }
 
-function createCandidate (state: WorkflowsState, { life, assigned }: WorkerRecord, session: Session, slowness: number): Placing {
+function createCandidate (findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session, slowness: number): Placing {
   const candidate: Placing = {
     id: life.id,
     service: life.service,
@@ -163,12 +213,13 @@
     slowness,
     peers: new Map()
   }
+  const addShape = (task: string): void => {
+    const shape = findShape(task)
+    if (shape !== undefined) addRun(candidate, shape.step, shape.peerKey)
+  }
+  Object.keys(assigned).forEach(addShape)
   const strays = [...session.strays.keys()].map((key) => key.slice(0, key.lastIndexOf('#')))
-  new Set([...Object.keys(assigned), ...strays]).forEach((task) => {
-    const name = parseTaskName(task)
-    const step = name === undefined ? undefined : state.workflows[name.workflow]?.workflow.steps[name.step]
-    if (name !== undefined && step !== undefined) addRun(candidate, step, getPeerKey(name.workflow, name.occurrence, name.step))
-  })
+  strays.filter((task) => assigned[task] === undefined).forEach(addShape)
   return candidate
 }
 
@@ -250,11 +301,29 @@
   })
 }
 
-function findStep (state: WorkflowsState, task: string): Step | undefined {
+export function findStep (state: WorkflowsState, task: string): Step | undefined {
   const name = parseTaskName(task)
   return name === undefined ? undefined : state.workflows[name.workflow]?.workflow.steps[name.step]
 }
 
+/** Moves work off workers that have announced that they leave. */
+function evacuateDraining (options: DispatcherOptions): void {
+  const { clock, getState, sessions, stopRun } = options
+  const now = clock.now()
+  sessions.forEach((session) => {
+    const life = getState().workers[session.worker]?.life
+    if (life?.draining !== true || !session.reachable) return
+    const runs = [...session.runs.values()].filter(({ stopReason }) => stopReason === undefined).flatMap((run) => {
+      const step = findStep(getState(), run.task)
+      return step === undefined ? [] : [{ task: run.task, step, elapsedMs: run.confirmedAt === undefined ? undefined : now - run.confirmedAt, percent: run.row?.percent ?? 0 }]
+    })
+    listEvacuated(runs, life.leavesAt === undefined ? UNKNOWN_STAY_MS : life.leavesAt - clock.wall()).forEach((task) => {
+      const run = session.runs.get(task)
+      if (run !== undefined) stopRun(session, run, 'draining')
+    })
+  })
+}
+
 /** Ends runs that stand still, so that they go on elsewhere. */
 function stopStalled ({ sessions, health, getState, stopRun }: DispatcherOptions): void {
   sessions.forEach((session) => {
--- a/src/coordination/workflows/index.ts
+++ b/src/coordination/workflows/index.ts
@@ -7,3 +7,4 @@
 } from './orders.js'
 export { createCatalogStore, type CatalogFailure, type CatalogProblem, type CatalogStore } from './catalog.js'
 export { createWorkerDirectory, type ReportOutcome, type WorkerDirectory } from './directory.js'
+export { isWaveDone, type HostClient, type HostOrderFailure } from './upkeep.js'
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,10 +1,11 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
-import { findTask, parseTaskName, type AgreedLog, type Assignment, type Entry, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
-import { createDispatcher, type Dispatcher } from './dispatcher.js'
+import { findTask, parseTaskName, type AgreedLog, type Assignment, type Entry, type RunEnd, type WorkflowsState } from '../../state/index.js'
+import { createDispatcher, findStep, type Dispatcher } from './dispatcher.js'
 import type { HoldReply, WorkerClient } from './orders.js'
 import { createRun, createSession, runSession, startRun, stopRun, type Run, type Session, type SessionContext } from './session.js'
 import { createSignal } from './signal.js'
 import { AUTHORITY_CHECK_MS, AUTHORITY_MS, PROPOSE_TIMEOUT_MS } from './timing.js'
+import { startUpkeep, type HostClient } from './upkeep.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 
 export interface TermOptions {
@@ -13,6 +14,7 @@
   metrics: Metrics
   log: AgreedLog
   client: WorkerClient
+  hosts: HostClient
   /** The term of the log; workers refuse orders of earlier ones. */
   fence: number
 }
@@ -117,33 +119,44 @@
 
   const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>) => void }> = {
     'workflow.assign': ({ assignments }) => {
+      assignments.forEach(([task]) => dispatcher.markChanged(parseTaskName(task)?.workflow))
       new Set(assignments.map(([, worker]) => worker)).forEach((worker) => {
         const session = sessions.get(worker)
         if (session !== undefined) syncRuns(session, true)
       })
     },
-    'workflow.end': ({ worker }) => {
+    'workflow.end': ({ worker, ends }) => {
+      ends.forEach(([, task]) => dispatcher.markChanged(parseTaskName(task)?.workflow))
       const session = sessions.get(worker)
       if (session !== undefined) syncRuns(session, true)
       dispatcher.schedule()
     },
-    'workflow.cancel': ({ id }) => stopWorkflow(id, 'cancelled'),
+    'workflow.cancel': ({ id }) => {
+      dispatcher.markChanged(id)
+      stopWorkflow(id, 'cancelled')
+    },
     'life.report': ({ life }) => {
+      dispatcher.markChanged()
       addSession(life.id)
       dispatcher.schedule()
     },
     'life.expire': ({ worker }) => {
+      dispatcher.markChanged()
       const session = sessions.get(worker)
       if (session !== undefined) syncRuns(session, true)
       dispatcher.schedule()
     },
     'life.remove': ({ worker }) => {
+      dispatcher.markChanged()
       const session = sessions.get(worker)
       if (session !== undefined) removeSession(session)
       dispatcher.schedule()
     },
     'workflow.submit': () => dispatcher.schedule(),
-    'catalog.put': () => dispatcher.schedule()
+    'catalog.put': () => {
+      dispatcher.markChanged()
+      dispatcher.schedule()
+    }
   }
 
   /** Ends every run of a workflow that nobody wants any more. */
@@ -185,6 +198,18 @@
     logger.info('term.stop', { fence })
   }
 
+  const upkeep = startUpkeep({
+    clock,
+    logger,
+    log,
+    fence,
+    hosts: options.hosts,
+    sessions,
+    isActive,
+    isStopped: () => stopped,
+    findStep: (task) => findStep(getState(), task),
+    stopRun: (session, run, reason) => { stopRun(context, session, run, reason) }
+  })
   const dispatcher: Dispatcher = createDispatcher({
     clock,
     logger,
@@ -198,6 +223,7 @@
       if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length, reason: result.val.kind })
     },
     stopRun: (session: Session, run: Run, reason: string) => { stopRun(context, session, run, reason) },
+    isClosing: (worker) => upkeep.isClosing(worker),
     wake: createSignal(clock)
   })
   const unsubscribe = log.subscribe((entry) => {
@@ -217,8 +243,3 @@
   const ages = progress.filter(({ votes }) => votes).map(({ lastHeardAgoMs }) => lastHeardAgoMs).sort((a, b) => a - b)
   return ages[Math.floor(ages.length / 2)] ?? Infinity
 }
-
-function findStep (state: WorkflowsState, task: string): Step | undefined {
-  const name = parseTaskName(task)
-  return name === undefined ? undefined : state.workflows[name.workflow]?.workflow.steps[name.step]
-}
--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Clock, type Result } from '../common/index.js'
-import type { HoldOrder, HoldReply, OrderRefusal, OrderReply, RunRow, WorkerClient, WorkerFailure } from '../coordination/workflows/index.js'
+import type { HoldOrder, HoldReply, HostClient, OrderRefusal, OrderReply, RunRow, WorkerClient, WorkerFailure } from '../coordination/workflows/index.js'
 import type { RunEnd, WorkerLife } from '../state/index.js'
 
 /** A hold that waits looks for ends this often. */
@@ -26,8 +26,12 @@
   crash (): void
 }
 
+
 export interface FakeRunFleet {
   readonly client: WorkerClient
+  /** Takes the workers of a host down; `onUpkeep` decides when and as what they return. */
+  readonly hosts: HostClient
+  onUpkeep: (host: string, wave: number) => void
   readonly events: RunEvent[]
   readonly workers: Map<string, FakeRunWorker>
   addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
@@ -47,6 +51,14 @@
   const fleet: FakeRunFleet = {
     events,
     workers,
+    onUpkeep: () => {},
+    hosts: {
+      startUpkeep: async ({ host, wave }) => {
+        workers.forEach((worker) => { if (worker.life.host === host) worker.crash() })
+        fleet.onUpkeep(host, wave)
+        return Ok(undefined)
+      }
+    },
     plan: () => ({ runMs: 1000, result: 'succeeded' }),
     addWorker: (partial) => {
       const life = { ...DEFAULT_LIFE, ...partial }
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -43,7 +43,8 @@
   assigned: Record<string, true>
 }
 
-export interface WaveRecord { wave: UpkeepWave, ordered: string[], done: string[] }
+/** `ordered` holds, for each host whose upkeep was ordered, when its worker life of that time was born. */
+export interface WaveRecord { wave: UpkeepWave, ordered: Record<string, number>, done: string[] }
 
 export interface WorkflowsState {
   catalog: Catalog | undefined
@@ -179,14 +180,21 @@
   },
 
   'wave.open': (state: WorkflowsState, { wave }: { wave: UpkeepWave }): Change => {
-    state.waves[wave.id] ??= { wave, ordered: [], done: [] }
+    state.waves[wave.id] ??= { wave, ordered: {}, done: [] }
     return Ok({})
   },
 
-  'wave.order': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
+  'wave.order': (state: WorkflowsState, { wave, host, bornAt }: { wave: number, host: string, bornAt: number }): Change => {
     const record = state.waves[wave]
     if (record === undefined) return Err({ kind: 'unknown-wave', wave })
-    if (!record.ordered.includes(host)) record.ordered.push(host)
+    record.ordered[host] = bornAt
+    return Ok({})
+  },
+
+  'wave.withdraw': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
+    const record = state.waves[wave]
+    if (record === undefined) return Err({ kind: 'unknown-wave', wave })
+    delete record.ordered[host]
     return Ok({})
   },
 
