--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -1,6 +1,6 @@
 export { createManualClock, createSystemClock, type Clock, type ManualClock } from './clock.js'
 export { createBoundedLogger, createLogger, createSilentLogger, type LogFields, type Logger, type LogLevel } from './log.js'
-export { createNoMetrics, createStatsdMetrics, type Metrics, type MetricTags } from './metrics.js'
+export { createNoMetrics, createServedMetrics, createStatsdMetrics, type Metrics, type MetricTags, type ServedMetrics } from './metrics.js'
 export { type Network, type NetworkFailure, type RequestHandler } from './network.js'
 export { createRandom, type Random } from './random.js'
 export { Err, Ok, type Result } from './results.js'
--- a/src/common/metrics.ts
+++ b/src/common/metrics.ts
@@ -1,4 +1,5 @@
 import { StatsD } from 'hot-shots'
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
 
 export type MetricTags = Record<string, string>
 
@@ -22,6 +23,41 @@
   }
 }
 
+/** Upper bounds of the buckets of latency histograms, ms: from one hop inside a zone to the patience of a client. */
+const LATENCY_BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000]
+
+/** Metrics that are kept in this process and served as text. */
+export interface ServedMetrics extends Metrics {
+  readonly contentType: string
+  render (): Promise<string>
+}
+
+/** Keeps counters, gauges and latency histograms for a page in the text format that monitoring systems read. */
+export function createServedMetrics (): ServedMetrics {
+  const registry = new Registry()
+  const known = new Map<string, Counter | Gauge | Histogram>()
+
+  const find = <T extends Counter | Gauge | Histogram>(name: string, tags: MetricTags, create: (name: string, labelNames: string[]) => T): T => {
+    const existing = known.get(name) as T | undefined
+    if (existing !== undefined) return existing
+    const created = create(`sequoiadrift_${name.replaceAll(/[.-]/g, '_')}`, Object.keys(tags))
+    known.set(name, created)
+    return created
+  }
+  const options = (name: string, labelNames: string[]): { name: string, help: string, labelNames: string[], registers: Registry[] } =>
+    ({ name, help: 'see docs/metrics.md', labelNames, registers: [registry] })
+
+  return {
+    count: (name, value = 1, tags = {}) => find(name, tags, (full, labels) => new Counter(options(`${full}_total`, labels))).inc(tags, value),
+    gauge: (name, value, tags = {}) => find(name, tags, (full, labels) => new Gauge(options(full, labels))).set(tags, value),
+    timing: (name, ms, tags = {}) => find(name, tags, (full, labels) =>
+      new Histogram({ ...options(`${full}_ms`, labels), buckets: LATENCY_BUCKETS_MS })).observe(tags, ms),
+    close: () => registry.clear(),
+    contentType: registry.contentType,
+    render: () => registry.metrics()
+  }
+}
+
 export function createNoMetrics (): Metrics {
   return { count: () => {}, gauge: () => {}, timing: () => {}, close: () => {} }
 }
