--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -3,12 +3,16 @@
 import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
 import type { WorkerClient } from './orders.js'
 import { createWorkflowService } from './service.js'
+import { createSharing, type SharingEstimates } from './sharing.js'
 import { startTerm, type Term } from './term.js'
 import type { HostClient } from './upkeep.js'
 
 /** How often a host looks whether it has become the leader; a part of the time a takeover may take. */
 const LEADER_POLL_MS = 50
 const BARRIER_TIMEOUT_MS = 1000
+/** How often the leader tells the voters what it has learned; a new leader repeats what was learned since. */
+const SHARE_ESTIMATES_MS = 1500
+const ESTIMATES_MESSAGE = 'workflow.estimates'
 
 export interface WorkflowCoordinatorOptions {
   clock: Clock
@@ -32,6 +36,23 @@
   let term: Term | undefined
   const getTerm = (): Term | undefined => term
 
+  const sharing = createSharing()
+  let sharedAt = -Infinity
+
+  /** Lets the other voters know what they would otherwise have to learn again when one of them leads. */
+  const shareEstimates = (): void => {
+    if (clock.now() - sharedAt < SHARE_ESTIMATES_MS) return
+    sharedAt = clock.now()
+    const estimates = sharing.getEstimates()
+    log.status().voters.filter((voter) => voter !== network.self).forEach((voter) => {
+      network.request(voter, ESTIMATES_MESSAGE, estimates, clock.now() + SHARE_ESTIMATES_MS)
+    })
+  }
+  network.handle(ESTIMATES_MESSAGE, async (_from, body) => {
+    if (term === undefined) sharing.mergeEstimates(body as SharingEstimates)
+    return {}
+  })
+
   const service = createWorkflowService({ ...options, getTerm })
   network.handle(WORKFLOW_MESSAGE, async (from, body): Promise<WorkflowReply> => {
     const request = workflowRequestSchema.safeParse(body)
@@ -49,6 +70,7 @@
         term = undefined
       }
       if (isLeading && term === undefined) await openTerm(status.term)
+      if (term !== undefined) shareEstimates()
       await clock.sleep(LEADER_POLL_MS)
     }
   }
@@ -58,7 +80,7 @@
     const current = await log.readBarrier(clock.now() + BARRIER_TIMEOUT_MS)
     const status = log.status()
     if (stopped || !current.ok || status.role !== 'leader' || status.term !== fence) return
-    term = startTerm({ ...options, fence })
+    term = startTerm({ ...options, sharing, fence })
   }
 
   const loop = runTerms().catch((error: unknown) => {
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -5,7 +5,7 @@
 import { addTask, canHold, chooseWorker, isServing, type Candidate, type PlacementNeeds } from './placing.js'
 import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
 import type { Run, Session } from './session.js'
-import { createSharing, type FillingRun, type ServingRun, type Sharing } from './sharing.js'
+import type { FillingRun, ServingRun, Sharing } from './sharing.js'
 import type { Signal } from './signal.js'
 import type { WorkerHealth } from './workerHealth.js'
 
@@ -15,6 +15,11 @@
 const STARVED_MS = 1000
 /** How often the load is logged. */
 const LOAD_LOG_MS = 1000
+/**
+ * Part of a pool's cores that lasting work leaves free for short urgent work, unless one worker has twice the room
+ * that a waiting task needs; the short work of the reference loads takes 2 to 6% of the cores.
+ */
+const SHORT_WORK_SHARE = 0.05
 /** Assignments of one pass; an entry of the log stays small. */
 const MAX_ASSIGNMENTS = 400
 /** Names of tasks whose steps are remembered; several times what runs at the size aimed at. */
@@ -26,6 +31,7 @@
   metrics: Metrics
   sessions: ReadonlyMap<string, Session>
   health: WorkerHealth
+  sharing: Sharing
   getState (): WorkflowsState
   isActive (): boolean
   /** True for a worker whose host is about to go down. */
@@ -49,7 +55,7 @@
 /** Gives waiting tasks to workers, most urgent first. One pass at a time; each is one entry of the log. */
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { clock, logger, getState, wake } = options
-  const sharing = createSharing()
+  const { sharing } = options
   const waiting = createWaitingIndex(options)
   const tasks = createTaskIndex(getState)
   /** Since when a step waits while nothing of it runs. */
@@ -249,6 +255,7 @@
   indexes.every((index) => {
     const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
+    if (step.lasting && !leavesReserve(workers, step) && !(isStarved && worker.freeCores >= 2 * step.cores)) return false
     // One task is enough for a workflow to go on; each lasting task has users of its own.
     needs.acceptsRisk = isStarved && step.lasting
     addRun(worker, step, peerKey)
@@ -259,6 +266,13 @@
   return placed
 }
 
+/** True when the pool keeps room for short work after one more task of the step. */
+function leavesReserve (workers: readonly Placing[], step: Step): boolean {
+  const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
+  const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
+  return free - step.cores >= SHORT_WORK_SHARE * cores
+}
+
 function findAttempt ({ record, occurrence, stepNumber }: WaitingGroup, index: number): number {
   return record.tasks[getLocalName({ occurrence, step: stepNumber, index })]?.attempt ?? 0
 }
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -68,9 +68,13 @@
   return next
 }
 
-/** Priority first, then what is due first; what is hopelessly late comes after what can still be on time. */
+/**
+ * Priority first, then work that ends before work that lasts, then what is due first; what is hopelessly late comes
+ * after what can still be on time. With all cores taken by lasting work, short work gives more for each core.
+ */
 export function compareGroups (wallTime: number): (a: WaitingGroup, b: WaitingGroup) => number {
   return (a, b) => a.priority - b.priority ||
+    Number(a.step.lasting) - Number(b.step.lasting) ||
     Number(isHopeless(a, wallTime)) - Number(isHopeless(b, wallTime)) ||
     a.dueAt - b.dueAt
 }
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -33,11 +33,18 @@
   observe (serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): void
   /** How far the highest load is expected above what keeps every tail below its target; at most 0 is safe. */
   estimateRisk (serving: ReadonlyArray<{ image: string, targetMs: number }>, filling: ReadonlyArray<{ image: string, part: number }>): number
+  /** What has been learned, for a host that may lead next. */
+  getEstimates (): SharingEstimates
+  /** Takes over what another host has learned about images that this one knows less of. */
+  mergeEstimates (estimates: SharingEstimates): void
   /** Filling tasks that have to leave a worker, because tails are close to or over their targets. */
   listPressing (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[]): string[]
 }
 
-interface ServiceModel { fit: Fit, base: number, pairs: Map<string, number>, smallestTailMs: number }
+/** By image of a service: its mean load, its smallest tail, and the pressure of each neighbour's image with its variance. */
+export type SharingEstimates = Array<{ image: string, load: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
+
+interface ServiceModel { fit: Fit, base: number, pairs: Map<string, number>, smallestTailMs: number, readings: number }
 
 /**
  * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, and moves what
@@ -54,15 +61,15 @@
     const known = models.get(image)
     if (known !== undefined) return known
     const fit = createFit(FORGETTING_MS)
-    const created: ServiceModel = { fit, base: fit.add(EXPECTED_LOAD, LOAD_VARIANCE), pairs: new Map(), smallestTailMs: Infinity }
+    const created: ServiceModel = { fit, base: fit.add(EXPECTED_LOAD, LOAD_VARIANCE), pairs: new Map(), smallestTailMs: Infinity, readings: 0 }
     models.set(image, created)
     return created
   }
 
-  const getPair = (model: ServiceModel, image: string): number => {
+  const getPair = (model: ServiceModel, image: string, pressure = EXPECTED_PRESSURE, variance = PRESSURE_VARIANCE): number => {
     const known = model.pairs.get(image)
     if (known !== undefined) return known
-    const index = model.fit.add(EXPECTED_PRESSURE, PRESSURE_VARIANCE, 0)
+    const index = model.fit.add(pressure, variance, 0)
     model.pairs.set(image, index)
     return index
   }
@@ -82,6 +89,7 @@
     filling.forEach(({ image, part }) => parts.set(image, (parts.get(image) ?? 0) + part))
     const difference = load - model.fit.getValue(model.base) - computePressure(model, filling)
     const features = [{ index: model.base, weight: 1 }, ...[...parts].map(([image, part]) => ({ index: getPair(model, image), weight: part }))]
+    model.readings += 1
     model.fit.update(features, difference, READING_VARIANCE, LARGEST_SURPRISE, now)
   }
 
@@ -95,6 +103,20 @@
       return Math.max(worst, expected - allowed)
     }, -Infinity),
 
+    getEstimates: () => [...models].map(([image, { fit, base, pairs, smallestTailMs, readings }]) => ({
+      image, load: fit.getValue(base), smallestTailMs, readings, pairs: [...pairs].map(([other, index]) => [other, fit.getValue(index), fit.getVariance(index)])
+    })),
+
+    mergeEstimates: (estimates) => estimates.forEach(({ image, load, smallestTailMs, readings, pairs }) => {
+      if (readings <= (models.get(image)?.readings ?? 0)) return
+      models.delete(image)
+      const model = getModel(image)
+      model.fit.setValue(model.base, load)
+      model.smallestTailMs = smallestTailMs
+      model.readings = readings
+      pairs.forEach(([other, pressure, variance]) => getPair(model, other, pressure, variance))
+    }),
+
     listPressing: (worker, serving, filling) => {
       const pressed = serving.filter(({ tailMs, targetMs }) => (tailMs ?? 0) > PRESSED_SHARE * targetMs)
       if (pressed.length === 0) pressedReadings.delete(worker)
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -3,6 +3,7 @@
 import { createDispatcher, findStep, type Dispatcher } from './dispatcher.js'
 import type { HoldReply, WorkerClient } from './orders.js'
 import { createRun, createSession, runSession, startRun, stopRun, type Run, type Session, type SessionContext } from './session.js'
+import type { Sharing } from './sharing.js'
 import { createSignal } from './signal.js'
 import { AUTHORITY_CHECK_MS, AUTHORITY_MS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startUpkeep, type HostClient } from './upkeep.js'
@@ -15,6 +16,8 @@
   log: AgreedLog
   client: WorkerClient
   hosts: HostClient
+  /** What this and earlier terms have learned of images that share workers. */
+  sharing: Sharing
   /** The term of the log; workers refuse orders of earlier ones. */
   fence: number
 }
@@ -216,6 +219,7 @@
     metrics: options.metrics,
     sessions,
     health,
+    sharing: options.sharing,
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
