--- a/eslint.config.js
+++ b/eslint.config.js
@@ -31,7 +31,7 @@
 export default [
   ...neostandard({ ts: true, ignores: ['dist/**', 'target/**', 'node_modules/**', 'data/**'] }),
   {
-    files: ['src/**/*.ts'],
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
     plugins: { 'import-x': plugins['import-x'], sequoiadrift: { rules: { verb: verbRule } } },
     rules: {
       'import-x/no-restricted-paths': ['error', { zones: layerZones }],
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -32,7 +32,7 @@
 /** Coordinates workflows while this host leads the log, and answers entry hosts. */
 export function createWorkflowCoordinator (options: WorkflowCoordinatorOptions): WorkflowCoordinator {
   const { clock, logger, log, network } = options
-  let stopped = false
+  const stopping = new AbortController()
   let term: Term | undefined
   const getTerm = (): Term | undefined => term
 
@@ -62,7 +62,7 @@
   })
 
   const runTerms = async (): Promise<void> => {
-    while (!stopped) {
+    while (!stopping.signal.aborted) {
       const status = log.status()
       const isLeading = status.role === 'leader'
       if (term !== undefined && (!isLeading || status.term !== term.fence)) {
@@ -79,7 +79,7 @@
   const openTerm = async (fence: number): Promise<void> => {
     const current = await log.readBarrier(clock.now() + BARRIER_TIMEOUT_MS)
     const status = log.status()
-    if (stopped || !current.ok || status.role !== 'leader' || status.term !== fence) return
+    if (stopping.signal.aborted || !current.ok || status.role !== 'leader' || status.term !== fence) return
     term = startTerm({ ...options, sharing, fence })
   }
 
@@ -90,7 +90,7 @@
   return {
     getTerm,
     stop: async () => {
-      stopped = true
+      stopping.abort()
       term?.stop()
       term = undefined
       await loop
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -2,7 +2,7 @@
 import { formatTaskName, getLocalName, parseTaskName, type Assignment, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { listEvacuated, UNKNOWN_STAY_MS } from './evacuation.js'
 import type { HoldReply } from './orders.js'
-import { addTask, canHold, chooseWorker, isServing, type Candidate, type PlacementNeeds } from './placing.js'
+import { addTask, canHold, chooseWorker, type Candidate, type PlacementNeeds } from './placing.js'
 import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
 import type { Run, Session } from './session.js'
 import type { FillingRun, ServingRun, Sharing } from './sharing.js'
@@ -60,7 +60,7 @@
   const tasks = createTaskIndex(getState)
   /** Since when a step waits while nothing of it runs. */
   const idleSince = new Map<string, number>()
-  let stopped = false
+  const stopping = new AbortController()
   let loadLoggedAt = -Infinity
 
   const logLoad = (groups: WaitingGroup[], candidates: Map<string, Placing[]>): void => {
@@ -95,7 +95,7 @@
       if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, sharing, starved.has(group)))
     })
     stopStalled(options)
-    evacuateDraining(options)
+    drainWorkers(options)
     if (assignments.length === 0) return
     assignments.forEach(([task, worker, attempt]) => logger.info('run.assign', { task, attempt, worker }))
     options.metrics.count('run.assigned', assignments.length)
@@ -103,9 +103,9 @@
   }
 
   const runPasses = async (): Promise<void> => {
-    while (!stopped) {
+    while (!stopping.signal.aborted) {
       await wake.wait(Infinity)
-      if (!stopped && options.isActive()) await runPass()
+      if (!stopping.signal.aborted && options.isActive()) await runPass()
       await clock.sleep(PASS_GAP_MS)
     }
   }
@@ -120,7 +120,7 @@
     observeReply: (session) => observeSharing(options, sharing, session),
     findTicket: () => undefined,
     stop: () => {
-      stopped = true
+      stopping.abort()
       wake.notify()
     }
   }
@@ -255,7 +255,7 @@
   indexes.every((index) => {
     const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
-    if (step.lasting && !leavesReserve(workers, step) && !(isStarved && worker.freeCores >= 2 * step.cores)) return false
+    if (step.lasting && !hasReserve(workers, step) && !(isStarved && worker.freeCores >= 2 * step.cores)) return false
     // One task is enough for a workflow to go on; each lasting task has users of its own.
     needs.acceptsRisk = isStarved && step.lasting
     addRun(worker, step, peerKey)
@@ -267,7 +267,7 @@
 }
 
 /** True when the pool keeps room for short work after one more task of the step. */
-function leavesReserve (workers: readonly Placing[], step: Step): boolean {
+function hasReserve (workers: readonly Placing[], step: Step): boolean {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
   const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
   return free - step.cores >= SHORT_WORK_SHARE * cores
@@ -321,7 +321,7 @@
 }
 
 /** Moves work off workers that have announced that they leave. */
-function evacuateDraining (options: DispatcherOptions): void {
+function drainWorkers (options: DispatcherOptions): void {
   const { clock, getState, sessions, stopRun } = options
   const now = clock.now()
   sessions.forEach((session) => {
--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -90,8 +90,15 @@
     }
   }
 
+  const isHopeless = (patience: number): boolean => clock.now() > patience || clock.now() - answeredAt > LOST_LEADER_MS
+
   const isReady = (): boolean => hasCatalog && clock.now() - answeredAt < CONTACT_MS
 
+  /** A pause unless another leader than the one that was asked is known. */
+  const waitForNews = async (asked: string, deadline: number): Promise<void> => {
+    if (leader === asked || leader === undefined) await clock.sleep(Math.min(RETRY_MS, Math.max(0, deadline - clock.now())))
+  }
+
   const send: WorkflowGateway['send'] = async (request, deadline) => {
     let isUnclear = false
     const patience = Math.max(clock.now(), answeredAt) + LEADER_PATIENCE_MS
@@ -99,7 +106,7 @@
       const host = leader
       if (host === undefined) {
         // What cannot be served is refused at once, so that the client can turn to another host.
-        if (!isUnclear && (clock.now() > patience || clock.now() - answeredAt > LOST_LEADER_MS)) break
+        if (!isUnclear && isHopeless(patience)) break
         await clock.sleep(Math.min(RETRY_MS, deadline - clock.now()))
         continue
       }
@@ -110,7 +117,7 @@
         return isUnclear && reply.kind === 'not-run' ? { kind: 'unknown', reason: reply.reason } : reply
       }
       if (reply === 'no-answer') isUnclear = true
-      if (leader === host || leader === undefined) await clock.sleep(Math.min(RETRY_MS, Math.max(0, deadline - clock.now())))
+      await waitForNews(host, deadline)
     }
     return isUnclear && request.kind !== 'read'
       ? { kind: 'unknown', reason: 'the leader did not answer in time' }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -124,7 +124,7 @@
       await session.wake.wait(restMs)
       continue
     }
-    await lookAtWorker(context, session, record)
+    await observeWorker(context, session, record)
   }
 }
 
@@ -136,20 +136,20 @@
   return dueAt - now
 }
 
-async function lookAtWorker (context: SessionContext, session: Session, record: WorkerRecord): Promise<void> {
+async function observeWorker (context: SessionContext, session: Session, record: WorkerRecord): Promise<void> {
   const { clock, client } = context
   const sentAt = clock.now()
   const isFirst = session.reading === undefined
   const waitMs = isFirst || !session.reachable || session.runs.size === 0 ? 0 : getWaitMs(session, context.getState())
   // Looks at a silent worker give no lease: what runs there has to end before its tasks are given to others.
-  const leaseUntil = session.reachable ? extendLease(context, session) : undefined
+  const leaseUntil = session.reachable ? renewLease(context, session) : undefined
   const acknowledged = record.lastEnd
   const reply = await client.hold(record.life, { fence: context.fence, leaseUntil, acknowledged, waitMs }, sentAt + waitMs + REPLY_SLACK_MS)
   session.lastLookAt = sentAt
   if (context.isStopped() || session.ended) return
   if (!reply.ok) return handleSilence(context, session, reply.val)
   session.reading = { workerTime: reply.val.clock, receivedAt: clock.now() }
-  markReachable(context, session)
+  recordReachable(context, session)
   await handleReply(context, session, reply.val, sentAt)
   if (session.runs.size === 0 && reply.val.ends.length > 0) session.lastLookAt = -Infinity
 }
@@ -165,14 +165,14 @@
 }
 
 /** The end of a lease, on the worker's clock, that this leader may give now. */
-function extendLease (context: SessionContext, session: Session): number | undefined {
+function renewLease (context: SessionContext, session: Session): number | undefined {
   if (session.reading === undefined) return undefined
   const until = context.getAuthorityAt() + LEASE_MS
   session.leaseEndsAt = Math.max(session.leaseEndsAt, until + EXPIRY_MARGIN_MS)
   return computeWorkerTime(session.reading, until)
 }
 
-function markReachable (context: SessionContext, session: Session): void {
+function recordReachable (context: SessionContext, session: Session): void {
   session.retryMs = FIRST_RETRY_MS
   if (session.reachable) return
   session.reachable = true
@@ -264,38 +264,47 @@
 export async function startRun (context: SessionContext, session: Session, run: Run): Promise<void> {
   if (run.starting || run.stopReason !== undefined) return
   run.starting = true
-  const { clock, logger, client } = context
-  for (let tries = 0; tries < MAX_START_TRIES; tries += 1) {
-    const record = getRecord(context, session)
-    const workflow = findWorkflow(context, run.task)
-    const isWanted = record !== undefined && workflow !== undefined && context.isActive() && session.runs.get(run.task) === run && run.stopReason === undefined
-    const leaseUntil = isWanted ? extendLease(context, session) : undefined
-    if (!isWanted || leaseUntil === undefined) break
-    const sentAt = clock.now()
-    const reply = await client.start(record.life, {
-      task: run.task,
-      attempt: run.attempt,
-      command: workflow.command,
-      checkpoint: findTask(context.getState(), run.task)?.checkpoint ?? '',
-      fence: context.fence,
-      leaseUntil,
-      ticket: run.ticket
-    }, sentAt + ORDER_TIMEOUT_MS)
-    if (context.isStopped()) break
-    if (reply.ok) {
-      session.reading = { workerTime: reply.val.clock, receivedAt: clock.now() }
-      run.confirmedAt = clock.now()
-      run.progressAt = clock.now()
-      context.metrics.timing('run.start', clock.now() - sentAt)
-      break
-    }
-    logger.info('run.start-failed', { task: run.task, attempt: run.attempt, worker: session.worker, reason: describeWorkerFailure(reply.val), tries: tries + 1 })
-    if (!handleStartFailure(context, session, run, reply.val)) break
+  let tries = 0
+  let isOpen = true
+  while (isOpen && tries < MAX_START_TRIES) {
+    tries += 1
+    isOpen = await sendStart(context, session, run, tries)
   }
   run.starting = false
   session.wake.notify()
 }
 
+/** Sends one start. Returns whether it is worth sending again. */
+async function sendStart (context: SessionContext, session: Session, run: Run, tries: number): Promise<boolean> {
+  const { clock, logger, client } = context
+  const record = getRecord(context, session)
+  const workflow = findWorkflow(context, run.task)
+  const isWanted = context.isActive() && session.runs.get(run.task) === run && run.stopReason === undefined
+  if (record === undefined || workflow === undefined || !isWanted) return false
+  const leaseUntil = renewLease(context, session)
+  if (leaseUntil === undefined) return false
+  const sentAt = clock.now()
+  const reply = await client.start(record.life, {
+    task: run.task,
+    attempt: run.attempt,
+    command: workflow.command,
+    checkpoint: findTask(context.getState(), run.task)?.checkpoint ?? '',
+    fence: context.fence,
+    leaseUntil,
+    ticket: run.ticket
+  }, sentAt + ORDER_TIMEOUT_MS)
+  if (context.isStopped()) return false
+  if (reply.ok) {
+    session.reading = { workerTime: reply.val.clock, receivedAt: clock.now() }
+    run.confirmedAt = clock.now()
+    run.progressAt = clock.now()
+    context.metrics.timing('run.start', clock.now() - sentAt)
+    return false
+  }
+  logger.info('run.start-failed', { task: run.task, attempt: run.attempt, worker: session.worker, reason: describeWorkerFailure(reply.val), tries })
+  return handleStartFailure(context, session, run, reply.val)
+}
+
 /** True when the order is worth sending again. */
 function handleStartFailure (context: SessionContext, session: Session, run: Run, failure: WorkerFailure): boolean {
   if (failure.kind === 'no-answer') {
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -37,10 +37,10 @@
   const { clock, logger, log, fence } = options
   const sessions = new Map<string, Session>()
   const health = createWorkerHealth({ clock, logger })
-  let stopped = false
+  const stopping = new AbortController()
   let authorityAt = clock.now()
   const getState = (): WorkflowsState => log.state().workflows
-  const isActive = (): boolean => !stopped && clock.now() - authorityAt < AUTHORITY_MS
+  const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < AUTHORITY_MS
 
   const recordEnds = async (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean> => {
     const result = await log.propose({ kind: 'workflow.end', worker, bornAt, ends, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
@@ -56,7 +56,7 @@
     fence,
     getState,
     isActive,
-    isStopped: () => stopped,
+    isStopped: () => stopping.signal.aborted,
     getAuthorityAt: () => authorityAt,
     recordEnds,
     expireLife: async (worker, bornAt) => {
@@ -179,7 +179,7 @@
   }
 
   const runAuthority = async (): Promise<void> => {
-    while (!stopped) {
+    while (!stopping.signal.aborted) {
       const status = log.status()
       if (status.role !== 'leader' || status.term !== fence) return stop()
       authorityAt = Math.max(authorityAt, clock.now() - computeMajorityAge(status.progress))
@@ -190,8 +190,8 @@
   }
 
   const stop = (): void => {
-    if (stopped) return
-    stopped = true
+    if (stopping.signal.aborted) return
+    stopping.abort()
     unsubscribe()
     dispatcher.stop()
     sessions.forEach((session) => {
@@ -209,7 +209,7 @@
     hosts: options.hosts,
     sessions,
     isActive,
-    isStopped: () => stopped,
+    isStopped: () => stopping.signal.aborted,
     findStep: (task) => findStep(getState(), task),
     stopRun: (session, run, reason) => { stopRun(context, session, run, reason) }
   })
--- a/src/coordination/workflows/upkeep.ts
+++ b/src/coordination/workflows/upkeep.ts
@@ -49,7 +49,7 @@
   const runWaves = async (): Promise<void> => {
     while (!options.isStopped()) {
       if (options.isActive()) {
-        for (const record of Object.values(getState().waves)) await advanceWave(options, record, closing)
+        for (const record of Object.values(getState().waves)) await runWave(options, record, closing)
       }
       await clock.sleep(CHECK_MS)
     }
@@ -65,7 +65,7 @@
   return wave.hosts.every((host) => done.includes(host))
 }
 
-async function advanceWave (options: UpkeepOptions, record: WaveRecord, closing: Set<string>): Promise<void> {
+async function runWave (options: UpkeepOptions, record: WaveRecord, closing: Set<string>): Promise<void> {
   if (isWaveDone(record)) return
   const state = options.log.state().workflows
   const { wave, ordered, done } = record
@@ -86,7 +86,7 @@
   const { log, clock, logger, sessions } = options
   const lives = listLives(log.state().workflows, host)
   lives.forEach(({ life }) => closing.add(life.id))
-  const busy = lives.filter(({ life }) => !emptyWorker(options, sessions.get(life.id), isLate))
+  const busy = lives.filter(({ life }) => !drainWorker(options, sessions.get(life.id), isLate))
   if (busy.length > 0) return
   const bornAt = Math.max(0, ...lives.map(({ life }) => life.bornAt))
   const recorded = await log.propose({ kind: 'wave.order', wave, host, bornAt }, clock.now() + ORDER_TIMEOUT_MS)
@@ -109,7 +109,7 @@
 }
 
 /** Moves what can be moved off a worker. Returns whether nothing runs there any more. */
-function emptyWorker (options: UpkeepOptions, session: Session | undefined, isLate: boolean): boolean {
+function drainWorker (options: UpkeepOptions, session: Session | undefined, isLate: boolean): boolean {
   if (session === undefined || session.runs.size === 0) return true
   session.runs.forEach((run) => {
     const step = options.findStep(run.task)
--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -26,7 +26,6 @@
   crash (): void
 }
 
-
 export interface FakeRunFleet {
   readonly client: WorkerClient
   /** Takes the workers of a host down; `onUpkeep` decides when and as what they return. */
@@ -127,16 +126,16 @@
   plan (task: string): RunPlan
 }
 
-function advance (state: FakeState): void {
+function updateRuns (state: FakeState): void {
   const now = state.clock.now()
   state.running.forEach((run, task) => {
     const endsAt = run.plan.result === 'never' ? Infinity : run.startedAt + run.plan.runMs
-    if (endsAt <= Math.min(now, state.leaseUntil)) endRun(state, task, run.plan.result === 'failed' ? 'failed' : 'succeeded', endsAt)
-    else if (state.leaseUntil <= now) endRun(state, task, 'lease-expired', state.leaseUntil)
+    if (endsAt <= Math.min(now, state.leaseUntil)) recordEnd(state, task, run.plan.result === 'failed' ? 'failed' : 'succeeded', endsAt)
+    else if (state.leaseUntil <= now) recordEnd(state, task, 'lease-expired', state.leaseUntil)
   })
 }
 
-function endRun (state: FakeState, task: string, cause: RunEnd[3], at: number): void {
+function recordEnd (state: FakeState, task: string, cause: RunEnd[3], at: number): void {
   const run = state.running.get(task)
   if (run === undefined) return
   state.running.delete(task)
@@ -147,13 +146,13 @@
 }
 
 function checkFence (state: FakeState, fence: number): Result<void, WorkerFailure> {
-  advance(state)
-  if (fence < state.fence) return refuse(state, 'fenced')
+  updateRuns(state)
+  if (fence < state.fence) return reject(state, 'fenced')
   state.fence = fence
   return Ok(undefined)
 }
 
-function refuse (state: FakeState, reason: OrderRefusal): Result<never, WorkerFailure> {
+function reject (state: FakeState, reason: OrderRefusal): Result<never, WorkerFailure> {
   return Err({ kind: 'refused', reason, clock: state.clock.now() })
 }
 
@@ -161,11 +160,11 @@
   const fenced = checkFence(state, order.fence)
   if (fenced.err) return fenced
   const now = state.clock.now()
-  if (order.leaseUntil <= now) return refuse(state, 'late')
+  if (order.leaseUntil <= now) return reject(state, 'late')
   state.leaseUntil = Math.max(state.leaseUntil, order.leaseUntil)
   const current = state.running.get(order.task)
   if (current?.attempt === order.attempt) return Ok({ clock: now })
-  if ((state.ended.get(order.task) ?? 0) >= order.attempt || current !== undefined) return refuse(state, 'superseded')
+  if ((state.ended.get(order.task) ?? 0) >= order.attempt || current !== undefined) return reject(state, 'superseded')
   state.running.set(order.task, { attempt: order.attempt, startedAt: now, plan: state.plan(order.task), pace: 100, reading: undefined })
   state.events.push({ at: now, kind: 'started', worker: state.life.id, task: order.task, attempt: order.attempt })
   return Ok({ clock: now })
@@ -175,7 +174,7 @@
   const fenced = checkFence(state, order.fence)
   if (fenced.err) return fenced
   state.ended.set(order.task, Math.max(order.attempt, state.ended.get(order.task) ?? 0))
-  if (state.running.get(order.task)?.attempt === order.attempt) endRun(state, order.task, 'stopped', state.clock.now())
+  if (state.running.get(order.task)?.attempt === order.attempt) recordEnd(state, order.task, 'stopped', state.clock.now())
   return Ok({ clock: state.clock.now() })
 }
 
@@ -197,10 +196,10 @@
   })
   state.ends = state.ends.filter(([number]) => number > order.acknowledged)
   const until = clock.now() + order.waitMs
-  advance(state)
+  updateRuns(state)
   while (state.ends.length === 0 && clock.now() < until) {
     await clock.sleep(Math.min(POLL_MS, until - clock.now()))
-    advance(state)
+    updateRuns(state)
   }
   const running = [...state.running].map(([task, { attempt, startedAt, plan, reading }]): RunRow => ({
     task, attempt, checkpoint: '', percent: plan.result === 'never' ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)), reading
--- a/test/state/failures.test.ts
+++ b/test/state/failures.test.ts
@@ -196,7 +196,7 @@
 
 test('an entry that does not fit into one message is refused', async () => {
   const { cluster, run, proposeOn } = await startCluster()
-  const outcomes = Array.from({ length: 1500 }, (_, index): [string, number, 'succeeded'] => ['x'.repeat(60), index, 'succeeded'])
+  const outcomes = Array.from({ length: Math.ceil(MAX_ENTRY_BYTES / 60) }, (_, index): [string, number, 'succeeded'] => ['x'.repeat(60), index, 'succeeded'])
   const result = await run(proposeOn(cluster.findLeader()!, { kind: 'job.summary', availabilityZone: 'z', outcomes }))
   expect(result).toMatchObject({ err: true, val: { kind: 'entry-too-large', limit: MAX_ENTRY_BYTES } })
 })
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -53,10 +53,10 @@
   }
   await run(200)
   const send = async (request: WorkflowRequest): Promise<WorkflowReply> => {
-    let reply: WorkflowReply | undefined
-    handlers.get(WORKFLOW_MESSAGE)?.('edge', request).then((value) => { reply = value as WorkflowReply })
-    while (reply === undefined) await clock.advance(1)
-    return reply
+    const replies: WorkflowReply[] = []
+    handlers.get(WORKFLOW_MESSAGE)?.('edge', request).then((value) => replies.push(value as WorkflowReply))
+    while (replies.length === 0) await clock.advance(1)
+    return replies[0] as WorkflowReply
   }
   return {
     clock,
