--- a/src/programs/cli/output.ts
+++ b/src/programs/cli/output.ts
@@ -1,6 +1,6 @@
 import type { ClientFailure } from './client.js'
 
-/** Exit codes of the command line; docs/operations.md lists them. */
+/** Exit codes of the command line; docs/OPERATIONS.md lists them. */
 export const EXIT_CODES = { success: 0, refused: 1, usage: 2, noAnswer: 3, outcomeUnknown: 4 } as const
 
 const UNKNOWN_OUTCOMES = new Set(['outcome-unknown', 'unknown'])
--- /dev/null
+++ b/test/workflows/catalog.test.ts
@@ -0,0 +1,53 @@
+import { expect, test } from 'vitest'
+import { createManualClock, createSilentLogger } from '../../src/common/index.js'
+import { createCatalogStore, findProblem } from '../../src/coordination/workflows/catalog.js'
+import { createWorkerDirectory } from '../../src/coordination/workflows/directory.js'
+import { createMemoryLog } from '../../src/fakes/memoryLog.js'
+import type { Catalog, WorkerLife } from '../../src/state/index.js'
+import { CATALOG } from './support.js'
+
+function createStore (): ReturnType<typeof createCatalogStore> & { log: ReturnType<typeof createMemoryLog> } {
+  const log = createMemoryLog('h1')
+  return { ...createCatalogStore({ clock: createManualClock(), logger: createSilentLogger(), log }), log }
+}
+
+const QUEUE = CATALOG.queues[0]!
+
+test('the highest version stays in force whatever arrives after it, and every valid one is acknowledged', async () => {
+  const store = createStore()
+  const put = (version: number, document: string): Promise<unknown> => store.putCatalog({ ...CATALOG, version, document }, 1000).then((result) => result.ok)
+  expect([await put(3, 'three'), await put(2, 'two'), await put(3, 'other'), await put(7, 'seven'), await put(3, 'three')]).toEqual([true, true, true, true, true])
+  const read = await store.readCatalog(1000)
+  expect(read.ok && read.val?.document).toBe('seven')
+})
+
+test('without a majority the catalog is not read from memory', async () => {
+  const store = createStore()
+  await store.putCatalog(CATALOG, 1000)
+  store.log.setReachable(false)
+  expect((await store.readCatalog(1000)).ok).toBe(false)
+})
+
+test.each<[string, Catalog]>([
+  ['unknown-service', { ...CATALOG, queues: [{ ...QUEUE, service: 'other' }] }],
+  ['same-place', { ...CATALOG, queues: [QUEUE, { ...QUEUE, name: 'again' }] }],
+  ['no-timeout', { ...CATALOG, queues: [{ ...QUEUE, requestTimeoutMs: 0 }] }]
+])('a catalog with the problem %s is refused and changes nothing', async (kind, catalog) => {
+  const store = createStore()
+  expect(findProblem(catalog)?.kind).toBe(kind)
+  expect((await store.putCatalog({ ...catalog, version: 9 }, 1000)).ok).toBe(false)
+  expect(store.log.state().workflows.catalog).toBeUndefined()
+})
+
+const LIFE: WorkerLife = { id: 'w1', bornAt: 10, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 8, memoryMb: 100, accelerators: 0, labels: [], draining: false }
+
+test('a report of an earlier life, or from an address that another life has since taken, changes nothing', async () => {
+  const log = createMemoryLog('h1')
+  const directory = createWorkerDirectory({ clock: createManualClock(), logger: createSilentLogger(), log })
+  const report = async (life: Partial<WorkerLife>): Promise<unknown> => (await directory.reportLife({ ...LIFE, ...life }, 1000)).val
+  expect([
+    await report({}), await report({}), await report({ bornAt: 20, draining: true }), await report({}),
+    await report({ bornAt: 20 }), await report({ id: 'w2', bornAt: 15 }), await report({ bornAt: 30 })
+  ]).toEqual(['recorded', 'unchanged', 'recorded', 'stale', 'unchanged', 'stale', 'recorded'])
+  expect(log.state().workflows.workers.w1?.life).toMatchObject({ bornAt: 30, draining: false })
+})
