--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -338,13 +338,16 @@
   })
 }
 
-/** Ends runs that stand still, so that they go on elsewhere. */
+/** Ends runs that stand still or crawl, so that they go on elsewhere. */
 function stopStalled ({ sessions, health, getState, stopRun }: DispatcherOptions): void {
+  const find = (task: string): Step | undefined => findStep(getState(), task)
   sessions.forEach((session) => {
     if (!session.reachable || session.runs.size === 0) return
-    health.listStandstill(session, (task) => findStep(getState(), task)).forEach((task) => {
+    const stopAll = (tasks: string[], reason: string): void => tasks.forEach((task) => {
       const run = session.runs.get(task)
-      if (run !== undefined) stopRun(session, run, 'standstill')
+      if (run !== undefined) stopRun(session, run, reason)
     })
+    stopAll(health.listStandstill(session, find), 'standstill')
+    stopAll(health.listSlow(session, find), 'slow-worker')
   })
 }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -176,6 +176,8 @@
   session.retryMs = FIRST_RETRY_MS
   if (session.reachable) return
   session.reachable = true
+  // Nothing was seen meanwhile, so the time without news is no standstill.
+  session.runs.forEach((run) => { run.progressAt = context.clock.now() })
   context.logger.info('worker.reachable', { worker: session.worker, silentMs: Math.round(context.clock.now() - session.silentSince) })
   context.onReachable(session)
 }
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -12,8 +12,8 @@
 const FORGETTING_MS = 3_600_000
 /** Highest load as a multiple of the mean; services of the reference loads swing by half. */
 const PEAK_FACTOR = 1.25
-/** Tail without load as a share of the smallest tail seen; the smallest load of the reference services is about 0.2. */
-const UNLOADED_SHARE = 0.78
+/** Tail without load as a share of the smallest tail seen; services are almost idle at times, at the latest as they start. */
+const UNLOADED_SHARE = 0.95
 /** Tail without load as a share of the target, before any reading. */
 const UNLOADED_SHARE_OF_TARGET = 0.2
 /** Tails above this share of the target count as pressed. */
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -4,16 +4,27 @@
 import type { Session } from './session.js'
 import { NO_ROOM_PAUSE_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
 
-/** After this many failures in a row a worker gets no work for a while. */
+/** After this many failures in a row a worker gets no work for a while; a tenth of the tasks may fail by their own fault. */
 const FAILURES_BEFORE_PAUSE = 3
-const FIRST_PAUSE_MS = 3000
+const FIRST_PAUSE_MS = 2000
 const MAX_PAUSE_MS = 30_000
 /** A run without any progress for this long stands still; the longest step of the reference loads shows progress well within it. */
 const STANDSTILL_MS = 2500
 /** After a standstill the worker gets no work for this long. */
 const STANDSTILL_PAUSE_MS = 5000
-/** Weight of a new reading in the estimate of a worker's speed. */
+/** Weight of a new reading in the estimates of speed. */
 const SPEED_WEIGHT = 0.3
+/** Slowness is estimated between these, so that one odd reading cannot rule. */
+const MIN_SLOWNESS = 0.5
+const MAX_SLOWNESS = 10
+/** Progress says little before this, ms. */
+const YOUNG_RUN_MS = 400
+/** A worker that is this much slower than the others with tasks of the same step loses its runs. */
+const MOVE_SLOWNESS = 3
+/** Moving has to save this part of the time that is left on the slow worker. */
+const MOVE_GAIN = 0.5
+/** Steps whose speed is remembered. */
+const MAX_KNOWN_STEPS = 2000
 
 interface Health {
   failures: number
@@ -31,6 +42,8 @@
   observeRuns (session: Session, reply: HoldReply, findStep: (task: string) => Step | undefined): void
   /** Tasks that stand still on a worker. */
   listStandstill (session: Session, findStep: (task: string) => Step | undefined): string[]
+  /** Tasks that would end sooner if they began again, or went on, on a worker of usual speed. */
+  listSlow (session: Session, findStep: (task: string) => Step | undefined): string[]
   reset (worker: string): void
 }
 
@@ -38,6 +51,8 @@
 
 export function createWorkerHealth ({ clock, logger }: { clock: Clock, logger: Logger }): WorkerHealth {
   const known = new Map<string, Health>()
+  /** Percent in a millisecond that the tasks of a step make on all workers. */
+  const stepRates = new Map<string, number>()
 
   const getHealth = (worker: string): Health => {
     const existing = known.get(worker)
@@ -76,15 +91,37 @@
     },
     observeRuns: (session, reply, findStep) => {
       const health = getHealth(session.worker)
-      reply.running.forEach((row) => {
-        const run = session.runs.get(row.task)
-        const step = findStep(row.task)
-        if (run?.confirmedAt === undefined || step === undefined || step.lasting || step.fills || row.percent <= 0) return
-        const expected = step.expectedRunMs * row.percent / 100
-        const slowness = expected > 0 ? Math.max(1, (clock.now() - run.confirmedAt) / expected) : 1
-        health.slowness += (Math.min(slowness, 10) - health.slowness) * SPEED_WEIGHT
+      if (stepRates.size > MAX_KNOWN_STEPS) stepRates.clear()
+      const ended = reply.ends.filter(([, , , cause]) => cause === 'succeeded').map(([, task, attempt]) => ({ task, attempt, percent: 100 }))
+      const rows = [...reply.running, ...ended]
+      rows.forEach(({ task, attempt, percent }) => {
+        const confirmedAt = session.runs.get(task)?.confirmedAt
+        const elapsedMs = confirmedAt === undefined ? 0 : clock.now() - confirmedAt
+        const step = findStep(task)
+        // A run that resumes from a checkpoint shows the progress of its earlier attempts as well.
+        if (step === undefined || step.lasting || percent <= 0 || elapsedMs < YOUNG_RUN_MS || attempt > 1) return
+        const key = getStepKey(task)
+        const rate = percent / elapsedMs
+        const usual = stepRates.get(key)
+        stepRates.set(key, usual === undefined ? rate : usual + (rate - usual) * SPEED_WEIGHT)
+        if (usual === undefined) return
+        const slowness = Math.min(MAX_SLOWNESS, Math.max(MIN_SLOWNESS, usual / rate))
+        health.slowness += (slowness - health.slowness) * SPEED_WEIGHT
       })
     },
+    listSlow: (session, findStep) => {
+      if (getHealth(session.worker).slowness < MOVE_SLOWNESS) return []
+      return [...session.runs.values()].filter((run) => {
+        const step = findStep(run.task)
+        const usual = stepRates.get(getStepKey(run.task))
+        const elapsedMs = run.confirmedAt === undefined ? 0 : clock.now() - run.confirmedAt
+        const percent = run.row?.percent ?? 0
+        if (step === undefined || step.lasting || usual === undefined || run.stopReason !== undefined || elapsedMs < YOUNG_RUN_MS) return false
+        const leftHereMs = percent > 0 ? elapsedMs * (100 - percent) / percent : Infinity
+        const leftElsewhereMs = (step.checkpoints ? 100 - percent : 100) / usual
+        return leftElsewhereMs < leftHereMs * MOVE_GAIN
+      }).map(({ task }) => task)
+    },
     listStandstill: (session, findStep) => {
       const now = clock.now()
       const tasks = [...session.runs.values()]
@@ -97,3 +134,7 @@
     reset: (worker) => { known.delete(worker) }
   }
 }
+
+function getStepKey (task: string): string {
+  return task.slice(0, task.lastIndexOf('.'))
+}
--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -35,7 +35,7 @@
   readonly workers: Map<string, FakeRunWorker>
   addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
   /** How long the tasks run; by default 1 s to success. */
-  plan: (task: string) => RunPlan
+  plan: (task: string, worker: string) => RunPlan
 }
 
 const DEFAULT_LIFE: Omit<WorkerLife, 'id'> = {
@@ -61,7 +61,7 @@
     plan: () => ({ runMs: 1000, result: 'succeeded' }),
     addWorker: (partial) => {
       const life = { ...DEFAULT_LIFE, ...partial }
-      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, plan: (task) => fleet.plan(task) }
+      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, plan: (task) => fleet.plan(task, life.id) }
       const worker: FakeRunWorker = {
         life,
         running: state.running,
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -120,3 +120,23 @@
   }
   expect(most).toBe(6)
 })
+
+test('a worker that was silent for less than its lease keeps its runs when it is back', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 20_000, result: 'succeeded' })
+  await scene.submit('a1', [{ count: 4 }])
+  await scene.run(1000)
+  scene.fleet.workers.forEach((worker) => { worker.reachable = false })
+  await scene.run(2800)
+  scene.fleet.workers.forEach((worker) => { worker.reachable = true })
+  await scene.run(3000)
+  expect(scene.listEvents('ended')).toEqual([])
+})
+
+test('tasks on a worker that has become slow go on elsewhere', async () => {
+  const scene = await createScene(['w1', 'w2', 'w3'])
+  scene.fleet.plan = (task, worker) => ({ runMs: worker === 'w1' ? 12_000 : 1000, result: 'succeeded' })
+  await scene.submit('a1', [{ count: 24 }])
+  await scene.run(5000)
+  expect(getOutcome(scene, 'a1')).toBe('completed')
+})
