--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -10,8 +10,8 @@
 const READING_VARIANCE = 0.25 ** 2
 const LARGEST_SURPRISE = 3
 const FORGETTING_MS = 3_600_000
-/** Highest load as a multiple of the mean; services of the reference loads swing by half. */
-const PEAK_FACTOR = 1.25
+/** Load that a worker is filled up for, as a multiple of the mean; services of the reference loads swing by half, and their peaks seldom meet. */
+const PEAK_FACTOR = 1.3
 /** Tail without load as a share of the smallest tail seen; services are almost idle at times, at the latest as they start. */
 const UNLOADED_SHARE = 0.95
 /** Tail without load as a share of the target, before any reading. */
