--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics, Network } from '../../common/index.js'
 import type { AgreedLog } from '../../state/index.js'
+import type { AdviceClient } from './advice.js'
 import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
 import type { WorkerClient } from './orders.js'
 import { createWorkflowService } from './service.js'
@@ -22,6 +23,7 @@
   log: AgreedLog
   client: WorkerClient
   hosts: HostClient
+  advice: AdviceClient
 }
 
 export interface WorkflowCoordinator {
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
 import { formatTaskName, getLocalName, parseTaskName, type Assignment, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import type { Advisor } from './advice.js'
 import { listEvacuated, UNKNOWN_STAY_MS } from './evacuation.js'
 import type { HoldReply } from './orders.js'
 import { addTask, canHold, chooseWorker, type Candidate, type PlacementNeeds } from './placing.js'
@@ -32,6 +33,7 @@
   sessions: ReadonlyMap<string, Session>
   health: WorkerHealth
   sharing: Sharing
+  advisor: Advisor
   getState (): WorkflowsState
   isActive (): boolean
   /** True for a worker whose host is about to go down. */
@@ -48,7 +50,6 @@
   /** The waiting tasks of a workflow, or of all, may have changed. */
   markChanged (workflow?: string): void
   observeReply (session: Session, reply: HoldReply): void
-  findTicket (task: string, worker: string): string | undefined
   stop (): void
 }
 
@@ -92,7 +93,7 @@
     const assignments: Assignment[] = []
     const starved = updateStarved(idleSince, groups, clock.now())
     groups.forEach((group) => {
-      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(group, candidates, sharing, starved.has(group)))
+      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, starved.has(group)))
     })
     stopStalled(options)
     drainWorkers(options)
@@ -118,7 +119,6 @@
     schedule: () => wake.notify(),
     markChanged: (workflow) => waiting.markChanged(workflow),
     observeReply: (session) => observeSharing(options, sharing, session),
-    findTicket: () => undefined,
     stop: () => {
       stopping.abort()
       wake.notify()
@@ -207,6 +207,7 @@
     service: life.service,
     availabilityZone: life.availabilityZone,
     labels: life.labels,
+    rack: life.rack,
     cores: life.cores,
     memoryMb: life.memoryMb,
     accelerators: life.accelerators,
@@ -239,14 +240,14 @@
 }
 
 /** Places the tasks of a group as far as there is room; a gang whole or not at all. */
-function placeGroup (group: WaitingGroup, candidates: Map<string, Placing[]>, sharing: Sharing, isStarved: boolean): Assignment[] {
+function placeGroup (options: DispatcherOptions, group: WaitingGroup, candidates: Map<string, Placing[]>, isStarved: boolean): Assignment[] {
   const { record, occurrence, stepNumber, step, indexes } = group
-  const workers = candidates.get(record.service) ?? []
+  const workers = listEligible(options, group, candidates.get(record.service) ?? [])
   const peerKey = getPeerKey(record.workflow.id, occurrence, stepNumber)
   const needs: PlacementNeeds = {
     step,
     countPeers: (worker) => workers.find(({ id }) => id === worker)?.peers.get(peerKey) ?? 0,
-    estimateRisk: sharing.estimateRisk,
+    estimateRisk: options.sharing.estimateRisk,
     acceptsRisk: isStarved
   }
   const gangAttempt = 1 + Math.max(0, ...indexes.map((index) => findAttempt(group, index)))
@@ -266,6 +267,20 @@
   return placed
 }
 
+/** Workers that the queue's policy allows, all on one rack where the step is the slower for more and one rack has the room. */
+function listEligible ({ advisor }: DispatcherOptions, { record, occurrence, stepNumber, step, indexes, advice }: WaitingGroup, workers: Placing[]): Placing[] {
+  const name = getPeerKey(record.workflow.id, occurrence, stepNumber)
+  if (advice !== undefined) {
+    const byRoom = workers.toSorted((a, b) => b.freeCores - a.freeCores)
+    advisor.request(name, byRoom.map(({ id }) => id), advice)
+  }
+  const allowed = advice === undefined ? workers : workers.filter(({ id }) => advisor.findTicket(name, id) !== undefined)
+  if (!step.rackSensitive) return allowed
+  const racks = [...new Set(allowed.map(({ rack }) => rack))]
+  const rack = racks.map((name) => allowed.filter((worker) => worker.rack === name)).find((members) => canHoldGang(members, { step, countPeers: () => 0 }, indexes.length))
+  return rack ?? allowed
+}
+
 /** True when the pool keeps room for short work after one more task of the step. */
 function hasReserve (workers: readonly Placing[], step: Step): boolean {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
@@ -278,7 +293,7 @@
 }
 
 /** Counts how often the step fits into what is free now. */
-function canHoldGang (workers: Placing[], needs: PlacementNeeds, count: number): boolean {
+function canHoldGang (workers: Placing[], needs: Pick<PlacementNeeds, 'step' | 'countPeers'>, count: number): boolean {
   const { step } = needs
   const places = workers.filter((worker) => canHold(worker, needs)).reduce((sum, worker) => {
     const byCores = step.cores > 0 ? Math.floor((step.fills ? worker.spareCores : worker.freeCores) / step.cores) : count
--- a/src/coordination/workflows/index.ts
+++ b/src/coordination/workflows/index.ts
@@ -5,6 +5,7 @@
   type HoldOrder, type HoldReply, type OrderRefusal, type OrderReply, type PaceOrder, type RunOrder, type RunRow, type StartOrder,
   type WorkerClient, type WorkerFailure
 } from './orders.js'
+export { type AdviceClient, type AdviceFailure, type Ticket } from './advice.js'
 export { createCatalogStore, type CatalogFailure, type CatalogProblem, type CatalogStore } from './catalog.js'
 export { createWorkerDirectory, type ReportOutcome, type WorkerDirectory } from './directory.js'
 export { isWaveDone, type HostClient, type HostOrderFailure } from './upkeep.js'
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -6,6 +6,7 @@
   service: string
   availabilityZone: string
   labels: readonly string[]
+  rack: string | undefined
   cores: number
   memoryMb: number
   accelerators: number
@@ -53,7 +54,7 @@
   return step.tailTargetMs !== undefined
 }
 
-export function canHold (candidate: Candidate, { step, countPeers }: PlacementNeeds): boolean {
+export function canHold (candidate: Candidate, { step, countPeers }: Pick<PlacementNeeds, 'step' | 'countPeers'>): boolean {
   const hasCores = step.fills ? candidate.spareCores >= step.cores : candidate.freeCores >= step.cores
   return hasCores &&
     candidate.freeMemoryMb >= step.memoryMb &&
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -1,4 +1,4 @@
-import { countOccurrences, getLocalName, isStepDone, isStepReady, type Queue, type Step, type WorkflowRecord } from '../../state/index.js'
+import { countOccurrences, getLocalName, isStepDone, isStepReady, type AdvicePolicy, type Queue, type Step, type WorkflowRecord } from '../../state/index.js'
 
 /** A later start than this after the due time is late for the requester anyway; nothing is started before it. */
 const EARLY_MS = 0
@@ -13,6 +13,7 @@
   priority: number
   /** Wall-clock ms by which the workflow should have ended. */
   dueAt: number
+  advice: AdvicePolicy | undefined
 }
 
 /** Estimated length of the longest chain of steps, ms. */
@@ -43,7 +44,8 @@
       step,
       indexes: listWaitingIndexes(record, occurrence, stepNumber, step),
       priority: queue?.priority ?? 0,
-      dueAt: getOccurrenceStart(record, occurrence) + objectiveMs
+      dueAt: getOccurrenceStart(record, occurrence) + objectiveMs,
+      advice: queue?.advice
     })))
     .filter(({ indexes }) => indexes.length > 0)
 }
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
-import { findTask, parseTaskName, type AgreedLog, type Assignment, type Entry, type RunEnd, type WorkflowsState } from '../../state/index.js'
+import { findTask, getStepName, parseTaskName, type AgreedLog, type Assignment, type Entry, type RunEnd, type WorkflowsState } from '../../state/index.js'
+import { createAdvisor, type AdviceClient } from './advice.js'
 import { createDispatcher, findStep, type Dispatcher } from './dispatcher.js'
 import type { HoldReply, WorkerClient } from './orders.js'
 import { createRun, createSession, runSession, startRun, stopRun, type Run, type Session, type SessionContext } from './session.js'
@@ -16,6 +17,7 @@
   log: AgreedLog
   client: WorkerClient
   hosts: HostClient
+  advice: AdviceClient
   /** What this and earlier terms have learned of images that share workers. */
   sharing: Sharing
   /** The term of the log; workers refuse orders of earlier ones. */
@@ -74,7 +76,10 @@
         health.recordEnd(session.worker, cause)
       })
     },
-    onRefused: (session, run, reason) => health.recordRefusal(session.worker, reason),
+    onRefused: (session, run, reason) => {
+      health.recordRefusal(session.worker, reason)
+      if (reason === 'no-ticket') advisor.dropTicket(getStepName(run.task), session.worker)
+    },
     onReachable: () => dispatcher.schedule()
   }
 
@@ -113,7 +118,7 @@
     })
     Object.keys(assigned).filter((task) => !session.runs.has(task)).forEach((task) => {
       const run = createRun(task, findTask(getState(), task)?.attempt ?? 1, clock.now(), isNew)
-      run.ticket = dispatcher.findTicket(task, session.worker)
+      run.ticket = advisor.findTicket(getStepName(task), session.worker)
       session.runs.set(task, run)
       if (session.reachable) startRun(context, session, run)
     })
@@ -194,6 +199,7 @@
     stopping.abort()
     unsubscribe()
     dispatcher.stop()
+    advisor.stop()
     sessions.forEach((session) => {
       session.ended = true
       session.wake.notify()
@@ -201,6 +207,7 @@
     logger.info('term.stop', { fence })
   }
 
+  const advisor = createAdvisor({ clock, logger, client: options.advice })
   const upkeep = startUpkeep({
     clock,
     logger,
@@ -220,6 +227,7 @@
     sessions,
     health,
     sharing: options.sharing,
+    advisor,
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger } from '../../common/index.js'
-import type { EndCause, Step } from '../../state/index.js'
+import { getStepName, type EndCause, type Step } from '../../state/index.js'
 import type { HoldReply } from './orders.js'
 import type { Session } from './session.js'
 import { NO_ROOM_PAUSE_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
@@ -100,7 +100,7 @@
         const step = findStep(task)
         // A run that resumes from a checkpoint shows the progress of its earlier attempts as well.
         if (step === undefined || step.lasting || percent <= 0 || elapsedMs < YOUNG_RUN_MS || attempt > 1) return
-        const key = getStepKey(task)
+        const key = getStepName(task)
         const rate = percent / elapsedMs
         const usual = stepRates.get(key)
         stepRates.set(key, usual === undefined ? rate : usual + (rate - usual) * SPEED_WEIGHT)
@@ -113,7 +113,7 @@
       if (getHealth(session.worker).slowness < MOVE_SLOWNESS) return []
       return [...session.runs.values()].filter((run) => {
         const step = findStep(run.task)
-        const usual = stepRates.get(getStepKey(run.task))
+        const usual = stepRates.get(getStepName(run.task))
         const elapsedMs = run.confirmedAt === undefined ? 0 : clock.now() - run.confirmedAt
         const percent = run.row?.percent ?? 0
         if (step === undefined || step.lasting || usual === undefined || run.stopReason !== undefined || elapsedMs < YOUNG_RUN_MS) return false
@@ -134,7 +134,3 @@
     reset: (worker) => { known.delete(worker) }
   }
 }
-
-function getStepKey (task: string): string {
-  return task.slice(0, task.lastIndexOf('.'))
-}
--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Clock, type Result } from '../common/index.js'
-import type { HoldOrder, HoldReply, HostClient, OrderRefusal, OrderReply, RunRow, WorkerClient, WorkerFailure } from '../coordination/workflows/index.js'
+import type { AdviceClient, HoldOrder, HoldReply, HostClient, OrderRefusal, OrderReply, RunRow, WorkerClient, WorkerFailure } from '../coordination/workflows/index.js'
 import type { RunEnd, WorkerLife } from '../state/index.js'
 
 /** A hold that waits looks for ends this often. */
@@ -31,6 +31,9 @@
   /** Takes the workers of a host down; `onUpkeep` decides when and as what they return. */
   readonly hosts: HostClient
   onUpkeep: (host: string, wave: number) => void
+  readonly advice: AdviceClient
+  /** The workers that may run a step; each start there needs the ticket. */
+  approved: (step: string, worker: string) => boolean
   readonly events: RunEvent[]
   readonly workers: Map<string, FakeRunWorker>
   addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
@@ -42,6 +45,7 @@
   bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 128_000, accelerators: 0, labels: [], draining: false
 }
 const LATE_MS = 3000
+const ADVICE_MS = 50
 
 export function createFakeRunFleet (clock: Clock): FakeRunFleet {
   const events: RunEvent[] = []
@@ -51,6 +55,13 @@
     events,
     workers,
     onUpkeep: () => {},
+    approved: () => true,
+    advice: {
+      ask: async (step, named) => {
+        await clock.sleep(ADVICE_MS)
+        return Ok(named.filter((worker) => fleet.approved(step, worker)).map((worker) => ({ worker, ticket: `${step}@${worker}` })))
+      }
+    },
     hosts: {
       startUpkeep: async ({ host, wave }) => {
         workers.forEach((worker) => { if (worker.life.host === host) worker.crash() })
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -5,7 +5,7 @@
   type UpkeepWave, type WorkerLife, type WorkerPool, type Workflow
 } from './schemas.js'
 export {
-  countOccurrences, createWorkflowsState, findTask, formatTaskName, getLocalName, isStepDone, isStepReady, parseTaskName, workflowHandlers,
+  countOccurrences, createWorkflowsState, findTask, formatTaskName, getLocalName, getStepName, isStepDone, isStepReady, parseTaskName, workflowHandlers,
   type TaskName, type TaskRecord, type WaveRecord, type WorkerRecord, type WorkflowOutcome, type WorkflowRecord,
   type WorkflowRejection, type WorkflowsState
 } from './state.js'
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -113,6 +113,7 @@
   memoryMb: z.number().nonnegative(),
   accelerators: z.number().nonnegative(),
   labels: z.array(z.string()),
+  rack: z.string().optional(),
   draining: z.boolean(),
   /** Wall-clock ms until which a draining worker stays at least. */
   leavesAt: z.number().optional()
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -80,6 +80,11 @@
     : undefined
 }
 
+/** The name of a task's step: workflow, occurrence and step number. */
+export function getStepName (task: string): string {
+  return task.slice(0, task.lastIndexOf('.'))
+}
+
 export function findTask (state: WorkflowsState, task: string): TaskRecord | undefined {
   const name = parseTaskName(task)
   return name === undefined ? undefined : state.workflows[name.workflow]?.tasks[getLocalName(name)]
--- a/test/workflows/placing.test.ts
+++ b/test/workflows/placing.test.ts
@@ -4,7 +4,7 @@
 
 function createCandidate (id: string, more: Partial<Candidate> = {}): Candidate {
   return {
-    id, service: 'desk', availabilityZone: 'a', labels: [], cores: 32, memoryMb: 100_000, accelerators: 0, freeCores: 32, spareCores: 32, freeMemoryMb: 100_000, freeAccelerators: 0, serving: [], filling: [], slowness: 1, ...more
+    id, service: 'desk', availabilityZone: 'a', labels: [], rack: undefined, cores: 32, memoryMb: 100_000, accelerators: 0, freeCores: 32, spareCores: 32, freeMemoryMb: 100_000, freeAccelerators: 0, serving: [], filling: [], slowness: 1, ...more
   }
 }
 
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -140,3 +140,22 @@
   await scene.run(5000)
   expect(getOutcome(scene, 'a1')).toBe('completed')
 })
+
+test('the members of a gang start together with one attempt, and not at all without room for all', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  await scene.submit('small', [{ count: 3, gang: true, cores: 10 }])
+  await scene.submit('large', [{ count: 9, gang: true, cores: 10 }])
+  await scene.run(4000)
+  const starts = scene.listEvents('started')
+  expect([getOutcome(scene, 'small'), getOutcome(scene, 'large')]).toEqual(['completed', undefined])
+  expect(starts.map(({ task, attempt }) => `${task}#${attempt}`).sort()).toEqual(['small.0.0.0#1', 'small.0.0.1#1', 'small.0.0.2#1'])
+})
+
+test('occurrences start when they are due and not before', async () => {
+  const scene = await createScene(['w1'])
+  const firstAt = scene.clock.wall() + 1000
+  await scene.submit('a1', [{ count: 1 }], { recurrence: { firstAt, intervalMs: 1500, count: 3 } })
+  await scene.run(8000)
+  const late = scene.listEvents('started').map(({ at, task }) => [task, at - firstAt - Number(task.split('.')[1]) * 1500])
+  expect([getOutcome(scene, 'a1'), late.length, late.every(([, ms]) => Number(ms) >= 0 && Number(ms) < 200)]).toEqual(['completed', 3, true])
+})
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -38,7 +38,7 @@
   const fleet = createFakeRunFleet(clock)
   const handlers = new Map<string, RequestHandler>()
   const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
-  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), network, log, client: fleet.client, hosts: fleet.hosts })
+  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), network, log, client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
   const record = async (entry: Entry): Promise<void> => {
     log.propose(entry, Infinity)
     await clock.advance(COMMIT_MS)
