--- /dev/null
+++ b/src/coordination/workflows/moves.ts
@@ -0,0 +1,75 @@
+import type { Clock, Logger } from '../../common/index.js'
+import type { Step, WorkflowsState } from '../../state/index.js'
+import { findStep } from './candidates.js'
+import { listEvacuated, UNKNOWN_STAY_MS } from './evacuation.js'
+import type { Run, Session } from './sessionState.js'
+import type { FillingRun, ServingRun, Sharing } from './sharing.js'
+import type { WorkerHealth } from './workerHealth.js'
+
+export interface MoveOptions {
+  clock: Clock
+  logger: Logger
+  sessions: ReadonlyMap<string, Session>
+  health: WorkerHealth
+  sharing: Sharing
+  getState (): WorkflowsState
+  stopRun (session: Session, run: Run, reason: string): void
+}
+
+/** Learns from the tails on a worker and acts on those over their targets. */
+export function observeSharing (options: MoveOptions, session: Session): void {
+  const { clock, getState, stopRun, logger, sharing } = options
+  const cores = getState().workers[session.worker]?.life.cores ?? 1
+  const serving: ServingRun[] = []
+  const filling: FillingRun[] = []
+  session.runs.forEach((run) => {
+    const step = findStep(getState(), run.task)
+    if (run.row === undefined || run.stopReason !== undefined || step === undefined) return
+    // A task that still starts has no tail of its own.
+    const tailMs = run.row.percent === 100 ? run.row.reading : undefined
+    if (step.tailTargetMs !== undefined) serving.push({ task: run.task, image: step.image ?? '', tailMs, targetMs: step.tailTargetMs })
+    if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores })
+  })
+  if (serving.length === 0) return
+  const now = clock.now()
+  sharing.observe(serving, filling, now)
+  sharing.listPressing(session.worker, serving, filling).forEach((task) => {
+    const run = session.runs.get(task)
+    if (run === undefined) return
+    const worst = serving.reduce((a, b) => (b.tailMs ?? 0) / b.targetMs > (a.tailMs ?? 0) / a.targetMs ? b : a)
+    logger.info('run.pressing', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
+    stopRun(session, run, 'interference')
+  })
+}
+
+/** Moves work off workers that have announced that they leave. */
+export function drainWorkers (options: MoveOptions): void {
+  const { clock, getState, sessions, stopRun } = options
+  const now = clock.now()
+  sessions.forEach((session) => {
+    const life = getState().workers[session.worker]?.life
+    if (life?.draining !== true || !session.reachable) return
+    const runs = [...session.runs.values()].filter(({ stopReason }) => stopReason === undefined).flatMap((run) => {
+      const step = findStep(getState(), run.task)
+      return step === undefined ? [] : [{ task: run.task, step, elapsedMs: run.confirmedAt === undefined ? undefined : now - run.confirmedAt, percent: run.row?.percent ?? 0 }]
+    })
+    listEvacuated(runs, life.leavesAt === undefined ? UNKNOWN_STAY_MS : life.leavesAt - clock.wall()).forEach((task) => {
+      const run = session.runs.get(task)
+      if (run !== undefined) stopRun(session, run, 'draining')
+    })
+  })
+}
+
+/** Ends runs that stand still or crawl, so that they go on elsewhere. */
+export function stopStalled ({ sessions, health, getState, stopRun }: MoveOptions): void {
+  const find = (task: string): Step | undefined => findStep(getState(), task)
+  sessions.forEach((session) => {
+    if (!session.reachable || session.runs.size === 0) return
+    const stopAll = (tasks: string[], reason: string): void => tasks.forEach((task) => {
+      const run = session.runs.get(task)
+      if (run !== undefined) stopRun(session, run, reason)
+    })
+    stopAll(health.listStandstill(session, find), 'standstill')
+    stopAll(health.listSlow(session, find), 'slow-worker')
+  })
+}
--- /dev/null
+++ b/src/coordination/workflows/runOrders.ts
@@ -0,0 +1,103 @@
+import { findTask, parseTaskName, type EndCause } from '../../state/index.js'
+import type { WorkerFailure } from './orders.js'
+import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
+import { MAX_START_TRIES, ORDER_TIMEOUT_MS, RESEND_STOP_MS } from './timing.js'
+
+/** Orders a run until the worker confirms or refuses it. */
+export async function startRun (context: SessionContext, session: Session, run: Run): Promise<void> {
+  if (run.starting || run.stopReason !== undefined) return
+  run.starting = true
+  let tries = 0
+  let isOpen = true
+  while (isOpen && tries < MAX_START_TRIES) {
+    tries += 1
+    isOpen = await sendStart(context, session, run, tries)
+  }
+  run.starting = false
+  session.wake.notify()
+}
+
+/** Sends one start. Returns whether it is worth sending again. */
+async function sendStart (context: SessionContext, session: Session, run: Run, tries: number): Promise<boolean> {
+  const { clock, logger, client } = context
+  const record = getRecord(context, session)
+  const workflow = findWorkflow(context, run.task)
+  const isWanted = context.isActive() && session.runs.get(run.task) === run && run.stopReason === undefined
+  if (record === undefined || workflow === undefined || !isWanted) return false
+  const leaseUntil = renewLease(context, session)
+  if (leaseUntil === undefined) return false
+  const sentAt = clock.now()
+  const reply = await client.start(record.life, {
+    task: run.task,
+    attempt: run.attempt,
+    command: workflow.command,
+    checkpoint: findTask(context.getState(), run.task)?.checkpoint ?? '',
+    fence: context.fence,
+    leaseUntil,
+    ticket: run.ticket
+  }, sentAt + ORDER_TIMEOUT_MS)
+  if (context.isStopped()) return false
+  if (reply.ok) {
+    session.reading = { workerTime: reply.val.clock, receivedAt: clock.now() }
+    run.confirmedAt = clock.now()
+    run.progressAt = clock.now()
+    context.metrics.timing('run.start', clock.now() - sentAt)
+    return false
+  }
+  logger.info('run.start-failed', { task: run.task, attempt: run.attempt, worker: session.worker, reason: describeWorkerFailure(reply.val), tries })
+  return handleStartFailure(context, session, run, reply.val)
+}
+
+/** True when the order is worth sending again. */
+function handleStartFailure (context: SessionContext, session: Session, run: Run, failure: WorkerFailure): boolean {
+  if (failure.kind === 'no-answer') {
+    run.unanswered = true
+    return session.reachable
+  }
+  if (failure.kind === 'other-life') return false
+  const { reason, clock } = failure
+  if (clock !== undefined) session.reading = { workerTime: clock, receivedAt: context.clock.now() }
+  if (reason === 'fenced') context.onFenced(session.worker)
+  if (reason === 'fenced') return false
+  if (reason === 'late') return true
+  context.onRefused(session, run, reason)
+  run.stopReason = reason
+  // A copy of an order without an answer may have been executed and may even have ended: the next look tells.
+  if (reason === 'superseded') run.stopAcknowledgedAt = context.clock.now()
+  else if (run.unanswered) stopRun(context, session, run, reason)
+  else releaseRun(context, session, run, 'not-started')
+  return false
+}
+
+/** Tells the worker to end a run; its end, or its absence after the answer, releases the task. */
+export async function stopRun (context: SessionContext, session: Session, run: Run, reason: string): Promise<void> {
+  const { clock, logger } = context
+  if (run.stopReason === undefined) logger.info('run.stop', { task: run.task, attempt: run.attempt, worker: session.worker, reason, percent: run.row?.percent })
+  run.stopReason = reason
+  const now = clock.now()
+  const record = getRecord(context, session)
+  if (run.stopping || record === undefined || now - run.stopSentAt < RESEND_STOP_MS || !session.reachable) return
+  run.stopping = true
+  run.stopSentAt = now
+  const reply = await context.client.stop(record.life, { task: run.task, attempt: run.attempt, fence: context.fence }, now + ORDER_TIMEOUT_MS)
+  run.stopping = false
+  if (reply.ok) run.stopAcknowledgedAt ??= clock.now()
+  else logger.warn('run.stop-failed', { task: run.task, worker: session.worker, reason: describeWorkerFailure(reply.val) })
+  session.wake.notify()
+}
+
+/** Records that an assigned run is not there, so that its task waits again. */
+export async function releaseRun (context: SessionContext, session: Session, run: Run, cause: EndCause): Promise<void> {
+  if (session.runs.get(run.task) !== run) return
+  await context.recordEnds(session.worker, session.bornAt, [[0, run.task, run.attempt, cause, '']])
+}
+
+function findWorkflow (context: SessionContext, task: string): { command: string } | undefined {
+  const name = parseTaskName(task)
+  const record = name === undefined ? undefined : context.getState().workflows[name.workflow]
+  return record?.outcome === undefined ? record?.workflow : undefined
+}
+
+export function describeWorkerFailure (failure: WorkerFailure): string {
+  return failure.kind === 'refused' ? failure.reason : failure.kind
+}
--- a/src/coordination/workflows/upkeep.ts
+++ b/src/coordination/workflows/upkeep.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger, Result } from '../../common/index.js'
 import type { AgreedLog, Step, WaveRecord, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import { findTask } from '../../state/index.js'
-import type { Run, Session } from './session.js'
+import type { Run, Session } from './sessionState.js'
 
 /** How often waves are looked at; a part of the time an upkeep takes. */
 const CHECK_MS = 250
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger } from '../../common/index.js'
 import { getStepName, type EndCause, type Step } from '../../state/index.js'
 import type { HoldReply } from './orders.js'
-import type { Session } from './session.js'
+import type { Session } from './sessionState.js'
 import { NO_ROOM_PAUSE_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
 
 /** After this many failures in a row a worker gets no work for a while; a tenth of the tasks may fail by their own fault. */
