--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -75,7 +75,16 @@
     return { info: write('info'), warn: write('warn'), error: write('error'), child: (more) => createChild(common + formatFields(more)) }
   }
 
-  return { ...createChild(formatFields(fields)), close: () => { destination.flushSync() } }
+  return { ...createChild(formatFields(fields)), close: () => closeLines(destination) }
+}
+
+/** The last lines of a process are worth a try; before the first line there is nothing to flush. */
+function closeLines (destination: { flushSync (): void }): void {
+  try {
+    destination.flushSync()
+  } catch (error) {
+    console.error(`log lines were lost: ${error instanceof Error ? error.message : 'unknown error'}`)
+  }
 }
 
 function formatFields (fields: LogFields): string {
--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -28,12 +28,15 @@
   send (request: Exclude<WorkflowRequest, { kind: 'ping' }>, deadline: number): Promise<WorkflowReply>
   /** True while the leader answers and has a catalog. */
   isReady (): boolean
+  /** Hosts to ask for the leader from now on, beside those that it has named. */
+  updateSeeds (seeds: string[]): void
   stop (): Promise<void>
 }
 
 /** The side of an entry host without workflows of its own: it knows who leads and nothing else. */
-export function createWorkflowGateway ({ clock, logger, network, seeds }: WorkflowGatewayOptions): WorkflowGateway {
+export function createWorkflowGateway ({ clock, logger, network, ...options }: WorkflowGatewayOptions): WorkflowGateway {
   const stopping = new AbortController()
+  let { seeds } = options
   let hosts = [...seeds]
   let leader: string | undefined
   let answeredAt = -Infinity
@@ -131,6 +134,10 @@
   return {
     send,
     isReady,
+    updateSeeds: (updated) => {
+      seeds = updated
+      hosts = [...new Set([...hosts, ...updated])]
+    },
     stop: async () => {
       stopping.abort()
       await loop
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -72,6 +72,7 @@
 /** Tells the worker to end a run; its end, or its absence after the answer, releases the task. */
 export async function stopRun (context: SessionContext, session: Session, run: Run, reason: string): Promise<void> {
   const { clock, logger } = context
+  if (run.stopReason === undefined) context.metrics.count('run.stopped', 1, { reason })
   if (run.stopReason === undefined) logger.info('run.stop', { task: run.task, attempt: run.attempt, worker: session.worker, reason, percent: run.row?.percent })
   run.stopReason = reason
   const now = clock.now()
--- a/src/coordination/workflows/service.ts
+++ b/src/coordination/workflows/service.ts
@@ -69,6 +69,7 @@
   const isKnown = getState(log).workflows[workflow.id] !== undefined
   const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall() })
   if (verdict.kind === 'refused') {
+    options.metrics.count('workflow.refused', 1, { queue: queue.name })
     logger.info('workflow.refused', { workflow: workflow.id, queue: queue.name, reason: verdict.reason, backlogMs: Math.round(verdict.backlogMs), retryAfterMs: verdict.retryAfterMs })
     return { kind: 'overloaded', retryAfterMs: verdict.retryAfterMs }
   }
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -75,6 +75,7 @@
     onReply: (session, reply) => observeReply(session, reply),
     onEnds: (session, ends) => {
       ends.forEach(([number, task, attempt, cause]) => {
+        options.metrics.count('run.ended', 1, { cause })
         logger.info('run.end', { task, attempt, worker: session.worker, number, cause })
         health.recordEnd(session.worker, cause)
       })
