--- a/test/platform/wholePath.test.ts
+++ b/test/platform/wholePath.test.ts
@@ -95,3 +95,22 @@
   await waitFor('acceptance', async () => await post(`${CLIENTS}/quotes/00000000000000c1`, { spec: 'x', phases: [{ count: 1, cpu: 500 }] }, HOST) === 200)
   await waitFor('the end', async () => await getState('00000000000000c1') === '{"state":"completed"}')
 })
+
+test('a planned stop of an entry host cuts off no request', async () => {
+  const statuses: number[] = []
+  const stopping = programs.get(ENTRY)!.stop()
+  programs.delete(ENTRY)
+  // As the platform does: requests come until the second miss of readiness, asked for each second.
+  const ready = async (): Promise<boolean> => (await get(`http://${ENTRY}:${READY_PORT}/readyz`)).status === 200
+  const misses: boolean[] = []
+  const watching = (async () => {
+    while (misses.length < 2) {
+      await new Promise((resolve) => setTimeout(resolve, 1000))
+      if (!await ready()) misses.push(true)
+    }
+  })()
+  while (misses.length < 2) statuses.push((await get(`${CLIENTS}/quotes/00000000000000a1`, HOST)).status)
+  await Promise.all([watching, stopping])
+  expect([statuses.length > 10, [...new Set(statuses)]]).toEqual([true, [200]])
+  await expect(get(`${CLIENTS}/quotes/`, HOST)).rejects.toThrow()
+})
--- /dev/null
+++ b/test/workflows/gateway.test.ts
@@ -0,0 +1,73 @@
+import { expect, test } from 'vitest'
+import { createManualClock, createSilentLogger, Err, Ok, type ManualClock, type NetworkFailure, type Result } from '../../src/common/index.js'
+import { createWorkflowGateway, type WorkflowGateway, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
+
+type Host = (request: WorkflowRequest) => WorkflowReply | NetworkFailure['kind']
+
+interface Scene { clock: ManualClock, gateway: WorkflowGateway, sent: string[], send (kind: 'submit' | 'read', waitMs: number): Promise<{ reply: WorkflowReply, ms: number }> }
+
+const PONG: WorkflowReply = { kind: 'pong', hasCatalog: true, voters: ['a', 'b', 'c'] }
+const LEADS: Host = (request) => request.kind === 'ping' ? PONG : { kind: 'accepted' }
+const DOWN: Host = () => 'unreachable'
+
+function follow (leader: string | undefined): Host {
+  return () => ({ kind: 'not-leader', leader, voters: ['a', 'b', 'c'] })
+}
+
+async function createScene (hosts: Record<string, Host>, seeds: string[]): Promise<Scene> {
+  const clock = createManualClock(10_000)
+  const sent: string[] = []
+  const network = {
+    self: 'entry',
+    handle: () => {},
+    request: async (to: string, _kind: string, body: unknown, deadline: number): Promise<Result<unknown, NetworkFailure>> => {
+      const request = body as WorkflowRequest
+      if (request.kind !== 'ping') sent.push(to)
+      await clock.sleep(2)
+      const answer = hosts[to]?.(request) ?? 'unreachable'
+      if (typeof answer !== 'string') return Ok(answer)
+      if (answer !== 'unreachable') await clock.sleep(deadline - clock.now())
+      return Err({ kind: answer, to, message: answer })
+    }
+  }
+  const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network, seeds })
+  for (let passed = 0; passed < 1000; passed += 10) await clock.advance(10)
+  return {
+    clock,
+    gateway,
+    sent,
+    send: async (kind, waitMs) => {
+      const replies: WorkflowReply[] = []
+      const startedAt = clock.now()
+      gateway.send({ kind, address: { hostName: 'h', path: '/q/1' }, workflow: null, remainingMs: 0 }, startedAt + waitMs).then((reply) => replies.push(reply))
+      while (replies.length === 0) await clock.advance(5)
+      return { reply: replies[0] as WorkflowReply, ms: clock.now() - startedAt }
+    }
+  }
+}
+
+test('a request reaches the leader that a seed names', async () => {
+  const scene = await createScene({ a: follow('c'), c: LEADS }, ['a'])
+  expect([scene.gateway.isReady(), (await scene.send('submit', 3000)).reply, scene.sent]).toEqual([true, { kind: 'accepted' }, ['c']])
+})
+
+test('without a leader a request is refused long before its client gives up, and has not run', async () => {
+  const scene = await createScene({ a: DOWN, b: follow(undefined) }, ['a', 'b'])
+  const { reply, ms } = await scene.send('submit', 3000)
+  expect([scene.gateway.isReady(), reply.kind, ms < 1500]).toEqual([false, 'not-run', true])
+})
+
+test('a change that a silent leader may have recorded is not said to have failed', async () => {
+  const hosts: Record<string, Host> = { a: LEADS }
+  const scene = await createScene(hosts, ['a'])
+  hosts.a = () => 'deadline-exceeded'
+  expect((await scene.send('submit', 2500)).reply.kind).toBe('unknown')
+})
+
+test('a request that arrives while the leader changes is served by the next one', async () => {
+  const hosts: Record<string, Host> = { a: LEADS, b: follow('a') }
+  const scene = await createScene(hosts, ['a', 'b'])
+  hosts.a = DOWN
+  scene.clock.sleep(400).then(() => { hosts.b = LEADS })
+  expect([(await scene.send('submit', 3000)).reply, scene.sent.at(-1)]).toEqual([{ kind: 'accepted' }, 'b'])
+})
