--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -57,6 +57,9 @@
     if (leader !== from) logger.info('leader.found', { leader: from })
     leader = from
     answeredAt = clock.now()
+    if (reply.kind !== 'pong') return
+    hasCatalog = reply.hasCatalog
+    recordVoters(reply.voters)
   }
 
   /** Asks one host; an answer of another kind than `not-leader` comes from the leader. */
@@ -79,11 +82,7 @@
   const runPings = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       const deadline = clock.now() + PING_TIMEOUT_MS
-      const reply = leader === undefined ? undefined : await ask(leader, { kind: 'ping' }, deadline)
-      if (typeof reply === 'object' && reply.kind === 'pong') {
-        hasCatalog = reply.hasCatalog
-        recordVoters(reply.voters)
-      }
+      if (leader !== undefined) await ask(leader, { kind: 'ping' }, deadline)
       if (leader === undefined) await findLeader(clock.now() + PING_TIMEOUT_MS)
       if (isReady() !== wasReady) {
         wasReady = isReady()
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -71,7 +71,7 @@
   if (session.reachable) {
     session.reachable = false
     session.silentSince = clock.now()
-    logger.warn('worker.silent', { worker: session.worker, reason: failure.kind, runs: session.runs.size })
+    logger.warn('worker.silent', { worker: session.worker, zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, runs: session.runs.size })
   }
   session.retryMs = Math.min(MAX_RETRY_MS, session.retryMs * 2)
   const isGone = failure.kind === 'other-life'
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -14,7 +14,7 @@
   return () => ({ kind: 'not-leader', leader, voters: ['a', 'b', 'c'] })
 }
 
-async function createScene (hosts: Record<string, Host>, seeds: string[]): Promise<Scene> {
+async function createScene (hosts: Record<string, Host>, seeds: string[], settleMs = 1000): Promise<Scene> {
   const clock = createManualClock(10_000)
   const sent: string[] = []
   const network = {
@@ -31,7 +31,7 @@
     }
   }
   const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network, seeds })
-  for (let passed = 0; passed < 1000; passed += 10) await clock.advance(10)
+  for (let passed = 0; passed < settleMs; passed += 10) await clock.advance(10)
   return {
     clock,
     gateway,
@@ -71,3 +71,8 @@
   scene.clock.sleep(400).then(() => { hosts.b = LEADS })
   expect([(await scene.send('submit', 3000)).reply, scene.sent.at(-1)]).toEqual([{ kind: 'accepted' }, 'b'])
 })
+
+test('a host is ready as soon as the leader has answered once', async () => {
+  const scene = await createScene({ a: LEADS }, ['a'], 50)
+  expect(scene.gateway.isReady()).toBe(true)
+})
