--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -12,6 +12,10 @@
 const PASS_GAP_MS = 8
 /** A workflow of which nothing runs for this long gets a task placed even beside a service that bears it badly. */
 const STARVED_MS = 1000
+/** The same while most cores of the pool are taken: a risky start soon has to leave again and helps nobody. */
+const CROWDED_STARVED_MS = 5000
+/** A pool with less than this part of its cores free is crowded. */
+const CROWDED_SHARE = 0.35
 /** How often the load is logged. */
 const LOAD_LOG_MS = 1000
 /** Assignments of one pass; an entry of the log stays small. */
@@ -73,7 +77,7 @@
     const groups = waiting.listGroups(wallTime)
     logLoad(groups, candidates)
     const assignments: Assignment[] = []
-    const starved = updateStarved(idleSince, groups, clock.now())
+    const starved = updateStarved(idleSince, groups, candidates, clock.now())
     groups.forEach((group) => {
       if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, starved.has(group)))
     })
@@ -136,14 +140,21 @@
 }
 
 /** Groups of which nothing has run for long; lasting tasks count each by itself. */
-function updateStarved (idleSince: Map<string, number>, groups: WaitingGroup[], now: number): Set<WaitingGroup> {
+function updateStarved (idleSince: Map<string, number>, groups: WaitingGroup[], candidates: Map<string, Placing[]>, now: number): Set<WaitingGroup> {
+  const crowded = new Set([...candidates].filter(([, workers]) => isCrowded(workers)).map(([service]) => service))
   const idle = groups.filter(({ step, indexes, record, occurrence, stepNumber }) =>
     step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0))
   const keys = new Map(idle.map((group) => [getPeerKey(group.record.workflow.id, group.occurrence, group.stepNumber), group]))
   idleSince.forEach((_since, key) => { if (!keys.has(key)) idleSince.delete(key) })
-  return new Set([...keys].filter(([key]) => {
+  return new Set([...keys].filter(([key, { record, step }]) => {
     const since = idleSince.get(key) ?? now
     idleSince.set(key, since)
-    return now - since >= STARVED_MS
+    return now - since >= (crowded.has(record.service) && !step.lasting ? CROWDED_STARVED_MS : STARVED_MS)
   }).map(([, group]) => group))
 }
+
+function isCrowded (workers: readonly Placing[]): boolean {
+  const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
+  const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
+  return free < CROWDED_SHARE * cores
+}
