--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -6,8 +6,8 @@
 import type { Sharing } from './sharing.js'
 
 /**
- * Part of a pool's cores that lasting work leaves free for short urgent work, unless one worker has twice the room
- * that a waiting task needs; the short work of the reference loads takes 2 to 6% of the cores.
+ * Part of a pool's cores that lasting work leaves free for short urgent work, unless a task has waited and there is
+ * room for it twice; the short work of the reference loads takes 2 to 6% of the cores.
  */
 const SHORT_WORK_SHARE = 0.05
 
@@ -30,7 +30,7 @@
   indexes.every((index) => {
     const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
-    if (step.lasting && !hasReserve(workers, step) && !(isStarved && worker.freeCores >= 2 * step.cores)) return false
+    if (step.lasting && !hasReserve(workers, step) && !(isStarved && canHoldGang(workers, needs, 2))) return false
     // One task is enough for a workflow to go on; each lasting task has users of its own.
     needs.acceptsRisk = isStarved && step.lasting
     addRun(worker, step, peerKey)
@@ -66,7 +66,7 @@
   return record.tasks[getLocalName({ occurrence, step: stepNumber, index })]?.attempt ?? 0
 }
 
-/** Counts how often the step fits into what is free now. */
+/** True when the step fits into what is free now at least `count` times. */
 function canHoldGang (workers: Placing[], needs: Pick<PlacementNeeds, 'step' | 'countPeers'>, count: number): boolean {
   const { step } = needs
   const places = workers.filter((worker) => canHold(worker, needs)).reduce((sum, worker) => {
--- a/src/coordination/workflows/index.ts
+++ b/src/coordination/workflows/index.ts
@@ -2,7 +2,7 @@
 export { createWorkflowGateway, type WorkflowGateway, type WorkflowGatewayOptions } from './gateway.js'
 export { type QueueAddress, type WorkflowReply, type WorkflowRequest, type WorkflowStatus } from './messages.js'
 export {
-  type HoldOrder, type HoldReply, type OrderRefusal, type OrderReply, type PaceOrder, type RunOrder, type RunRow, type StartOrder,
+  type HoldOrder, type HoldReply, type OrderRefusal, type OrderReply, type RunOrder, type RunRow, type StartOrder,
   type WorkerClient, type WorkerFailure
 } from './orders.js'
 export { type AdviceClient, type AdviceFailure, type Ticket } from './advice.js'
--- a/src/coordination/workflows/orders.ts
+++ b/src/coordination/workflows/orders.ts
@@ -14,7 +14,6 @@
 }
 
 export interface RunOrder { task: string, attempt: number, fence: number }
-export interface PaceOrder extends RunOrder { percent: number }
 
 export interface HoldOrder {
   fence: number
@@ -55,8 +54,5 @@
 export interface WorkerClient {
   start (worker: WorkerLife, order: StartOrder, deadline: number): Promise<Result<OrderReply, WorkerFailure>>
   stop (worker: WorkerLife, order: RunOrder, deadline: number): Promise<Result<OrderReply, WorkerFailure>>
-  pace (worker: WorkerLife, order: PaceOrder, deadline: number): Promise<Result<OrderReply, WorkerFailure>>
   hold (worker: WorkerLife, order: HoldOrder, deadline: number): Promise<Result<HoldReply, WorkerFailure>>
-  /** Closes the connections to a worker that has gone. */
-  forget (worker: WorkerLife): void
 }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -2,7 +2,7 @@
 import type { HoldReply, RunRow, WorkerFailure } from './orders.js'
 import { describeWorkerFailure, releaseRun, startRun, stopRun } from './runOrders.js'
 import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
-import { AUTHORITY_CHECK_MS, FIRST_RETRY_MS, HOLD_WAIT_MS, IDLE_LOOK_MS, MAX_RETRY_MS, ORDER_TIMEOUT_MS, REPLY_SLACK_MS, RESEND_STOP_MS, SHORT_HOLD_MS } from './timing.js'
+import { AUTHORITY_CHECK_MS, FIRST_RETRY_MS, FORGET_MS, HOLD_WAIT_MS, IDLE_LOOK_MS, MAX_RETRY_MS, ORDER_TIMEOUT_MS, REPLY_SLACK_MS, RESEND_STOP_MS, SHORT_HOLD_MS } from './timing.js'
 
 /** Keeps one worker in view: renews its lease, takes its ends and brings its runs in line with what is assigned. */
 export async function runSession (context: SessionContext, session: Session): Promise<void> {
@@ -76,6 +76,10 @@
   session.retryMs = Math.min(MAX_RETRY_MS, session.retryMs * 2)
   const isGone = failure.kind === 'other-life'
   const record = getRecord(context, session)
+  if (record?.expired === true && clock.now() - session.silentSince > FORGET_MS) {
+    const removed = await context.removeLife(session.worker, session.bornAt)
+    return logger.info('worker.forgotten', { worker: session.worker, outcome: removed ? 'recorded' : 'not-recorded' })
+  }
   if (record === undefined || record.expired || (!isGone && clock.now() < session.leaseEndsAt)) return
   const expired = await context.expireLife(session.worker, session.bornAt)
   if (expired) logger.warn('worker.expired', { worker: session.worker, reason: failure.kind, runs: session.runs.size })
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -59,6 +59,8 @@
   /** Records ends; resolves with true when they are durable. */
   recordEnds (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean>
   expireLife (worker: string, bornAt: number): Promise<boolean>
+  /** Forgets a worker that is gone. */
+  removeLife (worker: string, bornAt: number): Promise<boolean>
   onFenced (worker: string): void
   onReply (session: Session, reply: HoldReply): void
   onEnds (session: Session, ends: RunEnd[]): void
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -68,6 +68,10 @@
       const result = await log.propose({ kind: 'life.expire', worker, bornAt, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
       return result.ok
     },
+    removeLife: async (worker, bornAt) => {
+      const result = await log.propose({ kind: 'life.remove', worker, bornAt, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
+      return result.ok
+    },
     onFenced: (worker) => {
       logger.warn('term.fenced', { worker, fence })
       stop()
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -5,7 +5,7 @@
 export const LEASE_MS = 6000
 /** Added to the end of a lease before tasks are given to others: rounding and delivery of the worker's own timer. */
 export const EXPIRY_MARGIN_MS = 150
-/** A look at a busy worker waits this long for an end; at most 2,000 by the platform's contract. */
+/** A look at a busy worker waits this long for an end; workers allow 2,000 at most. */
 export const HOLD_WAIT_MS = 1500
 /** The same on workers whose readings decide about pacing; readings cover half a second. */
 export const SHORT_HOLD_MS = 500
@@ -20,6 +20,8 @@
 /** Pause before the next look at a worker that did not answer; doubles up to the largest. */
 export const FIRST_RETRY_MS = 100
 export const MAX_RETRY_MS = 1000
+/** A worker whose leases have ended and that is silent for this long is forgotten; it reports again when it returns. */
+export const FORGET_MS = 30_000
 /** A leader that has not heard a majority for this long gives no orders; it steps down after 800 ms. */
 export const AUTHORITY_MS = 800
 /** How often the leader looks at its own authority. */
--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -6,13 +6,13 @@
 const POLL_MS = 10
 
 export interface RunPlan { runMs: number, result: 'succeeded' | 'failed' | 'never' }
-export type OrderKind = 'start' | 'stop' | 'hold' | 'pace'
+export type OrderKind = 'start' | 'stop' | 'hold'
 /** `lost-order`: never arrives. `lost-answer`: executed, without an answer. `late`: executed after `lateMs`, without an answer. */
 export type OrderFault = 'none' | 'lost-order' | 'lost-answer' | 'late'
 
 export interface RunEvent { at: number, kind: 'started' | 'ended' | 'acknowledged', worker: string, task: string, attempt: number, cause?: string }
 
-interface RunningTask { attempt: number, startedAt: number, plan: RunPlan, pace: number, reading: number | undefined }
+interface RunningTask { attempt: number, startedAt: number, plan: RunPlan, reading: number | undefined }
 
 /** A worker that follows the contract of orders: fences, one lease for all runs, numbered ends. */
 export interface FakeRunWorker {
@@ -95,9 +95,7 @@
     client: {
       start: (life, order, deadline) => deliver(life, 'start', order.task, deadline, (state) => handleStart(state, order)),
       stop: (life, order, deadline) => deliver(life, 'stop', order.task, deadline, (state) => handleStop(state, order)),
-      pace: (life, order, deadline) => deliver(life, 'pace', order.task, deadline, (state) => handlePace(state, order)),
-      hold: (life, order, deadline) => deliver(life, 'hold', undefined, deadline, (state) => handleHold(state, order)),
-      forget: () => {}
+      hold: (life, order, deadline) => deliver(life, 'hold', undefined, deadline, (state) => handleHold(state, order))
     }
   }
 
@@ -176,7 +174,7 @@
   const current = state.running.get(order.task)
   if (current?.attempt === order.attempt) return Ok({ clock: now })
   if ((state.ended.get(order.task) ?? 0) >= order.attempt || current !== undefined) return reject(state, 'superseded')
-  state.running.set(order.task, { attempt: order.attempt, startedAt: now, plan: state.plan(order.task), pace: 100, reading: undefined })
+  state.running.set(order.task, { attempt: order.attempt, startedAt: now, plan: state.plan(order.task), reading: undefined })
   state.events.push({ at: now, kind: 'started', worker: state.life.id, task: order.task, attempt: order.attempt })
   return Ok({ clock: now })
 }
@@ -189,14 +187,6 @@
   return Ok({ clock: state.clock.now() })
 }
 
-async function handlePace (state: FakeState, order: { task: string, fence: number, percent: number }): Promise<Result<OrderReply, WorkerFailure>> {
-  const fenced = checkFence(state, order.fence)
-  if (fenced.err) return fenced
-  const run = state.running.get(order.task)
-  if (run !== undefined) run.pace = order.percent
-  return Ok({ clock: state.clock.now() })
-}
-
 async function handleHold (state: FakeState, order: HoldOrder): Promise<Result<HoldReply, WorkerFailure>> {
   const fenced = checkFence(state, order.fence)
   if (fenced.err) return fenced
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -159,3 +159,22 @@
   const late = scene.listEvents('started').map(({ at, task }) => [task, at - firstAt - Number(task.split('.')[1]) * 1500])
   expect([getOutcome(scene, 'a1'), late.length, late.every(([, ms]) => Number(ms) >= 0 && Number(ms) < 200)]).toEqual(['completed', 3, true])
 })
+
+test('a worker that never returns is forgotten', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  const gone = scene.fleet.workers.get('w1')
+  if (gone !== undefined) gone.reachable = false
+  await scene.run(70_000)
+  expect(Object.keys(scene.log.state().workflows.workers)).toEqual(['w2'])
+})
+
+test('a lasting task that has waited is started while the pool has room for it twice, on whichever workers', async () => {
+  const workers = Array.from({ length: 20 }, (_, index) => `w${index}`)
+  const scene = await createScene(workers)
+  scene.fleet.plan = () => ({ runMs: 60_000, result: 'never' })
+  await scene.submit('full', [{ count: 18, cores: 32 }, { count: 2, cores: 20 }])
+  await scene.run(500)
+  await scene.submit('a1', [{ count: 1, cores: 10, lasting: true }])
+  await scene.run(2500)
+  expect(scene.listEvents('started').filter(({ task }) => task.startsWith('a1'))).toHaveLength(1)
+})
