--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -1,4 +1,5 @@
-import { parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import type { WorkerRecord, WorkflowsState } from '../../state/index.js'
+import { findStep } from './candidates.js'
 import type { HoldReply, RunRow, WorkerFailure } from './orders.js'
 import { describeWorkerFailure, releaseRun, startRun, stopRun } from './runOrders.js'
 import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
@@ -46,11 +47,7 @@
 }
 
 function getWaitMs (session: Session, state: WorkflowsState): number {
-  const isWatched = [...session.runs.values()].some(({ task }) => {
-    const name = parseTaskName(task)
-    const step = name === undefined ? undefined : state.workflows[name.workflow]?.workflow.steps[name.step]
-    return step?.tailTargetMs !== undefined
-  })
+  const isWatched = [...session.runs.values()].some(({ task }) => findStep(state, task)?.tailTargetMs !== undefined)
   const needsStops = session.strays.size > 0 || [...session.runs.values()].some((run) => run.stopReason !== undefined)
   return isWatched || needsStops ? SHORT_HOLD_MS : HOLD_WAIT_MS
 }
