--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -31,14 +31,15 @@
     const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
     if (step.lasting && !hasReserve(workers, step) && !(isStarved && canHoldGang(workers, needs, 2))) return false
-    // One task is enough for a workflow to go on; each lasting task has users of its own.
-    needs.acceptsRisk = isStarved && step.lasting
+    // One task is enough for a workflow to go on; each lasting task has users of its own, and a gang needs all of its members.
+    needs.acceptsRisk = isStarved && (step.lasting || step.gang)
     addRun(worker, step, peerKey)
     const attempt = step.gang ? gangAttempt : findAttempt(group, index) + 1
     placed.push([formatTaskName({ workflow: record.workflow.id, occurrence, step: stepNumber, index }), worker.id, attempt])
     return true
   })
-  return placed
+  // Members without the others would only wait for them.
+  return step.gang && placed.length < indexes.length ? [] : placed
 }
 
 /** Workers that the queue's policy allows, all on one rack where the step is the slower for more and one rack has the room. */
