--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,8 +1,6 @@
 import type { Queue, Step, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
-import { estimateChainMs } from './plan.js'
+import { estimateChainMs, WORTHLESS_FACTOR } from './plan.js'
 
-/** A workflow is worth nothing once it has taken this many times its objective. */
-const WORTHLESS_FACTOR = 3
 /** Cores that lasting work uses of those it requests. */
 const LASTING_USE = 0.5
 const MIN_RETRY_AFTER_MS = 1000
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -1,7 +1,7 @@
 import { countOccurrences, getLocalName, isStepDone, isStepReady, type AdvicePolicy, type Queue, type Step, type WorkflowRecord } from '../../state/index.js'
 
-/** A later start than this after the due time is late for the requester anyway; nothing is started before it. */
-const EARLY_MS = 0
+/** A workflow is worth nothing once it has taken this many times its objective. */
+export const WORTHLESS_FACTOR = 3
 
 /** Tasks of one occurrence and step that may be assigned now. */
 export interface WaitingGroup {
@@ -36,7 +36,7 @@
   const { workflow } = record
   const objectiveMs = (queue?.slackFactor ?? 1) * estimateChainMs(workflow.steps) + (queue?.objectiveMs ?? 0)
   return Array.from({ length: countOccurrences(workflow) }, (_, occurrence) => occurrence)
-    .filter((occurrence) => workflow.recurrence === undefined || getOccurrenceStart(record, occurrence) <= wallTime + EARLY_MS)
+    .filter((occurrence) => workflow.recurrence === undefined || getOccurrenceStart(record, occurrence) <= wallTime)
     .flatMap((occurrence) => workflow.steps.map((step, stepNumber) => ({
       record,
       occurrence,
@@ -61,15 +61,6 @@
   return step.gang && waiting.length < step.count ? [] : waiting
 }
 
-/** The next time at which an occurrence falls due, or nothing. */
-export function findNextOccurrence (record: WorkflowRecord, wallTime: number): number | undefined {
-  const { recurrence } = record.workflow
-  if (recurrence === undefined || record.outcome !== undefined) return undefined
-  const next = Array.from({ length: recurrence.count }, (_, occurrence) => getOccurrenceStart(record, occurrence))
-    .find((due) => due > wallTime + EARLY_MS)
-  return next
-}
-
 /**
  * Priority first, then work that ends before work that lasts, then what is due first; what is hopelessly late comes
  * after what can still be on time. With all cores taken by lasting work, short work gives more for each core.
@@ -81,9 +72,6 @@
     a.dueAt - b.dueAt
 }
 
-/** A workflow is worth nothing after three times its objective. */
-const WORTHLESS_FACTOR = 3
-
 function isHopeless (group: WaitingGroup, wallTime: number): boolean {
   if (group.step.lasting) return false
   const start = getOccurrenceStart(group.record, group.occurrence)
--- /dev/null
+++ b/test/workflows/plan.test.ts
@@ -0,0 +1,51 @@
+import { expect, test } from 'vitest'
+import { admitWorkflow } from '../../src/coordination/workflows/admission.js'
+import { compareGroups, estimateChainMs, listWaiting } from '../../src/coordination/workflows/plan.js'
+import { computeMajorityAge } from '../../src/coordination/workflows/term.js'
+import { computeWorkerTime } from '../../src/coordination/workflows/workerClock.js'
+import { createWorkflowsState, workflowHandlers, type Step, type WorkflowsState } from '../../src/state/index.js'
+import { CATALOG, STEP } from './support.js'
+
+const QUEUE = CATALOG.queues[0]!
+
+function createState (workflows: Array<{ id: string, steps: Array<Partial<Step>>, at?: number }>): WorkflowsState {
+  const state = createWorkflowsState()
+  workflowHandlers['catalog.put'](state, { catalog: CATALOG })
+  workflowHandlers['life.report'](state, { life: { id: 'w1', bornAt: 1, service: 'desk', address: 'x:1', availabilityZone: 'a', cores: 10, memoryMb: 1000, accelerators: 0, labels: [], draining: false } })
+  workflows.forEach(({ id, steps, at = 0 }) => {
+    workflowHandlers['workflow.submit'](state, { queue: QUEUE.name, workflow: { id, command: '', steps: steps.map((step) => ({ ...STEP, ...step })) }, at })
+  })
+  return state
+}
+
+test('the longest chain counts steps that wait for each other, and others side by side', () => {
+  const steps = [{ expectedRunMs: 100 }, { expectedRunMs: 300 }, { expectedRunMs: 50, dependsOn: [0, 1] }].map((step) => ({ ...STEP, ...step }))
+  expect(estimateChainMs(steps)).toBe(350)
+})
+
+test('short work comes before lasting work, what is due first before the rest, and what is hopeless last', () => {
+  const state = createState([{ id: 'lasting', steps: [{ lasting: true }] }, { id: 'late', steps: [{}], at: -60_000 }, { id: 'soon', steps: [{ expectedRunMs: 100 }] }, { id: 'later', steps: [{ expectedRunMs: 5000 }] }])
+  const groups = Object.values(state.workflows).flatMap((record) => listWaiting(record, QUEUE, 0)).sort(compareGroups(0))
+  expect(groups.map(({ record }) => record.workflow.id)).toEqual(['soon', 'later', 'late', 'lasting'])
+})
+
+// The load is a burst of large jobs on a pool of ten cores.
+test('a workflow that cannot end while it is worth something is refused at once, with the time after which it could', () => {
+  const state = createState([{ id: 'burst', steps: [{ count: 100, cores: 5, expectedRunMs: 1000 }] }])
+  const workflow = { id: 'next', command: '', steps: [STEP] }
+  const input = { state, queue: QUEUE, workflow, now: 0 }
+  expect(admitWorkflow({ ...input, isKnown: false })).toMatchObject({ kind: 'refused', backlogMs: 50_000, retryAfterMs: 30_000 })
+  expect(admitWorkflow({ ...input, isKnown: true }).kind).toBe('admitted')
+  expect(admitWorkflow({ ...input, state: createState([]), isKnown: false })).toEqual({ kind: 'admitted', backlogMs: 0 })
+})
+
+test.each([[[0, 100, 5000], 100], [[0, 5000, 5000], 5000], [[0, 10, 20, 30, 40], 20], [[0, 10, 20, 30], 20], [[0], 0]])('a majority of voters heard %j ms ago was heard %d ms ago', (ages, expected) => {
+  expect(computeMajorityAge(ages.map((lastHeardAgoMs) => ({ votes: true, lastHeardAgoMs })))).toBe(expected)
+})
+
+test('a lease ends in time on a worker whose clock runs slow', () => {
+  const until = 16_000
+  const end = computeWorkerTime({ workerTime: 500_000, receivedAt: 10_000 }, until)
+  const slowClockAtEnd = 500_000 + (until - 10_000) * 0.98
+  expect(end).toBeLessThanOrEqual(slowClockAtEnd)
+})
