--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,4 +1,4 @@
-import { parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { getStepName, parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placing.js'
 import type { Session } from './sessionState.js'
 import type { WorkerHealth } from './workerHealth.js'
@@ -22,11 +22,10 @@
   return (task) => {
     const shape = known.get(task)
     if (shape !== undefined) return shape
-    const name = parseTaskName(task)
-    const step = name === undefined ? undefined : getState().workflows[name.workflow]?.workflow.steps[name.step]
-    if (name === undefined || step === undefined) return undefined
+    const step = findStep(getState(), task)
+    if (step === undefined) return undefined
     if (known.size >= MAX_KNOWN_TASKS) known.clear()
-    const created = { step, peerKey: getPeerKey(name.workflow, name.occurrence, name.step) }
+    const created = { step, peerKey: getStepName(task) }
     known.set(task, created)
     return created
   }
