Follow each service's swing and each pair's pressure by two filters (trial)

Cause: the pressure of a pair was learned against the mean load of the service's image, but the load of each step swings by half, so a reading said little about a neighbour, and half of the starts of batch tasks were stopped again. Change: a filter for each step's load and each pair's pressure, presence over the time that a reading covers, unknown pairs tried one at a time and alone on a worker, peak loads from readings without pressure, scarce workers kept for images that few bear.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -5,6 +5,7 @@
 import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
 import type { HoldReply } from './orders.js'
 import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
+import { createScarcity } from './scarcity.js'
 import type { Session } from './sessionState.js'
 import type { Signal } from './signal.js'
 
@@ -77,9 +78,10 @@
     const groups = waiting.listGroups(wallTime)
     logLoad(groups, candidates)
     const assignments: Assignment[] = []
+    const getScarcity = createScarcity(groups, [...candidates.values()].flat(), options.sharing.estimateRisk)
     const starved = updateStarved(idleSince, groups, candidates, clock.now())
     groups.forEach((group) => {
-      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, starved.has(group)))
+      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, getScarcity, starved.has(group)))
     })
     stopStalled(options)
     drainWorkers(options)
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -1,3 +1,4 @@
+import type { Clock } from '../../common/index.js'
 import { formatTaskName, getLocalName, type Assignment, type Step } from '../../state/index.js'
 import type { Advisor } from './advice.js'
 import { addRun, getPeerKey, type Placing } from './candidates.js'
@@ -11,17 +12,20 @@
  */
 const SHORT_WORK_SHARE = 0.05
 
-export interface GroupOptions { sharing: Sharing, advisor: Advisor }
+export interface GroupOptions { clock: Clock, sharing: Sharing, advisor: Advisor }
 
 /** Places the tasks of a group as far as there is room; a gang whole or not at all. */
-export function placeGroup (options: GroupOptions, group: WaitingGroup, candidates: Map<string, Placing[]>, isStarved: boolean): Assignment[] {
+export function placeGroup (options: GroupOptions, group: WaitingGroup, candidates: Map<string, Placing[]>, getScarcity: PlacementNeeds['getScarcity'], isStarved: boolean): Assignment[] {
   const { record, occurrence, stepNumber, step, indexes } = group
+  const now = options.clock.now()
   const workers = listEligible(options, group, candidates.get(record.service) ?? [])
   const peerKey = getPeerKey(record.workflow.id, occurrence, stepNumber)
   const needs: PlacementNeeds = {
     step,
     countPeers: (worker) => workers.find(({ id }) => id === worker)?.peers.get(peerKey) ?? 0,
     estimateRisk: options.sharing.estimateRisk,
+    isOnTrial: ({ serving, filling }, image) => options.sharing.isOnTrial(serving, filling, image, now),
+    getScarcity,
     acceptsRisk: isStarved
   }
   const gangAttempt = 1 + Math.max(0, ...indexes.map((index) => findAttempt(group, index)))
@@ -33,6 +37,7 @@
     if (step.lasting && !hasReserve(workers, step) && !(isStarved && canHoldGang(workers, needs, 2))) return false
     // One task is enough for a workflow to go on; each lasting task has users of its own, and a gang needs all of its members.
     needs.acceptsRisk = isStarved && (step.lasting || step.gang)
+    if (step.fills) options.sharing.recordStart(worker.serving, step.image ?? '', now)
     addRun(worker, step, peerKey)
     const attempt = step.gang ? gangAttempt : findAttempt(group, index) + 1
     placed.push([formatTaskName({ workflow: record.workflow.id, occurrence, step: stepNumber, index }), worker.id, attempt])
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger } from '../../common/index.js'
-import type { Step, WorkflowsState } from '../../state/index.js'
+import { getStepName, type Step, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import { listEvacuated, UNKNOWN_STAY_MS } from './evacuation.js'
 import type { Run, Session } from './sessionState.js'
@@ -18,28 +18,33 @@
 
 /** Learns from the tails on a worker and acts on those over their targets. */
 export function observeSharing (options: MoveOptions, session: Session): void {
-  const { clock, getState, stopRun, logger, sharing } = options
+  const { clock, stopRun, logger, sharing } = options
+  const { serving, filling } = listSharing(options, session)
+  sharing.observe(session.worker, serving, filling, clock.now())
+  const isWanted = ({ task }: { task: string }): boolean => session.runs.get(task)?.stopReason === undefined
+  sharing.listPressing(session.worker, serving.filter(isWanted), filling.filter(isWanted)).forEach((task) => {
+    const run = session.runs.get(task)
+    if (run === undefined) return
+    const worst = serving.reduce((a, b) => (b.tailMs ?? 0) / b.targetMs > (a.tailMs ?? 0) / a.targetMs ? b : a)
+    logger.info('run.pressing', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
+    stopRun(session, run, 'interference')
+  })
+}
+
+/** What serves and what fills on a worker, those that are about to be stopped included: they disturb until then. */
+function listSharing ({ getState }: MoveOptions, session: Session): { serving: ServingRun[], filling: FillingRun[] } {
   const cores = getState().workers[session.worker]?.life.cores ?? 1
   const serving: ServingRun[] = []
   const filling: FillingRun[] = []
   session.runs.forEach((run) => {
     const step = findStep(getState(), run.task)
-    if (run.row === undefined || run.stopReason !== undefined || step === undefined) return
+    if (run.row === undefined || step === undefined) return
     // A task that still starts has no tail of its own.
     const tailMs = run.row.percent === 100 ? run.row.reading : undefined
-    if (step.tailTargetMs !== undefined) serving.push({ task: run.task, image: step.image ?? '', tailMs, targetMs: step.tailTargetMs })
+    if (step.tailTargetMs !== undefined) serving.push({ task: run.task, step: getStepName(run.task), image: step.image ?? '', tailMs, targetMs: step.tailTargetMs })
     if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores })
   })
-  if (serving.length === 0) return
-  const now = clock.now()
-  sharing.observe(serving, filling, now)
-  sharing.listPressing(session.worker, serving, filling).forEach((task) => {
-    const run = session.runs.get(task)
-    if (run === undefined) return
-    const worst = serving.reduce((a, b) => (b.tailMs ?? 0) / b.targetMs > (a.tailMs ?? 0) / a.targetMs ? b : a)
-    logger.info('run.pressing', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
-    stopRun(session, run, 'interference')
-  })
+  return { serving, filling }
 }
 
 /** Moves work off workers that have announced that they leave. */
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -30,6 +30,10 @@
   countPeers (worker: string): number
   /** How far the highest load of a task that serves is expected above what its tail allows. */
   estimateRisk (serving: Candidate['serving'], filling: Candidate['filling']): number
+  /** True where a filling task of the image would be one trial too many of an unknown pair. */
+  isOnTrial (candidate: Candidate, image: string): boolean
+  /** How much other waiting images need this worker, 0 to 1, because few others bear them. */
+  getScarcity (worker: string, image: string): number
   /** Set when the task has waited so long that a tail close to its target is the smaller harm. */
   acceptsRisk: boolean
 }
@@ -39,6 +43,8 @@
 const REMOTE_DATA_PENALTY = 2
 /** Weight of the slowness of a worker above 1. */
 const SLOWNESS_WEIGHT = 0.5
+/** Weight of what other images need a worker; as much as that of its whole load. */
+const SCARCITY_WEIGHT = 1
 /** Weight of the expected distance of the worst tail from its target. */
 const RISK_WEIGHT = 1
 /** Added to the weight for risk beyond what is safe. */
@@ -87,12 +93,13 @@
 export function scoreWorker (candidate: Candidate, needs: PlacementNeeds): number {
   const { step } = needs
   const risk = estimateSharingRisk(candidate, needs)
-  if (risk > 0 && !needs.acceptsRisk) return Infinity
+  if (!needs.acceptsRisk && (risk > 0 || (step.fills && needs.isOnTrial(candidate, step.image ?? '')))) return Infinity
   const used = 1 - (candidate.spareCores - step.cores) / Math.max(1, candidate.cores)
   return getLoadCost(candidate, step, used) +
     Math.max(0, risk - NO_RISK) * RISK_WEIGHT + Math.max(0, risk) * UNSAFE_WEIGHT +
     (step.dataRack !== undefined && !candidate.labels.includes(step.dataRack) ? REMOTE_DATA_PENALTY : 0) +
-    (candidate.slowness - 1) * SLOWNESS_WEIGHT
+    (candidate.slowness - 1) * SLOWNESS_WEIGHT +
+    (step.fills ? needs.getScarcity(candidate.id, step.image ?? '') * SCARCITY_WEIGHT : 0)
 }
 
 /**
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -1,17 +1,33 @@
-import { createFit, type Fit } from '../placement/fit.js'
+import { createWindows, type FillingUse } from './fillingWindow.js'
 
-/** Mean load of a task that serves, as a share of what saturates it, expected before any reading. */
+/** Load of a task that serves, as a share of what saturates it, expected before any reading. */
 const EXPECTED_LOAD = 0.42
-const LOAD_VARIANCE = 0.05 ** 2
-/** Load that an unseen neighbour on the whole worker adds, and how far that may be off. */
+const LOAD_VARIANCE = 0.15 ** 2
+/** Variance that a load gains in a ms without readings; a load that swings by half within 10 s changes by up to 0.13 in a second. */
+const LOAD_DRIFT = 0.1 ** 2 / 1000
+/** Peak of the load of an image before any reading: the expected load and half of it. */
+const EXPECTED_PEAK = 0.63
+/** The share of readings below the peak, and the change of the peak with one reading. */
+const PEAK_QUANTILE = 0.95
+const PEAK_STEP = 0.01
+/** Load that an unseen neighbour on the whole worker adds, and the variance of that. */
 const EXPECTED_PRESSURE = 0.5
 const PRESSURE_VARIANCE = 3 ** 2
-/** Variance of one reading; large, because readings of half a second follow a load that swings over many seconds. */
-const READING_VARIANCE = 0.25 ** 2
+/** Below this variance a pair counts as known; two or three readings beside a tenth of a worker reach it. */
+const KNOWN_VARIANCE = 0.5
+/** Variance that a pressure gains in a ms: it is uncertain again after an hour. */
+const PRESSURE_DRIFT = PRESSURE_VARIANCE / 3_600_000
+/** The peak of a load is learned from readings beside which neighbours are known to add less than this. */
+const CLEAN_PRESSURE = 0.1
+/** Standard deviations by which a pressure is taken to be higher than its mean. */
+const PRESSURE_MARGIN = 0.5
+/** Smallest standard deviation of a reading as load, and that of its rounding to whole ms. */
+const READING_DEVIATION = 0.05
+const ROUNDING_MS = 0.5
+/** A reading counts as at most this many standard deviations off. */
 const LARGEST_SURPRISE = 3
-const FORGETTING_MS = 3_600_000
-/** Load that a worker is filled up for, as a multiple of the mean; services of the reference loads swing by half, and their peaks seldom meet. */
-const PEAK_FACTOR = 1.3
+/** An unknown pair is tried on one worker at a time; this covers a start, one reading and the look that brings it. */
+const TRIAL_MS = 2000
 /** Tail without load as a share of the smallest tail seen; services are almost idle at times, at the latest as they start. */
 const UNLOADED_SHARE = 0.95
 /** Tail without load as a share of the target, before any reading. */
@@ -22,17 +38,29 @@
 const READINGS_BEFORE_ALL = 3
 /** Neighbours that add less than this to the load are not to blame for a tail. */
 const BLAMELESS_PRESSURE = 0.02
+/** A step that has had no reading for this long has ended or is served elsewhere. */
+const FORGET_STEP_MS = 60_000
 
-/** A task that serves: what it runs, its latest tail and its target, ms. */
-export interface ServingRun { task: string, image: string, tailMs: number | undefined, targetMs: number }
+/** A task that serves: what it runs, the step whose load it shares, its latest tail and its target, ms. */
+export interface ServingRun { task: string, step: string, image: string, tailMs: number | undefined, targetMs: number }
 /** A task that fills: what it runs and the part of the worker's cores that it uses. */
 export interface FillingRun { task: string, image: string, part: number }
 
+type ServingImage = Pick<ServingRun, 'image' | 'targetMs'>
+type FillingImage = Pick<FillingRun, 'image' | 'part'>
+
 export interface Sharing {
   /** Learns from a reading of all runs on a worker. */
-  observe (serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): void
+  observe (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): void
   /** How far the highest load is expected above what keeps every tail below its target; at most 0 is safe. */
-  estimateRisk (serving: ReadonlyArray<{ image: string, targetMs: number }>, filling: ReadonlyArray<{ image: string, part: number }>): number
+  estimateRisk (serving: readonly ServingImage[], filling: readonly FillingImage[]): number
+  /**
+   * True when the image is to stay away for now because little is known of it beside these services: one trial at a
+   * time bounds the harm, and two unknown images on one worker could not be told apart.
+   */
+  isOnTrial (serving: readonly ServingImage[], filling: readonly FillingImage[], image: string, now: number): boolean
+  /** A filling task is about to start beside these services. */
+  recordStart (serving: readonly ServingImage[], image: string, now: number): void
   /** What has been learned, for a host that may lead next. */
   getEstimates (): SharingEstimates
   /** Takes over what another host has learned about images that this one knows less of. */
@@ -41,80 +69,93 @@
   listPressing (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[]): string[]
 }
 
-/** By image of a service: its mean load, its smallest tail, and the pressure of each neighbour's image with its variance. */
-export type SharingEstimates = Array<{ image: string, load: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
+/** By image of a service: its peak load, its smallest tail, and the pressure of each neighbour's image with its variance. */
+export type SharingEstimates = Array<{ image: string, peak: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
 
-interface ServiceModel { fit: Fit, base: number, pairs: Map<string, number>, smallestTailMs: number, readings: number }
+interface Estimate { value: number, variance: number, updatedAt: number }
+interface ServiceModel { peak: number, pairs: Map<string, Estimate>, trials: Map<string, number>, smallestTailMs: number, readings: number }
 
 /**
  * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, and moves what
- * presses a task over its target. The load is batch work in waves beside lasting services.
+ * presses a task over its target. The load is batch work in waves beside lasting services whose load swings.
  *
- * A tail grows as `unloaded / (1 - load)`; the load of a task is its own plus, for each neighbour, a pressure that
- * depends on both images times the part of the worker that the neighbour uses.
+ * A tail grows as `unloaded / (1 - load)`. The load of a task is that of its step, which swings alike for all tasks of
+ * the step, plus, for each neighbour, a pressure that depends on both images times the part of the worker that the
+ * neighbour uses. Steps and pairs are followed by one Kalman filter each; following the swing is what tells a
+ * neighbour's pressure from a service's own peak within one or two readings.
  */
 export function createSharing (): Sharing {
   const models = new Map<string, ServiceModel>()
+  const steps = new Map<string, Estimate>()
+  const windows = createWindows()
   const pressedReadings = new Map<string, number>()
 
   const getModel = (image: string): ServiceModel => {
     const known = models.get(image)
     if (known !== undefined) return known
-    const fit = createFit(FORGETTING_MS)
-    const created: ServiceModel = { fit, base: fit.add(EXPECTED_LOAD, LOAD_VARIANCE), pairs: new Map(), smallestTailMs: Infinity, readings: 0 }
+    const created: ServiceModel = { peak: EXPECTED_PEAK, pairs: new Map(), trials: new Map(), smallestTailMs: Infinity, readings: 0 }
     models.set(image, created)
     return created
   }
 
-  const getPair = (model: ServiceModel, image: string, pressure = EXPECTED_PRESSURE, variance = PRESSURE_VARIANCE): number => {
-    const known = model.pairs.get(image)
+  const getStepLoad = (step: string, now: number): Estimate => {
+    const known = steps.get(step)
     if (known !== undefined) return known
-    const index = model.fit.add(pressure, variance, 0)
-    model.pairs.set(image, index)
-    return index
+    steps.forEach(({ updatedAt }, name) => { if (now - updatedAt > FORGET_STEP_MS) steps.delete(name) })
+    const created: Estimate = { value: EXPECTED_LOAD, variance: LOAD_VARIANCE, updatedAt: now }
+    steps.set(step, created)
+    return created
   }
 
-  const computePressure = (model: ServiceModel, filling: ReadonlyArray<{ image: string, part: number }>): number =>
-    filling.reduce((sum, { image, part }) => sum + model.fit.getValue(getPair(model, image)) * part, 0)
-
-  const getUnloadedTail = (model: ServiceModel, targetMs: number): number =>
-    model.smallestTailMs === Infinity ? targetMs * UNLOADED_SHARE_OF_TARGET : model.smallestTailMs * UNLOADED_SHARE
-
-  const learn = (run: ServingRun, filling: readonly FillingRun[], now: number): void => {
+  const learn = (run: ServingRun, uses: readonly FillingUse[], now: number): void => {
     if (run.tailMs === undefined || run.tailMs <= 0) return
     const model = getModel(run.image)
     model.smallestTailMs = Math.min(model.smallestTailMs, run.tailMs)
-    const load = 1 - getUnloadedTail(model, run.targetMs) / run.tailMs
-    const parts = new Map<string, number>()
-    filling.forEach(({ image, part }) => parts.set(image, (parts.get(image) ?? 0) + part))
-    const difference = load - model.fit.getValue(model.base) - computePressure(model, filling)
-    const features = [{ index: model.base, weight: 1 }, ...[...parts].map(([image, part]) => ({ index: getPair(model, image), weight: part }))]
     model.readings += 1
-    model.fit.update(features, difference, READING_VARIANCE, LARGEST_SURPRISE, now)
+    const unloaded = getUnloadedTail(model, run.targetMs)
+    const own = getStepLoad(run.step, now)
+    const terms = [{ estimate: own, weight: 1 }, ...uses.map(({ image, part }) => ({ estimate: getPair(model, image, now), weight: part }))]
+    forget(own, LOAD_DRIFT, LOAD_VARIANCE, now)
+    terms.slice(1).forEach(({ estimate }) => forget(estimate, PRESSURE_DRIFT, PRESSURE_VARIANCE, now))
+    const load = Math.max(0, 1 - unloaded / run.tailMs)
+    const pressure = uses.every(({ image }) => isKnown(model, image)) ? computePressure(model, uses) : Infinity
+    if (pressure < CLEAN_PRESSURE) model.peak += PEAK_STEP * (PEAK_QUANTILE - (load - pressure < model.peak ? 1 : 0))
+    updateEstimates(terms, load, READING_DEVIATION ** 2 + (unloaded / run.tailMs ** 2 * ROUNDING_MS) ** 2)
   }
 
   return {
-    observe: (serving, filling, now) => serving.forEach((run) => learn(run, filling, now)),
+    observe: (worker, serving, filling, now) => {
+      const uses = windows.update(worker, filling, now)
+      serving.forEach((run) => learn(run, uses, now))
+    },
 
     estimateRisk: (serving, filling) => serving.reduce((worst, { image, targetMs }) => {
       const model = getModel(image)
-      const allowed = 1 - getUnloadedTail(model, targetMs) / targetMs
-      const expected = PEAK_FACTOR * (model.fit.getValue(model.base) + computePressure(model, filling))
-      return Math.max(worst, expected - allowed)
+      const allowed = 1 - getUnloadedTail(model, targetMs) / (PRESSED_SHARE * targetMs)
+      return Math.max(worst, model.peak + computePressure(model, filling) - allowed)
     }, -Infinity),
 
-    getEstimates: () => [...models].map(([image, { fit, base, pairs, smallestTailMs, readings }]) => ({
-      image, load: fit.getValue(base), smallestTailMs, readings, pairs: [...pairs].map(([other, index]) => [other, fit.getValue(index), fit.getVariance(index)])
+    isOnTrial: (serving, filling, image, now) => serving.some((service) => {
+      const model = getModel(service.image)
+      if (isKnown(model, image)) return false
+      return (model.trials.get(image) ?? -Infinity) > now || filling.some((other) => !isKnown(model, other.image))
+    }),
+
+    recordStart: (serving, image, now) => serving.forEach((service) => {
+      const model = getModel(service.image)
+      if (!isKnown(model, image)) model.trials.set(image, now + TRIAL_MS)
+    }),
+
+    getEstimates: () => [...models].map(([image, { peak, pairs, smallestTailMs, readings }]) => ({
+      image, peak, smallestTailMs, readings, pairs: [...pairs].map(([other, { value, variance }]) => [other, value, variance])
     })),
 
-    mergeEstimates: (estimates) => estimates.forEach(({ image, load, smallestTailMs, readings, pairs }) => {
+    mergeEstimates: (estimates) => estimates.forEach(({ image, peak, smallestTailMs, readings, pairs }) => {
       if (readings <= (models.get(image)?.readings ?? 0)) return
       models.delete(image)
       const model = getModel(image)
-      model.fit.setValue(model.base, load)
-      model.smallestTailMs = smallestTailMs
-      model.readings = readings
-      pairs.forEach(([other, pressure, variance]) => getPair(model, other, pressure, variance))
+      Object.assign(model, { peak, smallestTailMs, readings })
+      pairs.forEach(([other, value, variance]) => model.pairs.set(other, { value, variance, updatedAt: 0 }))
     }),
 
     listPressing: (worker, serving, filling) => {
@@ -131,3 +172,48 @@
     }
   }
 }
+
+function getPair (model: ServiceModel, image: string, now: number): Estimate {
+  const known = model.pairs.get(image)
+  if (known !== undefined) return known
+  const created: Estimate = { value: EXPECTED_PRESSURE, variance: PRESSURE_VARIANCE, updatedAt: now }
+  model.pairs.set(image, created)
+  return created
+}
+
+function isKnown (model: ServiceModel, image: string): boolean {
+  return (model.pairs.get(image)?.variance ?? Infinity) < KNOWN_VARIANCE
+}
+
+/** An unknown pair counts with its mean, so that it is tried; a known one with a margin. */
+function computePressure (model: ServiceModel, filling: readonly FillingImage[]): number {
+  return filling.reduce((sum, { image, part }) => {
+    const pair = model.pairs.get(image)
+    if (pair === undefined) return sum + EXPECTED_PRESSURE * part
+    const margin = pair.variance < KNOWN_VARIANCE ? PRESSURE_MARGIN * Math.sqrt(pair.variance) : 0
+    return sum + (pair.value + margin) * part
+  }, 0)
+}
+
+function getUnloadedTail (model: ServiceModel, targetMs: number): number {
+  return model.smallestTailMs === Infinity ? targetMs * UNLOADED_SHARE_OF_TARGET : model.smallestTailMs * UNLOADED_SHARE
+}
+
+function forget (estimate: Estimate, drift: number, largest: number, now: number): void {
+  estimate.variance = Math.min(largest, estimate.variance + drift * Math.max(0, now - estimate.updatedAt))
+  estimate.updatedAt = now
+}
+
+/** One measurement of a weighted sum; covariances between the terms are left out, which keeps every variance positive. */
+function updateEstimates (terms: ReadonlyArray<{ estimate: Estimate, weight: number }>, measured: number, noise: number): void {
+  const expected = terms.reduce((sum, { estimate, weight }) => sum + weight * estimate.value, 0)
+  const total = terms.reduce((sum, { estimate, weight }) => sum + weight ** 2 * estimate.variance, noise)
+  const bound = LARGEST_SURPRISE * Math.sqrt(total)
+  const surprise = Math.max(-bound, Math.min(bound, measured - expected))
+  terms.forEach(({ estimate, weight }) => {
+    const covariance = weight * estimate.variance
+    estimate.value = Math.max(0, estimate.value + covariance / total * surprise)
+    estimate.variance -= covariance ** 2 / total
+  })
+}
+
--- a/test/workflows/placing.test.ts
+++ b/test/workflows/placing.test.ts
@@ -9,7 +9,7 @@
 }
 
 function createNeeds (step: Partial<typeof STEP>, more: Partial<PlacementNeeds> = {}): PlacementNeeds {
-  return { step: { ...STEP, ...step }, countPeers: () => 0, estimateRisk: () => 1, acceptsRisk: false, ...more }
+  return { step: { ...STEP, ...step }, countPeers: () => 0, estimateRisk: () => 1, isOnTrial: () => false, getScarcity: () => 0, acceptsRisk: false, ...more }
 }
 
 const SERVED = createCandidate('served', { serving: [{ image: 'desk', targetMs: 18 }] })
