--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,6 +1,7 @@
 import { getStepName, parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placing.js'
 import type { Session } from './sessionState.js'
+import type { Sharing } from './sharing.js'
 import type { WorkerHealth } from './workerHealth.js'
 
 /** Names of tasks whose steps are remembered; several times what runs at the size aimed at. */
@@ -9,6 +10,7 @@
 export interface CandidateOptions {
   sessions: ReadonlyMap<string, Session>
   health: WorkerHealth
+  sharing: Sharing
   getState (): WorkflowsState
   /** True for a worker whose host is about to go down. */
   isClosing (worker: string): boolean
@@ -35,13 +37,13 @@
 export interface Placing extends Candidate { peers: Map<string, number> }
 
 /** Workers that may get work now, with what is left of them. */
-export function listCandidates ({ sessions, health, getState, isClosing }: CandidateOptions, findShape: (task: string) => TaskShape | undefined): Map<string, Placing[]> {
+export function listCandidates ({ sessions, health, sharing, getState, isClosing }: CandidateOptions, findShape: (task: string) => TaskShape | undefined): Map<string, Placing[]> {
   const state = getState()
   const byService = new Map<string, Placing[]>()
   sessions.forEach((session) => {
     const record = state.workers[session.worker]
     if (record === undefined || !session.reachable || session.ended || record.life.draining || isClosing(session.worker) || health.isPaused(session.worker)) return
-    const candidate = createCandidate(findShape, record, session, health.getSlowness(session.worker))
+    const candidate = createCandidate(sharing, findShape, record, session, health.getSlowness(session.worker))
     const others = byService.get(record.life.service)
     if (others === undefined) byService.set(record.life.service, [candidate])
     else others.push(candidate)
@@ -49,7 +51,7 @@
   return byService
 }
 
-function createCandidate (findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session, slowness: number): Placing {
+function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session, slowness: number): Placing {
   const candidate: Placing = {
     id: life.id,
     service: life.service,
@@ -70,7 +72,7 @@
   }
   const addShape = (task: string): void => {
     const shape = findShape(task)
-    if (shape !== undefined) addRun(candidate, shape.step, shape.peerKey)
+    if (shape !== undefined) addRun(candidate, shape.step, shape.peerKey, sharing)
   }
   Object.keys(assigned).forEach(addShape)
   const strays = [...session.strays.keys()].map((key) => key.slice(0, key.lastIndexOf('#')))
@@ -82,8 +84,8 @@
   return `${workflow}.${occurrence}.${step}`
 }
 
-export function addRun (candidate: Placing, step: Step, peerKey: string): void {
-  addTask(candidate, step)
+export function addRun (candidate: Placing, step: Step, peerKey: string, sharing: Pick<Sharing, 'estimateUse'>): void {
+  addTask(candidate, step, sharing.estimateUse(step.image ?? ''))
   candidate.peers.set(peerKey, (candidate.peers.get(peerKey) ?? 0) + 1)
 }
 
--- a/src/coordination/workflows/fillingWindow.ts
+++ b/src/coordination/workflows/fillingWindow.ts
@@ -8,7 +8,7 @@
 
 export interface Windows {
   /** Takes the filling tasks that a worker lists now; returns what was there while its readings were taken. */
-  update (worker: string, filling: ReadonlyArray<{ task: string, image: string, part: number }>, now: number): FillingUse[]
+  update (worker: string, filling: ReadonlyArray<{ task: string, image: string, part: number, since: number }>, now: number): FillingUse[]
 }
 
 /**
@@ -34,9 +34,7 @@
         if (!listed.has(task)) presence.until = Math.min(presence.until, now)
         if (presence.until < now - READING_MS) presences.delete(task)
       })
-      filling.forEach(({ task, image, part }) => {
-        presences.set(task, { image, part, from: presences.get(task)?.from ?? now, until: Infinity })
-      })
+      filling.forEach(({ task, image, part, since }) => presences.set(task, { image, part, from: since, until: Infinity }))
       if (presences.size === 0) workers.delete(worker)
       const parts = new Map<string, number>()
       presences.forEach(({ image, part, from, until }) => {
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -38,7 +38,7 @@
     // One task is enough for a workflow to go on; each lasting task has users of its own, and a gang needs all of its members.
     needs.acceptsRisk = isStarved && (step.lasting || step.gang)
     if (step.fills) options.sharing.recordStart(worker.serving, step.image ?? '', now)
-    addRun(worker, step, peerKey)
+    addRun(worker, step, peerKey, options.sharing)
     const attempt = step.gang ? gangAttempt : findAttempt(group, index) + 1
     placed.push([formatTaskName({ workflow: record.workflow.id, occurrence, step: stepNumber, index }), worker.id, attempt])
     return true
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -42,7 +42,7 @@
     // A task that still starts has no tail of its own.
     const tailMs = run.row.percent === 100 ? run.row.reading : undefined
     if (step.tailTargetMs !== undefined) serving.push({ task: run.task, step: getStepName(run.task), image: step.image ?? '', tailMs, targetMs: step.tailTargetMs })
-    if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores })
+    if (step.fills) filling.push({ task: run.task, image: step.image ?? '', part: step.cores / cores, since: run.confirmedAt ?? run.assignedAt })
   })
   return { serving, filling }
 }
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -38,8 +38,6 @@
   acceptsRisk: boolean
 }
 
-/** Cores that a task that serves uses on average, as a share of what it requests; they swing by half around 0.42 in the reference loads. */
-const SERVING_USE = 0.5
 const REMOTE_DATA_PENALTY = 2
 /** Weight of the slowness of a worker above 1. */
 const SLOWNESS_WEIGHT = 0.5
@@ -69,10 +67,10 @@
     (step.maxPerWorker === undefined || countPeers(candidate.id) < step.maxPerWorker)
 }
 
-/** Takes the room of one more task from a candidate. */
-export function addTask (candidate: Candidate, step: Step): void {
+/** Takes the room of one more task from a candidate; `use` is the share of a serving task's cores that it uses on average. */
+export function addTask (candidate: Candidate, step: Step, use: number): void {
   if (!step.fills) candidate.freeCores -= step.cores
-  candidate.spareCores -= isServing(step) ? step.cores * SERVING_USE : step.cores
+  candidate.spareCores -= isServing(step) ? step.cores * use : step.cores
   candidate.freeMemoryMb -= step.memoryMb
   candidate.freeAccelerators -= step.accelerators
   if (step.tailTargetMs !== undefined) candidate.serving.push({ image: step.image ?? '', targetMs: step.tailTargetMs })
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -62,18 +62,21 @@
 }
 
 /**
- * Priority first, then work that ends before work that lasts, then what is due first; what is hopelessly late comes
- * after what can still be on time. With all cores taken by lasting work, short work gives more for each core.
+ * Priority first, then work that ends before work that lasts, then what can still be on time, then what is due first.
+ * On a burst of large jobs, most of the worth of a late workflow is lost whenever it ends, so it waits until those that
+ * can be on time have room. With all cores taken by lasting work, short work gives more for each core.
  */
 export function compareGroups (wallTime: number): (a: WaitingGroup, b: WaitingGroup) => number {
   return (a, b) => a.priority - b.priority ||
     Number(a.step.lasting) - Number(b.step.lasting) ||
-    Number(isHopeless(a, wallTime)) - Number(isHopeless(b, wallTime)) ||
+    getLateness(a, wallTime) - getLateness(b, wallTime) ||
     a.dueAt - b.dueAt
 }
 
-function isHopeless (group: WaitingGroup, wallTime: number): boolean {
-  if (group.step.lasting) return false
+/** 0 for what can end by its objective, 1 for what will be late, 2 for what is worth nothing any more. */
+function getLateness (group: WaitingGroup, wallTime: number): number {
+  if (group.step.lasting) return 0
   const start = getOccurrenceStart(group.record, group.occurrence)
-  return wallTime > start + WORTHLESS_FACTOR * (group.dueAt - start)
+  const endsAt = wallTime + group.step.expectedRunMs
+  return Number(endsAt > group.dueAt) + Number(endsAt > start + WORTHLESS_FACTOR * (group.dueAt - start))
 }
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -10,6 +10,8 @@
 /** The share of readings below the peak, and the change of the peak with one reading. */
 const PEAK_QUANTILE = 0.95
 const PEAK_STEP = 0.01
+/** Weight of one reading in the mean load; some hundred readings are several periods of the swing for all tasks of an image. */
+const MEAN_WEIGHT = 0.005
 /** Load that an unseen neighbour on the whole worker adds, and the variance of that. */
 const EXPECTED_PRESSURE = 0.5
 const PRESSURE_VARIANCE = 3 ** 2
@@ -34,8 +36,8 @@
 const UNLOADED_SHARE_OF_TARGET = 0.2
 /** Tails above this share of the target count as pressed. */
 const PRESSED_SHARE = 0.95
-/** Readings over the target in a row before everything that fills beside the task is moved, not only the worst. */
-const READINGS_BEFORE_ALL = 3
+/** Readings over the target in a row that no known pressure explains before the worst neighbour has to leave all the same. */
+const READINGS_BEFORE_BLAME = 3
 /** Neighbours that add less than this to the load are not to blame for a tail. */
 const BLAMELESS_PRESSURE = 0.02
 /** A step that has had no reading for this long has ended or is served elsewhere. */
@@ -43,8 +45,8 @@
 
 /** A task that serves: what it runs, the step whose load it shares, its latest tail and its target, ms. */
 export interface ServingRun { task: string, step: string, image: string, tailMs: number | undefined, targetMs: number }
-/** A task that fills: what it runs and the part of the worker's cores that it uses. */
-export interface FillingRun { task: string, image: string, part: number }
+/** A task that fills: what it runs, the part of the worker's cores that it uses, and since when it is known to run. */
+export interface FillingRun { task: string, image: string, part: number, since: number }
 
 type ServingImage = Pick<ServingRun, 'image' | 'targetMs'>
 type FillingImage = Pick<FillingRun, 'image' | 'part'>
@@ -61,19 +63,24 @@
   isOnTrial (serving: readonly ServingImage[], filling: readonly FillingImage[], image: string, now: number): boolean
   /** A filling task is about to start beside these services. */
   recordStart (serving: readonly ServingImage[], image: string, now: number): void
+  /** Mean load of an image, as a share of the cores that its tasks request. */
+  estimateUse (image: string): number
   /** What has been learned, for a host that may lead next. */
   getEstimates (): SharingEstimates
   /** Takes over what another host has learned about images that this one knows less of. */
   mergeEstimates (estimates: SharingEstimates): void
-  /** Filling tasks that have to leave a worker, because tails are close to or over their targets. */
+  /**
+   * Filling tasks that have to leave a worker, because tails are close to or over their targets and will stay so
+   * without it: a tail still shows a neighbour that has just ended.
+   */
   listPressing (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[]): string[]
 }
 
-/** By image of a service: its peak load, its smallest tail, and the pressure of each neighbour's image with its variance. */
-export type SharingEstimates = Array<{ image: string, peak: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
+/** By image of a service: its mean and its peak load, its smallest tail, and the pressure of each neighbour's image with its variance. */
+export type SharingEstimates = Array<{ image: string, mean: number, peak: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
 
 interface Estimate { value: number, variance: number, updatedAt: number }
-interface ServiceModel { peak: number, pairs: Map<string, Estimate>, trials: Map<string, number>, smallestTailMs: number, readings: number }
+interface ServiceModel { mean: number, peak: number, pairs: Map<string, Estimate>, trials: Map<string, number>, smallestTailMs: number, readings: number }
 
 /**
  * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, and moves what
@@ -93,7 +100,7 @@
   const getModel = (image: string): ServiceModel => {
     const known = models.get(image)
     if (known !== undefined) return known
-    const created: ServiceModel = { peak: EXPECTED_PEAK, pairs: new Map(), trials: new Map(), smallestTailMs: Infinity, readings: 0 }
+    const created: ServiceModel = { mean: EXPECTED_LOAD, peak: EXPECTED_PEAK, pairs: new Map(), trials: new Map(), smallestTailMs: Infinity, readings: 0 }
     models.set(image, created)
     return created
   }
@@ -107,6 +114,12 @@
     return created
   }
 
+  /** True when the present load of a service, with these neighbours, is over what its target allows. */
+  const isOverloaded = ({ step, image, targetMs }: ServingRun, filling: readonly FillingImage[]): boolean => {
+    const model = getModel(image)
+    return (steps.get(step)?.value ?? EXPECTED_LOAD) + computePressure(model, filling) > getAllowedLoad(model, targetMs)
+  }
+
   const learn = (run: ServingRun, uses: readonly FillingUse[], now: number): void => {
     if (run.tailMs === undefined || run.tailMs <= 0) return
     const model = getModel(run.image)
@@ -119,6 +132,7 @@
     terms.slice(1).forEach(({ estimate }) => forget(estimate, PRESSURE_DRIFT, PRESSURE_VARIANCE, now))
     const load = Math.max(0, 1 - unloaded / run.tailMs)
     const pressure = uses.every(({ image }) => isKnown(model, image)) ? computePressure(model, uses) : Infinity
+    if (pressure < CLEAN_PRESSURE) model.mean += MEAN_WEIGHT * (load - pressure - model.mean)
     if (pressure < CLEAN_PRESSURE) model.peak += PEAK_STEP * (PEAK_QUANTILE - (load - pressure < model.peak ? 1 : 0))
     updateEstimates(terms, load, READING_DEVIATION ** 2 + (unloaded / run.tailMs ** 2 * ROUNDING_MS) ** 2)
   }
@@ -131,8 +145,7 @@
 
     estimateRisk: (serving, filling) => serving.reduce((worst, { image, targetMs }) => {
       const model = getModel(image)
-      const allowed = 1 - getUnloadedTail(model, targetMs) / (PRESSED_SHARE * targetMs)
-      return Math.max(worst, model.peak + computePressure(model, filling) - allowed)
+      return Math.max(worst, model.peak + computePressure(model, filling) - getAllowedLoad(model, targetMs))
     }, -Infinity),
 
     isOnTrial: (serving, filling, image, now) => serving.some((service) => {
@@ -146,29 +159,36 @@
       if (!isKnown(model, image)) model.trials.set(image, now + TRIAL_MS)
     }),
 
-    getEstimates: () => [...models].map(([image, { peak, pairs, smallestTailMs, readings }]) => ({
-      image, peak, smallestTailMs, readings, pairs: [...pairs].map(([other, { value, variance }]) => [other, value, variance])
+    getEstimates: () => [...models].map(([image, { mean, peak, pairs, smallestTailMs, readings }]) => ({
+      image, mean, peak, smallestTailMs, readings, pairs: [...pairs].map(([other, { value, variance }]) => [other, value, variance])
     })),
 
-    mergeEstimates: (estimates) => estimates.forEach(({ image, peak, smallestTailMs, readings, pairs }) => {
+    mergeEstimates: (estimates) => estimates.forEach(({ image, mean, peak, smallestTailMs, readings, pairs }) => {
       if (readings <= (models.get(image)?.readings ?? 0)) return
       models.delete(image)
       const model = getModel(image)
-      Object.assign(model, { peak, smallestTailMs, readings })
+      Object.assign(model, { mean, peak, smallestTailMs, readings })
       pairs.forEach(([other, value, variance]) => model.pairs.set(other, { value, variance, updatedAt: 0 }))
     }),
 
+    estimateUse: (image) => models.get(image)?.mean ?? EXPECTED_LOAD,
+
     listPressing: (worker, serving, filling) => {
       const pressed = serving.filter(({ tailMs, targetMs }) => (tailMs ?? 0) > PRESSED_SHARE * targetMs)
       if (pressed.length === 0) pressedReadings.delete(worker)
       if (pressed.length === 0 || filling.length === 0) return []
       const readings = (pressedReadings.get(worker) ?? 0) + 1
       pressedReadings.set(worker, readings)
-      const blamed = filling
+      const stays = filling
         .map((run) => ({ run, pressure: Math.max(...pressed.map(({ image }) => computePressure(getModel(image), [run]))) }))
-        .sort((a, b) => b.pressure - a.pressure)
-      const chosen = readings >= READINGS_BEFORE_ALL ? blamed.filter(({ pressure }) => pressure > BLAMELESS_PRESSURE) : blamed.slice(0, 1)
-      return (chosen.length === 0 ? blamed.slice(0, 1) : chosen).map(({ run }) => run.task)
+        .sort((a, b) => a.pressure - b.pressure)
+      const leaving: string[] = []
+      while (stays.length > 0 && pressed.some((service) => isOverloaded(service, stays.map(({ run }) => run)))) {
+        const worst = stays.pop()
+        if (worst !== undefined && (leaving.length === 0 || worst.pressure > BLAMELESS_PRESSURE)) leaving.push(worst.run.task)
+      }
+      const last = stays.at(-1)
+      return leaving.length === 0 && readings >= READINGS_BEFORE_BLAME && last !== undefined ? [last.run.task] : leaving
     }
   }
 }
@@ -199,6 +219,10 @@
   return model.smallestTailMs === Infinity ? targetMs * UNLOADED_SHARE_OF_TARGET : model.smallestTailMs * UNLOADED_SHARE
 }
 
+function getAllowedLoad (model: ServiceModel, targetMs: number): number {
+  return 1 - getUnloadedTail(model, targetMs) / (PRESSED_SHARE * targetMs)
+}
+
 function forget (estimate: Estimate, drift: number, largest: number, now: number): void {
   estimate.variance = Math.min(largest, estimate.variance + drift * Math.max(0, now - estimate.updatedAt))
   estimate.updatedAt = now
