--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -12,7 +12,7 @@
 
 export interface RunEvent { at: number, kind: 'started' | 'ended' | 'acknowledged', worker: string, task: string, attempt: number, cause?: string }
 
-interface RunningTask { attempt: number, startedAt: number, plan: RunPlan, reading: number | undefined }
+export interface RunningTask { attempt: number, startedAt: number, plan: RunPlan, reading: number | undefined }
 
 /** A worker that follows the contract of orders: fences, one lease for all runs, numbered ends. */
 export interface FakeRunWorker {
@@ -39,6 +39,8 @@
   addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
   /** How long the tasks run; by default 1 s to success. */
   plan: (task: string, worker: string) => RunPlan
+  /** What a worker reads of a task, given all tasks that run there; by default what was set for the task. */
+  measure: (task: string, running: ReadonlyMap<string, RunningTask>, now: number) => number | undefined
 }
 
 const DEFAULT_LIFE: Omit<WorkerLife, 'id'> = {
@@ -70,9 +72,10 @@
       }
     },
     plan: () => ({ runMs: 1000, result: 'succeeded' }),
+    measure: (task, running) => running.get(task)?.reading,
     addWorker: (partial) => {
       const life = { ...DEFAULT_LIFE, ...partial }
-      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, plan: (task) => fleet.plan(task, life.id) }
+      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
       const worker: FakeRunWorker = {
         life,
         running: state.running,
@@ -133,6 +136,7 @@
   ends: RunEnd[]
   lastEnd: number
   plan (task: string): RunPlan
+  measure: FakeRunFleet['measure']
 }
 
 function updateRuns (state: FakeState): void {
@@ -202,8 +206,12 @@
     await clock.sleep(Math.min(POLL_MS, until - clock.now()))
     updateRuns(state)
   }
-  const running = [...state.running].map(([task, { attempt, startedAt, plan, reading }]): RunRow => ({
-    task, attempt, checkpoint: '', percent: plan.result === 'never' ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)), reading
+  const running = [...state.running].map(([task, { attempt, startedAt, plan }]): RunRow => ({
+    task,
+    attempt,
+    checkpoint: '',
+    percent: plan.result === 'never' ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)),
+    reading: state.measure(task, state.running, clock.now())
   }))
   return Ok({ clock: clock.now(), running, ends: [...state.ends] })
 }
