--- a/src/coordination/workflows/fillingWindow.ts
+++ b/src/coordination/workflows/fillingWindow.ts
@@ -1,7 +1,9 @@
 /** Readings of tails cover this long. */
 const READING_MS = 500
-/** A neighbour that ended or changed its pace may still be in a reading for this long, as orders and answers take time. */
+/** A neighbour that ended may still be in a reading for this long, as orders and answers take time. */
 const RECENT_MS = 1000
+/** A worker that has not been looked at for this long has left. */
+const FORGET_MS = 60_000
 
 /** What filling tasks of an image used, as a part of the worker's cores. */
 export interface FillingUse { image: string, part: number }
@@ -24,19 +26,19 @@
  * and not yet all of one that has just started.
  */
 export function createWindows (): Windows {
-  const workers = new Map<string, Map<string, Segment[]>>()
+  const workers = new Map<string, { tasks: Map<string, Segment[]>, at: number }>()
 
-  const getTasks = (worker: string): Map<string, Segment[]> => {
+  const getTasks = (worker: string, now: number): Map<string, Segment[]> => {
     const known = workers.get(worker)
-    if (known !== undefined) return known
-    const created = new Map<string, Segment[]>()
-    workers.set(worker, created)
-    return created
+    if (known === undefined) workers.forEach(({ at }, name) => { if (now - at > FORGET_MS) workers.delete(name) })
+    const tasks = known?.tasks ?? new Map<string, Segment[]>()
+    workers.set(worker, { tasks, at: now })
+    return tasks
   }
 
   return {
     update: (worker, filling, now) => {
-      const tasks = getTasks(worker)
+      const tasks = getTasks(worker, now)
       const listed = new Set(filling.map(({ task }) => task))
       tasks.forEach((segments, task) => {
         if (!listed.has(task)) closeSegment(segments, now)
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -1,5 +1,5 @@
 import { createWindows, type FillingReading, type FillingUse, type ListedFilling } from './fillingWindow.js'
-import { updateLoad, createServiceLoad, EXPECTED_LOAD, estimatePeak, updateToReading, type ServiceLoad } from './serviceLoad.js'
+import { createServiceLoad, estimatePeak, EXPECTED_LOAD, updateLoad, updateToReading, type ServiceLoad } from './serviceLoad.js'
 
 /** Peak of the load of an image before any reading: the expected load and half of it. */
 const EXPECTED_PEAK = 0.63
@@ -46,8 +46,8 @@
 const STOP_AHEAD_MS = 700
 /** Neighbours that add less than this to the load are not to blame for a tail. */
 const BLAMELESS_PRESSURE = 0.015
-/** A step that has had no reading for this long has ended or is served elsewhere. */
-const FORGET_STEP_MS = 60_000
+/** A step or a worker without a reading for this long has ended. */
+const FORGET_MS = 60_000
 
 /** A task that serves: what it runs, the step whose load it shares, its latest tail and its target, ms. */
 export interface ServingRun { task: string, step: string, image: string, tailMs: number | undefined, targetMs: number }
@@ -86,8 +86,8 @@
 interface ServiceModel { mean: number, peak: number, pairs: Map<string, Estimate>, trials: Map<string, number>, smallestTailMs: number, readings: number }
 
 /**
- * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, and paces what
- * would press a task over its target. The load is batch work in waves beside lasting services whose load swings.
+ * Keeps tasks that fill from harming tasks that serve: learns from tails which images disturb which, places work
+ * where the services bear it for the next seconds, and stops what presses a task over its target. The load is batch work in waves beside lasting services whose load swings.
  *
  * A tail grows as `unloaded / (1 - load)`. The load of a task is that of its step, which swings alike for all tasks of
  * the step, plus, for each neighbour, a pressure that depends on both images times the part of the worker that the
@@ -111,7 +111,7 @@
   const getStepLoad = (step: string, mean: number, now: number): ServiceLoad => {
     const known = steps.get(step)
     if (known !== undefined) return known
-    steps.forEach(({ at }, name) => { if (now - at > FORGET_STEP_MS) steps.delete(name) })
+    removeOld(steps, now)
     const created = createServiceLoad(mean, now)
     steps.set(step, created)
     return created
@@ -131,6 +131,7 @@
     const known = readings.get(worker)
     if (serving.length === 0) readings.delete(worker)
     if (serving.length === 0 || (known?.tails === tails && now - known.at < REPEAT_MS)) return false
+    if (known === undefined) removeOld(readings, now)
     readings.set(worker, { tails, at: now })
     return true
   }
@@ -213,6 +214,10 @@
   model.peak += PEAK_STEP * (PEAK_QUANTILE - (load < model.peak ? 1 : 0))
 }
 
+function removeOld (known: Map<string, { at: number }>, now: number): void {
+  known.forEach(({ at }, name) => { if (now - at > FORGET_MS) known.delete(name) })
+}
+
 function getPair (model: ServiceModel, image: string, now: number): Estimate {
   const known = model.pairs.get(image)
   if (known !== undefined) return known
