--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,4 +1,4 @@
-import { getStepName, parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { formatTaskName, getStepName, parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placing.js'
 import type { Session } from './sessionState.js'
 import type { Sharing } from './sharing.js'
@@ -80,8 +80,9 @@
   return candidate
 }
 
+/** The name that `getStepName` gives the step's tasks. */
 export function getPeerKey (workflow: string, occurrence: number, step: number): string {
-  return `${workflow}.${occurrence}.${step}`
+  return getStepName(formatTaskName({ workflow, occurrence, step, index: 0 }))
 }
 
 export function addRun (candidate: Placing, step: Step, peerKey: string, sharing: Pick<Sharing, 'estimateUse'>): void {
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -149,7 +149,7 @@
     },
     'workflow.cancel': ({ id }) => {
       dispatcher.markChanged(id)
-      stopWorkflow(id, 'cancelled')
+      stopEnded()
     },
     'life.report': ({ life }) => {
       dispatcher.markChanged()
@@ -175,14 +175,7 @@
     }
   }
 
-  /** Ends every run of a workflow that nobody wants any more. */
-  const stopWorkflow = (id: string, reason: string): void => {
-    sessions.forEach((session) => session.runs.forEach((run) => {
-      if (parseTaskName(run.task)?.workflow === id) stopRun(context, session, run, reason)
-    }))
-  }
-
-  /** Runs of workflows that ended otherwise than by a cancel, for instance because another task failed for good. */
+  /** Ends the runs of workflows that were cancelled, or that ended because another task failed for good. */
   const stopEnded = (): void => {
     sessions.forEach((session) => session.runs.forEach((run) => {
       const id = parseTaskName(run.task)?.workflow ?? ''
