Date merged estimates by the time of the merge

Cause: found by reading. Estimates that another host had learned were dated 0, so on a process that had run for over 200 s each pair lost its certainty with the first reading and was tried again. The test fails with the old date.

--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -51,7 +51,7 @@
     })
   }
   network.handle(ESTIMATES_MESSAGE, async (_from, body) => {
-    if (term === undefined) sharing.mergeEstimates(body as SharingEstimates)
+    if (term === undefined) sharing.mergeEstimates(body as SharingEstimates, clock.now())
     return {}
   })
 
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -13,7 +13,7 @@
 const PRESSURE_VARIANCE = 3 ** 2
 /** Below this variance a pair counts as known; two or three readings beside a tenth of a worker reach it. */
 const KNOWN_VARIANCE = 0.5
-/** Variance that a pressure gains in a ms: it is uncertain again after an hour. */
+/** Variance that a pressure gains in a ms: a pair that was not seen for some 200 s is tried again, nothing is known of it after an hour. */
 const PRESSURE_DRIFT = PRESSURE_VARIANCE / 3_600_000
 /** Smallest variance of a pressure: pairs differ a little from one worker to the next. */
 const LEAST_PRESSURE_VARIANCE = 0.1 ** 2
@@ -74,7 +74,7 @@
   /** What has been learned, for a host that may lead next. */
   getEstimates (): SharingEstimates
   /** Takes over what another host has learned about images that this one knows less of. */
-  mergeEstimates (estimates: SharingEstimates): void
+  mergeEstimates (estimates: SharingEstimates, now: number): void
   /** Filling tasks that have to leave a worker: a tail is close to or over its target, and will stay so with them. */
   listPressing (serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): string[]
 }
@@ -184,12 +184,12 @@
       image, mean, peak, smallestTailMs, readings, pairs: [...pairs].map(([other, { value, variance }]) => [other, value, variance])
     })),
 
-    mergeEstimates: (estimates) => estimates.forEach(({ image, mean, peak, smallestTailMs, readings, pairs }) => {
+    mergeEstimates: (estimates, now) => estimates.forEach(({ image, mean, peak, smallestTailMs, readings, pairs }) => {
       if (readings <= (models.get(image)?.readings ?? 0)) return
       models.delete(image)
       const model = getModel(image)
       Object.assign(model, { mean, peak, smallestTailMs, readings })
-      pairs.forEach(([other, value, variance]) => model.pairs.set(other, { value, variance, updatedAt: 0 }))
+      pairs.forEach(([other, value, variance]) => model.pairs.set(other, { value, variance, updatedAt: now }))
     }),
 
     estimateUse: (image) => models.get(image)?.mean ?? EXPECTED_LOAD,
--- a/test/workflows/sharing.test.ts
+++ b/test/workflows/sharing.test.ts
@@ -70,6 +70,16 @@
   expect(sharing.listPressing([{ ...pressed[0]!, tailMs: 9 }], [heavy], 32_500)).toEqual([])
 })
 
+test('what a leader has learned counts as known on a host that has run for long', () => {
+  const learned = playReadings([{ worker: 'w1', phaseMs: 0, neighbours: createStays('light', 0.1, 0.1, 8000) }], 32_000)
+  const later = createSharing()
+  const longAfter = 30 * 60_000
+  later.mergeEstimates(learned.getEstimates(), longAfter)
+  const tailMs = 8
+  later.observe('w1', [{ ...SERVING, task: 'w1-s', step: 'w1', tailMs }], [{ task: 'l', image: 'light', part: 0.1, since: longAfter - 2000 }], longAfter + 100)
+  expect(later.isOnTrial([SERVING], [{ image: 'light', part: 0.1 }], 'light', longAfter + 200)).toBe(false)
+})
+
 test('an unknown pair is tried on one worker at a time, and not beside another unknown image', () => {
   const sharing = createSharing()
   const before = sharing.isOnTrial([SERVING], [], 'new', 1000)
