--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -20,7 +20,9 @@
 export function observeSharing (options: MoveOptions, session: Session): void {
   const { clock, stopRun, logger, sharing } = options
   const { serving, filling } = listSharing(options, session)
-  sharing.observe(session.worker, serving, filling, clock.now())
+  sharing.observe(session.worker, serving, filling, clock.now()).forEach(({ service, neighbour, pressure, variance }) => {
+    logger.info('sharing.pair-known', { service, neighbour, pressure: pressure.toFixed(2), variance: variance.toFixed(3), worker: session.worker })
+  })
   const isWanted = ({ task }: { task: string }): boolean => session.runs.get(task)?.stopReason === undefined
   sharing.listPressing(serving.filter(isWanted), filling.filter(isWanted), clock.now()).forEach((task) => {
     const run = session.runs.get(task)
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -58,8 +58,8 @@
 export interface ServingImage { step: string | undefined, image: string, targetMs: number }
 
 export interface Sharing {
-  /** Learns from a reading of all runs on a worker. */
-  observe (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): void
+  /** Learns from a reading of all runs on a worker. Returns the pairs of which enough is known since. */
+  observe (worker: string, serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): KnownPair[]
   /** How far the highest load of the next seconds is expected above what keeps every tail below its target; at most 0 is safe. */
   estimateRisk (serving: readonly ServingImage[], filling: readonly FillingUse[], now: number): number
   /**
@@ -79,6 +79,9 @@
   listPressing (serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): string[]
 }
 
+/** What a neighbour adds to the load of a service on a whole worker, and how sure that is. */
+export interface KnownPair { service: string, neighbour: string, pressure: number, variance: number }
+
 /** By image of a service: its mean and its peak load, its smallest tail, and the pressure of each neighbour's image with its variance. */
 export type SharingEstimates = Array<{ image: string, mean: number, peak: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
 
@@ -136,6 +139,12 @@
     return true
   }
 
+  const listPairs = (serving: readonly ServingRun[], uses: readonly FillingUse[]): KnownPair[] =>
+    [...new Set(serving.map(({ image }) => image))].flatMap((service) => uses.map(({ image }) => {
+      const pair = getModel(service).pairs.get(image)
+      return { service, neighbour: image, pressure: pair?.value ?? EXPECTED_PRESSURE, variance: pair?.variance ?? PRESSURE_VARIANCE }
+    }))
+
   const learn = (run: ServingRun, { uses, recent }: FillingReading, now: number): void => {
     if (run.tailMs === undefined || run.tailMs <= 0) return
     const model = getModel(run.image)
@@ -163,7 +172,11 @@
   return {
     observe: (worker, serving, filling, now) => {
       const reading = windows.update(worker, filling, now)
-      if (isNewReading(worker, serving, now)) serving.forEach((run) => learn(run, reading, now))
+      if (!isNewReading(worker, serving, now)) return []
+      const unknown = listPairs(serving, reading.uses).filter(({ variance }) => variance >= KNOWN_VARIANCE)
+      serving.forEach((run) => learn(run, reading, now))
+      return listPairs(serving, reading.uses).filter(({ service, neighbour, variance }) =>
+        variance < KNOWN_VARIANCE && unknown.some((pair) => pair.service === service && pair.neighbour === neighbour))
     },
 
     estimateRisk: (serving, filling, now) => serving.reduce((worst, service) =>
--- a/test/workflows/sharing.test.ts
+++ b/test/workflows/sharing.test.ts
@@ -70,6 +70,16 @@
   expect(sharing.listPressing([{ ...pressed[0]!, tailMs: 9 }], [heavy], 32_500)).toEqual([])
 })
 
+test('a pair is reported once, when enough is known of it', () => {
+  const sharing = createSharing()
+  const reports = [1, 2, 3, 4, 5, 6].map((turn) => {
+    const now = 5000 + turn * READING_MS
+    const serving = [{ ...SERVING, task: 'w1-s', step: 'w1', tailMs: 7 + turn % 2 }]
+    return sharing.observe('w1', serving, [{ task: 'l', image: 'light', part: 0.1, since: 0 }], now).map(({ service, neighbour }) => `${service} ${neighbour}`)
+  })
+  expect(reports.flat()).toEqual(['desk light'])
+})
+
 test('what a leader has learned counts as known on a host that has run for long', () => {
   const learned = playReadings([{ worker: 'w1', phaseMs: 0, neighbours: createStays('light', 0.1, 0.1, 8000) }], 32_000)
   const later = createSharing()
