--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -59,8 +59,10 @@
   return step.tailTargetMs !== undefined
 }
 
-export function canHold (candidate: Candidate, { step, countPeers }: Pick<PlacementNeeds, 'step' | 'countPeers'>): boolean {
-  const hasCores = step.fills ? candidate.spareCores >= step.cores : candidate.freeCores >= step.cores
+export function canHold (candidate: Candidate, { step, countPeers, acceptsRisk }: Pick<PlacementNeeds, 'step' | 'countPeers'> & Partial<PlacementNeeds>): boolean {
+  // Workers take filling tasks beyond what others leave and run them the slower, which is better than not at all.
+  const hasFillingRoom = acceptsRisk === true || candidate.spareCores >= step.cores
+  const hasCores = step.fills ? hasFillingRoom : candidate.freeCores >= step.cores
   return hasCores &&
     candidate.freeMemoryMb >= step.memoryMb &&
     candidate.freeAccelerators >= step.accelerators &&
--- a/test/workflows/placing.test.ts
+++ b/test/workflows/placing.test.ts
@@ -40,3 +40,10 @@
   expect(chooseWorker(workers, createNeeds({ fills: true }, { getScarcity }))?.id).toBe('plain')
   expect(chooseWorker(workers, createNeeds({ fills: true }))?.id).toBe('needed')
 })
+
+test('a filling task that has waited too long starts even where others already use all cores', () => {
+  const full = createCandidate('full', { spareCores: 1 })
+  const place = (acceptsRisk: boolean): string | undefined => chooseWorker([full], createNeeds({ fills: true, cores: 4 }, { acceptsRisk }))?.id
+  expect([place(false), place(true)]).toEqual([undefined, 'full'])
+  expect(chooseWorker([createCandidate('small', { freeMemoryMb: 1 })], createNeeds({ fills: true }, { acceptsRisk: true }))).toBeUndefined()
+})
