--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -4,3 +4,4 @@
 export { type Network, type NetworkFailure, type RequestHandler } from './network.js'
 export { createRandom, type Random } from './random.js'
 export { Err, Ok, type Result } from './results.js'
+export { createNoWorkMeter, createWorkMeter, type WorkMeter } from './work.js'
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, Network } from '../../common/index.js'
+import type { Clock, Logger, Metrics, Network, WorkMeter } from '../../common/index.js'
 import type { AgreedLog } from '../../state/index.js'
 import type { AdviceClient } from './advice.js'
 import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
@@ -19,6 +19,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  work: WorkMeter
   network: Network
   log: AgreedLog
   client: WorkerClient
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics } from '../../common/index.js'
+import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import type { Assignment, WorkflowsState } from '../../state/index.js'
 import { createTaskIndex, getPeerKey, listCandidates, type CandidateOptions, type Placing } from './candidates.js'
 import { placeGroup, type GroupOptions } from './groups.js'
@@ -26,6 +26,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  work: WorkMeter
   isActive (): boolean
   /** Resolves when the assignments are recorded, or it is known that they were not, or nothing is known. */
   assign (assignments: Assignment[]): Promise<void>
@@ -58,6 +59,8 @@
     const all = [...candidates.values()].flat()
     logger.info('dispatch.load', {
       waiting: groups.reduce((sum, { indexes }) => sum + indexes.length, 0),
+      waitingLasting: groups.filter(({ step }) => step.lasting).reduce((sum, { indexes }) => sum + indexes.length, 0),
+      longestIdleMs: Math.round(now - Math.min(now, ...idleSince.values())),
       groups: groups.length,
       workers: all.length,
       cores: Math.round(all.reduce((sum, { cores }) => sum + cores, 0)),
@@ -72,19 +75,27 @@
     })
   }
 
-  const runPass = async (): Promise<void> => {
+  const placeWaiting = (): Assignment[] => {
+    const { work } = options
     const wallTime = clock.wall()
-    const candidates = listCandidates(options, tasks)
-    const groups = waiting.listGroups(wallTime)
+    const candidates = work.measure('dispatch.candidates', () => listCandidates(options, tasks))
+    const groups = work.measure('dispatch.waiting', () => waiting.listGroups(wallTime))
     logLoad(groups, candidates)
     const assignments: Assignment[] = []
-    const getScarcity = createScarcity(groups, [...candidates.values()].flat(), (serving, filling) => options.sharing.estimateRisk(serving, filling, clock.now()))
-    const starved = updateStarved(idleSince, groups, candidates, clock.now())
-    groups.forEach((group) => {
+    const getScarcity = work.measure('dispatch.scarcity', () => createScarcity(groups, [...candidates.values()].flat(), (serving, filling) => options.sharing.estimateRisk(serving, filling, clock.now())))
+    const starved = work.measure('dispatch.starved', () => updateStarved(idleSince, groups, candidates, clock.now()))
+    work.measure('dispatch.place', () => groups.forEach((group) => {
       if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, getScarcity, starved.has(group)))
+    }))
+    return assignments
+  }
+
+  const runPass = async (): Promise<void> => {
+    const assignments = placeWaiting()
+    options.work.measure('dispatch.move', () => {
+      stopStalled(options)
+      drainWorkers(options)
     })
-    stopStalled(options)
-    drainWorkers(options)
     if (assignments.length === 0) return
     assignments.forEach(([task, worker, attempt]) => logger.info('run.assign', { task, attempt, worker }))
     options.metrics.count('run.assigned', assignments.length)
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -89,7 +89,7 @@
     const recorded = await context.recordEnds(session.worker, session.bornAt, reply.ends)
     if (recorded) context.onEnds(session, reply.ends)
   }
-  updateRuns(context, session, reply, sentAt)
+  context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
 }
 
 /** Compares what runs there with what is assigned. */
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics } from '../../common/index.js'
+import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import type { RunEnd, WorkerLife, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import type { HoldReply, RunRow, WorkerClient } from './orders.js'
 import { createSignal, type Signal } from './signal.js'
@@ -50,6 +50,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  work: WorkMeter
   client: WorkerClient
   fence: number
   getState (): WorkflowsState
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics } from '../../common/index.js'
+import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import { findTask, getStepName, parseTaskName, type AgreedLog, type Assignment, type Entry, type RunEnd, type WorkflowsState } from '../../state/index.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
@@ -17,6 +17,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  work: WorkMeter
   log: AgreedLog
   client: WorkerClient
   hosts: HostClient
@@ -57,6 +58,7 @@
     clock,
     logger,
     metrics: options.metrics,
+    work: options.work,
     client: options.client,
     fence,
     getState,
@@ -76,7 +78,7 @@
       logger.warn('term.fenced', { worker, fence })
       stop()
     },
-    onReply: (session, reply) => observeReply(session, reply),
+    onReply: (session, reply) => options.work.measure('session.observe', () => observeReply(session, reply)),
     onEnds: (session, ends) => {
       ends.forEach(([number, task, attempt, cause]) => {
         options.metrics.count('run.ended', 1, { cause })
@@ -189,7 +191,7 @@
       const status = log.status()
       if (status.role !== 'leader' || status.term !== fence) return stop()
       authorityAt = Math.max(authorityAt, clock.now() - computeMajorityAge(status.progress))
-      stopEnded()
+      options.work.measure('term.check', stopEnded)
       dispatcher.schedule()
       await clock.sleep(AUTHORITY_CHECK_MS)
     }
@@ -225,6 +227,7 @@
     clock,
     logger,
     metrics: options.metrics,
+    work: options.work,
     sessions,
     health,
     sharing: options.sharing,
@@ -241,7 +244,7 @@
   })
   const unsubscribe = log.subscribe((entry) => {
     const handler = handlers[entry.kind] as ((entry: Entry) => void) | undefined
-    handler?.(entry)
+    options.work.measure('term.apply', () => handler?.(entry))
   })
   const state = getState()
   logger.info('term.start', { fence, workers: Object.keys(state.workers).length, workflows: Object.keys(state.workflows).length - state.ended.length, catalog: state.catalog?.version })
--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -1,5 +1,5 @@
 import { join } from 'node:path'
-import { Err, Ok, createLogger, createNoMetrics, createRandom, createStatsdMetrics, createSystemClock, type Clock, type Logger, type Metrics, type Result } from '../../common/index.js'
+import { Err, Ok, createLogger, createNoMetrics, createNoWorkMeter, createRandom, createStatsdMetrics, createSystemClock, type Clock, type Logger, type Metrics, type Result } from '../../common/index.js'
 import { createConfiguration, type ConfigurationModule } from '../../coordination/configuration/index.js'
 import { createPlacement } from '../../coordination/placement/index.js'
 import { createReportRecorder, type ReportRecorder } from '../../coordination/reports/index.js'
@@ -162,7 +162,7 @@
 async function openNetwork (settings: HostSettings, context: { clock: Clock, logger: Logger, metrics: Metrics, findAddress: (host: string) => string | undefined }): Promise<Result<PeerNetwork, StartFailure>> {
   const [listenHost, port] = splitAddress(settings.self.peerAddress)
   try {
-    return Ok(await openPeerNetwork({ ...context, self: settings.self.id, listenHost, listenPort: port, secret: settings.security.cluster_secret }))
+    return Ok(await openPeerNetwork({ ...context, work: createNoWorkMeter(), self: settings.self.id, listenHost, listenPort: port, secret: settings.security.cluster_secret }))
   } catch (error) {
     return Err(describeListenError(settings.self.peerAddress, error))
   }
--- a/src/state/replica/apply.ts
+++ b/src/state/replica/apply.ts
@@ -47,7 +47,9 @@
 export function applyCommitted (context: Context, commitIndex: number): void {
   if (commitIndex <= context.commitIndex) return
   context.commitIndex = commitIndex
-  while (context.appliedIndex < context.commitIndex && !context.stopped) applyNext(context)
+  context.work.measure('log.apply', () => {
+    while (context.appliedIndex < context.commitIndex && !context.stopped) applyNext(context)
+  })
   if (context.stopped) return
   context.peers.forEach((peer) => peer.wake.notify())
   context.progress.notify()
@@ -109,7 +111,7 @@
     context.snapshotting = true
     const term = log.getTerm(index) ?? 0
     const voters = context.memberships.findLast((membership) => membership.index <= index)?.voters ?? []
-    const bytes = encodeSnapshot({ index, term, voters, state: context.state })
+    const bytes = context.work.measure('log.snapshot', () => encodeSnapshot({ index, term, voters, state: context.state }))
     const saved = await store.saveSnapshot({ index, term, bytes }, log.listFrom(index + 1))
     context.snapshotting = false
     if (saved.err) return stopOnFailure(context, saved.val)
--- a/src/state/replica/context.ts
+++ b/src/state/replica/context.ts
@@ -1,5 +1,5 @@
 import { crc32 } from 'node:zlib'
-import { Err, type Clock, type Logger, type Network, type Random, type Result } from '../../common/index.js'
+import { Err, type Clock, type Logger, type Network, type Random, type Result, type WorkMeter } from '../../common/index.js'
 import type { AgreedState } from '../agreedState.js'
 import type { Applied, LogFailure } from '../agreedLog.js'
 import { describeStoreFailure, type HardState, type LoadedLog, type LogStore, type StoredSnapshot, type StoreFailure } from '../logStore/index.js'
@@ -20,6 +20,7 @@
   random: Random
   network: Network
   logger: Logger
+  work: WorkMeter
   /** Hosts that found the deployment together. They must have a disk. Ignored once the deployment exists. */
   bootstrapVoters: string[]
   /** Further hosts that may know the leader. */
@@ -229,7 +230,7 @@
 
 /** The leader's way to add an entry. */
 export function appendCommand (context: Context, command: Command): number {
-  const index = appendEntry(context, context.term, encodeCommand(command))
+  const index = context.work.measure('log.append', () => appendEntry(context, context.term, encodeCommand(command)))
   context.peers.forEach((peer) => peer.wake.notify())
   return index
 }
--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import { Ok, type Clock, type Logger, type Network, type Random, type Result } from '../../common/index.js'
+import { createNoWorkMeter, Ok, type Clock, type Logger, type Network, type Random, type Result, type WorkMeter } from '../../common/index.js'
 import type { AgreedLog, LogStatus } from '../agreedLog.js'
 import { createAgreedState, type AgreedState } from '../agreedState.js'
 import type { Disk } from '../disk/index.js'
@@ -24,6 +24,8 @@
   random: Random
   network: Network
   logger: Logger
+  /** Counts the time of applying entries and of snapshots. */
+  work?: WorkMeter
   /** Without a disk the host follows and never votes. */
   disk?: Disk
   /** Hosts that found the deployment together when none exists yet. */
@@ -70,6 +72,7 @@
     random: options.random,
     network: options.network,
     logger: options.logger,
+    work: options.work ?? createNoWorkMeter(),
     // A repaired host had a deployment, so it never founds one.
     bootstrapVoters: loaded?.repaired === true ? [] : bootstrapVoters,
     seeds: loaded?.repaired === true ? [...bootstrapVoters, ...options.seeds ?? []] : options.seeds ?? [],
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -112,7 +112,7 @@
 
   const receiveMessage = (from: Connection, data: Buffer): void => {
     from.lastHeardAt = clock.now()
-    const envelope = decodeEnvelope(data)
+    const envelope = options.work.measure('peer.decode', () => decodeEnvelope(data))
     if (!envelope.ok || envelope.val.type === 'request') {
       logger.warn('peer-reply-malformed', { bytes: data.length })
       from.socket.terminate()
@@ -151,7 +151,7 @@
       return Err({ kind: 'unreachable', to, message: 'the connection accepts no more data' })
     }
     const id = nextId++
-    const data = encodeEnvelope({ type: 'request', id, kind, body })
+    const data = options.work.measure('peer.send', () => encodeEnvelope({ type: 'request', id, kind, body }))
     traffic.recordSent(kind, data.length)
     return await new Promise((resolve) => {
       const expired = (): void => finish(Err({ kind: 'deadline-exceeded', to, message: `no reply to ${kind} in time` }))
@@ -162,7 +162,7 @@
         resolve(result)
       }
       used.waiters.set(id, { kind, finish })
-      used.socket.send(data)
+      options.work.measure('peer.send', () => used.socket.send(data))
     })
   }
 
--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -1,7 +1,7 @@
 import { WebSocketServer, type WebSocket } from 'ws'
 import type { IncomingMessage } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Clock, Logger, Metrics, Network, RequestHandler } from '../common/index.js'
+import type { Clock, Logger, Metrics, Network, RequestHandler, WorkMeter } from '../common/index.js'
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
 import { createOfferRegistry, type PeerOffer } from './peerAuth.js'
 import { createPeerLink, type PeerLink } from './peerLink.js'
@@ -15,6 +15,7 @@
   clock: Clock
   logger: Logger
   metrics: Metrics
+  work: WorkMeter
   /** `ip:port` of a host, or nothing when the host is not known. */
   findAddress (host: string): string | undefined
 }
@@ -82,8 +83,8 @@
   logger.info('peer-connected')
   socket.on('error', (error) => logger.warn('peer-connection-failed', { error: error.message }))
   socket.on('close', () => logger.info('peer-disconnected'))
-  socket.on('message', (data: Buffer) => {
-    const envelope = decodeEnvelope(data)
+  const receive = (data: Buffer): void => {
+    const envelope = options.work.measure('peer.decode', () => decodeEnvelope(data))
     if (!envelope.ok || envelope.val.type !== 'request') {
       logger.warn('peer-message-malformed', { bytes: data.length })
       socket.terminate()
@@ -91,15 +92,16 @@
     }
     const { id, kind, body } = envelope.val
     traffic.recordReceived(kind, data.length)
-    handleRequest(handlers, from, kind, body).then(
-      (reply) => sendReply(socket, traffic, kind, { type: 'reply', id, body: reply }),
+    options.work.measure(kind, () => handleRequest(handlers, from, kind, body)).then(
+      (reply) => options.work.measure('peer.send', () => sendReply(socket, traffic, kind, { type: 'reply', id, body: reply })),
       (error: unknown) => {
         const message = error instanceof Error ? error.message : 'handler failed'
         logger.warn('peer-request-failed', { kind, error: message })
         sendReply(socket, traffic, kind, { type: 'failure', id, message })
       }
     )
-  })
+  }
+  socket.on('message', receive)
 }
 
 async function handleRequest (handlers: Map<string, RequestHandler>, from: string, kind: string, body: unknown): Promise<unknown> {
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -1,4 +1,4 @@
-import { createManualClock, createNoMetrics, createSilentLogger, type ManualClock, type RequestHandler } from '../../src/common/index.js'
+import { createManualClock, createNoMetrics, createNoWorkMeter, createSilentLogger, type ManualClock, type RequestHandler } from '../../src/common/index.js'
 import { createWorkflowCoordinator, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 import type { Candidate } from '../../src/coordination/workflows/placing.js'
 import { WORKFLOW_MESSAGE } from '../../src/coordination/workflows/messages.js'
@@ -45,7 +45,7 @@
   const fleet = createFakeRunFleet(clock)
   const handlers = new Map<string, RequestHandler>()
   const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
-  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), network, log, client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
+  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
   const record = async (entry: Entry): Promise<void> => {
     log.propose(entry, Infinity)
     await clock.advance(COMMIT_MS)
