--- a/src/fakes/memoryLog.ts
+++ b/src/fakes/memoryLog.ts
@@ -5,6 +5,8 @@
 export interface MemoryLog extends AgreedLog {
   /** While false, nothing can be proposed, as in a zone that is cut off. */
   setReachable (reachable: boolean): void
+  /** The log as another host sees it that follows the first one without any lag. */
+  join (follower: string): AgreedLog
 }
 
 /** With a clock each proposal takes `commitMs`, as if a disk were synced. */
@@ -13,8 +15,9 @@
   const listeners = new Set<(entry: Entry, index: number) => void>()
   let index = 0
   let reachable = true
+  const hosts = [host]
 
-  return {
+  const log: MemoryLog = {
     propose: async (entry) => {
       if (!reachable) return Err({ kind: 'no-leader', message: 'no leader can be reached' })
       if (slow !== undefined) await slow.clock.sleep(slow.commitMs)
@@ -33,9 +36,9 @@
       leader: reachable ? host : undefined,
       commitIndex: index,
       appliedIndex: index,
-      voters: [host],
+      voters: [...hosts],
       learners: [],
-      progress: [{ host, matchIndex: index, votes: true, lastHeardAgoMs: 0 }],
+      progress: hosts.map((name) => ({ host: name, matchIndex: index, votes: true, lastHeardAgoMs: 0 })),
       survivableLosses: 0
     }),
     subscribe: (listener) => {
@@ -43,6 +46,11 @@
       return () => { listeners.delete(listener) }
     },
     stop: async () => {},
-    setReachable: (value) => { reachable = value }
+    setReachable: (value) => { reachable = value },
+    join: (follower) => {
+      hosts.push(follower)
+      return { ...log, status: () => ({ ...log.status(), role: 'follower', progress: [] }) }
+    }
   }
+  return log
 }
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,8 @@
     include: ['test/**/*.test.ts'],
     testTimeout: 30_000,
     hookTimeout: 30_000,
-    maxWorkers: 4
+    maxWorkers: 4,
+    reporters: ['default', 'json'],
+    outputFile: { json: 'target/tests.json' }
   }
 })
