--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,6 +1,6 @@
 import { formatTaskName, getStepName, parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placing.js'
-import type { Session } from './sessionState.js'
+import type { WorkerView } from './sessionState.js'
 import type { Sharing } from './sharing.js'
 import type { WorkerHealth } from './workerHealth.js'
 
@@ -8,7 +8,7 @@
 const MAX_KNOWN_TASKS = 50_000
 
 export interface CandidateOptions {
-  sessions: ReadonlyMap<string, Session>
+  sessions: ReadonlyMap<string, WorkerView>
   health: WorkerHealth
   sharing: Sharing
   getState (): WorkflowsState
@@ -51,7 +51,7 @@
   return byService
 }
 
-function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session, slowness: number): Placing {
+function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: WorkerView, slowness: number): Placing {
   const candidate: Placing = {
     id: life.id,
     service: life.service,
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -6,6 +6,8 @@
 import { createWorkflowService } from './service.js'
 import { createSharing, type SharingEstimates } from './sharing.js'
 import { startTerm, type Term } from './term.js'
+import { createSessionHost } from './sessionHost.js'
+import { SESSIONS_MESSAGE, type SessionsReply, type SessionsRequest } from './sessionMessages.js'
 import type { HostClient } from './upkeep.js'
 
 /** How often a host looks whether it has become the leader; a part of the time a takeover may take. */
@@ -22,6 +24,9 @@
   work: WorkMeter
   network: Network
   log: AgreedLog
+  availabilityZone: string
+  /** Names this process; a restart of the host has another name. */
+  process: string
   client: WorkerClient
   hosts: HostClient
   advice: AdviceClient
@@ -32,7 +37,7 @@
   stop (): Promise<void>
 }
 
-/** Coordinates workflows while this host leads the log, and answers entry hosts. */
+/** Keeps sessions with the workers of this host, coordinates all workflows while it leads the log, and answers entry hosts. */
 export function createWorkflowCoordinator (options: WorkflowCoordinatorOptions): WorkflowCoordinator {
   const { clock, logger, log, network } = options
   const stopping = new AbortController()
@@ -64,6 +69,10 @@
     return { kind: 'invalid', message: 'the request between hosts is malformed' }
   })
 
+  const exchange = (from: string, request: SessionsRequest): SessionsReply => term?.exchange(from, request) ?? { kind: 'not-leader' }
+  network.handle(SESSIONS_MESSAGE, async (from, body) => exchange(from, body as SessionsRequest))
+  const sessionHost = createSessionHost({ ...options, exchangeHere: (request) => exchange(network.self, request) })
+
   const runTerms = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       const status = log.status()
@@ -83,7 +92,7 @@
     const current = await log.readBarrier(clock.now() + BARRIER_TIMEOUT_MS)
     const status = log.status()
     if (stopping.signal.aborted || !current.ok || status.role !== 'leader' || status.term !== fence) return
-    term = startTerm({ ...options, sharing, fence })
+    term = startTerm({ ...options, self: network.self, sharing, fence })
   }
 
   const loop = runTerms().catch((error: unknown) => {
@@ -93,6 +102,7 @@
   return {
     getTerm,
     stop: async () => {
+      await sessionHost.stop()
       stopping.abort()
       term?.stop()
       term = undefined
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -3,10 +3,9 @@
 import { createTaskIndex, getPeerKey, listCandidates, type CandidateOptions, type Placing } from './candidates.js'
 import { placeGroup, type GroupOptions } from './groups.js'
 import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
-import type { HoldReply } from './orders.js'
 import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
 import { createScarcity } from './scarcity.js'
-import type { Session } from './sessionState.js'
+import type { WorkerView } from './sessionState.js'
 import type { Signal } from './signal.js'
 
 /** Passes over the waiting tasks are at least this far apart, so that a burst of changes shares one. */
@@ -38,7 +37,7 @@
   schedule (): void
   /** The waiting tasks of a workflow, or of all, may have changed. */
   markChanged (workflow?: string): void
-  observeReply (session: Session, reply: HoldReply): void
+  observeReport (worker: WorkerView): void
   stop (): void
 }
 
@@ -117,7 +116,7 @@
   return {
     schedule: () => wake.notify(),
     markChanged: (workflow) => waiting.markChanged(workflow),
-    observeReply: (session) => observeSharing(options, session),
+    observeReport: (worker) => observeSharing(options, worker),
     stop: () => {
       stopping.abort()
       wake.notify()
--- /dev/null
+++ b/src/coordination/workflows/endRecorder.ts
@@ -0,0 +1,40 @@
+import type { Clock, Logger } from '../../common/index.js'
+import type { AgreedLog, LifeEnds, RunEnd } from '../../state/index.js'
+import { PROPOSE_TIMEOUT_MS } from './timing.js'
+
+/** Entries with ends that wait for their commit at the same time; ends that come meanwhile share the next one. */
+const MAX_IN_FLIGHT = 2
+/** Lives whose ends share an entry, which keeps it small. */
+const MAX_LIVES = 200
+
+export interface EndRecorder {
+  /** Records the ends that a life of a worker listed; resolves with true when they are durable. */
+  recordEnds (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean>
+}
+
+interface WaitingEnds extends LifeEnds { resolve (isRecorded: boolean): void }
+
+/** Collects the ends of all workers of this host into few entries of the log. */
+export function createEndRecorder ({ clock, logger, log }: { clock: Clock, logger: Logger, log: AgreedLog }): EndRecorder {
+  const waiting: WaitingEnds[] = []
+  let inFlight = 0
+
+  const runEntries = async (): Promise<void> => {
+    inFlight += 1
+    while (waiting.length > 0) {
+      const batch = waiting.splice(0, MAX_LIVES)
+      const lives = batch.map(({ worker, bornAt, ends }) => ({ worker, bornAt, ends }))
+      const result = await log.propose({ kind: 'workflow.end', lives, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
+      if (result.err) logger.warn('run.end-not-recorded', { workers: lives.length, ends: lives.reduce((sum, { ends }) => sum + ends.length, 0), reason: result.val.kind })
+      batch.forEach(({ resolve }) => resolve(result.ok))
+    }
+    inFlight -= 1
+  }
+
+  return {
+    recordEnds: (worker, bornAt, ends) => new Promise((resolve) => {
+      waiting.push({ worker, bornAt, ends, resolve })
+      if (inFlight < MAX_IN_FLIGHT) runEntries()
+    })
+  }
+}
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -2,22 +2,22 @@
 import { getStepName, type Step, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import { listEvacuated, UNKNOWN_STAY_MS } from './evacuation.js'
-import type { Run, Session } from './sessionState.js'
+import type { RunView, WorkerView } from './sessionState.js'
 import type { FillingRun, ServingRun, Sharing } from './sharing.js'
 import type { WorkerHealth } from './workerHealth.js'
 
 export interface MoveOptions {
   clock: Clock
   logger: Logger
-  sessions: ReadonlyMap<string, Session>
+  sessions: ReadonlyMap<string, WorkerView>
   health: WorkerHealth
   sharing: Sharing
   getState (): WorkflowsState
-  stopRun (session: Session, run: Run, reason: string): void
+  stopRun (session: WorkerView, run: RunView, reason: string): void
 }
 
 /** Learns from the tails on a worker and acts on those over their targets. */
-export function observeSharing (options: MoveOptions, session: Session): void {
+export function observeSharing (options: MoveOptions, session: WorkerView): void {
   const { clock, stopRun, logger, sharing } = options
   const { serving, filling } = listSharing(options, session)
   sharing.observe(session.worker, serving, filling, clock.now()).forEach(({ service, neighbour, pressure, variance }) => {
@@ -34,7 +34,7 @@
 }
 
 /** What serves and what fills on a worker, those that are about to be stopped included: they disturb until then. */
-function listSharing ({ getState }: MoveOptions, session: Session): { serving: ServingRun[], filling: FillingRun[] } {
+function listSharing ({ getState }: MoveOptions, session: WorkerView): { serving: ServingRun[], filling: FillingRun[] } {
   const cores = getState().workers[session.worker]?.life.cores ?? 1
   const serving: ServingRun[] = []
   const filling: FillingRun[] = []
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -1,4 +1,5 @@
 import { findTask, parseTaskName, type EndCause } from '../../state/index.js'
+import { findStep } from './candidates.js'
 import type { WorkerFailure } from './orders.js'
 import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
 import { MAX_START_TRIES, ORDER_TIMEOUT_MS, RESEND_STOP_MS } from './timing.js'
@@ -7,12 +8,15 @@
 export async function startRun (context: SessionContext, session: Session, run: Run): Promise<void> {
   if (run.starting || run.stopReason !== undefined) return
   run.starting = true
+  const isUrgent = findStep(context.getState(), run.task)?.lasting === true
+  const isAdmitted = await context.starts.claim(isUrgent)
   let tries = 0
-  let isOpen = true
+  let isOpen = isAdmitted
   while (isOpen && tries < MAX_START_TRIES) {
     tries += 1
     isOpen = await sendStart(context, session, run, tries)
   }
+  if (isAdmitted) context.starts.release()
   run.starting = false
   session.wake.notify()
 }
@@ -42,6 +46,7 @@
     run.confirmedAt = clock.now()
     run.startedAt ??= clock.now()
     run.progressAt = clock.now()
+    context.onStarted(session, run)
     context.metrics.timing('run.start', clock.now() - sentAt)
     return false
   }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -68,6 +68,7 @@
   if (session.reachable) {
     session.reachable = false
     session.silentSince = clock.now()
+    context.onReachable(session)
     logger.warn('worker.silent', { worker: session.worker, zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, runs: session.runs.size })
   }
   session.retryMs = Math.min(MAX_RETRY_MS, session.retryMs * 2)
@@ -86,8 +87,7 @@
 async function handleReply (context: SessionContext, session: Session, reply: HoldReply, sentAt: number): Promise<void> {
   context.onReply(session, reply)
   if (reply.ends.length > 0) {
-    const recorded = await context.recordEnds(session.worker, session.bornAt, reply.ends)
-    if (recorded) context.onEnds(session, reply.ends)
+    await context.recordEnds(session.worker, session.bornAt, reply.ends)
   }
   context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
 }
--- /dev/null
+++ b/src/coordination/workflows/sessionHost.ts
@@ -0,0 +1,307 @@
+import type { Clock, Logger, Metrics, Network, WorkMeter } from '../../common/index.js'
+import { findTask, parseTaskName, type AgreedLog, type Entry, type WorkflowsState } from '../../state/index.js'
+import { findSessionHost } from './division.js'
+import { createEndRecorder } from './endRecorder.js'
+import type { WorkerClient } from './orders.js'
+import { startRun, stopRun } from './runOrders.js'
+import { runSession } from './session.js'
+import { SESSIONS_MESSAGE, type ReportedRefusal, type ReportedRun, type ReportedStart, type SessionsReply, type SessionsRequest, type StopOrder, type WorkerReport } from './sessionMessages.js'
+import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
+import { createStartQueue } from './startQueue.js'
+import { AUTHORITY_CHECK_MS, EXCHANGE_MS, EXCHANGE_TIMEOUT_MS, IDLE_EXCHANGE_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, PROPOSE_TIMEOUT_MS, REPORT_WORKER_MS, SESSION_AUTHORITY_MS } from './timing.js'
+
+export interface SessionHostOptions {
+  clock: Clock
+  logger: Logger
+  metrics: Metrics
+  work: WorkMeter
+  network: Network
+  log: AgreedLog
+  client: WorkerClient
+  availabilityZone: string
+  /** Names this process. */
+  process: string
+  /** The exchange with this host itself while it leads. */
+  exchangeHere (request: SessionsRequest): SessionsReply
+}
+
+export interface SessionHost {
+  readonly sessions: ReadonlyMap<string, Session>
+  /** Gives the sessions away, then ends them. */
+  stop (): Promise<void>
+}
+
+/**
+ * Gives orders to the workers that the agreed division assigns to this host, for whichever host leads: starts what
+ * the log assigns to them, renews their leases, records their ends and tells the leader what it sees. The leader
+ * decides and this host carries out, so that the work of orders is spread over all hosts with a replica of the log.
+ */
+export function createSessionHost (options: SessionHostOptions): SessionHost {
+  const { clock, logger, log, network } = options
+  const { self } = network
+  const sessions = new Map<string, Session>()
+  const stopping = new AbortController()
+  const recorder = createEndRecorder(options)
+  const starts = createStartQueue(MAX_STARTS_IN_FLIGHT)
+  /** Workers with news for the leader, and when each was last reported. */
+  const news = new Set<string>()
+  const reportedAt = new Map<string, number>()
+  const state = { fence: 0, authorityAt: -Infinity, lastStop: 0, leader: undefined as string | undefined, isLeaving: false }
+  let started: ReportedStart[] = []
+  let refused: ReportedRefusal[] = []
+
+  const getState = (): WorkflowsState => log.state().workflows
+  const isOwn = (worker: string): boolean => {
+    const record = getState().workers[worker]
+    return record !== undefined && findSessionHost(getState().sessionHosts, record.life) === self
+  }
+  const proposeLifeChange = (kind: 'life.expire' | 'life.remove') => async (worker: string, bornAt: number): Promise<boolean> => {
+    const result = await log.propose({ kind, worker, bornAt, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
+    return result.ok
+  }
+
+  const context: SessionContext = {
+    clock,
+    logger,
+    metrics: options.metrics,
+    work: options.work,
+    client: options.client,
+    starts,
+    get fence () { return state.fence },
+    getState,
+    isActive: () => clock.now() - state.authorityAt < SESSION_AUTHORITY_MS,
+    isStopped: () => stopping.signal.aborted,
+    getAuthorityAt: () => state.authorityAt,
+    recordEnds: recorder.recordEnds,
+    expireLife: proposeLifeChange('life.expire'),
+    removeLife: proposeLifeChange('life.remove'),
+    onFenced: (worker) => {
+      logger.warn('sessions.fenced', { worker, fence: state.fence })
+      state.authorityAt = -Infinity
+    },
+    onReply: (session) => { news.add(session.worker) },
+    onStarted: (session, run) => { started.push([session.worker, run.task, run.attempt]) },
+    onRefused: (session, run, reason) => { refused.push([session.worker, run.task, run.attempt, reason]) },
+    onReachable: (session) => {
+      news.add(session.worker)
+      reportedAt.delete(session.worker)
+    }
+  }
+
+  const addSession = (worker: string): void => {
+    const record = getState().workers[worker]
+    const existing = sessions.get(worker)
+    if (record === undefined || existing?.bornAt === record.life.bornAt) return
+    if (existing !== undefined) removeSession(existing)
+    const session = createSession(context, record.life)
+    sessions.set(worker, session)
+    Object.keys(record.assigned).forEach((task) => addRun(session, task, false, undefined))
+    runSession(context, session).catch((error: unknown) => {
+      logger.error('worker.session-failed', { worker, message: error instanceof Error ? error.stack : String(error) })
+    })
+  }
+
+  const removeSession = (session: Session): void => {
+    session.ended = true
+    session.wake.notify()
+    sessions.delete(session.worker)
+    news.delete(session.worker)
+    reportedAt.delete(session.worker)
+  }
+
+  const addRun = (session: Session, task: string, isNew: boolean, ticket: string | undefined): Run => {
+    const run = createRun(task, findTask(getState(), task)?.attempt ?? 1, clock.now(), isNew)
+    run.ticket = ticket
+    session.runs.set(task, run)
+    return run
+  }
+
+  /** Makes a run of a session what the agreed state says of its task. */
+  const syncRun = (session: Session, task: string, ticket?: string): void => {
+    const isAssigned = getState().workers[session.worker]?.assigned[task] !== undefined
+    const run = session.runs.get(task)
+    const isCurrent = isAssigned && run?.attempt === findTask(getState(), task)?.attempt
+    if (isCurrent) return
+    if (run !== undefined) session.runs.delete(task)
+    if (!isAssigned) return
+    const added = addRun(session, task, true, ticket)
+    if (session.reachable) startRun(context, session, added)
+  }
+
+  const syncSession = (worker: string): void => {
+    const session = sessions.get(worker)
+    if (session === undefined) return
+    new Set([...session.runs.keys(), ...Object.keys(getState().workers[worker]?.assigned ?? {})]).forEach((task) => syncRun(session, task))
+    session.wake.notify()
+  }
+
+  /** Takes the sessions that the division gives to this host and ends all others. */
+  const syncSessions = (): void => {
+    sessions.forEach((session) => {
+      const isCurrent = getState().workers[session.worker]?.life.bornAt === session.bornAt && isOwn(session.worker)
+      if (!isCurrent) removeSession(session)
+      else syncSession(session.worker)
+    })
+    Object.keys(getState().workers).filter(isOwn).forEach(addSession)
+  }
+
+  /** Ends the runs of a workflow that has ended for another reason than their own ends. */
+  const stopEnded = (workflow: string | undefined): void => {
+    const record = workflow === undefined ? undefined : getState().workflows[workflow]
+    const outcome = record?.outcome
+    if (record === undefined || outcome === undefined) return
+    Object.entries(record.tasks).forEach(([local, { worker }]) => {
+      const session = worker === undefined ? undefined : sessions.get(worker)
+      const run = session?.runs.get(`${workflow}.${local}`)
+      if (session !== undefined && run !== undefined) stopRun(context, session, run, run.stopReason ?? outcome)
+    })
+  }
+
+  const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>) => void }> = {
+    'sessions.divide': syncSessions,
+    // A snapshot from the leader took the place of entries that were not seen here.
+    noop: syncSessions,
+    'workflow.assign': ({ assignments }) => {
+      const touched = new Set<Session>()
+      assignments.forEach(([task, worker, , ticket]) => {
+        const session = sessions.get(worker)
+        if (session === undefined) return
+        syncRun(session, task, ticket)
+        touched.add(session)
+      })
+      touched.forEach((session) => session.wake.notify())
+    },
+    'workflow.end': ({ lives }) => {
+      const workflows = new Set<string | undefined>()
+      lives.forEach(({ worker, ends }) => ends.forEach(([, task]) => {
+        const session = sessions.get(worker)
+        if (session !== undefined) syncRun(session, task)
+        workflows.add(parseTaskName(task)?.workflow)
+      }))
+      workflows.forEach(stopEnded)
+    },
+    'workflow.cancel': ({ id }) => stopEnded(id),
+    'life.report': ({ life }) => {
+      const session = sessions.get(life.id)
+      if (isOwn(life.id)) addSession(life.id)
+      else if (session !== undefined) removeSession(session)
+    },
+    'life.expire': ({ worker }) => syncSession(worker),
+    'life.remove': ({ worker }) => {
+      const session = sessions.get(worker)
+      if (session !== undefined) removeSession(session)
+    }
+  }
+  const unsubscribe = log.subscribe((entry) => {
+    const handler = handlers[entry.kind] as ((entry: Entry) => void) | undefined
+    options.work.measure('sessions.apply', () => handler?.(entry))
+  })
+
+  const createReport = (session: Session): WorkerReport => {
+    const now = clock.now()
+    const runs = [...session.runs.values()].flatMap(({ task, attempt, row, startedAt }): ReportedRun[] =>
+      row === undefined ? [] : [[task, attempt, row.percent, row.reading ?? null, Math.round(now - (startedAt ?? now))]])
+    return { worker: session.worker, bornAt: session.bornAt, reachable: session.reachable, runs, strays: [...session.strays.keys()] }
+  }
+
+  /** Everything that the leader has not been told; a worker that reports often is reported at intervals. */
+  const takeNews = (): Pick<SessionsRequest, 'reports' | 'started' | 'refused'> => {
+    const now = clock.now()
+    const due = [...news].filter((worker) => now - (reportedAt.get(worker) ?? -Infinity) >= REPORT_WORKER_MS)
+    const reports = due.flatMap((worker) => {
+      news.delete(worker)
+      reportedAt.set(worker, now)
+      const session = sessions.get(worker)
+      return session === undefined ? [] : [createReport(session)]
+    })
+    const taken = { reports, started, refused }
+    started = []
+    refused = []
+    return taken
+  }
+
+  const receiveStops = (stops: readonly StopOrder[]): void => stops.forEach(([number, worker, task, attempt, reason]) => {
+    if (number <= state.lastStop) return
+    state.lastStop = number
+    const session = sessions.get(worker)
+    const run = session?.runs.get(task)
+    if (session !== undefined && run?.attempt === attempt && run.stopReason === undefined) stopRun(context, session, run, reason)
+  })
+
+  const receiveGrant = (leader: string, { fence, authorityAgeMs, stops }: Extract<SessionsReply, { kind: 'granted' }>, sentAt: number): void => {
+    const isOther = leader !== state.leader || fence !== state.fence
+    if (isOther) {
+      logger.info('sessions.granted', { leader, fence, sessions: sessions.size })
+      // Another leader knows nothing yet of what was reported, and numbers its stops anew.
+      sessions.forEach((_session, worker) => news.add(worker))
+      reportedAt.clear()
+      state.lastStop = 0
+    }
+    const wasActive = context.isActive()
+    Object.assign(state, { leader, fence, authorityAt: Math.max(isOther ? -Infinity : state.authorityAt, sentAt - authorityAgeMs) })
+    receiveStops(stops)
+    if (!wasActive) sessions.forEach((session) => session.wake.notify())
+  }
+
+  const sendExchange = async (leader: string, timeoutMs: number): Promise<SessionsReply | undefined> => {
+    const sentAt = clock.now()
+    const taken = takeNews()
+    const request: SessionsRequest = {
+      availabilityZone: options.availabilityZone,
+      process: options.process,
+      fence: state.fence,
+      appliedIndex: log.status().appliedIndex,
+      lastStop: state.lastStop,
+      isLeaving: state.isLeaving,
+      ...taken
+    }
+    const result = leader === self ? undefined : await network.request(leader, SESSIONS_MESSAGE, request, sentAt + timeoutMs)
+    const reply = result === undefined ? options.exchangeHere(request) : result.ok ? result.val as SessionsReply : undefined
+    if (reply?.kind === 'granted') {
+      receiveGrant(leader, reply, sentAt)
+      return reply
+    }
+    // What the leader may not have heard is told again.
+    taken.reports.forEach(({ worker }) => news.add(worker))
+    started = taken.started.concat(started)
+    refused = taken.refused.concat(refused)
+    return reply
+  }
+
+  const runExchanges = async (): Promise<void> => {
+    let exchangedAt = -Infinity
+    while (!stopping.signal.aborted) {
+      const { leader } = log.status()
+      const hasNews = news.size > 0 || started.length > 0 || refused.length > 0
+      if (leader !== undefined && (hasNews || clock.now() - exchangedAt >= IDLE_EXCHANGE_MS)) {
+        const reply = await sendExchange(leader, EXCHANGE_TIMEOUT_MS)
+        if (reply?.kind === 'granted') exchangedAt = clock.now()
+      }
+      await clock.sleep(EXCHANGE_MS, stopping.signal)
+    }
+  }
+
+  /** Waits until the leader has given this host's workers to others, as long as that may take. */
+  const leave = async (): Promise<void> => {
+    const deadline = clock.now() + LEAVE_TIMEOUT_MS
+    state.isLeaving = true
+    while (clock.now() < deadline && getState().sessionHosts.some(({ host }) => host === self)) await clock.sleep(AUTHORITY_CHECK_MS)
+  }
+
+  syncSessions()
+  const loop = runExchanges().catch((error: unknown) => {
+    logger.error('sessions.failed', { message: error instanceof Error ? error.stack : String(error) })
+  })
+
+  return {
+    sessions,
+    stop: async () => {
+      await leave()
+      stopping.abort()
+      unsubscribe()
+      starts.close()
+      sessions.forEach(removeSession)
+      await loop
+    }
+  }
+}
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -2,11 +2,12 @@
 import type { RunEnd, WorkerLife, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import type { HoldReply, RunRow, WorkerClient } from './orders.js'
 import { createSignal, type Signal } from './signal.js'
+import type { StartQueue } from './startQueue.js'
 import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, LEASE_MS } from './timing.js'
 import { computeWorkerTime, type ClockReading } from './workerClock.js'
 
-/** What the leader knows of one run that it assigned to a worker. */
-export interface Run {
+/** What decisions need of one run that is assigned to a worker. */
+export interface RunView {
   task: string
   attempt: number
   /** When the worker last confirmed that the run is there; nothing before the first confirmation. */
@@ -14,35 +15,46 @@
   /** When the worker first confirmed it. */
   startedAt: number | undefined
   assignedAt: number
-  /** An order without an answer may still be executed until the run is stopped there. */
-  unanswered: boolean
-  starting: boolean
-  stopping: boolean
   /** Why the run is to end; absent while it is wanted. */
   stopReason: string | undefined
-  stopSentAt: number
-  stopAcknowledgedAt: number | undefined
   row: RunRow | undefined
   /** When `row.percent` last changed. */
   progressAt: number
-  ticket: string | undefined
 }
 
-/** One worker in one term of the leader. */
-export interface Session {
+/** What decisions need of one worker. */
+export interface WorkerView {
   readonly worker: string
   readonly bornAt: number
+  readonly runs: ReadonlyMap<string, RunView>
+  /** Runs that are there and that nobody wants, by task and attempt. */
+  readonly strays: ReadonlyMap<string, number>
+  reachable: boolean
+  ended: boolean
+}
+
+/** One run as the host sees it that gives its worker orders. */
+export interface Run extends RunView {
+  /** An order without an answer may still be executed until the run is stopped there. */
+  unanswered: boolean
+  starting: boolean
+  stopping: boolean
+  stopSentAt: number
+  stopAcknowledgedAt: number | undefined
+  ticket: string | undefined
+}
+
+/** One worker as the host sees it that gives it orders. */
+export interface Session extends WorkerView {
   readonly runs: Map<string, Run>
-  /** Runs that are there and that nobody wants, by task and attempt, and when they were last told to stop. */
+  /** Also when they were last told to stop. */
   readonly strays: Map<string, number>
-  reachable: boolean
   silentSince: number
   /** Nothing ordered so far can run beyond this local time. */
   leaseEndsAt: number
   reading: ClockReading | undefined
   lastLookAt: number
   retryMs: number
-  ended: boolean
   wake: Signal
 }
 
@@ -52,12 +64,14 @@
   metrics: Metrics
   work: WorkMeter
   client: WorkerClient
-  fence: number
+  starts: StartQueue
+  /** The term of the leader for whom this host gives orders. */
+  readonly fence: number
   getState (): WorkflowsState
-  /** False while it is not sure that this host leads; no order is given then. */
+  /** False while it is not sure that a leader wants this host to give orders; none is given then. */
   isActive (): boolean
   isStopped (): boolean
-  /** The latest time at which this host was surely the leader. */
+  /** The latest time at which a majority surely followed the leader that wants this host to give orders. */
   getAuthorityAt (): number
   /** Records ends; resolves with true when they are durable. */
   recordEnds (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean>
@@ -66,8 +80,9 @@
   removeLife (worker: string, bornAt: number): Promise<boolean>
   onFenced (worker: string): void
   onReply (session: Session, reply: HoldReply): void
-  onEnds (session: Session, ends: RunEnd[]): void
   onRefused (session: Session, run: Run, reason: string): void
+  onStarted (session: Session, run: Run): void
+  /** The worker answers again, or does not any more. */
   onReachable (session: Session): void
 }
 
@@ -80,7 +95,7 @@
     strays: new Map(),
     reachable: false,
     silentSince: now,
-    // An earlier leader may have extended the lease until just before this term began.
+    // The host that had the session before may have extended the lease until just now.
     leaseEndsAt: now + LEASE_MS + EXPIRY_MARGIN_MS,
     reading: undefined,
     lastLookAt: -Infinity,
@@ -97,7 +112,7 @@
     confirmedAt: undefined,
     startedAt: undefined,
     assignedAt: now,
-    // A run that an earlier leader assigned may have been ordered by it.
+    // The host that had the session before may have ordered the run.
     unanswered: !isNew,
     starting: false,
     stopping: false,
@@ -116,7 +131,7 @@
   return record?.life.bornAt === session.bornAt ? record : undefined
 }
 
-/** The end of a lease, on the worker's clock, that this leader may give now. */
+/** The end of a lease, on the worker's clock, that this host may give now. */
 export function renewLease (context: SessionContext, session: Session): number | undefined {
   if (session.reading === undefined) return undefined
   const until = context.getAuthorityAt() + LEASE_MS
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,17 +1,17 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
-import { findTask, getStepName, parseTaskName, type AgreedLog, type Assignment, type Entry, type RunEnd, type WorkflowsState } from '../../state/index.js'
+import { getStepName, parseTaskName, type AgreedLog, type Assignment, type Entry, type LifeEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
-import type { HoldReply, WorkerClient } from './orders.js'
-import { startRun, stopRun } from './runOrders.js'
-import { runSession } from './session.js'
-import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
+import { createDivision, findSessionHost } from './division.js'
+import type { ReportedRefusal, SessionsReply, SessionsRequest, WorkerReport } from './sessionMessages.js'
+import type { RunView, WorkerView } from './sessionState.js'
 import type { Sharing } from './sharing.js'
 import { createSignal } from './signal.js'
 import { AUTHORITY_CHECK_MS, AUTHORITY_MS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startUpkeep, type HostClient } from './upkeep.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
+import { createWorkerViews } from './workerViews.js'
 
 export interface TermOptions {
   clock: Clock
@@ -19,7 +19,8 @@
   metrics: Metrics
   work: WorkMeter
   log: AgreedLog
-  client: WorkerClient
+  /** The name of this host. */
+  self: string
   hosts: HostClient
   advice: AdviceClient
   /** What this and earlier terms have learned of images that share workers. */
@@ -31,167 +32,147 @@
 /** What one term of the leader knows and does. Everything here is lost with the term and rebuilt by the next. */
 export interface Term {
   readonly fence: number
-  readonly sessions: ReadonlyMap<string, Session>
+  readonly workers: ReadonlyMap<string, WorkerView>
   readonly health: WorkerHealth
   isActive (): boolean
   getAuthorityAt (): number
+  /** Takes what a host that keeps sessions has seen, and tells it what to stop. */
+  exchange (from: string, request: SessionsRequest): SessionsReply
   stop (): void
 }
 
-/** Starts to lead: a session for each known worker, and dispatching. */
+/** Starts to lead: divides the workers among the hosts, and dispatches. */
 export function startTerm (options: TermOptions): Term {
-  const { clock, logger, log, fence } = options
-  const sessions = new Map<string, Session>()
+  const { clock, logger, log, fence, metrics } = options
   const health = createWorkerHealth({ clock, logger })
   const stopping = new AbortController()
   let authorityAt = clock.now()
+  /** Hosts give orders only once they have applied the division that is in force, so that each worker has one host. */
+  let dividedAt = log.status().appliedIndex
   const getState = (): WorkflowsState => log.state().workflows
   const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < AUTHORITY_MS
-
-  const recordEnds = async (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean> => {
-    const result = await log.propose({ kind: 'workflow.end', worker, bornAt, ends, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
-    if (result.err) logger.warn('run.end-not-recorded', { worker, ends: ends.length, reason: result.val.kind })
-    return result.ok
-  }
-
-  const context: SessionContext = {
+  const views = createWorkerViews({
     clock,
-    logger,
-    metrics: options.metrics,
-    work: options.work,
-    client: options.client,
-    fence,
     getState,
-    isActive,
-    isStopped: () => stopping.signal.aborted,
-    getAuthorityAt: () => authorityAt,
-    recordEnds,
-    expireLife: async (worker, bornAt) => {
-      const result = await log.propose({ kind: 'life.expire', worker, bornAt, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
-      return result.ok
-    },
-    removeLife: async (worker, bornAt) => {
-      const result = await log.propose({ kind: 'life.remove', worker, bornAt, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
-      return result.ok
-    },
-    onFenced: (worker) => {
-      logger.warn('term.fenced', { worker, fence })
-      stop()
-    },
-    onReply: (session, reply) => options.work.measure('session.observe', () => observeReply(session, reply)),
-    onEnds: (session, ends) => {
-      ends.forEach(([number, task, attempt, cause]) => {
-        options.metrics.count('run.ended', 1, { cause })
-        logger.info('run.end', { task, attempt, worker: session.worker, number, cause })
-        health.recordEnd(session.worker, cause)
-      })
-    },
-    onRefused: (session, run, reason) => {
-      health.recordRefusal(session.worker, reason)
-      if (reason === 'no-ticket') advisor.dropTicket(getStepName(run.task), session.worker)
-    },
-    onReachable: () => dispatcher.schedule()
+    findHost: (worker) => {
+      const record = getState().workers[worker]
+      return record === undefined ? undefined : findSessionHost(getState().sessionHosts, record.life)
+    }
+  })
+  const division = createDivision({
+    clock,
+    logger,
+    leader: options.self,
+    getHosts: () => getState().sessionHosts,
+    getVoters: () => log.status().voters,
+    propose: async (hosts) => {
+      const result = await log.propose({ kind: 'sessions.divide', hosts }, clock.now() + PROPOSE_TIMEOUT_MS)
+      if (result.err) logger.warn('sessions.divide-not-recorded', { reason: result.val.kind })
+    }
+  })
+
+  /** Orders the end of a run; the host of its worker repeats the order until the run has ended. */
+  const stopRun = (view: WorkerView, run: RunView, reason: string): void => {
+    if (run.stopReason !== undefined) return
+    run.stopReason = reason
+    metrics.count('run.stopped', 1, { reason })
+    logger.info('run.stop', { task: run.task, attempt: run.attempt, worker: view.worker, reason, percent: run.row?.percent })
+    views.sendStop(view, run)
   }
 
-  const observeReply = (session: Session, reply: HoldReply): void => {
-    health.observeRuns(session, reply, (task) => findStep(getState(), task))
-    dispatcher.observeReply(session, reply)
+  const recordEnd = (worker: string, [number, task, attempt, cause]: RunEnd): void => {
+    // A worker lists an end until it was acknowledged; only the first entry releases the task.
+    if (views.findRun(worker, task, attempt) === undefined || number === 0) return
+    metrics.count('run.ended', 1, { cause })
+    logger.info('run.end', { task, attempt, worker, number, cause })
+    health.recordEnd(worker, cause)
   }
 
-  const addSession = (worker: string): void => {
-    const record = getState().workers[worker]
-    const existing = sessions.get(worker)
-    if (record === undefined || existing?.bornAt === record.life.bornAt) return
-    if (existing !== undefined) removeSession(existing)
-    const session = createSession(context, record.life)
-    Object.keys(record.assigned).forEach((task) => {
-      session.runs.set(task, createRun(task, findTask(getState(), task)?.attempt ?? 1, clock.now(), false))
-    })
-    sessions.set(worker, session)
-    health.reset(worker)
-    runSession(context, session).catch((error: unknown) => {
-      logger.error('worker.session-failed', { worker, message: error instanceof Error ? error.stack : String(error) })
+  const recordEnds = ({ worker, bornAt, ends }: LifeEnds): void => {
+    const view = views.workers.get(worker)
+    if (view === undefined || view.bornAt !== bornAt) return
+    health.observeRuns(view, { running: [], ends }, findTaskStep)
+    ends.forEach((end) => {
+      recordEnd(worker, end)
+      views.syncRun(worker, end[1])
+      dispatcher.markChanged(parseTaskName(end[1])?.workflow)
     })
   }
 
-  const removeSession = (session: Session): void => {
-    session.ended = true
-    session.wake.notify()
-    sessions.delete(session.worker)
+  const observeReport = (from: string, report: WorkerReport): void => {
+    const known = views.workers.get(report.worker)
+    const wasReachable = known?.reachable
+    // A reading is of the time before its report: it is compared once it is known who has come and gone since.
+    if (known !== undefined) dispatcher.observeReport(known)
+    const view = views.recordReport(from, report)
+    if (view === undefined) return
+    const running = [...view.runs.values()].flatMap(({ row }) => row ?? [])
+    health.observeRuns(view, { running, ends: [] }, findTaskStep)
+    if (view.reachable && wasReachable !== true) dispatcher.schedule()
   }
 
-  /** Makes the runs of a session those that the agreed state assigns to it. */
-  const syncRuns = (session: Session, isNew: boolean): void => {
-    const assigned = getState().workers[session.worker]?.assigned ?? {}
-    session.runs.forEach((run) => {
-      if (assigned[run.task] === undefined || findTask(getState(), run.task)?.attempt !== run.attempt) session.runs.delete(run.task)
-    })
-    Object.keys(assigned).filter((task) => !session.runs.has(task)).forEach((task) => {
-      const run = createRun(task, findTask(getState(), task)?.attempt ?? 1, clock.now(), isNew)
-      run.ticket = advisor.findTicket(getStepName(task), session.worker)
-      session.runs.set(task, run)
-      if (session.reachable) startRun(context, session, run)
+  const observeRefusal = ([worker, task, , reason]: ReportedRefusal): void => {
+    health.recordRefusal(worker, reason)
+    if (reason === 'no-ticket') advisor.dropTicket(getStepName(task), worker)
+  }
+
+  const exchange = (from: string, request: SessionsRequest): SessionsReply => {
+    if (!isActive()) return { kind: 'not-leader' }
+    division.recordPresence(from, request.availabilityZone, request.isLeaving)
+    if (request.isLeaving) division.update()
+    options.work.measure('term.reports', () => {
+      request.reports.forEach((report) => observeReport(from, report))
+      request.started.forEach(([worker, task, attempt]) => views.recordStart(worker, task, attempt))
+      request.refused.forEach(observeRefusal)
     })
-    session.wake.notify()
+    if (request.appliedIndex < dividedAt) return { kind: 'behind' }
+    return { kind: 'granted', fence, authorityAgeMs: clock.now() - authorityAt, stops: views.takeStops(from, request, fence) }
   }
 
-  const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>) => void }> = {
-    'workflow.assign': ({ assignments }) => {
-      assignments.forEach(([task]) => dispatcher.markChanged(parseTaskName(task)?.workflow))
-      new Set(assignments.map(([, worker]) => worker)).forEach((worker) => {
-        const session = sessions.get(worker)
-        if (session !== undefined) syncRuns(session, true)
-      })
-    },
-    'workflow.end': ({ worker, ends }) => {
-      ends.forEach(([, task]) => dispatcher.markChanged(parseTaskName(task)?.workflow))
-      const session = sessions.get(worker)
-      if (session !== undefined) syncRuns(session, true)
+  const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>, index: number) => void }> = {
+    'workflow.assign': ({ assignments }) => assignments.forEach(([task, worker]) => {
+      dispatcher.markChanged(parseTaskName(task)?.workflow)
+      views.syncRun(worker, task)
+    }),
+    'workflow.end': ({ lives }) => {
+      lives.forEach(recordEnds)
       dispatcher.schedule()
     },
-    'workflow.cancel': ({ id }) => {
-      dispatcher.markChanged(id)
-      stopEnded()
-    },
+    'workflow.cancel': ({ id }) => dispatcher.markChanged(id),
     'life.report': ({ life }) => {
+      const isNew = views.workers.get(life.id)?.bornAt !== life.bornAt
       dispatcher.markChanged()
-      addSession(life.id)
+      if (isNew) health.reset(life.id)
+      views.syncWorker(life.id)
       dispatcher.schedule()
     },
     'life.expire': ({ worker }) => {
       dispatcher.markChanged()
-      const session = sessions.get(worker)
-      if (session !== undefined) syncRuns(session, true)
+      views.syncWorker(worker)
       dispatcher.schedule()
     },
     'life.remove': ({ worker }) => {
       dispatcher.markChanged()
-      const session = sessions.get(worker)
-      if (session !== undefined) removeSession(session)
+      views.syncWorker(worker)
       dispatcher.schedule()
     },
     'workflow.submit': () => dispatcher.schedule(),
     'catalog.put': () => {
       dispatcher.markChanged()
       dispatcher.schedule()
+    },
+    'sessions.divide': (_entry, index) => {
+      dividedAt = index
+      views.syncHosts()
     }
   }
 
-  /** Ends the runs of workflows that were cancelled, or that ended because another task failed for good. */
-  const stopEnded = (): void => {
-    sessions.forEach((session) => session.runs.forEach((run) => {
-      const id = parseTaskName(run.task)?.workflow ?? ''
-      const record = getState().workflows[id]
-      if (record?.outcome !== undefined && run.stopReason === undefined) stopRun(context, session, run, record.outcome)
-    }))
-  }
-
   const runAuthority = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       const status = log.status()
       if (status.role !== 'leader' || status.term !== fence) return stop()
       authorityAt = Math.max(authorityAt, clock.now() - computeMajorityAge(status.progress))
-      options.work.measure('term.check', stopEnded)
+      division.update()
       dispatcher.schedule()
       await clock.sleep(AUTHORITY_CHECK_MS)
     }
@@ -203,13 +184,10 @@
     unsubscribe()
     dispatcher.stop()
     advisor.stop()
-    sessions.forEach((session) => {
-      session.ended = true
-      session.wake.notify()
-    })
     logger.info('term.stop', { fence })
   }
 
+  const findTaskStep = (task: string): Step | undefined => findStep(getState(), task)
   const advisor = createAdvisor({ clock, logger, client: options.advice })
   const upkeep = startUpkeep({
     clock,
@@ -217,41 +195,45 @@
     log,
     fence,
     hosts: options.hosts,
-    sessions,
+    sessions: views.workers,
     isActive,
     isStopped: () => stopping.signal.aborted,
-    findStep: (task) => findStep(getState(), task),
-    stopRun: (session, run, reason) => { stopRun(context, session, run, reason) }
+    findStep: findTaskStep,
+    stopRun
   })
   const dispatcher: Dispatcher = createDispatcher({
     clock,
     logger,
-    metrics: options.metrics,
+    metrics,
     work: options.work,
-    sessions,
+    sessions: views.workers,
     health,
     sharing: options.sharing,
     advisor,
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
-      const result = await log.propose({ kind: 'workflow.assign', assignments }, clock.now() + PROPOSE_TIMEOUT_MS)
+      const ordered = assignments.map(([task, worker, attempt]): Assignment => {
+        const ticket = advisor.findTicket(getStepName(task), worker)
+        return ticket === undefined ? [task, worker, attempt] : [task, worker, attempt, ticket]
+      })
+      const result = await log.propose({ kind: 'workflow.assign', assignments: ordered }, clock.now() + PROPOSE_TIMEOUT_MS)
       if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length, reason: result.val.kind })
     },
-    stopRun: (session: Session, run: Run, reason: string) => { stopRun(context, session, run, reason) },
+    stopRun,
     isClosing: (worker) => upkeep.isClosing(worker),
     wake: createSignal(clock)
   })
-  const unsubscribe = log.subscribe((entry) => {
-    const handler = handlers[entry.kind] as ((entry: Entry) => void) | undefined
-    options.work.measure('term.apply', () => handler?.(entry))
+  const unsubscribe = log.subscribe((entry, index) => {
+    const handler = handlers[entry.kind] as ((entry: Entry, index: number) => void) | undefined
+    options.work.measure('term.apply', () => handler?.(entry, index))
   })
   const state = getState()
   logger.info('term.start', { fence, workers: Object.keys(state.workers).length, workflows: Object.keys(state.workflows).length - state.ended.length, catalog: state.catalog?.version })
-  Object.keys(state.workers).forEach(addSession)
+  Object.keys(state.workers).forEach(views.syncWorker)
   runAuthority()
   dispatcher.schedule()
-  return { fence, sessions, health, isActive, getAuthorityAt: () => authorityAt, stop }
+  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, exchange, stop }
 }
 
 /** How long ago a majority of the voters, this host included, was heard. */
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -32,3 +32,18 @@
 export const NO_ROOM_PAUSE_MS = 500
 /** A worker that refused a start as unhealthy gets none for this long. */
 export const UNHEALTHY_PAUSE_MS = 2000
+/** A host gives no orders once its leader surely had a majority longer ago than this; several exchanges, and a part of a lease. */
+export const SESSION_AUTHORITY_MS = 1500
+/** How often a host with news exchanges them with the leader; a part of the half second that a reading covers. */
+export const EXCHANGE_MS = 50
+/** The same without news; several times within the time that authority lasts. */
+export const IDLE_EXCHANGE_MS = 200
+export const EXCHANGE_TIMEOUT_MS = 700
+/** A worker is reported to the leader this often at most; readings change each half second. */
+export const REPORT_WORKER_MS = 100
+/** A host that stops waits this long for another to take its sessions; two exchanges and two commits. */
+export const LEAVE_TIMEOUT_MS = 800
+/** Start orders that wait for answers at the same time on one host; at 0.3 ms for an order a full queue takes 20 ms. */
+export const MAX_STARTS_IN_FLIGHT = 64
+/** Starts that one host has been given and has not confirmed, above which its workers get no more short work. */
+export const MAX_UNCONFIRMED_STARTS = 256
--- a/src/coordination/workflows/upkeep.ts
+++ b/src/coordination/workflows/upkeep.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger, Result } from '../../common/index.js'
 import type { AgreedLog, Step, WaveRecord, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import { findTask } from '../../state/index.js'
-import type { Run, Session } from './sessionState.js'
+import type { RunView, WorkerView } from './sessionState.js'
 
 /** How often waves are looked at; a part of the time an upkeep takes. */
 const CHECK_MS = 250
@@ -28,11 +28,11 @@
   log: AgreedLog
   fence: number
   hosts: HostClient
-  sessions: ReadonlyMap<string, Session>
+  sessions: ReadonlyMap<string, WorkerView>
   isActive (): boolean
   isStopped (): boolean
   findStep (task: string): Step | undefined
-  stopRun (session: Session, run: Run, reason: string): void
+  stopRun (session: WorkerView, run: RunView, reason: string): void
 }
 
 export interface Upkeep {
@@ -109,7 +109,7 @@
 }
 
 /** Moves what can be moved off a worker. Returns whether nothing runs there any more. */
-function drainWorker (options: UpkeepOptions, session: Session | undefined, isLate: boolean): boolean {
+function drainWorker (options: UpkeepOptions, session: WorkerView | undefined, isLate: boolean): boolean {
   if (session === undefined || session.runs.size === 0) return true
   session.runs.forEach((run) => {
     const step = options.findStep(run.task)
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger } from '../../common/index.js'
 import { getStepName, type EndCause, type Step } from '../../state/index.js'
 import type { HoldReply } from './orders.js'
-import type { Session } from './sessionState.js'
+import type { WorkerView } from './sessionState.js'
 import { NO_ROOM_PAUSE_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
 
 /** After this many failures in a row a worker gets no work for a while; a tenth of the tasks may fail by their own fault. */
@@ -39,11 +39,11 @@
   getSlowness (worker: string): number
   recordEnd (worker: string, cause: EndCause): void
   recordRefusal (worker: string, reason: string): void
-  observeRuns (session: Session, reply: HoldReply, findStep: (task: string) => Step | undefined): void
+  observeRuns (session: WorkerView, reply: Pick<HoldReply, 'running' | 'ends'>, findStep: (task: string) => Step | undefined): void
   /** Tasks that stand still on a worker. */
-  listStandstill (session: Session, findStep: (task: string) => Step | undefined): string[]
+  listStandstill (session: WorkerView, findStep: (task: string) => Step | undefined): string[]
   /** Tasks that would end sooner if they began again, or went on, on a worker of usual speed. */
-  listSlow (session: Session, findStep: (task: string) => Step | undefined): string[]
+  listSlow (session: WorkerView, findStep: (task: string) => Step | undefined): string[]
   reset (worker: string): void
 }
 
--- a/src/fakes/memoryLog.ts
+++ b/src/fakes/memoryLog.ts
@@ -1,44 +1,53 @@
 import { Err, Ok, type Clock } from '../common/index.js'
 import { applyEntry, createAgreedState, type AgreedLog, type Entry } from '../state/index.js'
 
+/** How another host sees the log: it applies each entry after the first host, as soon as it is not cut off. */
+export interface MemoryFollower extends AgreedLog {
+  setReachable (reachable: boolean): void
+}
+
 /** An agreed log of one process without a disk. Several fake hosts may share it. */
 export interface MemoryLog extends AgreedLog {
   /** While false, nothing can be proposed, as in a zone that is cut off. */
   setReachable (reachable: boolean): void
-  /** The log as another host sees it that follows the first one without any lag. */
-  join (follower: string): AgreedLog
+  /** Adds a host that follows the first one. */
+  join (follower: string): MemoryFollower
 }
 
+type Listener = (entry: Entry, index: number) => void
+
 /** With a clock each proposal takes `commitMs`, as if a disk were synced. */
 export function createMemoryLog (host: string, slow?: { clock: Clock, commitMs: number }): MemoryLog {
   const state = createAgreedState()
-  const listeners = new Set<(entry: Entry, index: number) => void>()
-  let index = 0
-  let reachable = true
+  const listeners = new Set<Listener>()
+  const entries: Entry[] = []
   const hosts = [host]
+  const followers = new Set<() => void>()
+  let reachable = true
 
   const log: MemoryLog = {
     propose: async (entry) => {
       if (!reachable) return Err({ kind: 'no-leader', message: 'no leader can be reached' })
       if (slow !== undefined) await slow.clock.sleep(slow.commitMs)
       const outcome = applyEntry(state, entry)
-      index += 1
+      const index = entries.push(structuredClone(entry))
       listeners.forEach((listener) => listener(entry, index))
+      followers.forEach((follow) => follow())
       return outcome.accepted
         ? Ok({ index, value: outcome.value })
         : Err({ kind: 'rejected', rejection: outcome.rejection })
     },
-    readBarrier: async () => reachable ? Ok(index) : Err({ kind: 'no-leader', message: 'no leader can be reached' }),
+    readBarrier: async () => reachable ? Ok(entries.length) : Err({ kind: 'no-leader', message: 'no leader can be reached' }),
     state: () => state,
     status: () => ({
       role: 'leader',
       term: 1,
       leader: reachable ? host : undefined,
-      commitIndex: index,
-      appliedIndex: index,
+      commitIndex: entries.length,
+      appliedIndex: entries.length,
       voters: [...hosts],
       learners: [],
-      progress: hosts.map((name) => ({ host: name, matchIndex: index, votes: true, lastHeardAgoMs: 0 })),
+      progress: hosts.map((name) => ({ host: name, matchIndex: entries.length, votes: true, lastHeardAgoMs: 0 })),
       survivableLosses: 0
     }),
     subscribe: (listener) => {
@@ -49,8 +58,45 @@
     setReachable: (value) => { reachable = value },
     join: (follower) => {
       hosts.push(follower)
-      return { ...log, status: () => ({ ...log.status(), role: 'follower', progress: [] }) }
+      const joined = createFollower(log, entries)
+      followers.add(joined.follow)
+      return joined.log
     }
   }
   return log
 }
+
+function createFollower (log: MemoryLog, entries: readonly Entry[]): { log: MemoryFollower, follow: () => void } {
+  const state = createAgreedState()
+  const listeners = new Set<Listener>()
+  let applied = 0
+  let reachable = true
+
+  const follow = (): void => {
+    if (!reachable) return
+    entries.slice(applied).forEach((recorded) => {
+      const entry = structuredClone(recorded)
+      applied += 1
+      applyEntry(state, entry)
+      listeners.forEach((listener) => listener(entry, applied))
+    })
+  }
+
+  return {
+    follow,
+    log: {
+      ...log,
+      propose: async (entry, deadline) => reachable ? log.propose(entry, deadline) : Err({ kind: 'no-leader', message: 'no leader can be reached' }),
+      state: () => state,
+      status: () => ({ ...log.status(), role: 'follower', appliedIndex: applied, commitIndex: applied, progress: [] }),
+      subscribe: (listener) => {
+        listeners.add(listener)
+        return () => { listeners.delete(listener) }
+      },
+      setReachable: (value) => {
+        reachable = value
+        follow()
+      }
+    }
+  }
+}
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -1,7 +1,7 @@
 export {
-  assignmentSchema, catalogSchema, endCauseSchema, queueSchema, recurrenceSchema, runEndSchema, stepSchema, upkeepWaveSchema,
+  assignmentSchema, catalogSchema, endCauseSchema, lifeEndsSchema, queueSchema, recurrenceSchema, runEndSchema, sessionHostSchema, stepSchema, upkeepWaveSchema,
   workerLifeSchema, workerPoolSchema, workflowEntrySchemas, workflowSchema,
-  type AdvicePolicy, type Assignment, type Catalog, type EndCause, type Queue, type Recurrence, type RunEnd, type Step,
+  type AdvicePolicy, type Assignment, type Catalog, type EndCause, type LifeEnds, type Queue, type Recurrence, type RunEnd, type SessionHost, type Step,
   type UpkeepWave, type WorkerLife, type WorkerPool, type Workflow
 } from './schemas.js'
 export {
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -127,10 +127,18 @@
 export const runEndSchema = z.tuple([z.number().int().nonnegative(), z.string(), z.number().int(), endCauseSchema, z.string()])
 export type RunEnd = z.infer<typeof runEndSchema>
 
-/** Task, worker and attempt of a run that is about to be ordered. */
-export const assignmentSchema = z.tuple([z.string(), z.string(), z.number().int().positive()])
+/** Task, worker and attempt of a run that is about to be ordered, and the ticket of its start where the queue asks for one. */
+export const assignmentSchema = z.tuple([z.string(), z.string(), z.number().int().positive(), z.string().optional()])
 export type Assignment = z.infer<typeof assignmentSchema>
 
+/** The ends that one life of a worker listed. */
+export const lifeEndsSchema = z.strictObject({ worker: z.string(), bornAt: z.number(), ends: z.array(runEndSchema) })
+export type LifeEnds = z.infer<typeof lifeEndsSchema>
+
+/** A host that keeps sessions with workers. */
+export const sessionHostSchema = z.strictObject({ host: z.string(), availabilityZone: z.string() })
+export type SessionHost = z.infer<typeof sessionHostSchema>
+
 export const upkeepWaveSchema = z.strictObject({
   id: z.number().int(),
   hosts: z.array(z.string()),
@@ -146,7 +154,9 @@
   z.strictObject({ kind: z.literal('workflow.submit'), queue: z.string(), workflow: workflowSchema, at: z.number() }),
   z.strictObject({ kind: z.literal('workflow.cancel'), id: z.string(), at: z.number() }),
   z.strictObject({ kind: z.literal('workflow.assign'), assignments: z.array(assignmentSchema) }),
-  z.strictObject({ kind: z.literal('workflow.end'), worker: z.string(), bornAt: z.number(), ends: z.array(runEndSchema), at: z.number() }),
+  z.strictObject({ kind: z.literal('workflow.end'), lives: z.array(lifeEndsSchema), at: z.number() }),
+  /** Divides the workers among these hosts; each worker has one host that gives it orders. */
+  z.strictObject({ kind: z.literal('sessions.divide'), hosts: z.array(sessionHostSchema) }),
   z.strictObject({ kind: z.literal('life.report'), life: workerLifeSchema }),
   /** The worker's leases have ended, so nothing that was ordered there runs any more. */
   z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), at: z.number() }),
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,5 +1,5 @@
 import { Err, Ok, type Result } from '../../common/index.js'
-import type { Catalog, EndCause, RunEnd, Step, UpkeepWave, WorkerLife, Workflow } from './schemas.js'
+import type { Catalog, EndCause, LifeEnds, RunEnd, SessionHost, Step, UpkeepWave, WorkerLife, Workflow } from './schemas.js'
 
 /** Records of ended workflows are kept at least this long, so that their state can be asked for. */
 const KEEP_ENDED_MS = 600_000
@@ -53,6 +53,7 @@
   ended: string[]
   workers: Record<string, WorkerRecord>
   waves: Record<string, WaveRecord>
+  sessionHosts: SessionHost[]
 }
 
 export type WorkflowRejection =
@@ -62,7 +63,7 @@
   | { kind: 'stale-life', worker: string, bornAt: number }
 
 export function createWorkflowsState (): WorkflowsState {
-  return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {} }
+  return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [] }
 }
 
 export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
@@ -143,15 +144,22 @@
     return Ok({})
   },
 
-  'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Array<[string, string, number]> }): Change => {
+  'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Array<[task: string, worker: string, attempt: number, ticket?: string | undefined]> }): Change => {
     assignments.forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
     return Ok({})
   },
 
-  'workflow.end': (state: WorkflowsState, { worker, bornAt, ends, at }: { worker: string, bornAt: number, ends: RunEnd[], at: number }): Change => {
-    const record = state.workers[worker]
-    if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
-    ends.forEach((end) => applyEnd(state, record, end, at))
+  // The ends of a life that another one has replaced are left out; its tasks were released then.
+  'workflow.end': (state: WorkflowsState, { lives, at }: { lives: LifeEnds[], at: number }): Change => {
+    lives.forEach(({ worker, bornAt, ends }) => {
+      const record = state.workers[worker]
+      if (record?.life.bornAt === bornAt) ends.forEach((end) => applyEnd(state, record, end, at))
+    })
+    return Ok({})
+  },
+
+  'sessions.divide': (state: WorkflowsState, { hosts }: { hosts: SessionHost[] }): Change => {
+    state.sessionHosts = hosts
     return Ok({})
   },
 
@@ -251,6 +259,12 @@
   } else if (FAILURE_CAUSES.has(cause)) {
     applyFailure(state, record, name, known, at)
   }
+  pruneTask(record, getLocalName(name))
+}
+
+/** Records of tasks are most of the state; an ended workflow needs only those of tasks that still run. */
+function pruneTask (record: WorkflowRecord, local: string): void {
+  if (record.outcome !== undefined && record.tasks[local]?.worker === undefined) delete record.tasks[local]
 }
 
 function applySuccess (state: WorkflowsState, record: WorkflowRecord, name: TaskName, known: TaskRecord, at: number): void {
@@ -282,6 +296,7 @@
   if (record.outcome !== undefined) return
   record.outcome = outcome
   record.endedAt = at
+  Object.keys(record.tasks).forEach((local) => pruneTask(record, local))
   state.ended.push(record.workflow.id)
   pruneEnded(state, at)
 }
--- a/test/workflows/load.test.ts
+++ b/test/workflows/load.test.ts
@@ -1,18 +1,13 @@
 import { expect, test } from 'vitest'
-import { Err, createManualClock, createNoMetrics, createNoWorkMeter, createRandom, createSilentLogger, type Clock, type Result } from '../../src/common/index.js'
-import { createWorkflowCoordinator, type WorkerClient, type WorkerFailure } from '../../src/coordination/workflows/index.js'
-import { createMemoryLog } from '../../src/fakes/memoryLog.js'
-import { createFakeRunFleet } from '../../src/fakes/runWorker.js'
-import { createSimpleNetwork } from '../../src/fakes/simpleNetwork.js'
-import type { Entry, Step } from '../../src/state/index.js'
-import { CATALOG, STEP } from './support.js'
+import { Err, type Clock, type Result } from '../../src/common/index.js'
+import type { WorkerClient, WorkerFailure } from '../../src/coordination/workflows/index.js'
+import type { Step } from '../../src/state/index.js'
+import { createHosts, STEP } from './support.js'
 
 const HOSTS = ['h1', 'h2', 'h3', 'h4']
 const WORKERS = 40
-/** Of its host's one processor, what an order or a look costs; 240 of them a second are more than one host has. */
+/** Of its host's one processor, what an order or a look costs; a host bears 166 of them a second. */
 const CALL_MS = 6
-const COMMIT_MS = 12
-const BATCH_TASKS = 20
 const BATCH_EVERY_MS = 100
 const LASTING_TASKS = 20
 const LASTING_RUN_MS = 4000
@@ -40,37 +35,35 @@
 
 const createStep = (more: Partial<Step>): Step => ({ ...STEP, cores: 1, ...more })
 
-test('work that lasts is not started again, and its leases run out, while more tasks a second start than one host can order', async () => {
-  const clock = createManualClock(1000)
-  const log = createMemoryLog('h1', { clock, commitMs: COMMIT_MS })
-  const fleet = createFakeRunFleet(clock)
-  const network = createSimpleNetwork(clock, createRandom(1))
+interface LoadOutcome { lastingEnds: number, notRestarted: string[], lapsed: number, starts: number }
+
+/** Plays short tasks on four hosts and their workers beside lasting tasks that fail every few seconds. */
+async function playLoad (tasksPerSecond: number): Promise<LoadOutcome> {
+  const { clock, fleet, propose, stop } = await createHosts(HOSTS, WORKERS, (clock, client) => createSlowClient(clock, client))
   fleet.plan = (task) => task.startsWith('lasting') ? { runMs: LASTING_RUN_MS, result: 'failed' } : { runMs: 800, result: 'succeeded' }
-  const coordinators = HOSTS.map((host, index) => createWorkflowCoordinator({
-    clock,
-    logger: createSilentLogger(),
-    metrics: createNoMetrics(),
-    work: createNoWorkMeter(),
-    network: network.join(host),
-    log: index === 0 ? log : log.join(host),
-    client: createSlowClient(clock, fleet.client),
-    hosts: fleet.hosts,
-    advice: fleet.advice
-  }))
-  const propose = (entry: Entry): unknown => log.propose(entry, Infinity)
-  propose({ kind: 'catalog.put', catalog: CATALOG })
-  Array.from({ length: WORKERS }, (_, index) => fleet.addWorker({ id: `w${index}`, address: `127.0.0.1:${index}` }))
-    .forEach(({ life }) => propose({ kind: 'life.report', life }))
-  await clock.advance(1000)
   propose({ kind: 'workflow.submit', queue: 'quotes', workflow: { id: 'lasting', command: 'run', steps: [createStep({ count: LASTING_TASKS, lasting: true, maxUnavailable: 1 })] }, at: clock.wall() })
   for (let passed = 0; passed < LOAD_MS; passed += BATCH_EVERY_MS) {
-    propose({ kind: 'workflow.submit', queue: 'quotes', workflow: { id: `batch-${passed}`, command: 'run', steps: [createStep({ count: BATCH_TASKS })] }, at: clock.wall() })
+    propose({ kind: 'workflow.submit', queue: 'quotes', workflow: { id: `batch-${passed}`, command: 'run', steps: [createStep({ count: tasksPerSecond * BATCH_EVERY_MS / 1000 })] }, at: clock.wall() })
     await clock.advance(BATCH_EVERY_MS)
   }
   const ended = fleet.events.filter(({ kind, task, at }) => kind === 'ended' && task.startsWith('lasting') && at < clock.now() - RESTART_MS)
-  const unanswered = ended.filter(({ task, attempt, at }) =>
+  const notRestarted = ended.filter(({ task, attempt, at }) =>
     !fleet.events.some((event) => event.kind === 'started' && event.task === task && event.attempt > attempt && event.at - at < RESTART_MS))
-  const lapsed = fleet.events.filter(({ cause }) => cause === 'lease-expired')
-  expect({ ended: ended.length >= LASTING_TASKS, notRestarted: unanswered.map(({ task }) => task), lapsed: lapsed.length }).toEqual({ ended: true, notRestarted: [], lapsed: 0 })
-  await Promise.all([...coordinators.map((coordinator) => coordinator.stop()), clock.advance(2000)])
+  await stop()
+  return {
+    lastingEnds: ended.length,
+    notRestarted: notRestarted.map(({ task }) => task),
+    lapsed: fleet.events.filter(({ cause }) => cause === 'lease-expired').length,
+    starts: fleet.events.filter(({ kind }) => kind === 'started').length
+  }
+}
+
+test('work that lasts is not started again, and its leases run out, while more tasks a second start than one host can order', async () => {
+  const { lastingEnds, notRestarted, lapsed, starts } = await playLoad(200)
+  expect({ ended: lastingEnds >= LASTING_TASKS, notRestarted, lapsed, started: starts > 0.9 * 200 * LOAD_MS / 1000 }).toEqual({ ended: true, notRestarted: [], lapsed: 0, started: true })
+}, 60_000)
+
+test('work that lasts is not started again, and its leases run out, while more tasks wait than all hosts can order', async () => {
+  const { lastingEnds, notRestarted, lapsed } = await playLoad(800)
+  expect({ ended: lastingEnds >= LASTING_TASKS, notRestarted, lapsed }).toEqual({ ended: true, notRestarted: [], lapsed: 0 })
 }, 60_000)
--- /dev/null
+++ b/test/workflows/sessions.test.ts
@@ -0,0 +1,125 @@
+import { expect, test } from 'vitest'
+import { chooseSessionHosts, findSessionHost, type HostPresence } from '../../src/coordination/workflows/division.js'
+import type { RunEvent } from '../../src/fakes/runWorker.js'
+import { createHosts, type Hosts } from './support.js'
+
+const HOSTS = ['h1', 'h2', 'h3', 'h4']
+const WORKERS = 12
+
+/** Which host the agreed division gives each worker to. */
+function listOwners ({ log }: Hosts): Map<string, string | undefined> {
+  const { workers, sessionHosts } = log.state().workflows
+  return new Map(Object.values(workers).map(({ life }) => [life.id, findSessionHost(sessionHosts, life)]))
+}
+
+/** Cuts a host off from all other hosts; it still reaches its workers. */
+function cutOff ({ network, followers }: Hosts, host: string): void {
+  HOSTS.filter((other) => other !== host).forEach((other) => {
+    network.cut(host, other)
+    network.cut(other, host)
+  })
+  followers.get(host)?.setReachable(false)
+}
+
+function heal ({ network, followers }: Hosts, host: string): void {
+  network.healAll()
+  followers.get(host)?.setReachable(true)
+}
+
+/** Tasks of which two runs were there at the same time. */
+function listDoubled (events: readonly RunEvent[]): string[] {
+  const running = new Map<string, number>()
+  return events.flatMap(({ kind, task }) => {
+    const count = (running.get(task) ?? 0) + (kind === 'started' ? 1 : kind === 'ended' ? -1 : 0)
+    running.set(task, count)
+    return count > 1 ? [task] : []
+  })
+}
+
+test('a worker moves between hosts although its own has not left', () => {
+  const hosts = ['a-1', 'a-2', 'b-1', 'b-2'].map((host) => ({ host, availabilityZone: host[0] as string }))
+  const workers = Array.from({ length: 200 }, (_, index) => ({ id: `w${index}`, availabilityZone: 'abc'[index % 3] as string }))
+  const before = workers.map((worker) => findSessionHost(hosts, worker))
+  const after = workers.map((worker) => findSessionHost(hosts.filter(({ host }) => host !== 'a-1'), worker))
+  const moved = workers.filter((_, index) => before[index] !== after[index])
+  expect(moved.every((worker) => before[workers.indexOf(worker)] === 'a-1')).toBe(true)
+  expect(workers.filter(({ availabilityZone }, index) => availabilityZone !== 'c' && before[index]?.[0] !== availabilityZone)).toEqual([])
+  const counts = hosts.map(({ host }) => before.filter((owner) => owner === host).length)
+  expect(Math.max(...counts) / Math.min(...counts)).toBeLessThan(2)
+})
+
+test('the leader keeps sessions beside its own work, or a host that is gone or leaves gets workers', () => {
+  const hear = (host: string, more: Partial<HostPresence> = {}): [string, HostPresence] => [host, { availabilityZone: 'a', firstHeardAt: 0, lastHeardAt: 5000, isLeaving: false, ...more }]
+  const choose = (...present: Array<[string, HostPresence]>): string => chooseSessionHosts([{ host: 'h4', availabilityZone: 'a' }], new Map(present), 'h1', 5000).map(({ host }) => host).join()
+  expect([
+    choose(hear('h1'), hear('h2'), hear('h3'), hear('h4')),
+    choose(hear('h1'), hear('h2'), hear('h3')),
+    choose(hear('h1'), hear('h2', { isLeaving: true }), hear('h3'), hear('h4')),
+    choose(hear('h1'), hear('h2', { lastHeardAt: 3900 }), hear('h3'), hear('h4')),
+    choose(hear('h1'), hear('h2', { firstHeardAt: 4900 }), hear('h4', { firstHeardAt: 4900 }))
+  ]).toEqual(['h2,h3,h4', 'h1,h2,h3', 'h1,h3,h4', 'h1,h3,h4', 'h1,h4'])
+})
+
+test('all orders come from the leader', async () => {
+  const callers = new Map<string, number>()
+  const hosts = await createHosts(HOSTS, WORKERS, (_clock, client, host) => ({
+    ...client,
+    start: (...call) => {
+      callers.set(host, (callers.get(host) ?? 0) + 1)
+      return client.start(...call)
+    }
+  }))
+  hosts.submit('x', [{ count: 60, cores: 1 }])
+  await hosts.clock.advance(2000)
+  expect(hosts.fleet.events.filter(({ kind }) => kind === 'started')).toHaveLength(60)
+  expect([...callers.keys()].sort()).toEqual(['h2', 'h3', 'h4'])
+  await hosts.stop()
+})
+
+test('tasks stop, start twice or wait for the end of a lease when the host of their worker is lost', async () => {
+  const hosts = await createHosts(HOSTS, WORKERS)
+  hosts.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  hosts.submit('x', [{ count: 24, cores: 1, lasting: true, maxUnavailable: 0 }])
+  await hosts.clock.advance(2000)
+  const lost = [...listOwners(hosts)].filter(([, owner]) => owner === 'h3').map(([worker]) => worker)
+  cutOff(hosts, 'h3')
+  await hosts.clock.advance(12_000)
+  expect({
+    hadWorkers: lost.length > 0,
+    stillThere: [...listOwners(hosts).values()].includes('h3'),
+    ended: hosts.fleet.events.filter(({ kind }) => kind === 'ended'),
+    doubled: listDoubled(hosts.fleet.events),
+    running: [...hosts.fleet.workers.values()].reduce((sum, { running }) => sum + running.size, 0)
+  }).toEqual({ hadWorkers: true, stillThere: false, ended: [], doubled: [], running: 24 })
+  await hosts.stop()
+})
+
+test('a host that was cut off goes on giving orders to workers that were given to another', async () => {
+  const hosts = await createHosts(HOSTS, WORKERS)
+  hosts.submit('x', [{ count: 100, cores: 1, expectedRunMs: 1000 }])
+  await hosts.clock.advance(300)
+  cutOff(hosts, 'h3')
+  // Its log still misses the new division when its messages arrive again.
+  await hosts.clock.advance(5000)
+  hosts.network.healAll()
+  const before = hosts.fleet.events.length
+  await hosts.clock.advance(3000)
+  heal(hosts, 'h3')
+  await hosts.clock.advance(10_000)
+  const done = hosts.fleet.events.filter(({ kind, cause }) => kind === 'ended' && cause === 'succeeded').map(({ task }) => task)
+  expect({ before: before > 0, doubled: listDoubled(hosts.fleet.events), done: new Set(done).size, outcome: hosts.log.state().workflows.workflows.x?.outcome })
+    .toEqual({ before: true, doubled: [], done: 100, outcome: 'completed' })
+  await hosts.stop()
+})
+
+test('a host that is to stop leaves its workers without orders until it is missed', async () => {
+  const hosts = await createHosts(HOSTS, WORKERS)
+  hosts.submit('x', [{ count: 60, cores: 1, expectedRunMs: 1000 }])
+  await hosts.clock.advance(200)
+  const stopping = hosts.coordinators.get('h2')?.stop()
+  await hosts.clock.advance(400)
+  expect([...listOwners(hosts).values()].includes('h2')).toBe(false)
+  await Promise.all([stopping, hosts.clock.advance(6000)])
+  expect([hosts.log.state().workflows.workflows.x?.outcome, listDoubled(hosts.fleet.events)]).toEqual(['completed', []])
+  await hosts.stop()
+})
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -1,9 +1,10 @@
-import { createManualClock, createNoMetrics, createNoWorkMeter, createSilentLogger, type ManualClock, type RequestHandler } from '../../src/common/index.js'
-import { createWorkflowCoordinator, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
+import { createManualClock, createNoMetrics, createNoWorkMeter, createRandom, createSilentLogger, type Clock, type ManualClock, type RequestHandler } from '../../src/common/index.js'
+import { createWorkflowCoordinator, type WorkerClient, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 import type { Candidate } from '../../src/coordination/workflows/placing.js'
 import { WORKFLOW_MESSAGE } from '../../src/coordination/workflows/messages.js'
-import { createMemoryLog, type MemoryLog } from '../../src/fakes/memoryLog.js'
+import { createMemoryLog, type MemoryFollower, type MemoryLog } from '../../src/fakes/memoryLog.js'
 import { createFakeRunFleet, type FakeRunFleet, type RunEvent } from '../../src/fakes/runWorker.js'
+import { createSimpleNetwork, type SimpleNetwork } from '../../src/fakes/simpleNetwork.js'
 import type { Catalog, Entry, Step, Workflow } from '../../src/state/index.js'
 
 const COMMIT_MS = 12
@@ -45,7 +46,7 @@
   const fleet = createFakeRunFleet(clock)
   const handlers = new Map<string, RequestHandler>()
   const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
-  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
+  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, availabilityZone: 'a', process: 'p1', client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
   const record = async (entry: Entry): Promise<void> => {
     log.propose(entry, Infinity)
     await clock.advance(COMMIT_MS)
@@ -78,3 +79,59 @@
     listEvents: (kind) => fleet.events.filter((event) => event.kind === kind)
   }
 }
+
+export interface Hosts {
+  clock: ManualClock
+  /** The log of the first host, which leads. */
+  log: MemoryLog
+  followers: Map<string, MemoryFollower>
+  network: SimpleNetwork
+  fleet: FakeRunFleet
+  coordinators: Map<string, WorkflowCoordinator>
+  propose (entry: Entry): Promise<unknown>
+  submit (id: string, steps: Array<Partial<Step>>): void
+  stop (): Promise<void>
+}
+
+/** Several hosts with a replica of one log, of which the first leads, and workers that have reported. */
+export async function createHosts (names: readonly string[], workers: number, useClient: (clock: Clock, client: WorkerClient, host: string) => WorkerClient = (_clock, client) => client): Promise<Hosts> {
+  const clock = createManualClock(1000)
+  const [first = 'h1', ...others] = names
+  const log = createMemoryLog(first, { clock, commitMs: COMMIT_MS })
+  const followers = new Map(others.map((host) => [host, log.join(host)]))
+  const fleet = createFakeRunFleet(clock)
+  const network = createSimpleNetwork(clock, createRandom(1))
+  const coordinators = new Map(names.map((host) => [host, createWorkflowCoordinator({
+    clock,
+    logger: createSilentLogger(),
+    metrics: createNoMetrics(),
+    work: createNoWorkMeter(),
+    network: network.join(host),
+    log: followers.get(host) ?? log,
+    availabilityZone: 'a',
+    process: host,
+    client: useClient(clock, fleet.client, host),
+    hosts: fleet.hosts,
+    advice: fleet.advice
+  })]))
+  const propose = async (entry: Entry): Promise<unknown> => log.propose(entry, Infinity)
+  propose({ kind: 'catalog.put', catalog: CATALOG })
+  Array.from({ length: workers }, (_, index) => fleet.addWorker({ id: `w${index}`, address: `127.0.0.1:${index}` }))
+    .forEach(({ life }) => propose({ kind: 'life.report', life }))
+  await clock.advance(1000)
+  return {
+    clock,
+    log,
+    followers,
+    network,
+    fleet,
+    coordinators,
+    propose,
+    submit: (id, steps) => {
+      propose({ kind: 'workflow.submit', queue: 'quotes', workflow: { id, command: 'run', steps: steps.map((step) => ({ ...STEP, ...step })) }, at: clock.wall() })
+    },
+    stop: async () => {
+      await Promise.all([...[...coordinators.values()].map((coordinator) => coordinator.stop()), clock.advance(2000)])
+    }
+  }
+}
