Start lasting tasks that have stopped before all other waiting work

Change: the waiting tasks of a lasting step are split into those that have run before and new ones; the former come first, whatever their priority, and the reserve for short work does not hold them back. Gangs stay whole.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -157,7 +157,7 @@
   const crowded = new Set([...candidates].filter(([, workers]) => isCrowded(workers)).map(([service]) => service))
   const idle = groups.filter(({ step, indexes, record, occurrence, stepNumber }) =>
     step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0))
-  const keys = new Map(idle.map((group) => [getPeerKey(group.record.workflow.id, group.occurrence, group.stepNumber), group]))
+  const keys = new Map(idle.map((group) => [getGroupKey(group), group]))
   idleSince.forEach((_since, key) => { if (!keys.has(key)) idleSince.delete(key) })
   return new Set([...keys].filter(([key, { record, step }]) => {
     const since = idleSince.get(key) ?? now
@@ -166,6 +166,10 @@
   }).map(([, group]) => group))
 }
 
+function getGroupKey ({ record, occurrence, stepNumber, isResumed }: WaitingGroup): string {
+  return `${getPeerKey(record.workflow.id, occurrence, stepNumber)}${isResumed === true ? '#resumed' : ''}`
+}
+
 function isCrowded (workers: readonly Placing[]): boolean {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
   const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -7,7 +7,7 @@
 import type { Sharing } from './sharing.js'
 
 /**
- * Part of a pool's cores that lasting work leaves free for short urgent work, unless a task has waited and there is
+ * Part of a pool's cores that new lasting work leaves free for short urgent work, unless a task has waited and there is
  * room for it twice; the short work of the reference loads takes 2 to 6% of the cores.
  */
 const SHORT_WORK_SHARE = 0.05
@@ -34,7 +34,7 @@
   indexes.every((index) => {
     const worker = chooseWorker(workers, needs)
     if (worker === undefined) return false
-    if (step.lasting && !hasReserve(workers, step) && !(isStarved && canHoldGang(workers, needs, 2))) return false
+    if (step.lasting && group.isResumed !== true && !hasReserve(workers, step) && !(isStarved && canHoldGang(workers, needs, 2))) return false
     // One task is enough for a workflow to go on; each lasting task has users of its own, and a gang needs all of its members.
     needs.acceptsRisk = isStarved && (step.lasting || step.gang)
     if (step.fills) options.sharing.recordStart(worker.serving, step.image ?? '', now)
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -10,6 +10,8 @@
   stepNumber: number
   step: Step
   indexes: number[]
+  /** The tasks last, have run before and have stopped; callers were promised that they run. */
+  isResumed?: boolean
   priority: number
   /** Wall-clock ms by which the workflow should have ended. */
   dueAt: number
@@ -37,17 +39,30 @@
   const objectiveMs = (queue?.slackFactor ?? 1) * estimateChainMs(workflow.steps) + (queue?.objectiveMs ?? 0)
   return Array.from({ length: countOccurrences(workflow) }, (_, occurrence) => occurrence)
     .filter((occurrence) => workflow.recurrence === undefined || getOccurrenceStart(record, occurrence) <= wallTime)
-    .flatMap((occurrence) => workflow.steps.map((step, stepNumber) => ({
-      record,
-      occurrence,
-      stepNumber,
-      step,
-      indexes: listWaitingIndexes(record, occurrence, stepNumber, step),
-      priority: queue?.priority ?? 0,
-      dueAt: getOccurrenceStart(record, occurrence) + objectiveMs,
-      advice: queue?.advice
-    })))
-    .filter(({ indexes }) => indexes.length > 0)
+    .flatMap((occurrence) => workflow.steps.flatMap((step, stepNumber) => {
+      const waiting = listWaitingIndexes(record, occurrence, stepNumber, step)
+      return splitResumed(record, occurrence, stepNumber, waiting).map(({ indexes, isResumed }) => ({
+        record,
+        occurrence,
+        stepNumber,
+        step,
+        indexes,
+        isResumed,
+        priority: queue?.priority ?? 0,
+        dueAt: getOccurrenceStart(record, occurrence) + objectiveMs,
+        advice: queue?.advice
+      }))
+    }))
+}
+
+/** Lasting tasks that have run before apart from new ones; the members of a gang stay together. */
+function splitResumed (record: WorkflowRecord, occurrence: number, step: number, waiting: number[]): Array<Pick<WaitingGroup, 'indexes' | 'isResumed'>> {
+  const { lasting, gang } = record.workflow.steps[step] as Step
+  const hasRun = (index: number): boolean => (record.tasks[getLocalName({ occurrence, step, index })]?.attempt ?? 0) > 0
+  const resumed = lasting ? waiting.filter(hasRun) : []
+  if (gang || resumed.length === 0) return waiting.length === 0 ? [] : [{ indexes: waiting, isResumed: resumed.length > 0 }]
+  const fresh = waiting.filter((index) => !hasRun(index))
+  return [{ indexes: resumed, isResumed: true }, { indexes: fresh, isResumed: false }].filter(({ indexes }) => indexes.length > 0)
 }
 
 function listWaitingIndexes (record: WorkflowRecord, occurrence: number, stepNumber: number, step: Step): number[] {
@@ -62,12 +77,14 @@
 }
 
 /**
- * Priority first, then work that ends before work that lasts, then what can still be on time, then what is due first.
+ * Lasting tasks that have stopped come before everything: callers were promised that they run, they are a small part of
+ * the load, and behind a backlog that never empties they would wait without end (inc1). Then priority, then work that ends before work that lasts, then what can still be on time, then what is due first.
  * On a burst of large jobs, most of the worth of a late workflow is lost whenever it ends, so it waits until those that
  * can be on time have room. With all cores taken by lasting work, short work gives more for each core.
  */
 export function compareGroups (wallTime: number): (a: WaitingGroup, b: WaitingGroup) => number {
-  return (a, b) => a.priority - b.priority ||
+  return (a, b) => Number(b.isResumed === true) - Number(a.isResumed === true) ||
+    a.priority - b.priority ||
     Number(a.step.lasting) - Number(b.step.lasting) ||
     getLateness(a, wallTime) - getLateness(b, wallTime) ||
     a.dueAt - b.dueAt
--- a/test/workflows/groups.test.ts
+++ b/test/workflows/groups.test.ts
@@ -51,3 +51,9 @@
   const served = createWorker('w1', { serving: [{ step: undefined, image: 'desk', targetMs: 18 }], filling: [{ image: 'x', part: 0.1 }] })
   expect([place(createGroup({ count: 3, fills: true }), [served]), place(createGroup({ count: 3, fills: true }), [{ ...served }], true)]).toEqual([[], ['w1']])
 })
+
+test('a lasting task that has stopped is not held back by the reserve for short work, a new one is', () => {
+  const full = (): Placing[] => [createWorker('w1', { freeCores: 2 })]
+  const group = createGroup({ lasting: true })
+  expect([place(group, full()), place({ ...group, isResumed: true }, full())]).toEqual([[], ['w1']])
+})
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -178,3 +178,15 @@
   await scene.run(2500)
   expect(scene.listEvents('started').filter(({ task }) => task.startsWith('a1'))).toHaveLength(1)
 })
+
+test('a lasting task that stopped runs again at once beside a backlog of urgent short work that takes all cores', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = (task) => task.startsWith('lasting') ? { runMs: 2000, result: 'failed' } : { runMs: 500, result: 'succeeded' }
+  await scene.submit('lasting', [{ count: 1, cores: 8, lasting: true }])
+  await scene.run(500)
+  await scene.submit('backlog', [{ count: 400, cores: 8 }])
+  await scene.run(4000)
+  expect(getOutcome(scene, 'backlog')).toBeUndefined()
+  const [first, second] = scene.listEvents('started').filter(({ task }) => task.startsWith('lasting')).map(({ at }) => at)
+  expect(Number(second) - Number(first) - 2000).toBeLessThan(700)
+})
