Apply committed entries on followers without waiting for their own disks

Cause: a follower applied the committed prefix only after its own sync of later entries, answered an append only then, so that a slow disk held back further messages, and was told of a new commit index only while no append was in flight to it.

--- a/src/state/logStore/logStore.ts
+++ b/src/state/logStore/logStore.ts
@@ -41,7 +41,7 @@
   repaired: boolean
 }
 
-/** Operations run one after the other. After the first failure every later one returns that failure. */
+/** Operations run one after the other, except where noted. After the first failure every later one returns that failure. */
 export interface LogStore {
   readonly incarnation: string
   /** Names the founding of the deployment that this host belongs to. */
@@ -52,6 +52,11 @@
   append (entries: StoredEntry[]): Promise<Result<void, StoreFailure>>
   /** Replaces the snapshot, then the log by `entries`, which follow the snapshot. */
   saveSnapshot (snapshot: StoredSnapshot, entries: StoredEntry[]): Promise<Result<void, StoreFailure>>
+  /**
+   * Replaces the snapshot while appends go on, then drops from the log what it covers. The log must hold all entries that
+   * the snapshot covers. `listFollowing` lists the entries after it, or nothing when the log was replaced meanwhile.
+   */
+  saveCoveredSnapshot (snapshot: StoredSnapshot, listFollowing: () => StoredEntry[] | undefined): Promise<Result<void, StoreFailure>>
   readSnapshot (): Promise<Result<StoredSnapshot | undefined, StoreFailure>>
   close (): Promise<void>
 }
@@ -118,18 +123,36 @@
   let generation = firstGeneration
   let failure: StoreFailure | undefined
   let last: Promise<unknown> = Promise.resolve()
+  let lastSnapshot: Promise<unknown> = Promise.resolve()
+  let lastCovered: Promise<unknown> = Promise.resolve()
+
+  const runGuarded = async <T>(action: () => Promise<Result<T, StoreFailure>>): Promise<Result<T, StoreFailure>> => {
+    if (failure !== undefined) return Err(failure)
+    const result = await action()
+    if (result.err) failure ??= result.val
+    return result
+  }
 
   const runInOrder = <T>(action: () => Promise<Result<T, StoreFailure>>): Promise<Result<T, StoreFailure>> => {
-    const next = last.then(async () => {
-      if (failure !== undefined) return Err(failure)
-      const result = await action()
-      if (result.err) failure = result.val
-      return result
-    })
+    const next = last.then(() => runGuarded(action))
     last = next
     return next
   }
 
+  /** Snapshots are written in an order of their own, because a large one takes many times as long as an append. */
+  const writeSnapshot = (snapshot: StoredSnapshot): Promise<Result<void, StoreFailure>> => {
+    const next = lastSnapshot.then(() => runGuarded(() => writeRecord(disk, SNAPSHOT_FILE, snapshot)))
+    lastSnapshot = next
+    return next
+  }
+
+  const changeLog = async (entries: StoredEntry[]): Promise<Result<void, StoreFailure>> => {
+    const written = await writeLog(disk, generation + 1, entries)
+    if (written.err) return written
+    generation += 1
+    return removeFiles(disk, [getLogFile(generation - 1)])
+  }
+
   return {
     incarnation: identity.incarnation,
     get formation () { return identity.formation },
@@ -151,17 +174,25 @@
     }),
 
     saveSnapshot: (snapshot, entries) => runInOrder(async () => {
-      const saved = await writeRecord(disk, SNAPSHOT_FILE, snapshot)
-      if (saved.err) return saved
-      const written = await writeLog(disk, generation + 1, entries)
-      if (written.err) return written
-      generation += 1
-      return removeFiles(disk, [getLogFile(generation - 1)])
+      const saved = await writeSnapshot(snapshot)
+      return saved.err ? saved : changeLog(entries)
     }),
 
+    saveCoveredSnapshot: (snapshot, listFollowing) => {
+      const saving = writeSnapshot(snapshot).then((saved) => saved.err
+        ? saved
+        : runInOrder(async () => {
+          const following = listFollowing()
+          return following === undefined ? Ok(undefined) : changeLog(following)
+        }))
+      lastCovered = saving
+      return saving
+    },
+
     readSnapshot: () => runInOrder(() => readRecord<StoredSnapshot>(disk, SNAPSHOT_FILE)),
 
     close: async () => {
+      await lastCovered
       await last
       await disk.close()
     }
--- a/src/state/replica/apply.ts
+++ b/src/state/replica/apply.ts
@@ -1,8 +1,10 @@
 import { Err, Ok } from '../../common/index.js'
 import { applyEntry, type Outcome } from '../agreedState.js'
+import type { LogStore } from '../logStore/index.js'
 import type { Entry } from '../schemas.js'
 import { countMajority, describeSnapshot, getVoters, isSelf, stopOnFailure, type Context } from './context.js'
 import { decodeCommand, encodeSnapshot } from './messages.js'
+import { waitUntil } from './notifier.js'
 import { MAX_SYNC_BYTES } from './timing.js'
 
 /** Writes entries in batches; everything that arrives during one sync shares the next. */
@@ -109,21 +111,32 @@
   context.bytesSinceSnapshot = 0
   if (store !== undefined) {
     context.snapshotting = true
-    const term = log.getTerm(index) ?? 0
-    const voters = context.memberships.findLast((membership) => membership.index <= index)?.voters ?? []
-    const bytes = context.work.measure('log.snapshot', () => encodeSnapshot({ index, term, voters, state: context.state }))
-    const saved = await store.saveSnapshot({ index, term, bytes }, log.listFrom(index + 1))
+    const isSaved = await saveSnapshot(context, store, index)
     context.snapshotting = false
-    if (saved.err) return stopOnFailure(context, saved.val)
-    // A newer snapshot from the leader was saved after this one.
-    if (index < (context.snapshotInfo?.index ?? 0)) return
-    context.snapshotInfo = describeSnapshot({ index, term, bytes })
-    context.logger.info('log.snapshot', { index, bytes: bytes.length })
+    if (!isSaved) return
   }
   log.prune(findFirstRetained(context, index) - 1)
   pruneMemberships(context)
 }
 
+/** Returns false when a snapshot from the leader took its place or the host has stopped. */
+async function saveSnapshot (context: Context, store: LogStore, index: number): Promise<boolean> {
+  const { log, clock, progress, logResets } = context
+  const term = log.getTerm(index) ?? 0
+  const voters = context.memberships.findLast((membership) => membership.index <= index)?.voters ?? []
+  const bytes = context.work.measure('log.snapshot', () => encodeSnapshot({ index, term, voters, state: context.state }))
+  const isReplaced = (): boolean => context.stopped || context.logResets !== logResets
+  // The log on the disk may lag behind what was applied, and would have a gap after a snapshot beyond its end.
+  await waitUntil(clock, progress, Infinity, () => context.stableIndex >= index || isReplaced())
+  if (isReplaced()) return false
+  const saved = await store.saveCoveredSnapshot({ index, term, bytes }, () => isReplaced() ? undefined : log.listFrom(index + 1))
+  if (saved.err) stopOnFailure(context, saved.val)
+  if (isReplaced()) return false
+  context.snapshotInfo = describeSnapshot({ index, term, bytes })
+  context.logger.info('log.snapshot', { index, bytes: bytes.length })
+  return true
+}
+
 function findFirstRetained (context: Context, snapshotIndex: number): number {
   const { log, limits } = context
   let first = snapshotIndex + 1
--- a/src/state/replica/follower.ts
+++ b/src/state/replica/follower.ts
@@ -6,7 +6,7 @@
 } from './context.js'
 import { decodeSnapshot, type AppendReply, type AppendRequest, type RefusedReply, type SnapshotReply, type SnapshotRequest } from './messages.js'
 import { waitUntil } from './notifier.js'
-import { APPEND_TIMEOUT_MS, ELECTION_MAX_MS, ELECTION_MIN_MS, LEARNER_SILENCE_MS } from './timing.js'
+import { APPEND_TIMEOUT_MS, ELECTION_MAX_MS, ELECTION_MIN_MS, LEARNER_SILENCE_MS, STABLE_REPLY_MS } from './timing.js'
 
 export async function handleAppend (context: Context, from: string, request: AppendRequest): Promise<AppendReply | RefusedReply> {
   const refusal = await admitLeader(context, from, request)
@@ -25,18 +25,19 @@
   })
   // An entry may have made this host a voter, whose election timeout is shorter.
   observeLeader(context)
-  await waitUntilStable(context, lastIndex)
+  // Committed entries are held by a majority without this host, so they need not be on its own disk to be applied.
+  if (!context.stopped) applyCommitted(context, Math.min(request.commit, lastIndex))
+  await waitUntilStable(context, lastIndex, STABLE_REPLY_MS)
   if (context.stopped) return { refused: 'stopped' }
-  if (context.term !== request.term || context.stableIndex < lastIndex) return { term: context.term, matches: false, index: lastIndex + 1 }
-  applyCommitted(context, Math.min(request.commit, lastIndex))
-  return { term: context.term, matches: true, index: lastIndex }
+  if (context.term !== request.term) return { term: context.term, matches: false, index: lastIndex + 1 }
+  return { term: context.term, matches: true, index: Math.min(context.stableIndex, lastIndex) }
 }
 
 export async function handleSnapshot (context: Context, from: string, request: SnapshotRequest): Promise<SnapshotReply | RefusedReply> {
   const refusal = await admitLeader(context, from, request)
   if (refusal !== undefined) return 'refused' in refusal ? refusal : { term: refusal.term, offset: 0 }
   if (request.index <= context.commitIndex) {
-    await waitUntilStable(context, request.index)
+    await waitUntilStable(context, request.index, APPEND_TIMEOUT_MS)
     return { term: context.term, offset: context.stableIndex < request.index ? 0 : request.size }
   }
   const key = [request.index, request.lastTerm, request.size, request.checksum].join(':')
@@ -94,8 +95,8 @@
   appendEntry(context, term, new Uint8Array(bytes))
 }
 
-async function waitUntilStable (context: Context, index: number): Promise<void> {
-  const deadline = context.clock.now() + APPEND_TIMEOUT_MS
+async function waitUntilStable (context: Context, index: number, limitMs: number): Promise<void> {
+  const deadline = context.clock.now() + limitMs
   await waitUntil(context.clock, context.progress, deadline, () => context.stopped || context.stableIndex >= index)
 }
 
--- a/src/state/replica/messages.ts
+++ b/src/state/replica/messages.ts
@@ -32,7 +32,7 @@
   /** Term and bytes of each entry. */
   entries: Array<[number, Uint8Array]>
 }
-/** `index` is the last matching entry, or where to continue when they do not match. */
+/** `index` is the last matching entry that is on the receiver's disk, or where to continue when they do not match. */
 export interface AppendReply { term: number, matches: boolean, index: number }
 
 export interface SnapshotRequest extends Envelope {
--- a/src/state/replica/replication.ts
+++ b/src/state/replica/replication.ts
@@ -2,7 +2,7 @@
 import { getPeerKey, getVoters, isLeading, isSelf, stopOnFailure, updateTerm, type Context, type Peer, type SnapshotInfo } from './context.js'
 import type { AppendReply, AppendRequest, RefusedReply, SnapshotReply, SnapshotRequest } from './messages.js'
 import { createNotifier } from './notifier.js'
-import { APPEND_TIMEOUT_MS, HEARTBEAT_MS, LEARNER_HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_IN_FLIGHT, MAX_APPEND_BYTES } from './timing.js'
+import { APPEND_GAP_MS, APPEND_TIMEOUT_MS, HEARTBEAT_MS, LEARNER_HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_IN_FLIGHT, MAX_APPEND_BYTES } from './timing.js'
 
 /** Starts a loop for each voter and learner that has none, and ends those of hosts that are neither. */
 export function updatePeers (context: Context): void {
@@ -52,9 +52,8 @@
       await sendSnapshot(context, peer, term)
       continue
     }
-    const heartbeat = peer.isVoter ? HEARTBEAT_MS : LEARNER_HEARTBEAT_MS
-    const remaining = peer.lastSent + heartbeat - clock.now()
-    if (remaining <= 0 || hasNews(context, peer)) {
+    const remaining = findSendTime(context, peer) - clock.now()
+    if (remaining <= 0) {
       sendAppend(context, peer, term)
     } else {
       await peer.wake.wait(remaining)
@@ -62,10 +61,15 @@
   }
 }
 
-function hasNews (context: Context, peer: Peer): boolean {
-  if (peer.mode !== 'replicate') return false
-  if (peer.nextIndex <= context.log.lastIndex) return peer.inFlight < MAX_IN_FLIGHT
-  return peer.inFlight === 0 && (peer.sentCommit < context.commitIndex || peer.confirmedRound < (peer.isVoter ? context.readRound : context.wideRound))
+/** When the next append is due: at once for news while nothing is in flight, else after a gap, without news as a heartbeat. */
+function findSendTime (context: Context, peer: Peer): number {
+  const heartbeat = peer.lastSent + (peer.isVoter ? HEARTBEAT_MS : LEARNER_HEARTBEAT_MS)
+  if (peer.mode !== 'replicate') return heartbeat
+  const hasNews = peer.nextIndex <= context.log.lastIndex || peer.sentCommit < context.commitIndex
+  if (peer.inFlight > 0) return hasNews && peer.inFlight < MAX_IN_FLIGHT ? peer.lastSent + APPEND_GAP_MS : heartbeat
+  // The answer to an empty append tells what a peer that answered before its disk had synced holds now.
+  const isUnconfirmed = peer.matchIndex < peer.nextIndex - 1 || peer.confirmedRound < (peer.isVoter ? context.readRound : context.wideRound)
+  return hasNews || isUnconfirmed ? -Infinity : heartbeat
 }
 
 async function sendAppend (context: Context, peer: Peer, term: number): Promise<void> {
--- a/src/state/replica/timing.ts
+++ b/src/state/replica/timing.ts
@@ -20,6 +20,13 @@
 /** A learner that was silent for this long is forgotten; it announces itself again when it returns. */
 export const LEARNER_EXPIRY_MS = 30_000
 export const LEARNER_SILENCE_MS = 3000
+/**
+ * A follower answers after this long also when its disk has not synced the entries yet, so that a slow disk does not hold
+ * back later messages. Twice a sync of 9 ms, the longest that an entry waits on a sound disk, and some reserve.
+ */
+export const STABLE_REPLY_MS = 25
+/** Least time between two messages to a peer that has not answered the first one; it bounds the number of messages. */
+export const APPEND_GAP_MS = 4
 /** Appends of one peer that may wait for an answer at the same time. */
 export const MAX_IN_FLIGHT = 4
 /** Entries of one append; with the other fields a message stays below 64 KB. */
