--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -40,7 +40,7 @@
 export const IDLE_EXCHANGE_MS = 200
 export const EXCHANGE_TIMEOUT_MS = 700
 /** A worker is reported to the leader this often at most; readings change each half second. */
-export const REPORT_WORKER_MS = 100
+export const REPORT_WORKER_MS = 250
 /** A host that stops waits this long for another to take its sessions; two exchanges and two commits. */
 export const LEAVE_TIMEOUT_MS = 800
 /** Start orders that wait for answers at the same time on one host; at 0.3 ms for an order a full queue takes 20 ms. */
