Keep candidates and waiting groups between passes, and try a full pool less

Change: - A worker is counted anew when its runs have changed (markWorkerChanged), waiting groups when their workflow has changed; open workflows have an index. - A group without room is tried on all workers each 100 ms and in between only on those with more room than before; groups that need the same share that. - Of many workers that hold a task the best of 32 is taken, from an offset that moves with each task; tasks that serve still see all workers, and those with a data rack its workers first.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,4 +1,4 @@
-import { formatTaskName, getStepName, parseTaskName, type Step, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { formatTaskName, getStepName, parseTaskName, type Step, type WorkerLife, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placing.js'
 import type { Session } from './sessionState.js'
 import type { Sharing } from './sharing.js'
@@ -6,6 +6,8 @@
 
 /** Names of tasks whose steps are remembered; several times what runs at the size aimed at. */
 const MAX_KNOWN_TASKS = 50_000
+/** A worker is counted anew after this at the latest, since the mean loads that its services are expected to have drift. */
+const CANDIDATE_AGE_MS = 5000
 
 export interface CandidateOptions {
   sessions: ReadonlyMap<string, Session>
@@ -14,6 +16,8 @@
   getState (): WorkflowsState
   /** True for a worker whose host is about to go down. */
   isClosing (worker: string): boolean
+  /** True while a worker's host has as many unconfirmed starts as it can carry out soon; absent: never. */
+  isBusy? (worker: string): boolean
 }
 
 export interface TaskShape { step: Step, peerKey: string }
@@ -33,25 +37,124 @@
   }
 }
 
-/** `peers` counts the runs of each step. */
-export interface Placing extends Candidate { peers: Map<string, number> }
-
-/** Workers that may get work now, with what is left of them. */
-export function listCandidates ({ sessions, health, sharing, getState, isClosing }: CandidateOptions, findShape: (task: string) => TaskShape | undefined): Map<string, Placing[]> {
-  const state = getState()
-  const byService = new Map<string, Placing[]>()
-  sessions.forEach((session) => {
-    const record = state.workers[session.worker]
-    if (record === undefined || !session.reachable || session.ended || record.life.draining || isClosing(session.worker) || health.isPaused(session.worker)) return
-    const candidate = createCandidate(sharing, findShape, record, session, health.getSlowness(session.worker))
-    const others = byService.get(record.life.service)
-    if (others === undefined) byService.set(record.life.service, [candidate])
-    else others.push(candidate)
+/** `peers` counts the runs of each step whose number on a worker is limited. */
+export interface Placing extends Candidate {
+  peers: Map<string, number>
+  /** Too many of its starts are not confirmed yet; it takes only lasting tasks that have stopped. */
+  isBusy?: boolean
+  /** Requested by lasting tasks, so that waiting for the end of short work sets the others free. */
+  lastingCores?: number
+}
+
+/** Workers of one service that may get work now. */
+export interface Pool {
+  workers: Placing[]
+  /** Those that have more room than at the last update. */
+  freed: Placing[]
+}
+
+export interface Candidates {
+  /** Brings what is known of the workers up to date. */
+  update (now: number): Map<string, Pool>
+  /** The runs of a worker have changed, or may have; of all when none is named. */
+  markChanged (worker?: string): void
+  /** A task was given the room of a worker; whether it is assigned there is seen at the next update. */
+  recordPlaced (worker: string, task: string): void
+}
+
+interface Entry {
+  life: WorkerLife
+  session: Session
+  candidate: Placing
+  /** Tasks that the candidate holds. */
+  tasks: Set<string>
+  isUsable: boolean
+  isChanged: boolean
+  hasStrays: boolean
+  renewAt: number
+}
+
+/** Keeps the workers with what is left of each, and counts anew only those whose runs have changed. */
+export function createCandidates (options: CandidateOptions, findShape: (task: string) => TaskShape | undefined): Candidates {
+  const { sessions, health, sharing, getState, isClosing } = options
+  const entries = new Map<string, Entry>()
+
+  const isAvailable = (session: Session, life: WorkerLife): boolean =>
+    session.reachable && !session.ended && !life.draining && !isClosing(session.worker) && !health.isPaused(session.worker)
+
+  const createEntry = (session: Session, record: WorkerRecord, now: number): Entry => ({
+    life: record.life,
+    session,
+    candidate: createCandidate(sharing, findShape, record, session),
+    tasks: new Set(Object.keys(record.assigned)),
+    isUsable: false,
+    isChanged: false,
+    hasStrays: session.strays.size > 0,
+    renewAt: now + CANDIDATE_AGE_MS
   })
-  return byService
+
+  /** The entry of a worker, counted anew where needed, and whether it has more room than before. */
+  const updateEntry = (session: Session, record: WorkerRecord, now: number): { entry: Entry, isFreed: boolean } => {
+    const known = entries.get(session.worker)
+    const entry = known === undefined || isOld(known, session, record, now) ? createEntry(session, record, now) : known
+    if (entry !== known) entries.set(session.worker, entry)
+    entry.isChanged = false
+    const { candidate } = entry
+    const slowness = health.getSlowness(session.worker)
+    const isFreed = known?.isUsable !== true || slowness < known.candidate.slowness || (entry !== known && hasMoreRoom(candidate, known.candidate))
+    candidate.slowness = slowness
+    candidate.isBusy = options.isBusy?.(session.worker) ?? false
+    entry.isUsable = !candidate.isBusy && isAvailable(session, record.life)
+    return { entry, isFreed }
+  }
+
+  return {
+    markChanged: (worker) => {
+      if (worker === undefined) entries.clear()
+      const entry = worker === undefined ? undefined : entries.get(worker)
+      if (entry !== undefined) entry.isChanged = true
+    },
+    recordPlaced: (worker, task) => {
+      const entry = entries.get(worker)
+      entry?.tasks.add(task)
+      if (entry !== undefined) entry.isChanged = true
+    },
+    update: (now) => {
+      const state = getState()
+      const pools = new Map<string, Pool>()
+      sessions.forEach((session) => {
+        const record = state.workers[session.worker]
+        if (record === undefined) return entries.delete(session.worker)
+        const { entry, isFreed } = updateEntry(session, record, now)
+        if (!entry.isUsable && !(entry.candidate.isBusy === true && isAvailable(session, record.life))) return
+        const { service } = record.life
+        const pool = pools.get(service) ?? { workers: [], freed: [] }
+        pools.set(service, pool)
+        pool.workers.push(entry.candidate)
+        if (isFreed) pool.freed.push(entry.candidate)
+      })
+      if (entries.size > sessions.size) entries.forEach((_entry, worker) => { if (!sessions.has(worker)) entries.delete(worker) })
+      return pools
+    }
+  }
+}
+
+function isOld (entry: Entry, session: Session, { life, assigned }: WorkerRecord, now: number): boolean {
+  return entry.session !== session || entry.life !== life || entry.hasStrays || session.strays.size > 0 || now >= entry.renewAt ||
+    (entry.isChanged && !hasSameTasks(entry.tasks, assigned))
+}
+
+function hasSameTasks (tasks: ReadonlySet<string>, assigned: WorkerRecord['assigned']): boolean {
+  const names = Object.keys(assigned)
+  return names.length === tasks.size && names.every((task) => tasks.has(task))
+}
+
+function hasMoreRoom (candidate: Placing, before: Placing): boolean {
+  return candidate.freeCores > before.freeCores || candidate.spareCores > before.spareCores ||
+    candidate.freeMemoryMb > before.freeMemoryMb || candidate.freeAccelerators > before.freeAccelerators
 }
 
-function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session, slowness: number): Placing {
+function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session): Placing {
   const candidate: Placing = {
     id: life.id,
     service: life.service,
@@ -67,14 +170,17 @@
     freeAccelerators: life.accelerators,
     serving: [],
     filling: [],
-    slowness,
-    peers: new Map()
+    slowness: 1,
+    peers: new Map(),
+    isBusy: false,
+    lastingCores: 0
   }
   const addShape = (task: string): void => {
     const shape = findShape(task)
     if (shape !== undefined) addRun(candidate, shape.step, shape.peerKey, sharing)
   }
   Object.keys(assigned).forEach(addShape)
+  if (session.strays.size === 0) return candidate
   const strays = [...session.strays.keys()].map((key) => key.slice(0, key.lastIndexOf('#')))
   strays.filter((task) => assigned[task] === undefined).forEach(addShape)
   return candidate
@@ -87,7 +193,8 @@
 
 export function addRun (candidate: Placing, step: Step, peerKey: string, sharing: Pick<Sharing, 'estimateUse'>): void {
   addTask(candidate, step, peerKey, sharing.estimateUse(step.image ?? ''))
-  candidate.peers.set(peerKey, (candidate.peers.get(peerKey) ?? 0) + 1)
+  if (step.maxPerWorker !== undefined) candidate.peers.set(peerKey, (candidate.peers.get(peerKey) ?? 0) + 1)
+  if (step.lasting && !step.fills) candidate.lastingCores = (candidate.lastingCores ?? 0) + step.cores
 }
 
 export function findStep (state: WorkflowsState, task: string): Step | undefined {
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,16 +1,29 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
-import type { Assignment, WorkflowsState } from '../../state/index.js'
-import { createTaskIndex, getPeerKey, listCandidates, type CandidateOptions, type Placing } from './candidates.js'
-import { placeGroup, type GroupOptions } from './groups.js'
+import type { Assignment } from '../../state/index.js'
+import { createCandidates, createTaskIndex, type CandidateOptions, type Placing, type Pool } from './candidates.js'
+import { placeAmong, type GroupOptions } from './groups.js'
 import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
 import type { HoldReply } from './orders.js'
-import { compareGroups, listWaiting, type WaitingGroup } from './plan.js'
+import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placing.js'
+import { compareGroups } from './plan.js'
 import { createScarcity } from './scarcity.js'
 import type { Session } from './sessionState.js'
 import type { Signal } from './signal.js'
+import { createWaitingIndex, type WaitingWork } from './waiting.js'
 
 /** Passes over the waiting tasks are at least this far apart, so that a burst of changes shares one. */
 const PASS_GAP_MS = 8
+/**
+ * A group without room is tried on all workers again after this: loads swing within 10 s and trials of pairs take 2 s, so
+ * less changes within it. Workers that have more room than before are tried in each pass.
+ */
+const RETRY_MS = 100
+/** How often it is looked which groups have waited too long; a part of the shortest time that counts. */
+const STARVED_CHECK_MS = 50
+/** What waiting images need of workers changes with the backlog, hence slowly, and takes a look at each image and worker. */
+const SCARCITY_AGE_MS = 200
+/** How often it is looked what has to leave its worker; a part of the times that decide about it. */
+const MOVE_CHECK_MS = 100
 /** A workflow of which nothing runs for this long gets a task placed even beside a service that bears it badly. */
 const STARVED_MS = 1000
 /** The same while most cores of the pool are taken: a risky start soon has to leave again and helps nobody. */
@@ -38,29 +51,37 @@
   schedule (): void
   /** The waiting tasks of a workflow, or of all, may have changed. */
   markChanged (workflow?: string): void
+  /** The runs of a worker, or of all, may have changed. */
+  markWorkerChanged (worker?: string): void
   observeReply (session: Session, reply: HoldReply): void
   stop (): void
 }
 
 /** Gives waiting tasks to workers, most urgent first. One pass at a time; each is one entry of the log. */
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
-  const { clock, logger, getState, wake } = options
-  const waiting = createWaitingIndex(options)
-  const tasks = createTaskIndex(getState)
-  /** Since when a step waits while nothing of it runs. */
-  const idleSince = new Map<string, number>()
+  const { clock, logger, getState, wake, work } = options
+  const waiting = createWaitingIndex(getState)
+  const candidates = createCandidates(options, createTaskIndex(getState))
+  const getScarcity = createScarcityCache(options)
   const stopping = new AbortController()
   let loadLoggedAt = -Infinity
+  let starvedAt = -Infinity
+  let movedAt = -Infinity
+  /** Until when kinds of groups count as without room on the workers that have no more of it than before. */
+  const fullUntil = new Map<string, number>()
+  /** Where the next sample of workers begins. */
+  let offset = 0
 
-  const logLoad = (groups: WaitingGroup[], candidates: Map<string, Placing[]>): void => {
+  const logLoad = (works: WaitingWork[], pools: Map<string, Pool>): void => {
     const now = clock.now()
     if (now - loadLoggedAt < LOAD_LOG_MS) return
     loadLoggedAt = now
-    const all = [...candidates.values()].flat()
+    const all = [...pools.values()].flatMap(({ workers }) => workers)
+    const groups = works.map(({ group }) => group)
     logger.info('dispatch.load', {
       waiting: groups.reduce((sum, { indexes }) => sum + indexes.length, 0),
       waitingLasting: groups.filter(({ step }) => step.lasting).reduce((sum, { indexes }) => sum + indexes.length, 0),
-      longestIdleMs: Math.round(now - Math.min(now, ...idleSince.values())),
+      longestIdleMs: Math.round(now - Math.min(now, ...works.map(({ progress }) => progress.idleSince ?? now))),
       groups: groups.length,
       workers: all.length,
       cores: Math.round(all.reduce((sum, { cores }) => sum + cores, 0)),
@@ -76,37 +97,85 @@
   }
 
   const placeWaiting = (): Assignment[] => {
-    const { work } = options
+    const now = clock.now()
     const wallTime = clock.wall()
-    const candidates = work.measure('dispatch.candidates', () => listCandidates(options, tasks))
-    const groups = work.measure('dispatch.waiting', () => waiting.listGroups(wallTime))
-    logLoad(groups, candidates)
+    const pools = work.measure('dispatch.candidates', () => candidates.update(now))
+    const works = work.measure('dispatch.waiting', () => waiting.list(wallTime))
+    logLoad(works, pools)
+    if (now - starvedAt >= STARVED_CHECK_MS) {
+      starvedAt = now
+      work.measure('dispatch.starved', () => updateStarved(works, pools, now))
+    }
+    return work.measure('dispatch.place', () => placeAll(works, pools, now, wallTime))
+  }
+
+  const placeAll = (works: WaitingWork[], pools: Map<string, Pool>, now: number, wallTime: number): Assignment[] => {
+    fullUntil.forEach((until, kind) => { if (until <= now) fullUntil.delete(kind) })
+    const pass: Pass = { now, getScarcity: getScarcity(works, pools, now), full: new Set() }
     const assignments: Assignment[] = []
-    const getScarcity = work.measure('dispatch.scarcity', () => createScarcity(groups, [...candidates.values()].flat(), (serving, filling) => options.sharing.estimateRisk(serving, filling, clock.now())))
-    const starved = work.measure('dispatch.starved', () => updateStarved(idleSince, groups, candidates, clock.now()))
-    work.measure('dispatch.place', () => groups.forEach((group) => {
-      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, getScarcity, starved.has(group)))
-    }))
+    const compare = compareGroups(wallTime)
+    const due = works.filter((work) => isDue(work, pools.get(work.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
+    due.forEach((work) => {
+      const pool = pools.get(work.group.record.service)
+      if (pool === undefined || assignments.length >= MAX_ASSIGNMENTS) return
+      assignments.push(...placeWork(work, pool, pass))
+    })
+    // What is assigned counts from now on; whether it was recorded is seen in the state.
+    assignments.forEach(([task, worker]) => candidates.recordPlaced(worker, task))
     return assignments
   }
 
-  const runPass = async (): Promise<void> => {
+  /** Until when a group is tried only on workers with more room than before, because the others had none a moment ago. */
+  const getBlockedUntil = ({ group: { step }, progress }: WaitingWork, kind: string | undefined): number => {
+    // These need the view of all workers: several of them together may have the room.
+    if (step.gang || step.rackSensitive) return -Infinity
+    return Math.max(progress.blockedUntil, fullUntil.get(kind ?? '') ?? -Infinity)
+  }
+
+  const placeWork = (work: WaitingWork, pool: Pool, { now, getScarcity, full }: Pass): Assignment[] => {
+    const { group, progress, isBounded } = work
+    const { isStarved } = progress
+    // A starved group accepts what the others of its kind do not.
+    const kind = isStarved ? undefined : work.kind
+    progress.isBlocked = true
+    if (kind !== undefined && full.has(kind)) return []
+    const isPartial = getBlockedUntil(work, kind) > now
+    offset += SAMPLE_SIZE
+    const placed = placeAmong(options, group, { pool: pool.workers, workers: isPartial ? pool.freed : pool.workers, getScarcity, isStarved, offset })
+    progress.isBlocked = placed.length < group.indexes.length
+    const isFull = progress.isBlocked && !isPartial
+    if (isFull) progress.blockedUntil = now + RETRY_MS
+    if (kind === undefined || isBounded) return placed
+    if (isFull) fullUntil.set(kind, progress.blockedUntil)
+    if (progress.isBlocked) full.add(kind)
+    else fullUntil.delete(kind)
+    return placed
+  }
+
+  /** Passes take up to half of the thread, whatever waits. Returns how long the thread was taken. */
+  const runPass = async (): Promise<number> => {
+    const startedAt = clock.now()
     const assignments = placeWaiting()
-    options.work.measure('dispatch.move', () => {
-      stopStalled(options)
-      drainWorkers(options)
-    })
-    if (assignments.length === 0) return
+    if (startedAt - movedAt >= MOVE_CHECK_MS) {
+      movedAt = startedAt
+      work.measure('dispatch.move', () => {
+        stopStalled(options)
+        drainWorkers(options)
+      })
+    }
+    const tookMs = clock.now() - startedAt
+    if (assignments.length === 0) return tookMs
     assignments.forEach(([task, worker, attempt]) => logger.info('run.assign', { task, attempt, worker }))
     options.metrics.count('run.assigned', assignments.length)
     await options.assign(assignments)
+    return tookMs
   }
 
   const runPasses = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       await wake.wait(Infinity)
-      if (!stopping.signal.aborted && options.isActive()) await runPass()
-      await clock.sleep(PASS_GAP_MS)
+      const tookMs = !stopping.signal.aborted && options.isActive() ? await runPass() : 0
+      await clock.sleep(Math.max(PASS_GAP_MS, tookMs))
     }
   }
 
@@ -117,6 +186,7 @@
   return {
     schedule: () => wake.notify(),
     markChanged: (workflow) => waiting.markChanged(workflow),
+    markWorkerChanged: (worker) => candidates.markChanged(worker),
     observeReply: (session) => observeSharing(options, session),
     stop: () => {
       stopping.abort()
@@ -125,49 +195,43 @@
   }
 }
 
-interface WaitingIndex {
-  listGroups (wallTime: number): WaitingGroup[]
-  markChanged (workflow: string | undefined): void
+/** Groups without room wait for workers with more of it, or some time. */
+function isDue ({ group, progress }: WaitingWork, pool: Pool | undefined, now: number): boolean {
+  if (pool === undefined) return false
+  if (progress.blockedUntil <= now) return true
+  const needs = { step: group.step, countPeers: () => 0, acceptsRisk: progress.isStarved }
+  return pool.freed.some((worker) => canHold(worker, needs))
 }
 
-/** Keeps the waiting tasks of each workflow until it changes; most workflows do not change between two passes. */
-function createWaitingIndex ({ getState }: { getState (): WorkflowsState }): WaitingIndex {
-  const known = new Map<string, WaitingGroup[]>()
-  return {
-    markChanged: (workflow) => workflow === undefined ? known.clear() : known.delete(workflow),
-    listGroups: (wallTime) => {
-      const state = getState()
-      const queues = new Map(state.catalog?.queues.map((queue) => [queue.name, queue]) ?? [])
-      return Object.values(state.workflows)
-        .filter((record) => record.outcome === undefined)
-        .flatMap((record) => {
-          const { id, recurrence } = record.workflow
-          const groups = known.get(id) ?? listWaiting(record, queues.get(record.queue), wallTime)
-          // The tasks of a recurring workflow also change as time passes.
-          if (recurrence === undefined) known.set(id, groups)
-          return groups
-        })
-        .sort(compareGroups(wallTime))
+/** What one pass over the waiting groups shares; `full` are kinds of groups without room in this pass, which only shrinks. */
+interface Pass { now: number, getScarcity: GetScarcity, full: Set<string> }
+
+type GetScarcity = PlacementNeeds['getScarcity']
+
+/** Computes scarcity when it is asked for and some time has passed. */
+function createScarcityCache ({ sharing }: DispatcherOptions): (works: WaitingWork[], pools: Map<string, Pool>, now: number) => GetScarcity {
+  let known: { get: GetScarcity, until: number } | undefined
+  return (works, pools, now) => (worker, image) => {
+    if (known === undefined || known.until <= now) {
+      const workers = [...pools.values()].flatMap(({ workers }) => workers)
+      const get = createScarcity(works.map(({ group }) => group), workers, (serving, filling) => sharing.estimateRisk(serving, filling, now))
+      known = { get, until: now + SCARCITY_AGE_MS }
     }
+    return known.get(worker, image)
   }
 }
 
-/** Groups of which nothing has run for long; lasting tasks count each by itself. */
-function updateStarved (idleSince: Map<string, number>, groups: WaitingGroup[], candidates: Map<string, Placing[]>, now: number): Set<WaitingGroup> {
-  const crowded = new Set([...candidates].filter(([, workers]) => isCrowded(workers)).map(([service]) => service))
-  const idle = groups.filter(({ step, indexes, record, occurrence, stepNumber }) =>
-    step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0))
-  const keys = new Map(idle.map((group) => [getGroupKey(group), group]))
-  idleSince.forEach((_since, key) => { if (!keys.has(key)) idleSince.delete(key) })
-  return new Set([...keys].filter(([key, { record, step }]) => {
-    const since = idleSince.get(key) ?? now
-    idleSince.set(key, since)
-    return now - since >= (crowded.has(record.service) && !step.lasting ? CROWDED_STARVED_MS : STARVED_MS)
-  }).map(([, group]) => group))
-}
-
-function getGroupKey ({ record, occurrence, stepNumber, isResumed }: WaitingGroup): string {
-  return `${getPeerKey(record.workflow.id, occurrence, stepNumber)}${isResumed === true ? '#resumed' : ''}`
+/** Marks groups of which nothing has run for long; lasting tasks count each by itself. */
+function updateStarved (works: WaitingWork[], pools: Map<string, Pool>, now: number): void {
+  const crowded = new Set([...pools].filter(([, { workers }]) => isCrowded(workers)).map(([service]) => service))
+  works.forEach(({ group: { step, indexes, record, occurrence, stepNumber }, progress }) => {
+    const isIdle = step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0)
+    progress.idleSince = isIdle ? progress.idleSince ?? now : undefined
+    const patienceMs = crowded.has(record.service) && !step.lasting ? CROWDED_STARVED_MS : STARVED_MS
+    const isStarved = progress.idleSince !== undefined && now - progress.idleSince >= patienceMs
+    if (isStarved && !progress.isStarved) progress.blockedUntil = -Infinity
+    progress.isStarved = isStarved
+  })
 }
 
 function isCrowded (workers: readonly Placing[]): boolean {
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -23,12 +23,14 @@
   filling: Array<{ image: string, part: number }>
   /** Work takes this many times as long as on a sound worker. */
   slowness: number
+  /** Runs of each step whose number on a worker is limited. */
+  peers?: ReadonlyMap<string, number>
 }
 
 export interface PlacementNeeds {
   step: Step
   /** Tasks of the same occurrence and step on a worker. */
-  countPeers (worker: string): number
+  countPeers (worker: string, candidate: Candidate): number
   /** How far the highest load of a task that serves is expected above what its tail allows. */
   estimateRisk (serving: Candidate['serving'], filling: Candidate['filling']): number
   /** True where a filling task of the image would be one trial too many of an unknown pair. */
@@ -39,7 +41,12 @@
   acceptsRisk: boolean
 }
 
-const REMOTE_DATA_PENALTY = 2
+/**
+ * Workers that hold a task and are compared for it; the best of 32 is among the best 10% of all workers
+ * in 97 of 100 cases.
+ */
+export const SAMPLE_SIZE = 32
+export const REMOTE_DATA_PENALTY = 2
 /** Weight of the slowness of a worker above 1. */
 const SLOWNESS_WEIGHT = 0.5
 /** Weight of what other images need a worker; as much as that of its whole load. */
@@ -67,7 +74,7 @@
     candidate.freeMemoryMb >= step.memoryMb &&
     candidate.freeAccelerators >= step.accelerators &&
     (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel)) &&
-    (step.maxPerWorker === undefined || countPeers(candidate.id) < step.maxPerWorker)
+    (step.maxPerWorker === undefined || countPeers(candidate.id, candidate) < step.maxPerWorker)
 }
 
 /** Takes the room of one more task from a candidate; `use` is the share of a serving task's cores that it uses on average. */
@@ -80,27 +87,43 @@
   if (step.fills) candidate.filling.push({ image: step.image ?? '', part: step.cores / Math.max(1, candidate.cores) })
 }
 
-/** Chooses the worker with the lowest cost; one on which a tail would come close to its target is no choice. */
-export function chooseWorker<T extends Candidate> (candidates: readonly T[], needs: PlacementNeeds): T | undefined {
-  return candidates
-    .filter((candidate) => canHold(candidate, needs))
-    .reduce<{ candidate: T, cost: number } | undefined>((best, candidate) => {
-      const cost = scoreWorker(candidate, needs)
-      return cost < (best?.cost ?? Infinity) ? { candidate, cost } : best
-    }, undefined)?.candidate
+/**
+ * Chooses the worker with the lowest cost; one on which a tail would come close to its target is no choice. Of many
+ * workers that hold the task the best of a sample is taken, beginning at `offset`.
+ */
+export function chooseWorker<T extends Candidate> (candidates: readonly T[], needs: PlacementNeeds, offset = 0): T | undefined {
+  return findBest(candidates, needs, offset)?.candidate
 }
 
-/** Lower is better; infinite when the task must not run there. */
-export function scoreWorker (candidate: Candidate, needs: PlacementNeeds): number {
+export function findBest<T extends Candidate> (candidates: readonly T[], needs: PlacementNeeds, offset: number): { candidate: T, cost: number } | undefined {
+  const count = candidates.length
+  // Tasks that serve are packed, which needs the view of all workers; they are few.
+  const sample = isServing(needs.step) ? count : SAMPLE_SIZE
+  const start = count > sample ? offset % count : 0
+  let best: { candidate: T, cost: number } | undefined
+  let seen = 0
+  for (let position = 0; position < count && (seen < sample || best === undefined); position += 1) {
+    const candidate = candidates[(start + position) % count] as T
+    if (!canHold(candidate, needs)) continue
+    seen += 1
+    const cost = scoreWorker(candidate, needs, best?.cost)
+    if (cost < (best?.cost ?? Infinity)) best = { candidate, cost }
+  }
+  return best
+}
+
+/** Lower is better; infinite when the task must not run there, or when the cost is at least `bound`, which is cheaper to find out. */
+export function scoreWorker (candidate: Candidate, needs: PlacementNeeds, bound = Infinity): number {
   const { step } = needs
-  const risk = estimateSharingRisk(candidate, needs)
-  if (!needs.acceptsRisk && (risk > 0 || (step.fills && needs.isOnTrial(candidate, step.image ?? '')))) return Infinity
   const used = 1 - (candidate.spareCores - step.cores) / Math.max(1, candidate.cores)
-  return getLoadCost(candidate, step, used) +
-    Math.max(0, risk - NO_RISK) * RISK_WEIGHT + Math.max(0, risk) * UNSAFE_WEIGHT +
+  const cost = getLoadCost(candidate, step, used) +
     (step.dataRack !== undefined && !candidate.labels.includes(step.dataRack) ? REMOTE_DATA_PENALTY : 0) +
     (candidate.slowness - 1) * SLOWNESS_WEIGHT +
     (step.fills ? needs.getScarcity(candidate.id, step.image ?? '') * SCARCITY_WEIGHT : 0)
+  if (cost >= bound) return Infinity
+  const risk = estimateSharingRisk(candidate, needs)
+  if (!needs.acceptsRisk && (risk > 0 || (step.fills && needs.isOnTrial(candidate, step.image ?? '')))) return Infinity
+  return cost + Math.max(0, risk - NO_RISK) * RISK_WEIGHT + Math.max(0, risk) * UNSAFE_WEIGHT
 }
 
 /**
--- a/src/coordination/workflows/scarcity.ts
+++ b/src/coordination/workflows/scarcity.ts
@@ -17,11 +17,19 @@
   demands.forEach(({ cores, largest }, image) => {
     const bearing = workers.filter((worker) => worker.spareCores > 0 && isBearable(worker, image, largest, estimateRisk))
     const room = bearing.reduce((sum, { spareCores }) => sum + spareCores, 0)
-    bearing.forEach(({ id }) => needs.set(id, [...(needs.get(id) ?? []), [image, Math.min(1, cores / room)]]))
+    const need = Math.min(1, cores / room)
+    bearing.forEach(({ id }) => {
+      const known = needs.get(id)
+      if (known === undefined) needs.set(id, [[image, need]])
+      else known.push([image, need])
+    })
   })
+  const others = Math.max(1, demands.size - 1)
+  // Asked for each worker of each sample.
   return (worker, image) => {
-    const others = (needs.get(worker) ?? []).filter(([other]) => other !== image)
-    return others.reduce((sum, [, need]) => sum + need, 0) / Math.max(1, demands.size - 1)
+    let sum = 0
+    for (const [other, need] of needs.get(worker) ?? []) if (other !== image) sum += need
+    return sum / others
   }
 }
 
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -44,6 +44,11 @@
 const PLACE_AHEAD_MS = 2000
 /** A stop helps from half a second on; a service that has room again by then needs none. */
 const STOP_AHEAD_MS = 700
+/**
+ * The room that services leave is kept this long, as placing asks for it on hundreds of workers for each task; loads
+ * change by a hundredth within it.
+ */
+const ROOM_AGE_MS = 50
 /** Neighbours that add less than this to the load are not to blame for a tail. */
 const BLAMELESS_PRESSURE = 0.015
 /** A step or a worker without a reading for this long has ended. */
@@ -86,6 +91,8 @@
 export type SharingEstimates = Array<{ image: string, mean: number, peak: number, smallestTailMs: number, readings: number, pairs: Array<[string, number, number]> }>
 
 interface Estimate { value: number, variance: number, updatedAt: number }
+/** What the services of one image on a worker leave to neighbours, by the fullest of them. */
+interface Room { model: ServiceModel, left: number }
 interface ServiceModel { mean: number, peak: number, pairs: Map<string, Estimate>, trials: Map<string, number>, smallestTailMs: number, readings: number }
 
 /**
@@ -102,6 +109,8 @@
   const steps = new Map<string, ServiceLoad>()
   const windows = createWindows()
   const readings = new Map<string, { tails: string, at: number }>()
+  const peaks = new WeakMap<ServiceLoad, { value: number, until: number }>()
+  const rooms = new WeakMap<readonly ServingImage[], { rooms: Room[], services: number, until: number }>()
 
   const getModel = (image: string): ServiceModel => {
     const known = models.get(image)
@@ -128,6 +137,37 @@
     return getAllowedLoad(model, targetMs) - highest
   }
 
+  /** The peak of a step's load until `PLACE_AHEAD_MS` from now; its tasks are on many workers. */
+  const getPeak = (load: ServiceLoad, model: ServiceModel, now: number): number => {
+    const known = peaks.get(load)
+    if (known !== undefined && known.until > now) return known.value
+    const value = estimatePeak(load, now, now + PLACE_AHEAD_MS, model)
+    peaks.set(load, { value, until: now + ROOM_AGE_MS })
+    return value
+  }
+
+  const createRooms = (serving: readonly ServingImage[], now: number): Room[] => {
+    const byModel = new Map<ServiceModel, Room>()
+    serving.forEach(({ step, image, targetMs }) => {
+      const model = getModel(image)
+      const load = step === undefined ? undefined : steps.get(step)
+      const left = getAllowedLoad(model, targetMs) - (load === undefined ? model.peak : getPeak(load, model, now))
+      const known = byModel.get(model)
+      if (known === undefined) byModel.set(model, { model, left })
+      else known.left = Math.min(known.left, left)
+    })
+    return [...byModel.values()]
+  }
+
+  /** The rooms beside services; the list of a worker is the same array until its runs change. */
+  const listRooms = (serving: readonly ServingImage[], now: number): Room[] => {
+    const known = rooms.get(serving)
+    if (known !== undefined && known.until > now && known.services === serving.length) return known.rooms
+    const created = createRooms(serving, now)
+    rooms.set(serving, { rooms: created, services: serving.length, until: now + ROOM_AGE_MS })
+    return created
+  }
+
   /** Workers take readings every half second and repeat them until the next; a repeated one says nothing about who came since. */
   const isNewReading = (worker: string, serving: readonly ServingRun[], now: number): boolean => {
     const tails = serving.map(({ task, tailMs }) => `${task}=${tailMs ?? ''}`).join()
@@ -179,8 +219,11 @@
         variance < KNOWN_VARIANCE && unknown.some((pair) => pair.service === service && pair.neighbour === neighbour))
     },
 
-    estimateRisk: (serving, filling, now) => serving.reduce((worst, service) =>
-      Math.max(worst, computePressure(getModel(service.image), filling) - estimateRoom(service, now, PLACE_AHEAD_MS)), -Infinity),
+    estimateRisk: (serving, filling, now) => {
+      let worst = -Infinity
+      for (const { model, left } of listRooms(serving, now)) worst = Math.max(worst, computePressure(model, filling) - left)
+      return worst
+    },
 
     isOnTrial: (serving, filling, image, now) => serving.some((service) => {
       const model = getModel(service.image)
@@ -245,12 +288,13 @@
 
 /** An unknown pair counts with its mean, so that it is tried; a known one with a margin. */
 function computePressure (model: ServiceModel, filling: readonly FillingUse[]): number {
-  return filling.reduce((sum, { image, part }) => {
+  let sum = 0
+  for (const { image, part } of filling) {
     const pair = model.pairs.get(image)
-    if (pair === undefined) return sum + EXPECTED_PRESSURE * part
-    const margin = pair.variance < KNOWN_VARIANCE ? PRESSURE_MARGIN * Math.sqrt(pair.variance) : 0
-    return sum + (pair.value + margin) * part
-  }, 0)
+    const margin = pair !== undefined && pair.variance < KNOWN_VARIANCE ? PRESSURE_MARGIN * Math.sqrt(pair.variance) : 0
+    sum += pair === undefined ? EXPECTED_PRESSURE * part : (pair.value + margin) * part
+  }
+  return sum
 }
 
 function getUnloadedTail (model: ServiceModel, targetMs: number): number {
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -137,7 +137,7 @@
 
   const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>) => void }> = {
     'workflow.assign': ({ assignments }) => {
-      assignments.forEach(([task]) => dispatcher.markChanged(parseTaskName(task)?.workflow))
+      assignments.forEach(([task, worker]) => { dispatcher.markChanged(parseTaskName(task)?.workflow); dispatcher.markWorkerChanged(worker) })
       new Set(assignments.map(([, worker]) => worker)).forEach((worker) => {
         const session = sessions.get(worker)
         if (session !== undefined) syncRuns(session, true)
@@ -145,6 +145,7 @@
     },
     'workflow.end': ({ worker, ends }) => {
       ends.forEach(([, task]) => dispatcher.markChanged(parseTaskName(task)?.workflow))
+      dispatcher.markWorkerChanged(worker)
       const session = sessions.get(worker)
       if (session !== undefined) syncRuns(session, true)
       dispatcher.schedule()
@@ -155,22 +156,28 @@
     },
     'life.report': ({ life }) => {
       dispatcher.markChanged()
+      dispatcher.markWorkerChanged(life.id)
       addSession(life.id)
       dispatcher.schedule()
     },
     'life.expire': ({ worker }) => {
       dispatcher.markChanged()
+      dispatcher.markWorkerChanged(worker)
       const session = sessions.get(worker)
       if (session !== undefined) syncRuns(session, true)
       dispatcher.schedule()
     },
     'life.remove': ({ worker }) => {
       dispatcher.markChanged()
+      dispatcher.markWorkerChanged(worker)
       const session = sessions.get(worker)
       if (session !== undefined) removeSession(session)
       dispatcher.schedule()
     },
-    'workflow.submit': () => dispatcher.schedule(),
+    'workflow.submit': ({ workflow }) => {
+      dispatcher.markChanged(workflow.id)
+      dispatcher.schedule()
+    },
     'catalog.put': () => {
       dispatcher.markChanged()
       dispatcher.schedule()
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -84,7 +84,7 @@
   /** Empty while the state is filled. */
   const dispatchers: Dispatcher[] = []
   const markChanged = (workflow: string): void => dispatchers.forEach((dispatcher) => dispatcher.markChanged(workflow))
-  const markWorkerChanged = (worker: string): void => dispatchers.forEach((dispatcher) => (dispatcher as { markWorkerChanged?: (worker: string) => void }).markWorkerChanged?.(worker))
+  const markWorkerChanged = (worker: string): void => dispatchers.forEach((dispatcher) => dispatcher.markWorkerChanged(worker))
 
   const submit = (id: string, queue: string, steps: Array<Partial<Step>>): void => {
     const whole = steps.map((step) => ({ ...STEP, ...step }))
