--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -8,7 +8,7 @@
 import type { RunView, WorkerView } from './sessionState.js'
 import type { Sharing } from './sharing.js'
 import { createSignal } from './signal.js'
-import { AUTHORITY_CHECK_MS, AUTHORITY_MS, PROPOSE_TIMEOUT_MS } from './timing.js'
+import { AUTHORITY_CHECK_MS, AUTHORITY_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startUpkeep, type HostClient } from './upkeep.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
@@ -92,6 +92,7 @@
     const view = views.workers.get(worker)
     if (view === undefined || view.bornAt !== bornAt) return
     health.observeRuns(view, { running: [], ends }, findTaskStep)
+    dispatcher.markWorkerChanged(worker)
     ends.forEach((end) => {
       recordEnd(worker, end)
       views.syncRun(worker, end[1])
@@ -132,6 +133,7 @@
   const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>, index: number) => void }> = {
     'workflow.assign': ({ assignments }) => assignments.forEach(([task, worker]) => {
       dispatcher.markChanged(parseTaskName(task)?.workflow)
+      dispatcher.markWorkerChanged(worker)
       views.syncRun(worker, task)
     }),
     'workflow.end': ({ lives }) => {
@@ -142,21 +144,27 @@
     'life.report': ({ life }) => {
       const isNew = views.workers.get(life.id)?.bornAt !== life.bornAt
       dispatcher.markChanged()
+      dispatcher.markWorkerChanged(life.id)
       if (isNew) health.reset(life.id)
       views.syncWorker(life.id)
       dispatcher.schedule()
     },
     'life.expire': ({ worker }) => {
       dispatcher.markChanged()
+      dispatcher.markWorkerChanged(worker)
       views.syncWorker(worker)
       dispatcher.schedule()
     },
     'life.remove': ({ worker }) => {
       dispatcher.markChanged()
+      dispatcher.markWorkerChanged(worker)
       views.syncWorker(worker)
       dispatcher.schedule()
     },
-    'workflow.submit': () => dispatcher.schedule(),
+    'workflow.submit': ({ workflow }) => {
+      dispatcher.markChanged(workflow.id)
+      dispatcher.schedule()
+    },
     'catalog.put': () => {
       dispatcher.markChanged()
       dispatcher.schedule()
@@ -222,6 +230,7 @@
     },
     stopRun,
     isClosing: (worker) => upkeep.isClosing(worker),
+    isBusy: (worker) => views.countUnconfirmed(views.workers.get(worker)?.host ?? '') > MAX_UNCONFIRMED_STARTS,
     wake: createSignal(clock)
   })
   const unsubscribe = log.subscribe((entry, index) => {
