--- a/src/bench/logLoadHost.ts
+++ b/src/bench/logLoadHost.ts
@@ -122,7 +122,7 @@
     const number = ends.get(worker) ?? 0
     const tasks = found === undefined ? Array.from({ length: ENDS }, () => ({ task: '9e88b53aa315d574.0.0.0', attempt: 1 })) : found[1].splice(0, ENDS)
     ends.set(worker, number + tasks.length)
-    propose({ kind: 'workflow.end', lives: [{ worker, bornAt: 1, ends: tasks.map(({ task, attempt }, index) => [number + index + 1, task, attempt, 'succeeded', '']) }], at: clock.wall() }, true)
+    propose({ kind: 'workflow.end', lives: [{ worker, bornAt: 1, ends: tasks.map(({ task, attempt }, index) => [number + index + 1, task, attempt, 'succeeded', '']) }], judge: { host: '', division: 0 }, at: clock.wall() }, true)
   }
 
   const runLoad = async (): Promise<void> => {
--- a/src/coordination/workflows/division.ts
+++ b/src/coordination/workflows/division.ts
@@ -1,27 +1,15 @@
-import { crc32 } from 'node:zlib'
 import type { Clock, Logger } from '../../common/index.js'
-import type { SessionHost, WorkerLife } from '../../state/index.js'
+import type { SessionHost } from '../../state/index.js'
 
-/** A host that has not spoken to the leader for this long loses its workers; an election takes as long. */
+/** A host that has had no authority from the leader for this long loses its workers; an election takes as long. */
 const ABSENT_MS = 1000
-/** A host gets workers once it has spoken to the leader for this long, so that one that keeps failing gets none. */
+/** A host gets workers once it has had authority for this long, so that one that keeps failing gets none. */
 const JOIN_MS = 500
 /** The leader keeps sessions itself only while fewer other hosts do, because its own work grows with all workers. */
 const LEADER_RESTS_FROM = 3
 
 export interface HostPresence { availabilityZone: string, firstHeardAt: number, lastHeardAt: number, isLeaving: boolean }
 
-/**
- * The host that gives a worker orders: one of its availability zone where there is one, chosen by hash, so that the
- * workers of a host that leaves are spread over the others and no other worker moves.
- */
-export function findSessionHost (hosts: readonly SessionHost[], { id, availabilityZone }: Pick<WorkerLife, 'id' | 'availabilityZone'>): string | undefined {
-  const near = hosts.filter((candidate) => candidate.availabilityZone === availabilityZone)
-  const eligible = near.length > 0 ? near : hosts
-  return eligible.map(({ host }) => ({ host, weight: crc32(`${host} ${id}`) }))
-    .reduce<{ host: string, weight: number } | undefined>((best, candidate) => best === undefined || candidate.weight > best.weight ? candidate : best, undefined)?.host
-}
-
 /** The hosts that should keep sessions, given those that do and when each has spoken to the leader. */
 export function chooseSessionHosts (current: readonly SessionHost[], presence: ReadonlyMap<string, HostPresence>, leader: string, now: number): SessionHost[] {
   const isMember = (host: string): boolean => current.some((member) => member.host === host)
@@ -44,8 +32,8 @@
 }
 
 export interface Division {
-  /** A host has spoken to the leader. */
-  recordPresence (host: string, availabilityZone: string, isLeaving: boolean): void
+  /** A host has spoken to the leader and was last given authority at `grantedAt`, as far as its answers came through. */
+  recordPresence (host: string, availabilityZone: string, grantedAt: number, isLeaving: boolean): void
   /** Divides the workers anew when the hosts that should keep sessions have changed. */
   update (): Promise<void>
 }
@@ -59,11 +47,11 @@
   let isChanging = false
 
   return {
-    recordPresence: (host, availabilityZone, isLeaving) => {
-      const now = clock.now()
+    recordPresence: (host, availabilityZone, grantedAt, isLeaving) => {
       const known = presence.get(host)
-      const firstHeardAt = known === undefined || now - known.lastHeardAt >= ABSENT_MS ? now : known.firstHeardAt
-      presence.set(host, { availabilityZone, firstHeardAt, lastHeardAt: now, isLeaving })
+      const lastHeardAt = Math.max(known?.lastHeardAt ?? -Infinity, grantedAt)
+      const isBack = known === undefined || clock.now() - known.lastHeardAt >= ABSENT_MS
+      presence.set(host, { availabilityZone, firstHeardAt: isBack ? lastHeardAt : known.firstHeardAt, lastHeardAt, isLeaving })
     },
     update: async () => {
       const current = getHosts()
--- a/src/coordination/workflows/endRecorder.ts
+++ b/src/coordination/workflows/endRecorder.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger } from '../../common/index.js'
-import type { AgreedLog, LifeEnds, RunEnd } from '../../state/index.js'
+import type { AgreedLog, Judge, LifeEnds, RunEnd } from '../../state/index.js'
 import { PROPOSE_TIMEOUT_MS } from './timing.js'
 
 /** Entries with ends that wait for their commit at the same time; ends that come meanwhile share the next one. */
@@ -12,19 +12,22 @@
   recordEnds (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean>
 }
 
-interface WaitingEnds extends LifeEnds { resolve (isRecorded: boolean): void }
+interface WaitingEnds extends LifeEnds { judge: Judge, resolve (isRecorded: boolean): void }
 
 /** Collects the ends of all workers of this host into few entries of the log. */
-export function createEndRecorder ({ clock, logger, log }: { clock: Clock, logger: Logger, log: AgreedLog }): EndRecorder {
+export function createEndRecorder ({ clock, logger, log, getJudge }: { clock: Clock, logger: Logger, log: AgreedLog, getJudge (): Judge }): EndRecorder {
   const waiting: WaitingEnds[] = []
   let inFlight = 0
 
   const runEntries = async (): Promise<void> => {
     inFlight += 1
     while (waiting.length > 0) {
-      const batch = waiting.splice(0, MAX_LIVES)
+      // Ends that were judged under another division go into an entry of their own.
+      const { judge } = waiting[0] as WaitingEnds
+      const other = waiting.findIndex((ends) => ends.judge.division !== judge.division)
+      const batch = waiting.splice(0, Math.min(MAX_LIVES, other < 0 ? waiting.length : other))
       const lives = batch.map(({ worker, bornAt, ends }) => ({ worker, bornAt, ends }))
-      const result = await log.propose({ kind: 'workflow.end', lives, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
+      const result = await log.propose({ kind: 'workflow.end', lives, judge, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
       if (result.err) logger.warn('run.end-not-recorded', { workers: lives.length, ends: lives.reduce((sum, { ends }) => sum + ends.length, 0), reason: result.val.kind })
       batch.forEach(({ resolve }) => resolve(result.ok))
     }
@@ -33,7 +36,7 @@
 
   return {
     recordEnds: (worker, bornAt, ends) => new Promise((resolve) => {
-      waiting.push({ worker, bornAt, ends, resolve })
+      waiting.push({ worker, bornAt, ends, judge: getJudge(), resolve })
       if (inFlight < MAX_IN_FLIGHT) runEntries()
     })
   }
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger, Metrics, Network, WorkMeter } from '../../common/index.js'
-import { findTask, parseTaskName, type AgreedLog, type Entry, type WorkflowsState } from '../../state/index.js'
-import { findSessionHost } from './division.js'
+import { findSessionHost, findTask, parseTaskName, type AgreedLog, type Entry, type Judge, type WorkflowsState } from '../../state/index.js'
+import { createClockWatch } from './clockWatch.js'
 import { createEndRecorder } from './endRecorder.js'
 import type { WorkerClient } from './orders.js'
 import { startRun, stopRun } from './runOrders.js'
@@ -41,24 +41,23 @@
   const { self } = network
   const sessions = new Map<string, Session>()
   const stopping = new AbortController()
-  const recorder = createEndRecorder(options)
+  const getState = (): WorkflowsState => log.state().workflows
+  const getJudge = (): Judge => ({ host: self, division: getState().division })
+  const recorder = createEndRecorder({ ...options, getJudge })
+  const watch = createClockWatch(clock)
   const starts = createStartQueue(MAX_STARTS_IN_FLIGHT)
   /** Workers with news for the leader, and when each was last reported. */
   const news = new Set<string>()
   const reportedAt = new Map<string, number>()
-  const state = { fence: 0, authorityAt: -Infinity, lastStop: 0, leader: undefined as string | undefined, isLeaving: false }
+  const state = { fence: 0, authorityAt: -Infinity, grantedAt: -Infinity, clockMark: 0, lastStop: 0, leader: undefined as string | undefined, isLeaving: false }
   let started: ReportedStart[] = []
   let refused: ReportedRefusal[] = []
 
-  const getState = (): WorkflowsState => log.state().workflows
   const isOwn = (worker: string): boolean => {
     const record = getState().workers[worker]
     return record !== undefined && findSessionHost(getState().sessionHosts, record.life) === self
   }
-  const proposeLifeChange = (kind: 'life.expire' | 'life.remove') => async (worker: string, bornAt: number): Promise<boolean> => {
-    const result = await log.propose({ kind, worker, bornAt, at: clock.wall() }, clock.now() + PROPOSE_TIMEOUT_MS)
-    return result.ok
-  }
+  const proposeChange = async (entry: Entry): Promise<boolean> => (await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)).ok
 
   const context: SessionContext = {
     clock,
@@ -69,12 +68,13 @@
     starts,
     get fence () { return state.fence },
     getState,
-    isActive: () => clock.now() - state.authorityAt < SESSION_AUTHORITY_MS,
+    // A host that was suspended cannot tell by its clock how old its authority is.
+    isActive: () => clock.now() - state.authorityAt < SESSION_AUTHORITY_MS && !watch.hasJumped(state.clockMark),
     isStopped: () => stopping.signal.aborted,
     getAuthorityAt: () => state.authorityAt,
     recordEnds: recorder.recordEnds,
-    expireLife: proposeLifeChange('life.expire'),
-    removeLife: proposeLifeChange('life.remove'),
+    expireLife: (worker, bornAt) => proposeChange({ kind: 'life.expire', worker, bornAt, judge: getJudge(), at: clock.wall() }),
+    removeLife: (worker, bornAt) => proposeChange({ kind: 'life.remove', worker, bornAt, at: clock.wall() }),
     onFenced: (worker) => {
       logger.warn('sessions.fenced', { worker, fence: state.fence })
       state.authorityAt = -Infinity
@@ -228,7 +228,7 @@
     if (session !== undefined && run?.attempt === attempt && run.stopReason === undefined) stopRun(context, session, run, reason)
   })
 
-  const receiveGrant = (leader: string, { fence, authorityAgeMs, stops }: Extract<SessionsReply, { kind: 'granted' }>, sentAt: number): void => {
+  const receiveGrant = (leader: string, { fence, authorityAgeMs, stops }: Extract<SessionsReply, { kind: 'granted' }>, sentAt: number, clockMark: number): void => {
     const isOther = leader !== state.leader || fence !== state.fence
     if (isOther) {
       logger.info('sessions.granted', { leader, fence, sessions: sessions.size })
@@ -238,13 +238,14 @@
       state.lastStop = 0
     }
     const wasActive = context.isActive()
-    Object.assign(state, { leader, fence, authorityAt: Math.max(isOther ? -Infinity : state.authorityAt, sentAt - authorityAgeMs) })
+    Object.assign(state, { leader, fence, clockMark, grantedAt: clock.now(), authorityAt: sentAt - authorityAgeMs })
     receiveStops(stops)
     if (!wasActive) sessions.forEach((session) => session.wake.notify())
   }
 
   const sendExchange = async (leader: string, timeoutMs: number): Promise<SessionsReply | undefined> => {
     const sentAt = clock.now()
+    const clockMark = watch.getMark()
     const taken = takeNews()
     const request: SessionsRequest = {
       availabilityZone: options.availabilityZone,
@@ -253,12 +254,13 @@
       appliedIndex: log.status().appliedIndex,
       lastStop: state.lastStop,
       isLeaving: state.isLeaving,
+      grantAgeMs: leader === state.leader ? sentAt - state.grantedAt : null,
       ...taken
     }
     const result = leader === self ? undefined : await network.request(leader, SESSIONS_MESSAGE, request, sentAt + timeoutMs)
     const reply = result === undefined ? options.exchangeHere(request) : result.ok ? result.val as SessionsReply : undefined
     if (reply?.kind === 'granted') {
-      receiveGrant(leader, reply, sentAt)
+      receiveGrant(leader, reply, sentAt, clockMark)
       return reply
     }
     // What the leader may not have heard is told again.
--- a/src/coordination/workflows/sessionMessages.ts
+++ b/src/coordination/workflows/sessionMessages.ts
@@ -31,6 +31,8 @@
   lastStop: number
   /** The host is about to stop and gives its sessions away. */
   isLeaving: boolean
+  /** How long ago this leader's last grant was received. */
+  grantAgeMs: number | null
   reports: WorkerReport[]
   started: ReportedStart[]
   refused: ReportedRefusal[]
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,14 +1,15 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
-import { getStepName, parseTaskName, type AgreedLog, type Assignment, type Entry, type LifeEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
+import { findSessionHost, getStepName, parseTaskName, type AgreedLog, type Assignment, type Entry, type LifeEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
-import { createDivision, findSessionHost } from './division.js'
+import { createClockWatch } from './clockWatch.js'
+import { createDivision } from './division.js'
 import type { ReportedRefusal, SessionsReply, SessionsRequest, WorkerReport } from './sessionMessages.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { Sharing } from './sharing.js'
 import { createSignal } from './signal.js'
-import { AUTHORITY_CHECK_MS, AUTHORITY_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
+import { AUTHORITY_CHECK_MS, AUTHORITY_MS, MAX_LAG_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startUpkeep, type HostClient } from './upkeep.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
@@ -47,10 +48,18 @@
   const health = createWorkerHealth({ clock, logger })
   const stopping = new AbortController()
   let authorityAt = clock.now()
+  const watch = createClockWatch(clock)
+  let clockMark = watch.getMark()
+  /** A majority heard before this may have been heard long ago: the clock has not counted the time of a suspension. */
+  let countsFrom = -Infinity
   /** Hosts give orders only once they have applied the division that is in force, so that each worker has one host. */
   let dividedAt = log.status().appliedIndex
+  /** The process of each host, and the entry that it has to have applied before it gives orders: one that restarts lags. */
+  const joined = new Map<string, { process: string, index: number }>()
+  /** What was applied here some time ago, oldest first. */
+  let history: Array<{ at: number, index: number }> = []
   const getState = (): WorkflowsState => log.state().workflows
-  const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < AUTHORITY_MS
+  const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < AUTHORITY_MS && !watch.hasJumped(clockMark)
   const views = createWorkerViews({
     clock,
     getState,
@@ -117,16 +126,34 @@
     if (reason === 'no-ticket') advisor.dropTicket(getStepName(task), worker)
   }
 
+  /** The entry that a host has to have applied before it may give orders. */
+  const getRequiredIndex = (from: string, process: string): number => {
+    const known = joined.get(from)
+    const current = known?.process === process ? known : { process, index: log.status().appliedIndex }
+    joined.set(from, current)
+    return Math.max(dividedAt, current.index, history[0]?.index ?? 0)
+  }
+
+  const recordHistory = (): void => {
+    const now = clock.now()
+    history.push({ at: now, index: log.status().appliedIndex })
+    const recent = history.findIndex(({ at }) => at > now - MAX_LAG_MS)
+    // The latest one that is old enough stays.
+    history = history.slice(Math.max(0, recent - 1))
+    if (history[0] !== undefined && history[0].at > now - MAX_LAG_MS) history.unshift({ at: -Infinity, index: 0 })
+  }
+
   const exchange = (from: string, request: SessionsRequest): SessionsReply => {
     if (!isActive()) return { kind: 'not-leader' }
-    division.recordPresence(from, request.availabilityZone, request.isLeaving)
+    const grantedAt = request.grantAgeMs === null || request.fence !== fence ? -Infinity : clock.now() - request.grantAgeMs
+    division.recordPresence(from, request.availabilityZone, from === options.self ? clock.now() : grantedAt, request.isLeaving)
     if (request.isLeaving) division.update()
     options.work.measure('term.reports', () => {
       request.reports.forEach((report) => observeReport(from, report))
       request.started.forEach(([worker, task, attempt]) => views.recordStart(worker, task, attempt))
       request.refused.forEach(observeRefusal)
     })
-    if (request.appliedIndex < dividedAt) return { kind: 'behind' }
+    if (request.appliedIndex < getRequiredIndex(from, request.process)) return { kind: 'behind' }
     return { kind: 'granted', fence, authorityAgeMs: clock.now() - authorityAt, stops: views.takeStops(from, request, fence) }
   }
 
@@ -179,7 +206,12 @@
     while (!stopping.signal.aborted) {
       const status = log.status()
       if (status.role !== 'leader' || status.term !== fence) return stop()
-      authorityAt = Math.max(authorityAt, clock.now() - computeMajorityAge(status.progress))
+      if (watch.hasJumped(clockMark)) countsFrom = clock.now()
+      clockMark = watch.getMark()
+      const heardAt = clock.now() - computeMajorityAge(status.progress)
+      authorityAt = heardAt < countsFrom ? -Infinity : Math.max(authorityAt, heardAt)
+      recordHistory()
+      views.resendStops()
       division.update()
       dispatcher.schedule()
       await clock.sleep(AUTHORITY_CHECK_MS)
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -47,3 +47,5 @@
 export const MAX_STARTS_IN_FLIGHT = 64
 /** Starts that one host has been given and has not confirmed, above which its workers get no more short work. */
 export const MAX_UNCONFIRMED_STARTS = 256
+/** A host whose replica lags this far behind the leader gives no orders. */
+export const MAX_LAG_MS = 1000
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -11,6 +11,9 @@
   strays: Map<string, number>
 }
 
+/** Twice the time that a stop takes on the reference sites, with both ways. */
+const RESEND_STOPS_MS = 1500
+
 interface HostOrders { process: string, lastNumber: number, stops: StopOrder[] }
 
 export interface WorkerViewsOptions {
@@ -34,6 +37,8 @@
   /** Orders given to a host and not confirmed yet. */
   countUnconfirmed (host: string): number
   sendStop (view: WorkerView, run: RunView): void
+  /** Repeats stops that have had no effect, since a host may not know the run yet when it is told to stop it. */
+  resendStops (): void
   /** The stops that a process has not received yet. */
   takeStops (from: string, request: Pick<SessionsRequest, 'process' | 'lastStop' | 'fence'>, fence: number): StopOrder[]
 }
@@ -112,8 +117,14 @@
     Object.keys(record.assigned).forEach((task) => addRun(created, task, false))
   }
 
-  const queueStop = ({ worker, host }: ReportedWorker, { task, attempt, stopReason }: RunView): void => {
+  /** Runs that are to stop, and when their host is told again. */
+  const stopping = new Map<RunView, { view: ReportedWorker, resendAt: number }>()
+
+  const queueStop = (view: ReportedWorker, run: RunView): void => {
+    const { worker, host } = view
+    const { task, attempt, stopReason } = run
     if (host === undefined || stopReason === undefined) return
+    stopping.set(run, { view, resendAt: clock.now() + RESEND_STOPS_MS })
     const known = getOrders(host)
     known.lastNumber += 1
     known.stops.push([known.lastNumber, worker, task, attempt, stopReason])
@@ -165,6 +176,10 @@
       const known = workers.get(view.worker)
       if (known !== undefined) queueStop(known, run)
     },
+    resendStops: () => stopping.forEach(({ view, resendAt }, run) => {
+      if (view.ended || view.runs.get(run.task) !== run) stopping.delete(run)
+      else if (resendAt <= clock.now()) queueStop(view, run)
+    }),
     takeStops: (from, { process, lastStop, fence: knownFence }, fence) => {
       const known = getOrders(from)
       if (known.process !== process) {
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -112,7 +112,7 @@
     short[position] = short.at(-1) as [string, string]
     short.pop()
     const session = sessions.get(worker)
-    workflowHandlers['workflow.end'](state, { lives: [{ worker, bornAt: 1, ends: [[0, task, session?.runs.get(task)?.attempt ?? 1, 'succeeded', '']] }], at: clock.wall() })
+    workflowHandlers['workflow.end'](state, { lives: [{ worker, bornAt: 1, ends: [[0, task, session?.runs.get(task)?.attempt ?? 1, 'succeeded', '']] }], judge: { host: '', division: 0 }, at: clock.wall() })
     session?.runs.delete(task)
     markTask(task, worker)
   }
--- a/src/protocol/failures.ts
+++ b/src/protocol/failures.ts
@@ -56,7 +56,8 @@
   'unknown-queue': (r) => createFailure('not-found', `queue "${r.queue}" does not exist`, r),
   'unknown-workflow': (r) => createFailure('not-found', `workflow "${r.workflow}" does not exist`, r),
   'unknown-wave': (r) => createFailure('not-found', `wave ${r.wave} does not exist`, r),
-  'stale-life': (r) => createFailure('conflict', `worker "${r.worker}" has started again since ${r.bornAt}`, r)
+  'stale-life': (r) => createFailure('conflict', `worker "${r.worker}" has started again since ${r.bornAt}`, r),
+  'stale-division': (r) => createFailure('conflict', `host "${r.host}" no longer gives worker "${r.worker}" orders`, r)
 }
 
 export function createFailure (kind: ApiFailureKind, message: string, details?: object): ApiFailure {
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -139,6 +139,10 @@
 export const sessionHostSchema = z.strictObject({ host: z.string(), availabilityZone: z.string() })
 export type SessionHost = z.infer<typeof sessionHostSchema>
 
+/** The host that judged a worker, and the number of the division that made it the worker's host. */
+export const judgeSchema = z.strictObject({ host: z.string(), division: z.number().int().nonnegative() })
+export type Judge = z.infer<typeof judgeSchema>
+
 export const upkeepWaveSchema = z.strictObject({
   id: z.number().int(),
   hosts: z.array(z.string()),
@@ -154,12 +158,12 @@
   z.strictObject({ kind: z.literal('workflow.submit'), queue: z.string(), workflow: workflowSchema, at: z.number() }),
   z.strictObject({ kind: z.literal('workflow.cancel'), id: z.string(), at: z.number() }),
   z.strictObject({ kind: z.literal('workflow.assign'), assignments: z.array(assignmentSchema) }),
-  z.strictObject({ kind: z.literal('workflow.end'), lives: z.array(lifeEndsSchema), at: z.number() }),
+  z.strictObject({ kind: z.literal('workflow.end'), lives: z.array(lifeEndsSchema), judge: judgeSchema, at: z.number() }),
   /** Divides the workers among these hosts; each worker has one host that gives it orders. */
   z.strictObject({ kind: z.literal('sessions.divide'), hosts: z.array(sessionHostSchema) }),
   z.strictObject({ kind: z.literal('life.report'), life: workerLifeSchema }),
-  /** The worker's leases have ended, so nothing that was ordered there runs any more. */
-  z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), at: z.number() }),
+  /** The worker's leases have ended, so nothing that was ordered there runs any more. Only the worker's host can know. */
+  z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), judge: judgeSchema, at: z.number() }),
   z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), at: z.number() }),
   z.strictObject({ kind: z.literal('wave.open'), wave: upkeepWaveSchema }),
   /** Recorded before the upkeep of a host is ordered; a worker life on it that starts after `bornAt` shows that it is back. */
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,5 +1,6 @@
 import { Err, Ok, type Result } from '../../common/index.js'
-import type { Catalog, EndCause, LifeEnds, RunEnd, SessionHost, Step, UpkeepWave, WorkerLife, Workflow } from './schemas.js'
+import { findSessionHost } from './sessionHosts.js'
+import type { Catalog, EndCause, Judge, LifeEnds, RunEnd, SessionHost, Step, UpkeepWave, WorkerLife, Workflow } from './schemas.js'
 
 /** Records of ended workflows are kept at least this long, so that their state can be asked for. */
 const KEEP_ENDED_MS = 600_000
@@ -54,6 +55,8 @@
   workers: Record<string, WorkerRecord>
   waves: Record<string, WaveRecord>
   sessionHosts: SessionHost[]
+  /** Counts the divisions of the workers among hosts. */
+  division: number
 }
 
 export type WorkflowRejection =
@@ -61,9 +64,10 @@
   | { kind: 'unknown-workflow', workflow: string }
   | { kind: 'unknown-wave', wave: number }
   | { kind: 'stale-life', worker: string, bornAt: number }
+  | { kind: 'stale-division', worker: string, host: string, division: number }
 
 export function createWorkflowsState (): WorkflowsState {
-  return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [] }
+  return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [], division: 0 }
 }
 
 export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
@@ -150,16 +154,20 @@
   },
 
   // The ends of a life that another one has replaced are left out; its tasks were released then.
-  'workflow.end': (state: WorkflowsState, { lives, at }: { lives: LifeEnds[], at: number }): Change => {
+  'workflow.end': (state: WorkflowsState, { lives, judge, at }: { lives: LifeEnds[], judge: Judge, at: number }): Change => {
     lives.forEach(({ worker, bornAt, ends }) => {
       const record = state.workers[worker]
-      if (record?.life.bornAt === bornAt) ends.forEach((end) => applyEnd(state, record, end, at))
+      if (record?.life.bornAt !== bornAt) return
+      // What a worker has listed is a fact; that a run never started is the judgement of the worker's host.
+      const isJudge = isJudgeOf(state, record, judge)
+      ends.filter(([number]) => number > 0 || isJudge).forEach((end) => applyEnd(state, record, end, at))
     })
     return Ok({})
   },
 
   'sessions.divide': (state: WorkflowsState, { hosts }: { hosts: SessionHost[] }): Change => {
     state.sessionHosts = hosts
+    state.division += 1
     return Ok({})
   },
 
@@ -176,9 +184,10 @@
     return Ok({})
   },
 
-  'life.expire': (state: WorkflowsState, { worker, bornAt }: { worker: string, bornAt: number, at: number }): Change => {
+  'life.expire': (state: WorkflowsState, { worker, bornAt, judge }: { worker: string, bornAt: number, judge: Judge, at: number }): Change => {
     const record = state.workers[worker]
     if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
+    if (!isJudgeOf(state, record, judge)) return Err({ kind: 'stale-division', worker, ...judge })
     releaseTasks(state, record)
     record.expired = true
     return Ok({})
@@ -240,6 +249,11 @@
   target.expired = false
 }
 
+/** False for a host whose workers were given to another since: that one may have renewed leases and repeated orders. */
+function isJudgeOf (state: WorkflowsState, { life }: WorkerRecord, { host, division }: Judge): boolean {
+  return state.division === division && findSessionHost(state.sessionHosts, life) === host
+}
+
 const FAILURE_CAUSES: ReadonlySet<EndCause> = new Set(['failed'])
 
 function applyEnd (state: WorkflowsState, worker: WorkerRecord, [number, task, attempt, cause, checkpoint]: RunEnd, at: number): void {
--- a/test/workflows/plan.test.ts
+++ b/test/workflows/plan.test.ts
@@ -33,7 +33,7 @@
 test('lasting tasks that have stopped do not wait behind urgent short work, unlike new ones of the same step', () => {
   const state = createState([{ id: 'lasting', steps: [{ count: 3, lasting: true }] }, { id: 'urgent', steps: [{ expectedRunMs: 100 }] }])
   workflowHandlers['workflow.assign'](state, { assignments: [['lasting.0.0.1', 'w1', 1]] })
-  workflowHandlers['workflow.end'](state, { lives: [{ worker: 'w1', bornAt: 1, ends: [[1, 'lasting.0.0.1', 1, 'lease-expired', '']] }], at: 0 })
+  workflowHandlers['workflow.end'](state, { lives: [{ worker: 'w1', bornAt: 1, ends: [[1, 'lasting.0.0.1', 1, 'lease-expired', '']] }], judge: { host: '', division: 0 }, at: 0 })
   const priorities: Record<string, number> = { lasting: 2, urgent: 0 }
   const groups = Object.values(state.workflows).flatMap((record) => listWaiting(record, { ...QUEUE, priority: priorities[record.workflow.id] ?? 0 }, 0)).sort(compareGroups(0))
   expect(groups.map(({ record, indexes }) => `${record.workflow.id} ${indexes.join()}`)).toEqual(['lasting 1', 'urgent 0', 'lasting 0,2'])
@@ -42,7 +42,7 @@
 test('the members of a lasting gang stay in one group, whichever of them has run before', () => {
   const state = createState([{ id: 'gang', steps: [{ count: 2, lasting: true, gang: true }] }])
   workflowHandlers['workflow.assign'](state, { assignments: [['gang.0.0.1', 'w1', 1]] })
-  workflowHandlers['workflow.end'](state, { lives: [{ worker: 'w1', bornAt: 1, ends: [[1, 'gang.0.0.1', 1, 'failed', '']] }], at: 0 })
+  workflowHandlers['workflow.end'](state, { lives: [{ worker: 'w1', bornAt: 1, ends: [[1, 'gang.0.0.1', 1, 'failed', '']] }], judge: { host: '', division: 0 }, at: 0 })
   expect(Object.values(state.workflows).flatMap((record) => listWaiting(record, QUEUE, 0)).map(({ indexes, isResumed }) => [indexes, isResumed])).toEqual([[[0, 1], true]])
 })
 
--- a/test/workflows/sessions.test.ts
+++ b/test/workflows/sessions.test.ts
@@ -1,5 +1,8 @@
 import { expect, test } from 'vitest'
-import { chooseSessionHosts, findSessionHost, type HostPresence } from '../../src/coordination/workflows/division.js'
+import { chooseSessionHosts, type HostPresence } from '../../src/coordination/workflows/division.js'
+import { createManualClock } from '../../src/common/index.js'
+import { createClockWatch } from '../../src/coordination/workflows/clockWatch.js'
+import { createWorkflowsState, findSessionHost, workflowHandlers } from '../../src/state/index.js'
 import type { RunEvent } from '../../src/fakes/runWorker.js'
 import { createHosts, type Hosts } from './support.js'
 
@@ -123,3 +126,40 @@
   expect([hosts.log.state().workflows.workflows.x?.outcome, listDoubled(hosts.fleet.events)]).toEqual(['completed', []])
   await hosts.stop()
 })
+
+test('tasks stop when answers to the host of their worker are lost one way', async () => {
+  const hosts = await createHosts(HOSTS, WORKERS)
+  hosts.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  hosts.submit('x', [{ count: 24, cores: 1, lasting: true, maxUnavailable: 0 }])
+  await hosts.clock.advance(2000)
+  hosts.network.cut('h1', 'h3')
+  await hosts.clock.advance(12_000)
+  expect([[...listOwners(hosts).values()].includes('h3'), hosts.fleet.events.filter(({ kind }) => kind === 'ended')]).toEqual([false, []])
+  await hosts.stop()
+})
+
+test('a host whose worker was given to another releases a run that the other one has started', () => {
+  const state = createWorkflowsState()
+  const hosts = [{ host: 'h1', availabilityZone: 'a' }, { host: 'h2', availabilityZone: 'a' }]
+  const life = { id: 'w1', bornAt: 1, service: 'desk', address: 'w1:1', availabilityZone: 'a', cores: 32, memoryMb: 1000, accelerators: 0, labels: [], draining: false }
+  state.workers.w1 = { life, lastEnd: 0, expired: false, assigned: { 'x.0.0.0': true } }
+  state.workflows.x = { workflow: { id: 'x', command: '', steps: [] }, queue: 'q', service: 'desk', maxAttempts: 2, submittedAt: 0, started: true, tasks: { '0.0.0': { attempt: 1, failures: 0, succeeded: false, checkpoint: '', worker: 'w1' } }, succeeded: {}, outcome: undefined, endedAt: 0 }
+  workflowHandlers['sessions.divide'](state, { hosts })
+  const owner = findSessionHost(hosts, life) as string
+  const judges = [{ host: owner === 'h1' ? 'h2' : 'h1', division: 1 }, { host: owner, division: 0 }, { host: owner, division: 1 }]
+  const outcomes = judges.map((judge) => {
+    workflowHandlers['workflow.end'](state, { lives: [{ worker: 'w1', bornAt: 1, ends: [[0, 'x.0.0.0', 1, 'not-started', '']] }], judge, at: 0 })
+    return [state.workflows.x?.tasks['0.0.0']?.worker, workflowHandlers['life.expire'](state, { worker: 'w1', bornAt: 1, judge, at: 0 }).ok]
+  })
+  expect(outcomes).toEqual([['w1', false], ['w1', false], [undefined, true]])
+})
+
+test('a host trusts authority from before it was suspended', () => {
+  const clock = createManualClock(1000)
+  const watch = createClockWatch(clock)
+  const mark = watch.getMark()
+  clock.setWallOffset(100)
+  const drifted = watch.hasJumped(mark)
+  clock.setWallOffset(4000)
+  expect([drifted, watch.hasJumped(mark), watch.hasJumped(watch.getMark())]).toEqual([false, true, false])
+})
