Keep a worker for a lasting task that has stopped while short work fills every core

Cause: a lasting task that goes first still finds no room where smaller tasks of a backlog take each core as it comes free. Change: while such a task has no room anywhere, the worker on which the end of short work gives it room soonest takes no other work; at most 5% of a pool, at least one worker, and none where lasting work leaves too little. Tickets of queues with advice are asked for with all workers of the pool, also when a group is tried on a few of them.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,7 +1,7 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import type { Assignment } from '../../state/index.js'
 import { createCandidates, createTaskIndex, type CandidateOptions, type Placing, type Pool } from './candidates.js'
-import { placeAmong, type GroupOptions } from './groups.js'
+import { findReserved, placeAmong, type GroupOptions } from './groups.js'
 import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
 import type { HoldReply } from './orders.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placing.js'
@@ -22,6 +22,8 @@
 const STARVED_CHECK_MS = 50
 /** What waiting images need of workers changes with the backlog, hence slowly, and takes a look at each image and worker. */
 const SCARCITY_AGE_MS = 200
+/** Part of a pool's workers that may be kept for lasting tasks that have stopped; those are a small part of the load. */
+const RESERVED_SHARE = 0.05
 /** How often it is looked what has to leave its worker; a part of the times that decide about it. */
 const MOVE_CHECK_MS = 100
 /** A workflow of which nothing runs for this long gets a task placed even beside a service that bears it badly. */
@@ -115,11 +117,14 @@
     const assignments: Assignment[] = []
     const compare = compareGroups(wallTime)
     const due = works.filter((work) => isDue(work, pools.get(work.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
-    due.forEach((work) => {
-      const pool = pools.get(work.group.record.service)
+    const placeEach = (some: WaitingWork[], poolsLeft: Map<string, Pool>): void => some.forEach((work) => {
+      const pool = poolsLeft.get(work.group.record.service)
       if (pool === undefined || assignments.length >= MAX_ASSIGNMENTS) return
       assignments.push(...placeWork(work, pool, pass))
     })
+    const resumed = works.filter(({ group }) => group.isResumed === true)
+    placeEach(due.filter(({ group }) => group.isResumed === true), pools)
+    placeEach(due.filter(({ group }) => group.isResumed !== true), removeReserved(pools, resumed))
     // What is assigned counts from now on; whether it was recorded is seen in the state.
     assignments.forEach(([task, worker]) => candidates.recordPlaced(worker, task))
     return assignments
@@ -203,6 +208,22 @@
   return pool.freed.some((worker) => canHold(worker, needs))
 }
 
+/** The pools without the workers that are kept for lasting tasks that have stopped. */
+function removeReserved (pools: Map<string, Pool>, resumed: WaitingWork[]): Map<string, Pool> {
+  const blocked = resumed.filter(({ progress }) => progress.isBlocked)
+  if (blocked.length === 0) return pools
+  return new Map([...pools].map(([service, { workers, freed }]) => {
+    const most = Math.max(1, Math.floor(RESERVED_SHARE * workers.length))
+    const reserved = new Set<Placing>()
+    blocked.filter(({ group }) => group.record.service === service).forEach(({ group }) => group.indexes.forEach(() => {
+      const worker = reserved.size < most ? findReserved(group, workers, reserved) : undefined
+      if (worker !== undefined) reserved.add(worker)
+    }))
+    const isLeft = (worker: Placing): boolean => !reserved.has(worker)
+    return [service, reserved.size === 0 ? { workers, freed } : { workers: workers.filter(isLeft), freed: freed.filter(isLeft) }]
+  }))
+}
+
 /** What one pass over the waiting groups shares; `full` are kinds of groups without room in this pass, which only shrinks. */
 interface Pass { now: number, getScarcity: GetScarcity, full: Set<string> }
 
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import { formatTaskName, getLocalName, type Assignment, type Step } from '../../state/index.js'
+import { formatTaskName, getLocalName, type AdvicePolicy, type Assignment, type Step } from '../../state/index.js'
 import type { Advisor } from './advice.js'
 import { addRun, getPeerKey, type Placing } from './candidates.js'
 import { canHold, chooseWorker, findBest, REMOTE_DATA_PENALTY, SAMPLE_SIZE, type PlacementNeeds } from './placing.js'
@@ -47,6 +47,7 @@
     acceptsRisk: isStarved
   }
   // Room only shrinks while the group is placed.
+  if (group.advice !== undefined && workers === pool) sendQuestion(options, group.advice, peerKey, pool)
   const eligible = listEligible(options, group, workers, peerKey).filter((worker) => canHold(worker, needs))
   if (eligible.length === 0 || (step.gang && !canHoldGang(eligible, needs, indexes.length))) return []
   const gangAttempt = 1 + Math.max(0, ...step.gang ? indexes.map((index) => findAttempt(group, index)) : [])
@@ -78,12 +79,26 @@
   return nearest !== undefined && nearest.cost < REMOTE_DATA_PENALTY ? nearest.candidate : chooseWorker(workers, needs, offset)
 }
 
+function sendQuestion ({ advisor }: GroupOptions, policy: AdvicePolicy, name: string, pool: readonly Placing[]): void {
+  const byRoom = pool.toSorted((a, b) => b.freeCores - a.freeCores)
+  advisor.request(name, byRoom.map(({ id }) => id), policy)
+}
+
+/**
+ * The worker on which a task that has stopped will first find room as short work ends, if it finds none now. Without it
+ * short work that needs less takes each core that comes free, and a large task waits as long as there is a backlog.
+ */
+export function findReserved ({ step, record, occurrence, stepNumber }: WaitingGroup, pool: readonly Placing[], reserved: ReadonlySet<Placing>): Placing | undefined {
+  const peerKey = getPeerKey(record.workflow.id, occurrence, stepNumber)
+  const needs: Pick<PlacementNeeds, 'step' | 'countPeers'> = { step, countPeers: (_worker, { peers }) => peers?.get(peerKey) ?? 0 }
+  if (step.fills || pool.some((worker) => canHold(worker, needs))) return undefined
+  return pool
+    .filter((worker) => !reserved.has(worker) && canHold({ ...worker, freeCores: worker.cores - (worker.lastingCores ?? 0) }, needs))
+    .reduce<Placing | undefined>((best, worker) => best === undefined || worker.freeCores > best.freeCores ? worker : best, undefined)
+}
+
 /** Workers that the queue's policy allows, all on one rack where the step is the slower for more and one rack has the room. */
 function listEligible ({ advisor }: GroupOptions, { step, indexes, advice, isResumed }: WaitingGroup, workers: readonly Placing[], name: string): readonly Placing[] {
-  if (advice !== undefined) {
-    const byRoom = workers.toSorted((a, b) => b.freeCores - a.freeCores)
-    advisor.request(name, byRoom.map(({ id }) => id), advice)
-  }
   const ready = isResumed === true ? workers : workers.filter(({ isBusy }) => isBusy !== true)
   const allowed = advice === undefined ? ready : ready.filter(({ id }) => advisor.findTicket(name, id) !== undefined)
   if (!step.rackSensitive) return allowed
--- a/src/coordination/workflows/waiting.ts
+++ b/src/coordination/workflows/waiting.ts
@@ -37,7 +37,7 @@
   const open = createOpenWorkflows(getState)
   const known = new Map<string, Known>()
   const changed = new Set<string>()
-  let isAllChanged = true
+  let source: WorkflowsState['workflows'] | undefined
 
   const update = (record: WorkflowRecord, queue: Queue | undefined, wallTime: number): void => {
     const { id } = record.workflow
@@ -55,16 +55,16 @@
   return {
     markChanged: (workflow) => {
       open.markChanged(workflow)
-      if (workflow === undefined) isAllChanged = true
+      if (workflow === undefined) source = undefined
       else changed.add(workflow)
     },
     list: (wallTime) => {
       const { workflows, catalog } = getState()
       const queues = new Map(catalog?.queues.map((queue) => [queue.name, queue]) ?? [])
       const records = open.list()
-      if (isAllChanged) records.forEach((record) => changed.add(record.workflow.id))
-      isAllChanged = false
-      known.forEach(({ dueAt }, id) => { if (wallTime >= dueAt || workflows[id] === undefined) changed.add(id) })
+      if (source !== workflows) records.forEach((record) => changed.add(record.workflow.id))
+      source = workflows
+      known.forEach(({ dueAt }, id) => { if (wallTime >= dueAt || workflows[id]?.outcome !== undefined || workflows[id] === undefined) changed.add(id) })
       changed.forEach((id) => {
         const record = workflows[id]
         if (record === undefined || record.outcome !== undefined) known.delete(id)
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -190,3 +190,20 @@
   const [first, second] = scene.listEvents('started').filter(({ task }) => task.startsWith('lasting')).map(({ at }) => at)
   expect(Number(second) - Number(first) - 2000).toBeLessThan(700)
 })
+
+test('a lasting task of a lost worker finds room beside a backlog of smaller tasks that would take each core that comes free', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = (task) => task.startsWith('lasting') ? { runMs: 0, result: 'never' } : { runMs: 400 + 70 * (Number(task.split('.').at(-1)) % 9), result: 'succeeded' }
+  await scene.submit('lasting', [{ count: 1, cores: 20, lasting: true }])
+  await scene.run(500)
+  await scene.submit('backlog', [{ count: 1000, cores: 2 }])
+  await scene.run(500)
+  const lost = [...scene.fleet.workers.values()].find(({ running }) => running.has('lasting.0.0.0'))
+  if (lost !== undefined) lost.reachable = false
+  const lostAt = scene.clock.now()
+  await scene.run(10_000)
+  expect(getOutcome(scene, 'backlog')).toBeUndefined()
+  const restartedAt = scene.listEvents('started').filter(({ task }) => task.startsWith('lasting'))[1]?.at
+  // The last look may have been sent 2.3 s after the loss, its lease ends 6.2 s later and the short tasks within 1 s.
+  expect(Number(restartedAt) - lostAt).toBeLessThan(9500)
+})
