Encode an entry once and decode it once, check forwarded entries, and send fewer appends

Cause: the leader encoded each entry twice and decoded it twice (for the membership and to apply it); a forwarded entry was appended without any check, and one that cannot be applied stops every host. Change: the bytes that the check makes are appended, the decoded entry stays beside them until it is applied (always decoded from the bytes, so that it is the same on every host), the leader checks forwarded entries with the schema too, the commit index is computed only when a peer holds more, and appends to a peer that has not answered are 6 ms apart instead of 4.

--- a/src/state/replica/apply.ts
+++ b/src/state/replica/apply.ts
@@ -3,7 +3,7 @@
 import type { LogStore } from '../logStore/index.js'
 import type { Entry } from '../schemas.js'
 import { countMajority, describeSnapshot, getVoters, isSelf, stopOnFailure, type Context } from './context.js'
-import { decodeCommand, encodeSnapshot } from './messages.js'
+import { encodeSnapshot } from './messages.js'
 import { waitUntil } from './notifier.js'
 import { MAX_SYNC_BYTES } from './timing.js'
 
@@ -62,7 +62,7 @@
   const index = context.appliedIndex + 1
   const stored = context.log.getEntry(index)
   if (stored === undefined) return stopOnFailure(context, { kind: 'invariant-broken', message: `entry ${index} is committed and missing` })
-  const command = decodeCommand(stored.bytes)
+  const command = context.log.takeCommand(stored)
   const entry: Entry = command.kind === 'log.membership' ? { kind: 'noop' } : command
   const outcome = applyCommand(context, entry, index)
   if (outcome === undefined) return
--- a/src/state/replica/context.ts
+++ b/src/state/replica/context.ts
@@ -224,8 +224,10 @@
 /** Adds one entry to the log in memory; the writer loop makes it durable. */
 export function appendEntry (context: Context, term: number, bytes: Uint8Array): number {
   const index = context.log.lastIndex + 1
-  context.log.append({ index, term, bytes })
-  recordMembership(context, index, decodeCommand(bytes))
+  const entry = { index, term, bytes }
+  context.log.append(entry)
+  // What is applied is always decoded from the bytes, so that it is the same on every host.
+  recordMembership(context, index, context.log.getCommand(entry))
   context.dirtyFrom = Math.min(context.dirtyFrom, index)
   if (context.store === undefined) context.stableIndex = index
   context.writerWake.notify()
@@ -234,7 +236,11 @@
 
 /** The leader's way to add an entry. */
 export function appendCommand (context: Context, command: Command): number {
-  const index = context.work.measure('log.append', () => appendEntry(context, context.term, encodeCommand(command)))
+  return appendEncoded(context, encodeCommand(command))
+}
+
+export function appendEncoded (context: Context, bytes: Uint8Array): number {
+  const index = context.work.measure('log.append', () => appendEntry(context, context.term, bytes))
   context.peers.forEach((peer) => peer.wake.notify())
   return index
 }
--- a/src/state/replica/entryLog.ts
+++ b/src/state/replica/entryLog.ts
@@ -1,4 +1,5 @@
 import type { StoredEntry } from '../logStore/index.js'
+import { decodeCommand, type Command } from './messages.js'
 
 /** Term and lengths of one entry in a message. */
 const ENTRY_OVERHEAD_BYTES = 10
@@ -16,6 +17,10 @@
   /** Removes every entry from the index on. */
   removeFrom (index: number): void
   append (entry: StoredEntry): void
+  /** Decodes an entry and keeps the result until `takeCommand`. */
+  getCommand (entry: StoredEntry): Command
+  /** The decoded entry, for the one who applies it and may change it. */
+  takeCommand (entry: StoredEntry): Command
   /** Drops entries up to the index, which must exist. */
   prune (index: number): void
   reset (index: number, term: number): void
@@ -27,6 +32,7 @@
   let entries = [...initial]
   let base = { index: baseIndex, term: baseTerm }
   let bytes = countBytes(entries)
+  const commands = new WeakMap<StoredEntry, Command>()
 
   const getEntry = (index: number): StoredEntry | undefined => entries[index - base.index - 1]
   const getTerm = (index: number): number | undefined => index === base.index ? base.term : getEntry(index)?.term
@@ -37,6 +43,16 @@
     get bytes () { return bytes },
     getTerm,
     getEntry,
+    getCommand: (entry) => {
+      const command = commands.get(entry) ?? decodeCommand(entry.bytes)
+      commands.set(entry, command)
+      return command
+    },
+    takeCommand: (entry) => {
+      const command = commands.get(entry) ?? decodeCommand(entry.bytes)
+      commands.delete(entry)
+      return command
+    },
     listFrom: (index, maxBytes = Infinity) => {
       const start = index - base.index - 1
       let size = 0
--- a/src/state/replica/proposals.ts
+++ b/src/state/replica/proposals.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from '../../common/index.js'
 import type { Applied, LogFailure } from '../agreedLog.js'
 import { entrySchema, type Entry } from '../schemas.js'
-import { appendCommand, createUnknown, isLeading, type Context } from './context.js'
+import { appendEncoded, createUnknown, isLeading, type Context } from './context.js'
 import { encodeCommand, type ProposeReply, type ProposeRequest, type ReadReply } from './messages.js'
 import { waitUntil } from './notifier.js'
 import { scheduleReadRound, waitForRound } from './rounds.js'
@@ -26,8 +26,8 @@
   while (clock.now() < deadline && !context.stopped) {
     const { term, leader } = context
     if (sentInTerm !== undefined && sentInTerm !== term) return createUnknown('the leader changed before it answered')
-    if (canPropose(context, term)) return proposeHere(context, checked.val, deadline)
-    const attempt = await sendProposal(context, leader, { term, origin: `${context.self}/${context.processId}`, sequence, entry: checked.val, remainingMs: deadline - clock.now() }, deadline)
+    if (canPropose(context, term)) return proposeHere(context, checked.val.bytes, deadline)
+    const attempt = await sendProposal(context, leader, { term, origin: `${context.self}/${context.processId}`, sequence, entry: checked.val.entry, remainingMs: deadline - clock.now() }, deadline)
     if (attempt.kind === 'answered') return waitForApplied(context, attempt.reply, deadline)
     if (attempt.kind === 'unknown') sentInTerm = term
     if (!canPropose(context, context.term)) await context.progress.wait(Math.max(0, Math.min(LEADER_WAIT_MS, deadline - clock.now())))
@@ -62,7 +62,7 @@
   const answers = getAnswers(context, request.origin)
   const oldest = answers.size > MAX_REMEMBERED_ANSWERS ? answers.keys().next().value ?? 0 : 0
   if (request.sequence < oldest) return { kind: 'failed', failure: { kind: 'outcome-unknown', message: 'the message is too old' } }
-  const answer = proposeHere(context, request.entry, context.clock.now() + request.remainingMs)
+  const answer = proposeForwarded(context, request)
     .then((result): ProposeReply => result.ok ? { kind: 'applied', value: result.val } : { kind: 'failed', failure: result.val })
   answers.set(request.sequence, answer)
   if (answers.size > MAX_REMEMBERED_ANSWERS + 1) answers.delete(oldest)
@@ -115,10 +115,16 @@
   return isConfirmed ? index : undefined
 }
 
-async function proposeHere (context: Context, entry: Entry, deadline: number): Promise<ProposeResult> {
+/** A host of another version may send what this one cannot apply, and what is appended has to be applied by every host. */
+async function proposeForwarded (context: Context, request: ProposeRequest): Promise<ProposeResult> {
+  const checked = context.work.measure('log.check', () => checkEntry(request.entry))
+  return checked.err ? checked : proposeHere(context, checked.val.bytes, context.clock.now() + request.remainingMs)
+}
+
+async function proposeHere (context: Context, bytes: Uint8Array, deadline: number): Promise<ProposeResult> {
   if (context.pending.size >= MAX_PENDING) return Err({ kind: 'not-recorded', message: 'too many proposals are waiting' })
   const { term } = context
-  const index = appendCommand(context, entry)
+  const index = appendEncoded(context, bytes)
   const result = await new Promise<ProposeResult>((resolve) => {
     const earlier = context.pending.get(index)
     earlier?.resolve(createUnknown('this host leads again and no longer follows the entry'))
@@ -137,13 +143,14 @@
   return Ok(reply.value)
 }
 
-function checkEntry (entry: Entry): Result<Entry, LogFailure> {
+function checkEntry (entry: Entry): Result<{ entry: Entry, bytes: Uint8Array }, LogFailure> {
   const parsed = entrySchema.safeParse(entry)
   if (!parsed.success) return Err({ kind: 'invalid-entry', message: parsed.error.message })
-  const size = encodeCommand(parsed.data).length
+  const bytes = encodeCommand(parsed.data)
+  const size = bytes.length
   return size > MAX_ENTRY_BYTES
     ? Err({ kind: 'entry-too-large', message: `the entry has ${size} bytes; at most ${MAX_ENTRY_BYTES} are allowed`, bytes: size, limit: MAX_ENTRY_BYTES })
-    : Ok(parsed.data)
+    : Ok({ entry: parsed.data, bytes })
 }
 
 function canPropose (context: Context, term: number): boolean {
--- a/src/state/replica/replication.ts
+++ b/src/state/replica/replication.ts
@@ -110,10 +110,11 @@
 
 function handleAppendReply (context: Context, peer: Peer, reply: AppendReply): void {
   if (reply.matches) {
+    const isFurther = reply.index > peer.matchIndex
     peer.matchIndex = Math.max(peer.matchIndex, reply.index)
     peer.nextIndex = Math.max(peer.nextIndex, peer.matchIndex + 1)
     peer.mode = 'replicate'
-    updateCommit(context)
+    if (isFurther && peer.matchIndex > context.commitIndex) updateCommit(context)
     return
   }
   peer.nextIndex = Math.max(peer.matchIndex + 1, Math.min(peer.nextIndex, reply.index))
--- a/src/state/replica/timing.ts
+++ b/src/state/replica/timing.ts
@@ -26,7 +26,7 @@
  */
 export const STABLE_REPLY_MS = 25
 /** Least time between two messages to a peer that has not answered the first one; it bounds the number of messages. */
-export const APPEND_GAP_MS = 4
+export const APPEND_GAP_MS = 6
 /** Appends of one peer that may wait for an answer at the same time. */
 export const MAX_IN_FLIGHT = 4
 /** Entries of one append; with the other fields a message stays below 64 KB. */
