Start the tasks of an overdue workflow without a wait while half of the pool is free

Cause: a workflow whose image no service bears runs one task at a time, each started at a risk after 1 s of waiting.

Change: updateStarved gives no second wait to a workflow that has been started at a risk, while at least half of the cores are free. Below that, waits are as before. Each such workflow is logged once (workflow.overdue).

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -17,6 +17,8 @@
 const CROWDED_STARVED_MS = 5000
 /** A pool with less than this part of its cores free is crowded. */
 const CROWDED_SHARE = 0.35
+/** While this part of a pool's cores is free, no workflow may stand still: the rule LOST asks for it below half of the capacity in use. */
+const MOSTLY_FREE_SHARE = 0.5
 /** How often the load is logged. */
 const LOAD_LOG_MS = 1000
 /** Assignments of one pass; an entry of the log stays small. */
@@ -49,6 +51,8 @@
   const tasks = createTaskIndex(getState)
   /** Since when a step waits while nothing of it runs. */
   const idleSince = new Map<string, number>()
+  /** Workflows that were started at a risk because they had waited. */
+  const overdue = new Set<string>()
   const stopping = new AbortController()
   let loadLoggedAt = -Infinity
 
@@ -75,6 +79,14 @@
     })
   }
 
+  const recordOverdue = ({ record, occurrence, stepNumber, indexes }: WaitingGroup): void => {
+    const { id } = record.workflow
+    if (overdue.has(id)) return
+    overdue.add(id)
+    const step = getPeerKey(id, occurrence, stepNumber)
+    logger.info('workflow.overdue', { workflow: id, step, waiting: indexes.length, idleMs: Math.round(clock.now() - (idleSince.get(step) ?? clock.now())) })
+  }
+
   const placeWaiting = (): Assignment[] => {
     const { work } = options
     const wallTime = clock.wall()
@@ -83,9 +95,13 @@
     logLoad(groups, candidates)
     const assignments: Assignment[] = []
     const getScarcity = work.measure('dispatch.scarcity', () => createScarcity(groups, [...candidates.values()].flat(), (serving, filling) => options.sharing.estimateRisk(serving, filling, clock.now())))
-    const starved = work.measure('dispatch.starved', () => updateStarved(idleSince, groups, candidates, clock.now()))
+    const starved = work.measure('dispatch.starved', () => updateStarved(idleSince, overdue, groups, candidates, clock.now()))
+    overdue.forEach((id) => { if (!isOpen(getState(), id)) overdue.delete(id) })
     work.measure('dispatch.place', () => groups.forEach((group) => {
-      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeGroup(options, group, candidates, getScarcity, starved.has(group)))
+      if (assignments.length >= MAX_ASSIGNMENTS) return
+      const placed = placeGroup(options, group, candidates, getScarcity, starved.has(group))
+      if (starved.has(group) && placed.length > 0) recordOverdue(group)
+      assignments.push(...placed)
     }))
     return assignments
   }
@@ -152,9 +168,12 @@
   }
 }
 
-/** Groups of which nothing has run for long; lasting tasks count each by itself. */
-function updateStarved (idleSince: Map<string, number>, groups: WaitingGroup[], candidates: Map<string, Placing[]>, now: number): Set<WaitingGroup> {
-  const crowded = new Set([...candidates].filter(([, workers]) => isCrowded(workers)).map(([service]) => service))
+/**
+ * Groups of which nothing has run for long; lasting tasks count each by itself. A workflow that has waited once does not
+ * wait again between its tasks while most of the pool is free: with short tasks it would stand still most of the time.
+ */
+function updateStarved (idleSince: Map<string, number>, overdue: ReadonlySet<string>, groups: WaitingGroup[], candidates: Map<string, Placing[]>, now: number): Set<WaitingGroup> {
+  const freeShares = new Map([...candidates].map(([service, workers]) => [service, computeFreeShare(workers)]))
   const idle = groups.filter(({ step, indexes, record, occurrence, stepNumber }) =>
     step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0))
   const keys = new Map(idle.map((group) => [getPeerKey(group.record.workflow.id, group.occurrence, group.stepNumber), group]))
@@ -162,12 +181,24 @@
   return new Set([...keys].filter(([key, { record, step }]) => {
     const since = idleSince.get(key) ?? now
     idleSince.set(key, since)
-    return now - since >= (crowded.has(record.service) && !step.lasting ? CROWDED_STARVED_MS : STARVED_MS)
+    return now - since >= getStarvedMs(step.lasting, freeShares.get(record.service) ?? 0, overdue.has(record.workflow.id))
   }).map(([, group]) => group))
 }
 
-function isCrowded (workers: readonly Placing[]): boolean {
+function isOpen (state: WorkflowsState, workflow: string): boolean {
+  const record = state.workflows[workflow]
+  return record !== undefined && record.outcome === undefined
+}
+
+/** How long a group waits before it is placed at a risk. */
+function getStarvedMs (isLasting: boolean, freeShare: number, isOverdue: boolean): number {
+  if (isLasting) return STARVED_MS
+  if (isOverdue && freeShare >= MOSTLY_FREE_SHARE) return 0
+  return freeShare < CROWDED_SHARE ? CROWDED_STARVED_MS : STARVED_MS
+}
+
+function computeFreeShare (workers: readonly Placing[]): number {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
   const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
-  return free < CROWDED_SHARE * cores
+  return free / Math.max(1, cores)
 }
--- a/test/workflows/sharing.test.ts
+++ b/test/workflows/sharing.test.ts
@@ -134,3 +134,22 @@
   const isRunning = [...worker?.running.keys() ?? []].some((task) => task.startsWith('f1'))
   expect(isRunning || scene.listEvents('started').length > startsBefore).toBe(true)
 })
+
+// Guards against a workflow that a look at both ends of 3 s finds idle, as the rule LOST does: its tasks ran half a
+// second each and the next waited a second, so that it stood still for most of the time.
+test('the tasks of a workflow that no service bears follow each other without a wait while most of the pool is free', async () => {
+  const scene = await createScene(['w1'])
+  scene.fleet.plan = (task) => task.startsWith('f1') ? { runMs: 450, result: 'succeeded' } : { runMs: 0, result: 'never' }
+  scene.fleet.measure = (_task, running) => [...running.keys()].some((other) => other.startsWith('f')) ? 60 : 6
+  await scene.submit('s1', [{ count: 1, cores: 10, lasting: true, image: 'desk', tailTargetMs: TARGET_MS }])
+  await scene.run(5000)
+  await scene.submit('f1', [{ count: 20, cores: 8, fills: true, image: 'heavy' }])
+  await scene.run(20_000)
+  const runs = scene.listEvents('started').filter(({ task }) => task.startsWith('f1'))
+  const ends = scene.listEvents('ended').filter(({ task }) => task.startsWith('f1'))
+  expect(ends.length).toBeGreaterThan(10)
+  // Two commits of 12 ms record an end and the next assignment; the rest is for orders and answers.
+  const maxPauseMs = 100
+  const pauses = ends.map(({ at }) => Math.min(...runs.filter((run) => run.at >= at).map((run) => run.at - at)))
+  expect(pauses.filter((pause) => pause !== Infinity && pause > maxPauseMs)).toEqual([])
+})
