Give a task whose start orders get no answer to another worker

Found while looking for ways in which a ready task waits with most of the pool free. After the tries of one round startRun now stops the run, which releases the task once the worker confirms, and the worker gets no work for 2 s.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -14,6 +14,11 @@
     isOpen = await sendStart(context, session, run, tries)
   }
   run.starting = false
+  // A worker that answers looks and no starts would keep the task for good.
+  if (isOpen && run.unanswered && run.confirmedAt === undefined) {
+    context.onRefused(session, run, 'no-answer')
+    stopRun(context, session, run, 'no-answer')
+  }
   session.wake.notify()
 }
 
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -30,5 +30,5 @@
 export const PROPOSE_TIMEOUT_MS = 3000
 /** A worker that refused a start for want of room gets none for this long. */
 export const NO_ROOM_PAUSE_MS = 500
-/** A worker that refused a start as unhealthy gets none for this long. */
+/** A worker that refused a start as unhealthy, or answered none of its tries, gets none for this long. */
 export const UNHEALTHY_PAUSE_MS = 2000
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -47,7 +47,7 @@
   reset (worker: string): void
 }
 
-const REFUSAL_PAUSE_MS: Record<string, number> = { 'no-room': NO_ROOM_PAUSE_MS, unhealthy: UNHEALTHY_PAUSE_MS, invalid: UNHEALTHY_PAUSE_MS }
+const REFUSAL_PAUSE_MS: Record<string, number> = { 'no-room': NO_ROOM_PAUSE_MS, unhealthy: UNHEALTHY_PAUSE_MS, invalid: UNHEALTHY_PAUSE_MS, 'no-answer': UNHEALTHY_PAUSE_MS }
 
 export function createWorkerHealth ({ clock, logger }: { clock: Clock, logger: Logger }): WorkerHealth {
   const known = new Map<string, Health>()
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -178,3 +178,15 @@
   await scene.run(2500)
   expect(scene.listEvents('started').filter(({ task }) => task.startsWith('a1'))).toHaveLength(1)
 })
+
+// Guards against a task that is bound for good to a worker on which it never starts.
+test('a task whose start orders get no answer goes to another worker, although the first answers looks', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  const deaf = scene.fleet.workers.get('w1')
+  if (deaf !== undefined) deaf.fault = (kind) => kind === 'start' ? 'lost-order' : 'none'
+  await scene.submit('a1', [{ count: 2, lasting: true }])
+  // The rule LOST allows a lasting task 6 s.
+  await scene.run(6000)
+  expect(scene.fleet.workers.get('w2')?.running.size).toBe(2)
+})
