--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
-import type { Assignment } from '../../state/index.js'
-import { createCandidates, createTaskIndex, type CandidateOptions, type Placing, type Pool } from './candidates.js'
+import type { Assignment, WorkflowsState } from '../../state/index.js'
+import { createCandidates, createTaskIndex, getPeerKey, type CandidateOptions, type Placing, type Pool } from './candidates.js'
 import { findReserved, placeAmong, type GroupOptions } from './groups.js'
 import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placing.js'
@@ -31,6 +31,8 @@
 const CROWDED_STARVED_MS = 5000
 /** A pool with less than this part of its cores free is crowded. */
 const CROWDED_SHARE = 0.35
+/** While this part of a pool's cores is free, no workflow may stand still: the rule LOST asks for it below half of the capacity in use. */
+const MOSTLY_FREE_SHARE = 0.5
 /** How often the load is logged. */
 const LOAD_LOG_MS = 1000
 /** Assignments of one pass; an entry of the log stays small. */
@@ -64,6 +66,8 @@
   const waiting = createWaitingIndex(getState)
   const candidates = createCandidates(options, createTaskIndex(getState))
   const getScarcity = createScarcityCache(options)
+  /** Workflows that were started at a risk because they had waited. */
+  const overdue = new Set<string>()
   const stopping = new AbortController()
   let loadLoggedAt = -Infinity
   let starvedAt = -Infinity
@@ -97,6 +101,13 @@
     })
   }
 
+  const recordOverdue = ({ group: { record, occurrence, stepNumber, indexes }, progress }: WaitingWork): void => {
+    const { id } = record.workflow
+    if (overdue.has(id)) return
+    overdue.add(id)
+    logger.info('workflow.overdue', { workflow: id, step: getPeerKey(id, occurrence, stepNumber), waiting: indexes.length, idleMs: Math.round(clock.now() - (progress.idleSince ?? clock.now())) })
+  }
+
   const placeWaiting = (): Assignment[] => {
     const now = clock.now()
     const wallTime = clock.wall()
@@ -105,7 +116,8 @@
     logLoad(works, pools)
     if (now - starvedAt >= STARVED_CHECK_MS) {
       starvedAt = now
-      work.measure('dispatch.starved', () => updateStarved(works, pools, now))
+      overdue.forEach((id) => { if (!isOpen(getState(), id)) overdue.delete(id) })
+      work.measure('dispatch.starved', () => updateStarved(works, pools, overdue, now))
     }
     return work.measure('dispatch.place', () => placeAll(works, pools, now, wallTime))
   }
@@ -146,6 +158,7 @@
     const isPartial = getBlockedUntil(work, kind) > now
     offset += SAMPLE_SIZE
     const placed = placeAmong(options, group, { pool: pool.workers, workers: isPartial ? pool.freed : pool.workers, getScarcity, isStarved, offset })
+    if (isStarved && placed.length > 0) recordOverdue(work)
     progress.isBlocked = placed.length < group.indexes.length
     const isFull = progress.isBlocked && !isPartial
     if (isFull) progress.blockedUntil = now + RETRY_MS
@@ -241,21 +254,37 @@
   }
 }
 
-/** Marks groups of which nothing has run for long; lasting tasks count each by itself. */
-function updateStarved (works: WaitingWork[], pools: Map<string, Pool>, now: number): void {
-  const crowded = new Set([...pools].filter(([, { workers }]) => isCrowded(workers)).map(([service]) => service))
+/**
+ * Marks groups of which nothing has run for long; lasting tasks count each by itself. A workflow that has waited once
+ * does not wait again between its tasks while most of the pool is free: with short tasks it would stand still most of
+ * the time.
+ */
+function updateStarved (works: WaitingWork[], pools: Map<string, Pool>, overdue: ReadonlySet<string>, now: number): void {
+  const freeShares = new Map([...pools].map(([service, { workers }]) => [service, computeFreeShare(workers)]))
   works.forEach(({ group: { step, indexes, record, occurrence, stepNumber }, progress }) => {
     const isIdle = step.lasting || indexes.length === step.count - (record.succeeded[`${occurrence}.${stepNumber}`] ?? 0)
     progress.idleSince = isIdle ? progress.idleSince ?? now : undefined
-    const patienceMs = crowded.has(record.service) && !step.lasting ? CROWDED_STARVED_MS : STARVED_MS
+    const patienceMs = getStarvedMs(step.lasting, freeShares.get(record.service) ?? 0, overdue.has(record.workflow.id))
     const isStarved = progress.idleSince !== undefined && now - progress.idleSince >= patienceMs
     if (isStarved && !progress.isStarved) progress.blockedUntil = -Infinity
     progress.isStarved = isStarved
   })
 }
 
-function isCrowded (workers: readonly Placing[]): boolean {
+function isOpen (state: WorkflowsState, workflow: string): boolean {
+  const record = state.workflows[workflow]
+  return record !== undefined && record.outcome === undefined
+}
+
+/** How long a group waits before it is placed at a risk. */
+function getStarvedMs (isLasting: boolean, freeShare: number, isOverdue: boolean): number {
+  if (isLasting) return STARVED_MS
+  if (isOverdue && freeShare >= MOSTLY_FREE_SHARE) return 0
+  return freeShare < CROWDED_SHARE ? CROWDED_STARVED_MS : STARVED_MS
+}
+
+function computeFreeShare (workers: readonly Placing[]): number {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
   const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
-  return free < CROWDED_SHARE * cores
+  return free / Math.max(1, cores)
 }
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -207,3 +207,15 @@
   // The last look may have been sent 2.3 s after the loss, its lease ends 6.2 s later and the short tasks within 1 s.
   expect(Number(restartedAt) - lostAt).toBeLessThan(9500)
 })
+
+// Guards against a task that is bound for good to a worker on which it never starts.
+test('a task whose start orders get no answer goes to another worker, although the first answers looks', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  const deaf = scene.fleet.workers.get('w1')
+  if (deaf !== undefined) deaf.fault = (kind) => kind === 'start' ? 'lost-order' : 'none'
+  await scene.submit('a1', [{ count: 2, lasting: true }])
+  // The rule LOST allows a lasting task 6 s.
+  await scene.run(6000)
+  expect(scene.fleet.workers.get('w2')?.running.size).toBe(2)
+})
