--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -24,7 +24,7 @@
 /** Part of a pool's workers that may be kept for lasting tasks that have stopped; those are a small part of the load. */
 const RESERVED_SHARE = 0.05
 /** How often it is looked what has to leave its worker; a part of the times that decide about it. */
-const MOVE_CHECK_MS = 100
+const MOVE_CHECK_MS = 250
 /** A workflow of which nothing runs for this long gets a task placed even beside a service that bears it badly. */
 const STARVED_MS = 1000
 /** The same while most cores of the pool are taken: a risky start soon has to leave again and helps nobody. */
