Admit by totals of open workflows that are kept for 50 ms, and by the scheduler's own backlog

Change: an index of open workflows for one term; totals by service and priority at most each 50 ms; queues by host name. Workers whose host has too many unconfirmed starts (isBusy, never by default) take only lasting tasks that have stopped. Tasks for which only such workers have room, or that come after the 400 assignments of a pass, count as the scheduler's backlog; over the starts of the last 3 s while it was behind it refuses with reason scheduler-backlog.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -51,6 +51,8 @@
   workers: Placing[]
   /** Those that have more room than at the last update. */
   freed: Placing[]
+  /** Those that take only lasting tasks that have stopped. */
+  busy: Placing[]
 }
 
 export interface Candidates {
@@ -128,10 +130,11 @@
         const { entry, isFreed } = updateEntry(session, record, now)
         if (!entry.isUsable && !(entry.candidate.isBusy === true && isAvailable(session, record.life))) return
         const { service } = record.life
-        const pool = pools.get(service) ?? { workers: [], freed: [] }
+        const pool = pools.get(service) ?? { workers: [], freed: [], busy: [] }
         pools.set(service, pool)
         pool.workers.push(entry.candidate)
         if (isFreed) pool.freed.push(entry.candidate)
+        if (entry.candidate.isBusy === true) pool.busy.push(entry.candidate)
       })
       if (entries.size > sessions.size) entries.forEach((_entry, worker) => { if (!sessions.has(worker)) entries.delete(worker) })
       return pools
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,11 +1,12 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import type { Assignment } from '../../state/index.js'
+import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskIndex, type CandidateOptions, type Placing, type Pool } from './candidates.js'
 import { findReserved, placeAmong, type GroupOptions } from './groups.js'
 import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
 import type { HoldReply } from './orders.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placing.js'
-import { compareGroups } from './plan.js'
+import { compareGroups, getLateness } from './plan.js'
 import { createScarcity } from './scarcity.js'
 import type { Session } from './sessionState.js'
 import type { Signal } from './signal.js'
@@ -56,6 +57,8 @@
   /** The runs of a worker, or of all, may have changed. */
   markWorkerChanged (worker?: string): void
   observeReply (session: Session, reply: HoldReply): void
+  /** What the scheduler is behind with at a priority or before it. */
+  getLoad (priority: number): SchedulerLoad
   stop (): void
 }
 
@@ -65,7 +68,10 @@
   const waiting = createWaitingIndex(getState)
   const candidates = createCandidates(options, createTaskIndex(getState))
   const getScarcity = createScarcityCache(options)
+  const startRate = createStartRate()
   const stopping = new AbortController()
+  /** Waiting groups as of the last pass. */
+  let lastWorks: WaitingWork[] = []
   let loadLoggedAt = -Infinity
   let starvedAt = -Infinity
   let movedAt = -Infinity
@@ -119,12 +125,17 @@
     const due = works.filter((work) => isDue(work, pools.get(work.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
     const placeEach = (some: WaitingWork[], poolsLeft: Map<string, Pool>): void => some.forEach((work) => {
       const pool = poolsLeft.get(work.group.record.service)
-      if (pool === undefined || assignments.length >= MAX_ASSIGNMENTS) return
-      assignments.push(...placeWork(work, pool, pass))
+      if (pool === undefined) return
+      if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeWork(work, pool, pass))
+      else work.progress.isBehind = true
     })
+    works.forEach(({ progress }) => { progress.isBehind = false })
     const resumed = works.filter(({ group }) => group.isResumed === true)
     placeEach(due.filter(({ group }) => group.isResumed === true), pools)
     placeEach(due.filter(({ group }) => group.isResumed !== true), removeReserved(pools, resumed))
+    updateBehind(works, pools)
+    lastWorks = works
+    startRate.record(now, assignments.length, works.some(({ progress }) => progress.isBehind))
     // What is assigned counts from now on; whether it was recorded is seen in the state.
     assignments.forEach(([task, worker]) => candidates.recordPlaced(worker, task))
     return assignments
@@ -192,6 +203,12 @@
     schedule: () => wake.notify(),
     markChanged: (workflow) => waiting.markChanged(workflow),
     markWorkerChanged: (worker) => candidates.markChanged(worker),
+    getLoad: (priority) => {
+      // Late work waits until what can still be on time has been placed.
+      const wallTime = clock.wall()
+      const ahead = lastWorks.filter(({ group, progress }) => progress.isBehind && group.priority <= priority && !group.step.lasting && getLateness(group, wallTime) === 0)
+      return { ahead: ahead.reduce((sum, { group }) => sum + group.indexes.length, 0), startsPerSecond: startRate.get(clock.now()) }
+    },
     observeReply: (session) => observeSharing(options, session),
     stop: () => {
       stopping.abort()
@@ -212,7 +229,7 @@
 function removeReserved (pools: Map<string, Pool>, resumed: WaitingWork[]): Map<string, Pool> {
   const blocked = resumed.filter(({ progress }) => progress.isBlocked)
   if (blocked.length === 0) return pools
-  return new Map([...pools].map(([service, { workers, freed }]) => {
+  return new Map([...pools].map(([service, { workers, freed, busy }]) => {
     const most = Math.max(1, Math.floor(RESERVED_SHARE * workers.length))
     const reserved = new Set<Placing>()
     blocked.filter(({ group }) => group.record.service === service).forEach(({ group }) => group.indexes.forEach(() => {
@@ -220,10 +237,20 @@
       if (worker !== undefined) reserved.add(worker)
     }))
     const isLeft = (worker: Placing): boolean => !reserved.has(worker)
-    return [service, reserved.size === 0 ? { workers, freed } : { workers: workers.filter(isLeft), freed: freed.filter(isLeft) }]
+    return [service, reserved.size === 0 ? { workers, freed, busy } : { workers: workers.filter(isLeft), freed: freed.filter(isLeft), busy }]
   }))
 }
 
+/** Marks groups without room for which workers have room that take no more starts for now. */
+function updateBehind (works: WaitingWork[], pools: Map<string, Pool>): void {
+  const busy = new Map([...pools].filter(([, pool]) => pool.busy.length > 0).map(([service, pool]) => [service, pool.busy]))
+  if (busy.size === 0) return
+  works.filter(({ progress, group }) => progress.isBlocked && group.isResumed !== true).forEach(({ group, progress }) => {
+    const needs = { step: group.step, countPeers: () => 0, acceptsRisk: progress.isStarved }
+    progress.isBehind ||= busy.get(group.record.service)?.some((worker) => canHold(worker, needs)) === true
+  })
+}
+
 /** What one pass over the waiting groups shares; `full` are kinds of groups without room in this pass, which only shrinks. */
 interface Pass { now: number, getScarcity: GetScarcity, full: Set<string> }
 
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -91,7 +91,7 @@
 }
 
 /** 0 for what can end by its objective, 1 for what will be late, 2 for what is worth nothing any more. */
-function getLateness (group: WaitingGroup, wallTime: number): number {
+export function getLateness (group: WaitingGroup, wallTime: number): number {
   if (group.step.lasting) return 0
   const start = getOccurrenceStart(group.record, group.occurrence)
   const endsAt = wallTime + group.step.expectedRunMs
--- a/src/coordination/workflows/service.ts
+++ b/src/coordination/workflows/service.ts
@@ -1,8 +1,9 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
 import type { AgreedLog, Catalog, LogFailure, Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
-import { admitWorkflow } from './admission.js'
+import { admitWorkflow, computeTotals, createTotalsCache, type BacklogTotals } from './admission.js'
 import type { QueueAddress, WorkflowReply, WorkflowRequest, WorkflowStatus } from './messages.js'
 import type { Term } from './term.js'
+import { createOpenWorkflows, type OpenWorkflows } from './waiting.js'
 
 /** Left of a client's patience for the way back of the answer, ms. */
 const REPLY_RESERVE_MS = 30
@@ -18,13 +19,19 @@
   getTerm (): Term | undefined
 }
 
+/** What answers to requests need of all open workflows, kept for one term. */
+interface TermView { term: Term, open: OpenWorkflows, getTotals (): BacklogTotals }
+
+type RequestOptions = WorkflowServiceOptions & { getView (): TermView | undefined }
+
 export interface WorkflowService {
   handle (request: WorkflowRequest): Promise<WorkflowReply>
 }
 
 /** Answers requests about workflows on the leader; every other host names the leader. */
-export function createWorkflowService (options: WorkflowServiceOptions): WorkflowService {
-  const { log } = options
+export function createWorkflowService (serviceOptions: WorkflowServiceOptions): WorkflowService {
+  const { log } = serviceOptions
+  const options: RequestOptions = { ...serviceOptions, getView: createTermView(serviceOptions) }
 
   const describeLeader = (): WorkflowReply => {
     const { leader, voters } = log.status()
@@ -48,29 +55,59 @@
   }
 }
 
+/** Follows the open workflows from the first request of a term on, so that no request walks over the ended ones. */
+function createTermView ({ clock, log, getTerm }: WorkflowServiceOptions): () => TermView | undefined {
+  let view: TermView | undefined
+  log.subscribe((entry) => {
+    if (getTerm() !== view?.term) view = undefined
+    if (entry.kind === 'workflow.submit') view?.open.markChanged(entry.workflow.id)
+  })
+  return () => {
+    const term = getTerm()
+    if (term === undefined || term === view?.term) return view
+    const open = createOpenWorkflows(() => getState(log))
+    view = { term, open, getTotals: createTotalsCache(clock, () => computeTotals(getState(log), open.list())) }
+    return view
+  }
+}
+
 function getState (log: AgreedLog): WorkflowsState {
   return log.state().workflows
 }
 
+const queuesByHost = new WeakMap<Catalog, Map<string, Queue[]>>()
+
+/** The queues of a host name, longest prefix first; a catalog never changes once it is in force. */
+function listQueues (catalog: Catalog, hostName: string): Queue[] {
+  const known = queuesByHost.get(catalog) ?? new Map<string, Queue[]>()
+  queuesByHost.set(catalog, known)
+  if (known.size === 0) {
+    const ordered = catalog.queues.toSorted((a, b) => b.pathPrefix.length - a.pathPrefix.length)
+    ordered.forEach((queue) => known.set(queue.hostName, [...known.get(queue.hostName) ?? [], queue]))
+  }
+  return known.get(hostName) ?? []
+}
+
 /** The queue with the longest prefix of the path, and what follows the prefix. */
 export function findQueue (catalog: Catalog | undefined, { hostName, path }: QueueAddress): { queue: Queue, rest: string } | undefined {
-  const queue = catalog?.queues
-    .filter((candidate) => candidate.hostName === hostName && path.startsWith(candidate.pathPrefix))
-    .reduce<Queue | undefined>((best, candidate) => best === undefined || candidate.pathPrefix.length > best.pathPrefix.length ? candidate : best, undefined)
+  if (catalog === undefined) return undefined
+  const queue = listQueues(catalog, hostName).find(({ pathPrefix }) => path.startsWith(pathPrefix))
   return queue === undefined ? undefined : { queue, rest: path.slice(queue.pathPrefix.length) }
 }
 
-async function handleSubmit (options: WorkflowServiceOptions, address: QueueAddress, workflow: Workflow | undefined, remainingMs: number): Promise<WorkflowReply> {
+async function handleSubmit (options: RequestOptions, address: QueueAddress, workflow: Workflow | undefined, remainingMs: number): Promise<WorkflowReply> {
   const { log, clock, logger } = options
   const found = findQueue(getState(log).catalog, address)
   if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, remainingMs)
   if (workflow === undefined) return { kind: 'invalid', message: 'the body is not a workflow' }
   const { queue } = found
   const isKnown = getState(log).workflows[workflow.id] !== undefined
-  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall() })
+  const view = options.getView()
+  const load = view?.term.getSchedulerLoad(queue.priority)
+  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load })
   if (verdict.kind === 'refused') {
-    options.metrics.count('workflow.refused', 1, { queue: queue.name })
-    logger.info('workflow.refused', { workflow: workflow.id, queue: queue.name, reason: verdict.reason, backlogMs: Math.round(verdict.backlogMs), retryAfterMs: verdict.retryAfterMs })
+    options.metrics.count('workflow.refused', 1, { queue: queue.name, reason: verdict.reason })
+    logger.info('workflow.refused', { workflow: workflow.id, queue: queue.name, reason: verdict.reason, backlogMs: Math.round(verdict.backlogMs), ahead: load?.ahead, startsPerSecond: load?.startsPerSecond?.toFixed(0), retryAfterMs: verdict.retryAfterMs })
     return { kind: 'overloaded', retryAfterMs: verdict.retryAfterMs }
   }
   const startedAt = clock.now()
@@ -80,7 +117,7 @@
   return result.ok ? { kind: 'accepted' } : describeLogFailure(result.val)
 }
 
-async function handleCancel (options: WorkflowServiceOptions, address: QueueAddress, remainingMs: number): Promise<WorkflowReply> {
+async function handleCancel (options: RequestOptions, address: QueueAddress, remainingMs: number): Promise<WorkflowReply> {
   const { log, clock, logger } = options
   const found = findQueue(getState(log).catalog, address)
   if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, remainingMs)
@@ -94,11 +131,11 @@
   return result.val.kind === 'rejected' ? { kind: 'no-workflow' } : describeLogFailure(result.val)
 }
 
-async function handleRead (options: WorkflowServiceOptions, address: QueueAddress, remainingMs: number): Promise<WorkflowReply> {
+async function handleRead (options: RequestOptions, address: QueueAddress, remainingMs: number): Promise<WorkflowReply> {
   const { log } = options
   const found = findQueue(getState(log).catalog, address)
   if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, remainingMs)
-  if (found.rest === '') return { kind: 'queue', pending: countPending(getState(log), found.queue.name) }
+  if (found.rest === '') return { kind: 'queue', pending: countPending(options.getView()?.open.list() ?? Object.values(getState(log).workflows), found.queue.name) }
   const record = getState(log).workflows[found.rest]
   if (record !== undefined) return { kind: 'status', status: getStatus(record) }
   const absence = await confirmAbsence(options, { kind: 'no-workflow' }, remainingMs)
@@ -107,7 +144,7 @@
 }
 
 /** A host that was frozen may miss what others recorded, so absence is only reported after a majority was asked. */
-async function confirmAbsence (options: WorkflowServiceOptions, reply: WorkflowReply, remainingMs: number): Promise<WorkflowReply> {
+async function confirmAbsence (options: RequestOptions, reply: WorkflowReply, remainingMs: number): Promise<WorkflowReply> {
   const { log, clock } = options
   if (getState(log).catalog === undefined) return { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: 'no-catalog' }
   const current = await log.readBarrier(clock.now() + remainingMs - REPLY_RESERVE_MS)
@@ -126,6 +163,6 @@
 }
 
 /** Accepted workflows of a queue none of whose tasks has been started. */
-export function countPending (state: WorkflowsState, queue: string): number {
-  return Object.values(state.workflows).filter((record) => record.queue === queue && record.outcome === undefined && !record.started).length
+export function countPending (records: readonly WorkflowRecord[], queue: string): number {
+  return records.filter((record) => record.queue === queue && record.outcome === undefined && !record.started).length
 }
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -35,6 +35,8 @@
   readonly health: WorkerHealth
   isActive (): boolean
   getAuthorityAt (): number
+  /** What the scheduler is behind with at a priority or before it. */
+  getSchedulerLoad: Dispatcher['getLoad']
   stop (): void
 }
 
@@ -258,7 +260,7 @@
   Object.keys(state.workers).forEach(addSession)
   runAuthority()
   dispatcher.schedule()
-  return { fence, sessions, health, isActive, getAuthorityAt: () => authorityAt, stop }
+  return { fence, sessions, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, stop }
 }
 
 /** How long ago a majority of the voters, this host included, was heard. */
--- a/src/coordination/workflows/waiting.ts
+++ b/src/coordination/workflows/waiting.ts
@@ -12,6 +12,8 @@
   blockedUntil: number
   /** Some of it had no room when it was last tried. */
   isBlocked: boolean
+  /** Workers have room for some of it, and the scheduler has not come to it. */
+  isBehind: boolean
 }
 
 export interface WaitingWork {
@@ -45,7 +47,7 @@
     const works = listWaiting(record, queue, wallTime).map((group): WaitingWork => {
       const key = getGroupKey(group)
       const progress = before.find((work) => work.key === key)?.progress
-      return { key, kind: getKind(group), isBounded: group.step.maxPerWorker !== undefined, group, progress: progress ?? { idleSince: undefined, isStarved: false, blockedUntil: -Infinity, isBlocked: false } }
+      return { key, kind: getKind(group), isBounded: group.step.maxPerWorker !== undefined, group, progress: progress ?? { idleSince: undefined, isStarved: false, blockedUntil: -Infinity, isBlocked: false, isBehind: false } }
     })
     const dueAt = findNextStart(record, wallTime)
     if (works.length > 0 || dueAt < Infinity) known.set(id, { works, dueAt })
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -28,7 +28,7 @@
 const MS_PER_S = 1000
 
 /** Sizes of a load; the largest site has 342 workers, some 870 starts a second and 2,000 waiting tasks. */
-export interface DispatchLoadOptions { workers: number, endsPerSecond: number, waitingTasks: number, seed: number }
+export interface DispatchLoadOptions { workers: number, endsPerSecond: number, waitingTasks: number, seed: number, isBusy? (worker: string): boolean }
 
 export interface DispatchFigures { placed: number, passes: number, busyMs: number, waiting: number, parts: Map<string, number> }
 
@@ -43,7 +43,7 @@
 }
 
 /** A dispatcher over a state in memory whose workers are full, with a backlog of short work that never empties. */
-export function createDispatchLoad ({ workers, endsPerSecond, waitingTasks, seed }: DispatchLoadOptions): DispatchLoad {
+export function createDispatchLoad ({ workers, endsPerSecond, waitingTasks, seed, isBusy }: DispatchLoadOptions): DispatchLoad {
   const random = createRandom(seed)
   const clock = createManualClock(10_000)
   const state = createWorkflowsState()
@@ -178,6 +178,7 @@
     },
     stopRun: () => {},
     isClosing: () => false,
+    isBusy: (worker) => isBusy?.(worker) ?? false,
     wake: createSignal(clock)
   })
   dispatchers.push(dispatcher)
--- a/test/workflows/groups.test.ts
+++ b/test/workflows/groups.test.ts
@@ -57,3 +57,15 @@
   const group = createGroup({ lasting: true })
   expect([place(group, full()), place({ ...group, isResumed: true }, full())]).toEqual([[], ['w1']])
 })
+
+test('a worker whose starts are not confirmed yet takes only lasting tasks that have stopped', () => {
+  const busy = (): Placing[] => [createWorker('w1', { isBusy: true })]
+  const group = createGroup({ lasting: true })
+  expect([place(createGroup({}), busy()), place(group, busy()), place({ ...group, isResumed: true }, busy())]).toEqual([[], [], ['w1']])
+})
+
+test('a gang that is not placed takes no room from those who are placed after it', () => {
+  const served = createWorker('w1', { serving: [{ step: undefined, image: 'desk', targetMs: 18 }], spareCores: 5 })
+  place(createGroup({ count: 2, gang: true, fills: true }), [served])
+  expect([served.spareCores, served.filling.length, place(createGroup({ count: 1, cores: 4, fills: true }), [served])]).toEqual([5, 0, ['w1']])
+})
