--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -39,6 +39,8 @@
   getAuthorityAt (): number
   /** Takes what a host that keeps sessions has seen, and tells it what to stop. */
   exchange (from: string, request: SessionsRequest): SessionsReply
+  /** What the scheduler is behind with at a priority or before it. */
+  getSchedulerLoad: Dispatcher['getLoad']
   stop (): void
 }
 
@@ -274,7 +276,7 @@
   Object.keys(state.workers).forEach(views.syncWorker)
   runAuthority()
   dispatcher.schedule()
-  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, exchange, stop }
+  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, exchange, stop }
 }
 
 /** How long ago a majority of the voters, this host included, was heard. */
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -28,7 +28,7 @@
 const MS_PER_S = 1000
 
 /** Sizes of a load; the largest site has 342 workers, some 870 starts a second and 2,000 waiting tasks. */
-export interface DispatchLoadOptions { workers: number, endsPerSecond: number, waitingTasks: number, seed: number }
+export interface DispatchLoadOptions { workers: number, endsPerSecond: number, waitingTasks: number, seed: number, isBusy? (worker: string): boolean }
 
 export interface DispatchFigures { placed: number, passes: number, busyMs: number, waiting: number, parts: Map<string, number> }
 
@@ -43,7 +43,7 @@
 }
 
 /** A dispatcher over a state in memory whose workers are full, with a backlog of short work that never empties. */
-export function createDispatchLoad ({ workers, endsPerSecond, waitingTasks, seed }: DispatchLoadOptions): DispatchLoad {
+export function createDispatchLoad ({ workers, endsPerSecond, waitingTasks, seed, isBusy }: DispatchLoadOptions): DispatchLoad {
   const random = createRandom(seed)
   const clock = createManualClock(10_000)
   const state = createWorkflowsState()
@@ -112,11 +112,12 @@
     short[position] = short.at(-1) as [string, string]
     short.pop()
     const session = sessions.get(worker)
-    workflowHandlers['workflow.end'](state, { lives: [{ worker, bornAt: 1, ends: [[0, task, session?.runs.get(task)?.attempt ?? 1, 'succeeded', '']] }], judge: { host: '', division: 0 }, at: clock.wall() })
+    workflowHandlers['workflow.end'](state, { lives: [{ worker, bornAt: 1, ends: [[0, task, session?.runs.get(task)?.attempt ?? 1, 'succeeded', '']] }], judge: { host: 'h1', division: 1 }, at: clock.wall() })
     session?.runs.delete(task)
     markTask(task, worker)
   }
 
+  workflowHandlers['sessions.divide'](state, { hosts: [{ host: 'h1', availabilityZone: 'a' }] })
   workflowHandlers['catalog.put'](state, {
     catalog: {
       version: 1,
@@ -178,6 +179,7 @@
     },
     stopRun: () => {},
     isClosing: () => false,
+    isBusy: (worker) => isBusy?.(worker) ?? false,
     wake: createSignal(clock)
   })
   dispatchers.push(dispatcher)
