--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -14,8 +14,9 @@
     isOpen = await sendStart(context, session, run, tries)
   }
   run.starting = false
-  // A worker that answers looks and no starts would keep the task for good.
-  if (isOpen && run.unanswered && run.confirmedAt === undefined) {
+  // A worker that answers looks and no starts would keep the task for good. Connections that are reset fail at once, so the time counts.
+  const isOverdue = context.clock.now() >= run.assignedAt + MAX_START_TRIES * ORDER_TIMEOUT_MS
+  if (isOpen && isOverdue && run.unanswered && run.confirmedAt === undefined) {
     context.onRefused(session, run, 'no-answer')
     stopRun(context, session, run, 'no-answer')
   }
