Compare the cost of placing at two sizes with the same work before each pass

Cause: placingCost.test.ts played 870 ends a second on 34 workers as well, more than these have tasks for, so that the small load became a burst into empty workers after a second and the ratio meant little. The waiting index walks over open workflows only when all may have changed.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -84,16 +84,19 @@
   const isAvailable = (session: Session, life: WorkerLife): boolean =>
     session.reachable && !session.ended && !life.draining && !isClosing(session.worker) && !health.isPaused(session.worker)
 
-  const createEntry = (session: Session, record: WorkerRecord, now: number): Entry => ({
-    life: record.life,
-    session,
-    candidate: createCandidate(sharing, findShape, record, session),
-    tasks: new Set(Object.keys(record.assigned)),
-    isUsable: false,
-    isChanged: false,
-    hasStrays: session.strays.size > 0,
-    renewAt: now + CANDIDATE_AGE_MS
-  })
+  const createEntry = (session: Session, record: WorkerRecord, now: number): Entry => {
+    const tasks = Object.keys(record.assigned)
+    return {
+      life: record.life,
+      session,
+      candidate: createCandidate(sharing, findShape, record, tasks, session),
+      tasks: new Set(tasks),
+      isUsable: false,
+      isChanged: false,
+      hasStrays: session.strays.size > 0,
+      renewAt: now + CANDIDATE_AGE_MS
+    }
+  }
 
   /** The entry of a worker, counted anew where needed, and whether it has more room than before. */
   const updateEntry = (session: Session, record: WorkerRecord, now: number): { entry: Entry, isFreed: boolean } => {
@@ -157,7 +160,7 @@
     candidate.freeMemoryMb > before.freeMemoryMb || candidate.freeAccelerators > before.freeAccelerators
 }
 
-function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, session: Session): Placing {
+function createCandidate (sharing: Sharing, findShape: (task: string) => TaskShape | undefined, { life, assigned }: WorkerRecord, tasks: readonly string[], session: Session): Placing {
   const candidate: Placing = {
     id: life.id,
     service: life.service,
@@ -182,7 +185,7 @@
     const shape = findShape(task)
     if (shape !== undefined) addRun(candidate, shape.step, shape.peerKey, sharing)
   }
-  Object.keys(assigned).forEach(addShape)
+  tasks.forEach(addShape)
   if (session.strays.size === 0) return candidate
   const strays = [...session.strays.keys()].map((key) => key.slice(0, key.lastIndexOf('#')))
   strays.filter((task) => assigned[task] === undefined).forEach(addShape)
--- a/src/coordination/workflows/waiting.ts
+++ b/src/coordination/workflows/waiting.ts
@@ -36,13 +36,20 @@
 
 /** Keeps the waiting tasks of each open workflow until it changes; most workflows do not change between two passes. */
 export function createWaitingIndex (getState: () => WorkflowsState): WaitingIndex {
-  const open = createOpenWorkflows(getState)
   const known = new Map<string, Known>()
   const changed = new Set<string>()
+  /** Workflows that have not ended, also those of which nothing waits. */
+  const open = new Set<string>()
   let source: WorkflowsState['workflows'] | undefined
 
+  const remove = (id: string): void => {
+    known.delete(id)
+    open.delete(id)
+  }
+
   const update = (record: WorkflowRecord, queue: Queue | undefined, wallTime: number): void => {
     const { id } = record.workflow
+    open.add(id)
     const before = known.get(id)?.works ?? []
     const works = listWaiting(record, queue, wallTime).map((group): WaitingWork => {
       const key = getGroupKey(group)
@@ -56,20 +63,19 @@
 
   return {
     markChanged: (workflow) => {
-      open.markChanged(workflow)
-      if (workflow === undefined) source = undefined
+      if (workflow === undefined) open.forEach((id) => changed.add(id))
       else changed.add(workflow)
     },
     list: (wallTime) => {
       const { workflows, catalog } = getState()
       const queues = new Map(catalog?.queues.map((queue) => [queue.name, queue]) ?? [])
-      const records = open.list()
-      if (source !== workflows) records.forEach((record) => changed.add(record.workflow.id))
+      // A snapshot replaces the state as a whole.
+      if (source !== workflows) [...open, ...Object.keys(workflows)].forEach((id) => changed.add(id))
       source = workflows
       known.forEach(({ dueAt }, id) => { if (wallTime >= dueAt || workflows[id]?.outcome !== undefined || workflows[id] === undefined) changed.add(id) })
       changed.forEach((id) => {
         const record = workflows[id]
-        if (record === undefined || record.outcome !== undefined) known.delete(id)
+        if (record === undefined || record.outcome !== undefined) remove(id)
         else update(record, queues.get(record.queue), wallTime)
       })
       changed.clear()
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -21,6 +21,7 @@
 const FILLING_CORES = 3
 const FILLING_IMAGES = 10
 const TASKS_PER_GROUP = 14
+/** How often tasks end and arrive, unless the load says otherwise. */
 const TICK_MS = 8
 const COMMIT_MS = 12
 const READING_MS = 500
@@ -28,7 +29,7 @@
 const MS_PER_S = 1000
 
 /** Sizes of a load; the largest site has 342 workers, some 870 starts a second and 2,000 waiting tasks. */
-export interface DispatchLoadOptions { workers: number, endsPerSecond: number, waitingTasks: number, seed: number, isBusy? (worker: string): boolean }
+export interface DispatchLoadOptions { workers: number, endsPerSecond: number, waitingTasks: number, seed: number, tickMs?: number, isBusy? (worker: string): boolean }
 
 export interface DispatchFigures { placed: number, passes: number, busyMs: number, waiting: number, parts: Map<string, number> }
 
@@ -44,7 +45,7 @@
 }
 
 /** A dispatcher over a state in memory whose workers are full, with a backlog of short work that never empties. */
-export function createDispatchLoad ({ workers, endsPerSecond, waitingTasks, seed, isBusy }: DispatchLoadOptions): DispatchLoad {
+export function createDispatchLoad ({ workers, endsPerSecond, waitingTasks, seed, tickMs = TICK_MS, isBusy }: DispatchLoadOptions): DispatchLoad {
   const random = createRandom(seed)
   const clock = createManualClock(10_000)
   const state = createWorkflowsState()
@@ -187,7 +188,7 @@
   let observedAt = clock.now()
 
   const playTick = async (): Promise<number> => {
-    owedEnds += endsPerSecond * TICK_MS / MS_PER_S
+    owedEnds += endsPerSecond * tickMs / MS_PER_S
     while (owedEnds >= 1 && short.length > 0) {
       endTask(random.below(short.length))
       owedEnds -= 1
@@ -200,7 +201,7 @@
     assignMs = 0
     const startedAt = performance.now()
     dispatcher.schedule()
-    await clock.advance(TICK_MS)
+    await clock.advance(tickMs)
     return performance.now() - startedAt - assignMs
   }
 
@@ -218,7 +219,7 @@
       parts.clear()
       let passes = 0
       let busyMs = 0
-      for (let passed = 0; passed < ms; passed += TICK_MS) {
+      for (let passed = 0; passed < ms; passed += tickMs) {
         busyMs += await playTick()
         passes += 1
       }
