--- /dev/null
+++ b/test/soak/workers.ts
@@ -0,0 +1,285 @@
+import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import { request } from 'undici'
+import { z } from 'zod'
+import type { Random } from '../../src/common/index.js'
+import { STOP_TIMEOUT_MS, type Ledger, type WorkerLife } from './ledger.js'
+import { openLink, splitAddress, type Link } from './links.js'
+
+const HEARTBEAT_MS = 1500
+const HEARTBEAT_WITHIN_MS = 1000
+const MAX_HOLD_MS = 10_000
+const MAX_WAIT_MS = 2000
+const MAX_LISTED_ENDS = 500
+/** Steady clocks of workers may be slow by this share. */
+const MAX_CLOCK_LAG = 0.02
+const LATE_ORDER_MS = 3000
+const WORKER_PORT = 21_010
+const LINK_PORT = 21_011
+
+const orderSchema = z.object({
+  task: z.string().default(''),
+  attempt: z.number().int().default(0),
+  spec: z.string().default(''),
+  deadlineMs: z.number().optional(),
+  fencingToken: z.number().default(0),
+  ackCursor: z.number().default(0),
+  waitMs: z.number().default(0)
+})
+type Order = z.infer<typeof orderSchema>
+
+interface Run { attempt: number, timer: NodeJS.Timeout | undefined, isStopping: boolean, startedAt: number }
+
+interface ListedEnd { number: number, task: string, attempt: number, how: string, done: ReturnType<Ledger['observeEnd']> }
+
+interface Life {
+  record: WorkerLife
+  born: number
+  originAt: number
+  rate: number
+  seq: number
+  fence: number
+  lastEnd: number
+  leaseUntil: number
+  leaseTimer: NodeJS.Timeout | undefined
+  running: Map<string, Run>
+  /** The highest attempt that was stopped or ended here, by task. */
+  closed: Map<string, number>
+  ends: ListedEnd[]
+  waiters: Set<() => void>
+}
+
+type Reply = [status: number, body: object]
+
+export interface StandInWorker {
+  name: string
+  link: Link
+  /** Faults of the worker itself. */
+  faults: { answerDelayMs: number, lateShare: number, isUnhealthy: boolean }
+  /** Everything that runs is gone; a new life starts at `rebornAt`, under the same id or a new one. */
+  crash (downMs: number, keepsId: boolean): void
+  restore (): void
+  close (): Promise<void>
+}
+
+export interface WorkerOptions { name: string, ip: string, service: string, rejectsOverload: boolean, zone: string, ledger: Ledger, random: Random, listControls: () => string[] }
+
+/** A stand-in for one of the platform's executors, by PROTOCOL.md. */
+export async function openWorker (options: WorkerOptions): Promise<StandInWorker> {
+  const { name, ip, service, rejectsOverload, ledger, random } = options
+  const link = await openLink(`*>${name}`, `${ip}:${LINK_PORT}`, `${ip}:${WORKER_PORT}`)
+  const faults = { answerDelayMs: 0, lateShare: 0, isUnhealthy: false }
+  const state: { id: string, life: Life | undefined, lives: number, isClosed: boolean } = { id: `i-${name}-0`, life: undefined, lives: 0, isClosed: false }
+
+  const createLife = (): Life => ({
+    record: { name: `${name}/${state.lives}`, service, rejectsOverload, capacity: { cpu: 4000, memMb: 8192 }, isUp: true },
+    born: Date.now(),
+    originAt: performance.now(),
+    rate: 1 - random.next() * MAX_CLOCK_LAG,
+    seq: 0,
+    fence: 0,
+    lastEnd: 0,
+    leaseUntil: 0,
+    leaseTimer: undefined,
+    running: new Map(),
+    closed: new Map(),
+    ends: [],
+    waiters: new Set()
+  })
+
+  const getClock = (life: Life): number => (performance.now() - life.originAt) * life.rate
+
+  const addEnd = (life: Life, task: string, how: string): void => {
+    const run = life.running.get(task)
+    if (run === undefined || !life.record.isUp) return
+    clearTimeout(run.timer)
+    life.running.delete(task)
+    life.closed.set(task, Math.max(life.closed.get(task) ?? 0, run.attempt))
+    life.lastEnd += 1
+    life.ends.push({ number: life.lastEnd, task, attempt: run.attempt, how, done: ledger.observeEnd(life.record, task, run.attempt, how) })
+    life.waiters.forEach((wake) => wake())
+  }
+
+  const expireLease = (life: Life): void => {
+    if (!life.record.isUp) return
+    const left = life.leaseUntil - getClock(life)
+    if (left > 0) {
+      life.leaseTimer = setTimeout(() => expireLease(life), Math.ceil(left / life.rate))
+      return
+    }
+    life.leaseTimer = undefined
+    ledger.trace('lease-expired', { worker: life.record.name })
+    life.ends.forEach((end) => { if (end.done !== undefined) end.done.lapsed = true })
+    ;[...life.running.keys()].forEach((task) => addEnd(life, task, 'lapsed'))
+  }
+
+  const extendLease = (life: Life, deadline: number | undefined): void => {
+    if (deadline === undefined) return
+    life.leaseUntil = Math.max(life.leaseUntil, Math.min(deadline, getClock(life) + MAX_HOLD_MS))
+    if (life.leaseTimer === undefined) expireLease(life)
+  }
+
+  const hasRoom = (life: Life, task: string): boolean => {
+    const used = [...life.running.keys(), task].map((one) => ledger.findStep(one))
+    return used.reduce((sum, step) => sum + (step?.cpu ?? 0), 0) <= life.record.capacity.cpu && used.reduce((sum, step) => sum + (step?.memMb ?? 0), 0) <= life.record.capacity.memMb
+  }
+
+  const startRun = (life: Life, { task, attempt, spec }: Order): void => {
+    const step = ledger.findStep(task)
+    ledger.observeStart(life.record, task, attempt, spec)
+    const mayFail = step !== undefined && ledger.getFailures(task) < step.failures
+    const runMs = (step?.runMs ?? 0) * (0.7 + 0.6 * random.next())
+    const timer = step?.lasting === true ? undefined : setTimeout(() => addEnd(life, task, mayFail ? 'failed' : 'done'), runMs)
+    life.running.set(task, { attempt, timer, isStopping: false, startedAt: performance.now() })
+    ledger.checkLoad(life.record)
+  }
+
+  const handlers: Record<string, (life: Life, order: Order) => Reply | Promise<Reply>> = {
+    '/run-start': (life, order) => {
+      const run = life.running.get(order.task)
+      if (order.deadlineMs !== undefined && order.deadlineMs <= getClock(life)) return [409, { reason: 'late' }]
+      extendLease(life, order.deadlineMs)
+      if (run?.attempt === order.attempt && !run.isStopping) return [200, {}]
+      if (order.attempt <= Math.max(life.closed.get(order.task) ?? 0, run?.attempt ?? 0)) return [409, { reason: 'old' }]
+      if (rejectsOverload && !hasRoom(life, order.task)) return [409, { reason: 'room' }]
+      startRun(life, order)
+      return [200, {}]
+    },
+    '/run-stop': (life, { task, attempt }) => {
+      const run = life.running.get(task)
+      life.closed.set(task, Math.max(life.closed.get(task) ?? 0, attempt))
+      if (run === undefined || run.attempt > attempt || run.isStopping) return [200, {}]
+      run.isStopping = true
+      setTimeout(() => addEnd(life, task, 'stopped'), random.next() * STOP_TIMEOUT_MS * 0.9)
+      return [200, {}]
+    },
+    '/hold': async (life, { ackCursor, deadlineMs, waitMs }) => {
+      extendLease(life, deadlineMs)
+      life.ends.filter((end) => end.number <= ackCursor).forEach((end) => { if (end.done !== undefined) ledger.observeRecorded(end.task, end.done) })
+      life.ends = life.ends.filter((end) => end.number > ackCursor)
+      if (life.ends.length === 0 && waitMs > 0) await waitForEnd(life, Math.min(waitMs, MAX_WAIT_MS))
+      return [200, {
+        running: [...life.running].map(([task, run]) => [task, run.attempt, '', 50, 500]),
+        finished: life.ends.slice(0, MAX_LISTED_ENDS).map((end) => [end.number, end.task, end.attempt, end.how, ''])
+      }]
+    }
+  }
+
+  const execute = async (life: Life, path: string, order: Order): Promise<Reply> => {
+    if (order.fencingToken < life.fence) return [409, { reason: 'fence' }]
+    life.fence = order.fencingToken
+    return await handlers[path]?.(life, order) ?? [404, {}]
+  }
+
+  const handleOrder = async (incoming: IncomingMessage, answer: ServerResponse): Promise<void> => {
+    const chunks: Buffer[] = []
+    for await (const chunk of incoming) chunks.push(chunk as Buffer)
+    const { life } = state
+    if (life === undefined) {
+      incoming.socket.destroy()
+      return
+    }
+    const order = orderSchema.safeParse(JSON.parse(Buffer.concat(chunks).toString() || '{}'))
+    const path = incoming.url ?? ''
+    const sendReply = ([status, body]: Reply): void => {
+      if (!answer.destroyed) answer.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ clockMs: Math.floor(getClock(life)), born: life.born, ...body }))
+    }
+    if (incoming.headers['x-sequoiadrift-expect-instance'] !== state.id) return sendReply([421, {}])
+    if (!order.success) return sendReply([400, {}])
+    if (faults.isUnhealthy && path !== '/hold') return sendReply([503, {}])
+    if (random.next() < faults.lateShare) {
+      // The sender gets no answer, and the order is executed after newer ones.
+      incoming.socket.destroy()
+      setTimeout(() => { if (state.life === life) execute(life, path, { ...order.data, waitMs: 0 }) }, random.next() * LATE_ORDER_MS)
+      return
+    }
+    const reply = await execute(life, path, order.data)
+    if (faults.answerDelayMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.answerDelayMs))
+    if (state.life === life) sendReply(reply)
+  }
+
+  const sendHeartbeat = async (life: Life): Promise<void> => {
+    const controls = options.listControls()
+    const first = random.below(controls.length)
+    life.seq += 1
+    const body = JSON.stringify({
+      service, address: link.address, zone: options.zone, version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, seq: life.seq, born: life.born, clockMs: Math.floor(getClock(life)), capacity: { ...life.record.capacity, gpu: 0 }, labels: ['kind-a', `rack-${options.zone}`]
+    })
+    for (const control of [...controls.slice(first), ...controls.slice(0, first)]) {
+      if (!life.record.isUp || state.isClosed) return
+      const url = `http://${control}/instances/${state.id}/heartbeat`
+      const status = await request(url, { method: 'POST', headers: { 'content-type': 'application/json' }, body, signal: AbortSignal.timeout(HEARTBEAT_WITHIN_MS) })
+        .then(async (reply) => {
+          await reply.body.dump()
+          return reply.statusCode
+        }, () => 0)
+      if (status === 200) return
+    }
+  }
+
+  const runHeartbeats = async (life: Life): Promise<void> => {
+    while (life.record.isUp && !state.isClosed) {
+      const nextAt = performance.now() + HEARTBEAT_MS
+      await sendHeartbeat(life)
+      await new Promise((resolve) => setTimeout(resolve, Math.max(0, nextAt - performance.now())))
+    }
+  }
+
+  const server = createServer((incoming, answer) => { handleOrder(incoming, answer).catch(() => incoming.socket.destroy()) })
+  const listen = (): Promise<void> => new Promise((resolve, reject) => server.once('error', reject).listen(splitAddress(`${ip}:${WORKER_PORT}`), resolve))
+
+  const startLife = (): void => {
+    state.lives += 1
+    state.life = createLife()
+    ledger.trace('life', { worker: state.life.record.name, id: state.id, born: state.life.born })
+    runHeartbeats(state.life)
+  }
+
+  const endLife = (): void => {
+    const { life } = state
+    if (life === undefined) return
+    state.life = undefined
+    clearTimeout(life.leaseTimer)
+    life.running.forEach((run) => clearTimeout(run.timer))
+    ledger.observeCrash(life.record)
+    life.waiters.forEach((wake) => wake())
+    server.closeAllConnections()
+    link.reset()
+  }
+
+  await listen()
+  startLife()
+  return {
+    name,
+    link,
+    faults,
+    crash: (downMs, keepsId) => {
+      if (state.life === undefined) return
+      endLife()
+      if (!keepsId) state.id = `i-${name}-${state.lives}`
+      setTimeout(() => { if (!state.isClosed) startLife() }, downMs)
+    },
+    restore: () => {
+      Object.assign(faults, { answerDelayMs: 0, lateShare: 0, isUnhealthy: false })
+      link.heal()
+    },
+    close: async () => {
+      state.isClosed = true
+      endLife()
+      await link.close()
+      server.closeAllConnections()
+      await new Promise((resolve) => server.close(resolve))
+    }
+  }
+}
+
+function waitForEnd (life: Life, withinMs: number): Promise<void> {
+  return new Promise((resolve) => {
+    const wake = (): void => {
+      clearTimeout(timer)
+      life.waiters.delete(wake)
+      resolve()
+    }
+    const timer = setTimeout(wake, withinMs)
+    life.waiters.add(wake)
+  })
+}
