--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -46,6 +46,8 @@
   const traffic = openTraffic({ hosts, ledger, random: createRandom(seed + 1), clients: 2 * entries, jobsPerS: Math.min(MAX_JOBS_PER_S, workers * JOBS_PER_WORKER_S) })
   const timer = setInterval(() => ledger.check(), CHECK_MS)
   const stopping = new AbortController()
+  const handleSignal = (): void => { hosts.close().then(() => process.exit(1)) }
+  process.once('SIGINT', handleSignal).once('SIGTERM', handleSignal)
   try {
     ledger.disturb('start')
     await Promise.all(hosts.list.map((host) => hosts.start(host)))
@@ -64,6 +66,7 @@
     await traffic.close()
     await Promise.all(standIns.map((worker) => worker.close()))
     await hosts.close()
+    process.off('SIGINT', handleSignal).off('SIGTERM', handleSignal)
   }
   const header = `seed ${seed}, ${seconds} s, ${voters} voters, ${entries} entries, ${workers} workers`
   if (ledger.broken.length === 0) await rm(folder, { recursive: true, force: true })
