--- a/test/soak/clients.ts
+++ b/test/soak/clients.ts
@@ -7,6 +7,7 @@
 const PATIENCE_MS = 3000
 const MAX_ATTEMPTS = 6
 const RETRY_MS = 200
+const MAX_LASTING = 8
 const MAX_CONNECTIONS = 16
 const KEEP_ALIVE_MS = 50_000
 const FOLLOW_MS = 500
@@ -108,6 +109,8 @@
 
   const planSteps = (kind: string): StepPlan[] => {
     if (kind === 'lasting') return [{ count: 1 + random.below(2), cpu: 300, memMb: 128, runMs: 0, dependsOn: [], lasting: true, failures: 0 }]
+    // Runs that outlast a lease without renewal show whether a host waits for its end.
+    if (kind === 'long') return [{ count: 1 + random.below(3), cpu: 200, memMb: 128, runMs: 4000 + random.below(1000), dependsOn: [], lasting: false, failures: 0 }]
     return Array.from({ length: 1 + random.below(3) }, (_, number) => ({
       count: 1 + random.below(5),
       cpu: 200 + 100 * random.below(10),
@@ -170,8 +173,9 @@
       avoid = connections.get(client)?.host ?? avoid
       await wait(RETRY_MS)
     }
-    counts.unclear += 1
-    return false
+    await copy
+    if (job.acceptedAt === undefined) counts.unclear += 1
+    return job.acceptedAt !== undefined
   }
 
   const readState = async (client: string, job: JobRecord): Promise<string> => {
@@ -199,13 +203,13 @@
 
   const runJob = async (client: string): Promise<void> => {
     const draw = random.next()
-    const kind = draw < 0.08 ? 'lasting' : 'batch'
+    const kind = draw < 0.08 ? 'lasting' : draw < 0.25 ? 'long' : 'batch'
     const place = random.next()
     const queue = place < 0.04 ? NO_QUEUE : place < 0.12 ? EXTRA_QUEUE : random.pick(SERVICES).name
     const lastingOpen = [...ledger.jobs.values()].filter((job) => job.steps[0]?.lasting === true && job.cancelSentAt === undefined).length
     state.nextId += 1
     const id = (state.nextId * 0x10000 + random.below(0x10000)).toString(16).padStart(16, '0')
-    const job = ledger.addJob({ id, queue, spec: `spec ${id}`, steps: planSteps(kind === 'lasting' && lastingOpen < 8 ? 'lasting' : 'batch') })
+    const job = ledger.addJob({ id, queue, spec: `spec ${id}`, steps: planSteps(kind === 'lasting' && lastingOpen >= MAX_LASTING ? 'batch' : kind) })
     if (!await runSubmission(client, job)) {
       if (job.isUnclear && random.next() < 0.5) await cancel(client, job)
       return
