--- a/test/soak/workers.ts
+++ b/test/soak/workers.ts
@@ -13,6 +13,8 @@
 /** Steady clocks of workers may be slow by this share. */
 const MAX_CLOCK_LAG = 0.02
 const LATE_ORDER_MS = 3000
+/** A lasting run is at work after this. */
+const STARTUP_MS = 300
 const WORKER_PORT = 21_010
 const LINK_PORT = 21_011
 
@@ -27,7 +29,7 @@
 })
 type Order = z.infer<typeof orderSchema>
 
-interface Run { attempt: number, timer: NodeJS.Timeout | undefined, isStopping: boolean, startedAt: number }
+interface Run { attempt: number, timer: NodeJS.Timeout | undefined, isStopping: boolean, startedAt: number, runMs: number }
 
 interface ListedEnd { number: number, task: string, attempt: number, how: string, done: ReturnType<Ledger['observeEnd']> }
 
@@ -127,9 +129,9 @@
     const step = ledger.findStep(task)
     ledger.observeStart(life.record, task, attempt, spec)
     const mayFail = step !== undefined && ledger.getFailures(task) < step.failures
-    const runMs = (step?.runMs ?? 0) * (0.7 + 0.6 * random.next())
-    const timer = step?.lasting === true ? undefined : setTimeout(() => addEnd(life, task, mayFail ? 'failed' : 'done'), runMs)
-    life.running.set(task, { attempt, timer, isStopping: false, startedAt: performance.now() })
+    const runMs = step?.lasting === true ? Infinity : (step?.runMs ?? 0) * (0.7 + 0.6 * random.next())
+    const timer = runMs === Infinity ? undefined : setTimeout(() => addEnd(life, task, mayFail ? 'failed' : 'done'), runMs)
+    life.running.set(task, { attempt, timer, isStopping: false, startedAt: performance.now(), runMs })
     ledger.checkLoad(life.record)
   }
 
@@ -158,7 +160,7 @@
       life.ends = life.ends.filter((end) => end.number > ackCursor)
       if (life.ends.length === 0 && waitMs > 0) await waitForEnd(life, Math.min(waitMs, MAX_WAIT_MS))
       return [200, {
-        running: [...life.running].map(([task, run]) => [task, run.attempt, '', 50, 500]),
+        running: [...life.running].map(([task, run]) => [task, run.attempt, '', computePercent(run), 500]),
         finished: life.ends.slice(0, MAX_LISTED_ENDS).map((end) => [end.number, end.task, end.attempt, end.how, ''])
       }]
     }
@@ -284,6 +286,12 @@
   }
 }
 
+/** A lasting run is at work after its startup; any other shows its progress. */
+function computePercent ({ startedAt, runMs }: Run): number {
+  const ranMs = performance.now() - startedAt
+  return Math.min(100, Math.floor(100 * ranMs / (runMs === Infinity ? STARTUP_MS : runMs)))
+}
+
 function waitForEnd (life: Life, withinMs: number): Promise<void> {
   return new Promise((resolve) => {
     const wake = (): void => {
