--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -101,7 +101,8 @@
 
 /** Records that an assigned run is not there, so that its task waits again. */
 export async function releaseRun (context: SessionContext, session: Session, run: Run, cause: EndCause): Promise<void> {
-  if (session.runs.get(run.task) !== run) return
+  // The judgement of an ended session says nothing about what the worker's next host has ordered.
+  if (session.ended || session.runs.get(run.task) !== run) return
   await context.recordEnds(session.worker, session.bornAt, [[0, run.task, run.attempt, cause, '']])
 }
 
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -1,14 +1,14 @@
 import type { Clock, Logger, Metrics, Network, WorkMeter } from '../../common/index.js'
 import { findSessionHost, findTask, parseTaskName, type AgreedLog, type Entry, type Judge, type WorkflowsState } from '../../state/index.js'
-import { createClockWatch } from './clockWatch.js'
 import { createEndRecorder } from './endRecorder.js'
+import { createLeaderExchange } from './leaderExchange.js'
 import type { WorkerClient } from './orders.js'
 import { startRun, stopRun } from './runOrders.js'
 import { runSession } from './session.js'
-import { SESSIONS_MESSAGE, type ReportedRefusal, type ReportedRun, type ReportedStart, type SessionsReply, type SessionsRequest, type StopOrder, type WorkerReport } from './sessionMessages.js'
+import type { SessionsReply, SessionsRequest } from './sessionMessages.js'
 import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
 import { createStartQueue } from './startQueue.js'
-import { AUTHORITY_CHECK_MS, EXCHANGE_MS, EXCHANGE_TIMEOUT_MS, IDLE_EXCHANGE_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, REPORT_WORKER_MS, SESSION_AUTHORITY_MS, SWEEP_MS } from './timing.js'
+import { AUTHORITY_CHECK_MS, EXCHANGE_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, SWEEP_MS } from './timing.js'
 
 export interface SessionHostOptions {
   clock: Clock
@@ -37,21 +37,15 @@
  * decides and this host carries out, so that the work of orders is spread over all hosts with a replica of the log.
  */
 export function createSessionHost (options: SessionHostOptions): SessionHost {
-  const { clock, logger, log, network } = options
-  const { self } = network
+  const { clock, logger, log } = options
+  const { self } = options.network
   const sessions = new Map<string, Session>()
   const stopping = new AbortController()
   const getState = (): WorkflowsState => log.state().workflows
   const getJudge = (): Judge => ({ host: self, division: getState().division })
   const recorder = createEndRecorder({ ...options, getJudge })
-  const watch = createClockWatch(clock)
   const starts = createStartQueue({ limit: MAX_STARTS_IN_FLIGHT, workerLimit: MAX_STARTS_PER_WORKER })
-  /** Workers with news for the leader, and when each was last reported. */
-  const news = new Set<string>()
-  const reportedAt = new Map<string, number>()
-  const state = { fence: 0, authorityAt: -Infinity, grantedAt: -Infinity, clockMark: 0, grantedFrom: Infinity, lastStop: 0, leader: undefined as string | undefined, isLeaving: false }
-  let started: ReportedStart[] = []
-  let refused: ReportedRefusal[] = []
+  const exchange = createLeaderExchange({ ...options, sessions, stopRun: (session, run, reason) => { stopRun(context, session, run, reason) } })
 
   const isOwn = (worker: string): boolean => {
     const record = getState().workers[worker]
@@ -66,26 +60,22 @@
     work: options.work,
     client: options.client,
     starts,
-    get fence () { return state.fence },
+    get fence () { return exchange.getFence() },
     getState,
-    // A host that was suspended cannot tell by its clock how old its authority is.
-    isActive: () => clock.now() - state.authorityAt < SESSION_AUTHORITY_MS && !watch.hasJumped(state.clockMark),
+    isActive: exchange.isActive,
     isStopped: () => stopping.signal.aborted,
-    getAuthorityAt: () => state.authorityAt,
+    getAuthorityAt: exchange.getAuthorityAt,
     recordEnds: recorder.recordEnds,
     expireLife: (worker, bornAt) => proposeChange({ kind: 'life.expire', worker, bornAt, judge: getJudge(), at: clock.wall() }),
     removeLife: (worker, bornAt) => proposeChange({ kind: 'life.remove', worker, bornAt, judge: getJudge(), at: clock.wall() }),
     onFenced: (worker) => {
-      logger.warn('sessions.fenced', { worker, fence: state.fence })
-      state.authorityAt = -Infinity
+      logger.warn('sessions.fenced', { worker, fence: exchange.getFence() })
+      exchange.dropAuthority()
     },
-    onReply: (session) => { news.add(session.worker) },
-    onStarted: (session, run) => { started.push([session.worker, run.task, run.attempt]) },
-    onRefused: (session, run, reason) => { refused.push([session.worker, run.task, run.attempt, reason]) },
-    onReachable: (session) => {
-      news.add(session.worker)
-      reportedAt.delete(session.worker)
-    }
+    onReply: (session) => exchange.addNews(session.worker, false),
+    onStarted: (session, run) => exchange.addStart([session.worker, run.task, run.attempt]),
+    onRefused: (session, run, reason) => exchange.addRefusal([session.worker, run.task, run.attempt, reason]),
+    onReachable: (session) => exchange.addNews(session.worker, true)
   }
 
   const addSession = (worker: string): void => {
@@ -95,7 +85,7 @@
     if (existing !== undefined) removeSession(existing)
     const session = createSession(context, record.life)
     sessions.set(worker, session)
-    news.add(worker)
+    exchange.addNews(worker, true)
     Object.keys(record.assigned).forEach((task) => addRun(session, task, false, undefined))
     runSession(context, session).catch((error: unknown) => {
       logger.error('worker.session-failed', { worker, message: error instanceof Error ? error.stack : String(error) })
@@ -106,13 +96,12 @@
     session.ended = true
     session.wake.notify()
     sessions.delete(session.worker)
-    news.delete(session.worker)
-    reportedAt.delete(session.worker)
+    exchange.removeNews(session.worker)
   }
 
   const addRun = (session: Session, task: string, isNew: boolean, ticket: string | undefined): Run => {
     // What was assigned before the first grant of this process may have been ordered by an earlier one.
-    const isFirstOrder = isNew && (log.status().appliedIndex > state.grantedFrom)
+    const isFirstOrder = isNew && log.status().appliedIndex > exchange.getGrantedFrom()
     const run = createRun(task, findTask(getState(), task)?.attempt ?? 1, clock.now(), isFirstOrder)
     run.ticket = ticket
     session.runs.set(task, run)
@@ -211,94 +200,14 @@
     handler?.(entry)
   }))
 
-  const createReport = (session: Session): WorkerReport => {
-    const now = clock.now()
-    const runs = [...session.runs.values()].flatMap(({ task, attempt, row, startedAt }): ReportedRun[] =>
-      row === undefined ? [] : [[task, attempt, row.percent, row.reading ?? null, Math.round(now - (startedAt ?? now))]])
-    return { worker: session.worker, bornAt: session.bornAt, reachable: session.reachable, runs, strays: [...session.strays.keys()] }
-  }
-
-  /** Everything that the leader has not been told; a worker that reports often is reported at intervals. */
-  const takeNews = (): Pick<SessionsRequest, 'reports' | 'started' | 'refused'> => {
-    const now = clock.now()
-    const due = [...news].filter((worker) => now - (reportedAt.get(worker) ?? -Infinity) >= REPORT_WORKER_MS)
-    const reports = due.flatMap((worker) => {
-      news.delete(worker)
-      reportedAt.set(worker, now)
-      const session = sessions.get(worker)
-      return session === undefined ? [] : [createReport(session)]
-    })
-    const taken = { reports, started, refused }
-    started = []
-    refused = []
-    return taken
-  }
-
-  const receiveStops = (stops: readonly StopOrder[]): void => stops.forEach(([number, worker, task, attempt, reason]) => {
-    if (number <= state.lastStop) return
-    state.lastStop = number
-    const session = sessions.get(worker)
-    const run = session?.runs.get(task)
-    if (session !== undefined && run?.attempt === attempt && run.stopReason === undefined) stopRun(context, session, run, reason)
-  })
-
-  const receiveGrant = (leader: string, { fence, authorityAgeMs, stops }: Extract<SessionsReply, { kind: 'granted' }>, sentAt: number, clockMark: number): void => {
-    const isOther = leader !== state.leader || fence !== state.fence
-    if (isOther) {
-      logger.info('sessions.granted', { leader, fence, sessions: sessions.size })
-      // Another leader knows nothing yet of what was reported, and numbers its stops anew.
-      sessions.forEach((_session, worker) => news.add(worker))
-      reportedAt.clear()
-      state.lastStop = 0
-    }
-    const wasActive = context.isActive()
-    state.grantedFrom = Math.min(state.grantedFrom, log.status().appliedIndex)
-    Object.assign(state, { leader, fence, clockMark, grantedAt: clock.now(), authorityAt: sentAt - authorityAgeMs })
-    receiveStops(stops)
-    if (!wasActive) sessions.forEach((session) => session.wake.notify())
-  }
-
-  const sendExchange = async (leader: string, timeoutMs: number): Promise<SessionsReply | undefined> => {
-    const sentAt = clock.now()
-    const clockMark = watch.getMark()
-    const taken = takeNews()
-    const request: SessionsRequest = {
-      availabilityZone: options.availabilityZone,
-      process: options.process,
-      fence: state.fence,
-      appliedIndex: log.status().appliedIndex,
-      lastStop: state.lastStop,
-      isLeaving: state.isLeaving,
-      grantAgeMs: leader === state.leader ? sentAt - state.grantedAt : null,
-      ...taken
-    }
-    const result = leader === self ? undefined : await network.request(leader, SESSIONS_MESSAGE, request, sentAt + timeoutMs)
-    const reply = result === undefined ? options.exchangeHere(request) : result.ok ? result.val as SessionsReply : undefined
-    if (reply?.kind === 'granted') {
-      receiveGrant(leader, reply, sentAt, clockMark)
-      return reply
-    }
-    // What the leader may not have heard is told again.
-    taken.reports.forEach(({ worker }) => news.add(worker))
-    started = taken.started.concat(started)
-    refused = taken.refused.concat(refused)
-    return reply
-  }
-
   const runExchanges = async (): Promise<void> => {
-    let exchangedAt = -Infinity
     let sweptAt = -Infinity
     while (!stopping.signal.aborted) {
-      const { leader } = log.status()
       if (clock.now() - sweptAt >= SWEEP_MS) {
         sweptAt = clock.now()
         stopLeftovers()
       }
-      const hasNews = news.size > 0 || started.length > 0 || refused.length > 0
-      if (leader !== undefined && (hasNews || clock.now() - exchangedAt >= IDLE_EXCHANGE_MS)) {
-        const reply = await sendExchange(leader, EXCHANGE_TIMEOUT_MS)
-        if (reply?.kind === 'granted') exchangedAt = clock.now()
-      }
+      await exchange.sync()
       await clock.sleep(EXCHANGE_MS, stopping.signal)
     }
   }
@@ -306,7 +215,7 @@
   /** Waits until the leader has given this host's workers to others, as long as that may take. */
   const leave = async (): Promise<void> => {
     const deadline = clock.now() + LEAVE_TIMEOUT_MS
-    state.isLeaving = true
+    exchange.announceLeave()
     while (clock.now() < deadline && getState().sessionHosts.some(({ host }) => host === self)) await clock.sleep(AUTHORITY_CHECK_MS)
   }
 
