--- a/test/soak/workers.ts
+++ b/test/soak/workers.ts
@@ -168,7 +168,8 @@
 
   const execute = async (life: Life, path: string, order: Order): Promise<Reply> => {
     if (order.fencingToken < life.fence) return [409, { reason: 'fence' }]
-    life.fence = order.fencingToken
+    if (order.fencingToken < life.fence) ledger.report('ONE', `${life.record.name} executes ${path} for ${order.task} with token ${order.fencingToken} after ${life.fence}`)
+    life.fence = Math.max(life.fence, order.fencingToken)
     return await handlers[path]?.(life, order) ?? [404, {}]
   }
 
