Hear the voters at once after a jump of a clock

A leader whose clocks have moved against each other trusts no majority from before; with the next heartbeats it would answer nobody for up to 250 ms.

--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -208,7 +208,11 @@
     while (!stopping.signal.aborted) {
       const status = log.status()
       if (status.role !== 'leader' || status.term !== fence) return stop()
-      if (watch.hasJumped(clockMark)) countsFrom = clock.now()
+      if (watch.hasJumped(clockMark)) {
+        countsFrom = clock.now()
+        // Hears the voters now instead of with their next heartbeats.
+        log.readBarrier(clock.now() + AUTHORITY_MS)
+      }
       clockMark = watch.getMark()
       const heardAt = clock.now() - computeMajorityAge(status.progress)
       authorityAt = heardAt < countsFrom ? -Infinity : Math.max(authorityAt, heardAt)
