--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -5,11 +5,12 @@
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
 import { createClockWatch } from './clockWatch.js'
 import { createDivision } from './division.js'
+import { createLagWatch } from './lagWatch.js'
 import type { ReportedRefusal, SessionsReply, SessionsRequest, WorkerReport } from './sessionMessages.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { Sharing } from './sharing.js'
 import { createSignal } from './signal.js'
-import { AUTHORITY_CHECK_MS, AUTHORITY_MS, MAX_LAG_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
+import { AUTHORITY_CHECK_MS, AUTHORITY_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startUpkeep, type HostClient } from './upkeep.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
@@ -54,12 +55,7 @@
   let clockMark = watch.getMark()
   /** A majority heard before this may have been heard long ago: the clock has not counted the time of a suspension. */
   let countsFrom = -Infinity
-  /** Hosts give orders only once they have applied the division that is in force, so that each worker has one host. */
-  let dividedAt = log.status().appliedIndex
-  /** The process of each host, and the entry that it has to have applied before it gives orders: one that restarts lags. */
-  const joined = new Map<string, { process: string, index: number }>()
-  /** What was applied here some time ago, oldest first. */
-  let history: Array<{ at: number, index: number }> = []
+  const lag = createLagWatch(clock, () => log.status().appliedIndex)
   const getState = (): WorkflowsState => log.state().workflows
   const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < AUTHORITY_MS && !watch.hasJumped(clockMark)
   const views = createWorkerViews({
@@ -128,23 +124,6 @@
     if (reason === 'no-ticket') advisor.dropTicket(getStepName(task), worker)
   }
 
-  /** The entry that a host has to have applied before it may give orders. */
-  const getRequiredIndex = (from: string, process: string): number => {
-    const known = joined.get(from)
-    const current = known?.process === process ? known : { process, index: log.status().appliedIndex }
-    joined.set(from, current)
-    return Math.max(dividedAt, current.index, history[0]?.index ?? 0)
-  }
-
-  const recordHistory = (): void => {
-    const now = clock.now()
-    history.push({ at: now, index: log.status().appliedIndex })
-    const recent = history.findIndex(({ at }) => at > now - MAX_LAG_MS)
-    // The latest one that is old enough stays.
-    history = history.slice(Math.max(0, recent - 1))
-    if (history[0] !== undefined && history[0].at > now - MAX_LAG_MS) history.unshift({ at: -Infinity, index: 0 })
-  }
-
   const exchange = (from: string, request: SessionsRequest): SessionsReply => {
     if (!isActive()) return { kind: 'not-leader' }
     const grantedAt = request.grantAgeMs === null || request.fence !== fence ? -Infinity : clock.now() - request.grantAgeMs
@@ -155,7 +134,7 @@
       request.started.forEach(([worker, task, attempt]) => views.recordStart(worker, task, attempt))
       request.refused.forEach(observeRefusal)
     })
-    if (request.appliedIndex < getRequiredIndex(from, request.process)) return { kind: 'behind' }
+    if (request.appliedIndex < lag.getRequiredIndex(from, request.process)) return { kind: 'behind' }
     return { kind: 'granted', fence, authorityAgeMs: clock.now() - authorityAt, stops: views.takeStops(from, request, fence) }
   }
 
@@ -199,7 +178,7 @@
       dispatcher.schedule()
     },
     'sessions.divide': (_entry, index) => {
-      dividedAt = index
+      lag.recordDivision(index)
       views.syncHosts()
     }
   }
@@ -216,7 +195,7 @@
       clockMark = watch.getMark()
       const heardAt = clock.now() - computeMajorityAge(status.progress)
       authorityAt = heardAt < countsFrom ? -Infinity : Math.max(authorityAt, heardAt)
-      recordHistory()
+      lag.recordApplied()
       views.resendStops()
       if (isActive()) division.update()
       dispatcher.schedule()
--- a/test/workflows/sessions.test.ts
+++ b/test/workflows/sessions.test.ts
@@ -2,6 +2,7 @@
 import { chooseSessionHosts, type HostPresence } from '../../src/coordination/workflows/division.js'
 import { createManualClock } from '../../src/common/index.js'
 import { createClockWatch } from '../../src/coordination/workflows/clockWatch.js'
+import { createLagWatch } from '../../src/coordination/workflows/lagWatch.js'
 import { createWorkflowsState, findSessionHost, workflowHandlers } from '../../src/state/index.js'
 import type { RunEvent } from '../../src/fakes/runWorker.js'
 import { createHosts, type Hosts } from './support.js'
@@ -163,3 +164,20 @@
   clock.setWallOffset(4000)
   expect([drifted, watch.hasJumped(mark), watch.hasJumped(watch.getMark())]).toEqual([false, true, false])
 })
+
+test('a host gives orders from a log that is more than a second behind, or from one that its restart has set back', async () => {
+  const clock = createManualClock(1000)
+  let applied = 100
+  const lag = createLagWatch(clock, () => applied)
+  const joined = lag.getRequiredIndex('h2', 'p1')
+  lag.recordApplied()
+  applied = 500
+  await clock.advance(500)
+  lag.recordApplied()
+  const soon = lag.getRequiredIndex('h2', 'p1')
+  await clock.advance(1000)
+  lag.recordApplied()
+  const later = lag.getRequiredIndex('h2', 'p1')
+  lag.recordDivision(700)
+  expect([joined, soon, later, lag.getRequiredIndex('h2', 'p1'), createLagWatch(clock, () => 800).getRequiredIndex('h2', 'p2')]).toEqual([100, 100, 500, 700, 800])
+})
