--- a/src/bench/logLoadHost.ts
+++ b/src/bench/logLoadHost.ts
@@ -4,7 +4,7 @@
 import { openPeerNetwork } from '../transport/index.js'
 import { computeQuantile } from './placement.js'
 
-/** Entries a second of 870 task starts a second, measured on the grown deployment of incident inc1. */
+/** Entries a second of 870 task starts a second, as a deployment of 342 workers plays them. */
 const ASSIGNS_PER_SECOND = 40
 const ENDS_PER_SECOND = 200
 const SUBMITS_PER_SECOND = 30
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -78,7 +78,7 @@
 
 /**
  * Lasting tasks that have stopped come before everything: callers were promised that they run, they are a small part of
- * the load, and behind a backlog that never empties they would wait without end (inc1). Then priority, then work that ends before work that lasts, then what can still be on time, then what is due first.
+ * the load, and behind a backlog that never empties they would wait without end. Then priority, then work that ends before work that lasts, then what can still be on time, then what is due first.
  * On a burst of large jobs, most of the worth of a late workflow is lost whenever it ends, so it waits until those that
  * can be on time have room. With all cores taken by lasting work, short work gives more for each core.
  */
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -3,27 +3,13 @@
 import { createDivision } from '../../src/coordination/workflows/division.js'
 import { createSessionHost } from '../../src/coordination/workflows/sessionHost.js'
 import type { SessionsReply } from '../../src/coordination/workflows/sessionMessages.js'
-import { createFakeRunFleet, type RunEvent } from '../../src/fakes/runWorker.js'
-import { applyEntry, createAgreedState, findSessionHost, findTask, type AgreedLog, type Entry } from '../../src/state/index.js'
-import { CATALOG, createHosts, STEP, type Hosts } from './support.js'
+import { createFakeRunFleet } from '../../src/fakes/runWorker.js'
+import { applyEntry, createAgreedState, findTask, type AgreedLog, type Entry } from '../../src/state/index.js'
+import { CATALOG, createHosts, listDoubled, listOwned, STEP, type Hosts } from './support.js'
 
 const HOSTS = ['h1', 'h2', 'h3', 'h4']
 const WORKERS = 12
 
-function listOwned ({ log }: Hosts, host: string): string[] {
-  const { workers, sessionHosts } = log.state().workflows
-  return Object.values(workers).filter(({ life }) => findSessionHost(sessionHosts, life) === host).map(({ life }) => life.id)
-}
-
-function listDoubled (events: readonly RunEvent[]): string[] {
-  const running = new Map<string, number>()
-  return events.toSorted((a, b) => a.at - b.at).flatMap(({ kind, task }) => {
-    const count = (running.get(task) ?? 0) + (kind === 'started' ? 1 : kind === 'ended' ? -1 : 0)
-    running.set(task, count)
-    return count > 1 ? [task] : []
-  })
-}
-
 function setWorkersReachable ({ fleet }: Hosts, workers: readonly string[], reachable: boolean): void {
   workers.forEach((id) => {
     const worker = fleet.workers.get(id)
--- a/test/workflows/sessions.test.ts
+++ b/test/workflows/sessions.test.ts
@@ -4,8 +4,7 @@
 import { createClockWatch } from '../../src/coordination/workflows/clockWatch.js'
 import { createLagWatch } from '../../src/coordination/workflows/lagWatch.js'
 import { createWorkflowsState, findSessionHost, workflowHandlers } from '../../src/state/index.js'
-import type { RunEvent } from '../../src/fakes/runWorker.js'
-import { createHosts, type Hosts } from './support.js'
+import { createHosts, listDoubled, type Hosts } from './support.js'
 
 const HOSTS = ['h1', 'h2', 'h3', 'h4']
 const WORKERS = 12
@@ -30,16 +29,6 @@
   followers.get(host)?.setReachable(true)
 }
 
-/** Tasks of which two runs were there at the same time. */
-function listDoubled (events: readonly RunEvent[]): string[] {
-  const running = new Map<string, number>()
-  return events.flatMap(({ kind, task }) => {
-    const count = (running.get(task) ?? 0) + (kind === 'started' ? 1 : kind === 'ended' ? -1 : 0)
-    running.set(task, count)
-    return count > 1 ? [task] : []
-  })
-}
-
 test('a worker moves between hosts although its own has not left', () => {
   const hosts = ['a-1', 'a-2', 'b-1', 'b-2'].map((host) => ({ host, availabilityZone: host[0] as string }))
   const workers = Array.from({ length: 200 }, (_, index) => ({ id: `w${index}`, availabilityZone: 'abc'[index % 3] as string }))
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -5,7 +5,7 @@
 import { createMemoryLog, type MemoryFollower, type MemoryLog } from '../../src/fakes/memoryLog.js'
 import { createFakeRunFleet, type FakeRunFleet, type RunEvent } from '../../src/fakes/runWorker.js'
 import { createSimpleNetwork, type SimpleNetwork } from '../../src/fakes/simpleNetwork.js'
-import type { Catalog, Entry, Step, Workflow } from '../../src/state/index.js'
+import { findSessionHost, type Catalog, type Entry, type Step, type Workflow } from '../../src/state/index.js'
 
 const COMMIT_MS = 12
 
@@ -135,3 +135,19 @@
     }
   }
 }
+
+/** Tasks of which two runs were there at the same time. */
+export function listDoubled (events: readonly RunEvent[]): string[] {
+  const running = new Map<string, number>()
+  return events.toSorted((a, b) => a.at - b.at).flatMap(({ kind, task }) => {
+    const count = (running.get(task) ?? 0) + (kind === 'started' ? 1 : kind === 'ended' ? -1 : 0)
+    running.set(task, count)
+    return count > 1 ? [task] : []
+  })
+}
+
+/** The workers that the agreed division gives to a host. */
+export function listOwned ({ log }: Hosts, host: string): string[] {
+  const { workers, sessionHosts } = log.state().workflows
+  return Object.values(workers).filter(({ life }) => findSessionHost(sessionHosts, life) === host).map(({ life }) => life.id)
+}
