--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -74,6 +74,7 @@
   /** Workflows that were started at a risk because they had waited. */
   const overdue = new Set<string>()
   const startRate = createStartRate()
+  const sharingOptions = { ...options, keptLoggedAt: new WeakMap<WorkerView, number>() }
   const stopping = new AbortController()
   /** Waiting groups as of the last pass. */
   let lastWorks: WaitingWork[] = []
@@ -228,7 +229,7 @@
       const ahead = lastWorks.filter(({ group, progress }) => progress.isBehind && group.priority <= priority && !group.step.lasting && getLateness(group, wallTime) === 0)
       return { ahead: ahead.reduce((sum, { group }) => sum + group.indexes.length, 0), startsPerSecond: startRate.get(clock.now()) }
     },
-    observeReport: (worker) => observeSharing(options, worker),
+    observeReport: (worker) => observeSharing(sharingOptions, worker),
     stop: () => {
       stopping.abort()
       wake.notify()
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -6,6 +6,9 @@
 import type { FillingRun, ServingRun, Sharing } from './sharing.js'
 import type { WorkerHealth } from './workerHealth.js'
 
+/** A service whose neighbours all stay although it is over its target is logged this often for each worker. */
+const LOG_KEPT_MS = 1000
+
 export interface MoveOptions {
   clock: Clock
   logger: Logger
@@ -16,23 +19,49 @@
   stopRun (session: WorkerView, run: RunView, reason: string): void
 }
 
+export interface SharingOptions extends MoveOptions {
+  /** When it was last logged that work stays beside a service of a worker that is over its target. */
+  keptLoggedAt: WeakMap<WorkerView, number>
+}
+
 /** Learns from the tails on a worker and acts on those over their targets. */
-export function observeSharing (options: MoveOptions, session: WorkerView): void {
+export function observeSharing (options: SharingOptions, session: WorkerView): void {
   const { clock, stopRun, logger, sharing } = options
   const { serving, filling } = listSharing(options, session)
   sharing.observe(session.worker, serving, filling, clock.now()).forEach(({ service, neighbour, pressure, variance }) => {
     logger.info('sharing.pair-known', { service, neighbour, pressure: pressure.toFixed(2), variance: variance.toFixed(3), worker: session.worker })
   })
   const isWanted = ({ task }: { task: string }): boolean => session.runs.get(task)?.stopReason === undefined
-  sharing.listPressing(serving.filter(isWanted), filling.filter(isWanted), clock.now()).forEach((task) => {
+  const pressing = sharing.listPressing(serving.filter(isWanted), filling.filter(isWanted), clock.now())
+  if (pressing.length === 0) recordKept(options, session, serving, filling.filter(isWanted))
+  pressing.forEach((task) => {
     const run = session.runs.get(task)
     if (run === undefined) return
     const worst = serving.reduce((a, b) => (b.tailMs ?? 0) / b.targetMs > (a.tailMs ?? 0) / a.targetMs ? b : a)
-    logger.info('run.pressing', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs })
+    logger.info('run.pressing', { task, worker: session.worker, pressed: worst.task, tailMs: worst.tailMs, targetMs: worst.targetMs, readAgeMs: Math.round(clock.now() - session.readAt) })
     stopRun(session, run, 'interference')
   })
 }
 
+/** Says why work stays beside a service that is over its target. */
+function recordKept ({ clock, logger, sharing, keptLoggedAt }: SharingOptions, session: WorkerView, serving: readonly ServingRun[], filling: readonly FillingRun[]): void {
+  const now = clock.now()
+  const over = serving.find(({ tailMs, targetMs }) => (tailMs ?? 0) > targetMs)
+  if (over === undefined || filling.length === 0 || now - (keptLoggedAt.get(session) ?? -Infinity) < LOG_KEPT_MS) return
+  keptLoggedAt.set(session, now)
+  const { own, allowed, added } = sharing.estimatePressure(over, filling, now)
+  logger.info('run.kept', {
+    worker: session.worker,
+    pressed: over.task,
+    tailMs: over.tailMs,
+    targetMs: over.targetMs,
+    readAgeMs: Math.round(now - session.readAt),
+    own: own.toFixed(2),
+    allowed: allowed.toFixed(2),
+    added: added.map(({ task, load }) => `${task}:${load.toFixed(3)}`).join(',')
+  })
+}
+
 /** What serves and what fills on a worker, those that are about to be stopped included: they disturb until then. */
 function listSharing ({ getState }: MoveOptions, session: WorkerView): { serving: ServingRun[], filling: FillingRun[] } {
   const cores = getState().workers[session.worker]?.life.cores ?? 1
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -74,6 +74,7 @@
   if (reason === 'late') return true
   context.onRefused(session, run, reason)
   run.stopReason = reason
+  run.stopOrderedAt = context.clock.now()
   // A copy of an order without an answer may have been executed and may even have ended: the next look tells.
   if (reason === 'superseded') run.stopAcknowledgedAt = context.clock.now()
   else if (run.unanswered) stopRun(context, session, run, reason)
@@ -86,8 +87,9 @@
   const { clock, logger } = context
   if (run.stopReason === undefined) context.metrics.count('run.stopped', 1, { reason })
   if (run.stopReason === undefined) logger.info('run.stop', { task: run.task, attempt: run.attempt, worker: session.worker, reason, percent: run.row?.percent })
-  run.stopReason = reason
   const now = clock.now()
+  if (run.stopReason === undefined) run.stopOrderedAt = now
+  run.stopReason = reason
   const record = getRecord(context, session)
   if (run.stopping || record === undefined || now - run.stopSentAt < RESEND_STOP_MS || !session.reachable || !context.isActive()) return
   run.stopping = true
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -2,6 +2,7 @@
 import { findStep } from './candidates.js'
 import type { HoldReply, RunRow, WorkerFailure } from './orders.js'
 import { describeWorkerFailure, releaseRun, startRun, stopRun } from './runOrders.js'
+import { observeServices } from './serviceBound.js'
 import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
 import { AUTHORITY_CHECK_MS, FIRST_RETRY_MS, FORGET_MS, HOLD_WAIT_MS, IDLE_LOOK_MS, MAX_RETRY_MS, ORDER_TIMEOUT_MS, REPLY_SLACK_MS, RESEND_STOP_MS, SHORT_HOLD_MS, UNKNOWN_RUN_MS } from './timing.js'
 
@@ -41,6 +42,7 @@
   if (context.isStopped() || session.ended) return
   if (!reply.ok) return handleSilence(context, session, reply.val)
   session.reading = { workerTime: reply.val.clock, receivedAt: clock.now() }
+  session.readAt = clock.now()
   recordReachable(context, session)
   await handleReply(context, session, reply.val, sentAt)
   if (session.runs.size === 0 && reply.val.ends.length > 0) session.lastLookAt = -Infinity
@@ -85,12 +87,22 @@
 
 async function handleReply (context: SessionContext, session: Session, reply: HoldReply, sentAt: number): Promise<void> {
   context.onReply(session, reply)
+  context.work.measure('session.services', () => observeServices(context, session, reply.running))
+  recordStops(context, session, reply)
   if (reply.ends.length > 0) {
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
   }
   context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
 }
 
+/** Records how long the runs that have ended were still there after it was decided that they end. */
+function recordStops ({ clock, metrics }: SessionContext, session: Session, { ends }: HoldReply): void {
+  ends.forEach(([, task, attempt]) => {
+    const run = session.runs.get(task)
+    if (run?.attempt === attempt && run.stopReason !== undefined) metrics.timing('run.stop', clock.now() - run.stopOrderedAt, { reason: run.stopReason })
+  })
+}
+
 /** Compares what runs there with what is assigned. */
 function updateRuns (context: SessionContext, session: Session, reply: HoldReply, sentAt: number): void {
   const rows = new Map(reply.running.map((row) => [row.task, row]))
--- a/src/coordination/workflows/sessionMessages.ts
+++ b/src/coordination/workflows/sessionMessages.ts
@@ -9,6 +9,8 @@
   worker: string
   bornAt: number
   reachable: boolean
+  /** How long ago the host received what the report says of the runs; nothing before the first look. */
+  readAgoMs: number | null
   runs: ReportedRun[]
   /** Runs that are there and that nobody wants, by task and attempt. */
   strays: string[]
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import type { RunEnd, WorkerLife, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import type { HoldReply, RunRow, WorkerClient } from './orders.js'
+import { createServiceWatch, type ServiceWatch } from './serviceWatch.js'
 import { createSignal, type Signal } from './signal.js'
 import type { StartQueue } from './startQueue.js'
 import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, LEASE_MS } from './timing.js'
@@ -29,6 +30,8 @@
   readonly runs: ReadonlyMap<string, RunView>
   /** Runs that are there and that nobody wants, by task and attempt. */
   readonly strays: ReadonlyMap<string, unknown>
+  /** When the host of the worker last saw its runs. */
+  readAt: number
   reachable: boolean
   ended: boolean
 }
@@ -39,6 +42,8 @@
   unanswered: boolean
   starting: boolean
   stopping: boolean
+  /** When it was first decided that the run is to end. */
+  stopOrderedAt: number
   stopSentAt: number
   stopAcknowledgedAt: number | undefined
   ticket: string | undefined
@@ -53,6 +58,9 @@
   /** Nothing ordered so far can run beyond this local time. */
   leaseEndsAt: number
   reading: ClockReading | undefined
+  readonly services: ServiceWatch
+  /** Tasks that were logged to be over their targets and have not recovered. */
+  readonly loggedServices: Set<string>
   lastLookAt: number
   retryMs: number
   wake: Signal
@@ -93,11 +101,14 @@
     bornAt: life.bornAt,
     runs: new Map(),
     strays: new Map(),
+    readAt: -Infinity,
     reachable: false,
     silentSince: now,
     // The host that had the session before may have extended the lease until just now.
     leaseEndsAt: now + LEASE_MS + EXPIRY_MARGIN_MS,
     reading: undefined,
+    services: createServiceWatch(now),
+    loggedServices: new Set(),
     lastLookAt: -Infinity,
     retryMs: FIRST_RETRY_MS,
     ended: false,
@@ -117,6 +128,7 @@
     starting: false,
     stopping: false,
     stopReason: undefined,
+    stopOrderedAt: -Infinity,
     stopSentAt: -Infinity,
     stopAcknowledgedAt: undefined,
     row: undefined,
--- a/src/coordination/workflows/sharing.ts
+++ b/src/coordination/workflows/sharing.ts
@@ -80,10 +80,15 @@
   getEstimates (): SharingEstimates
   /** Takes over what another host has learned about images that this one knows less of. */
   mergeEstimates (estimates: SharingEstimates, now: number): void
+  /** What is known of a service and of each neighbour beside it. */
+  estimatePressure (service: ServingRun, filling: readonly FillingRun[], now: number): PressureEstimate
   /** Filling tasks that have to leave a worker: a tail is close to or over its target, and will stay so with them. */
   listPressing (serving: readonly ServingRun[], filling: readonly FillingRun[], now: number): string[]
 }
 
+/** `own` is the peak load of a service until a stop would help, `allowed` the load at its target, `added` the load by each neighbour. */
+export interface PressureEstimate { own: number, allowed: number, added: Array<{ task: string, load: number }> }
+
 /** What a neighbour adds to the load of a service on a whole worker, and how sure that is. */
 export interface KnownPair { service: string, neighbour: string, pressure: number, variance: number }
 
@@ -251,6 +256,16 @@
 
     estimateUse: (image) => models.get(image)?.mean ?? EXPECTED_LOAD,
 
+    estimatePressure: (service, filling, now) => {
+      const model = getModel(service.image)
+      const allowed = getAllowedLoad(model, service.targetMs)
+      return {
+        allowed,
+        own: allowed - estimateRoom(service, now, STOP_AHEAD_MS),
+        added: filling.map((run) => ({ task: run.task, load: computePressure(model, [run]) }))
+      }
+    },
+
     listPressing: (serving, filling, now) => {
       if (!serving.some(({ tailMs, targetMs }) => (tailMs ?? 0) > PRESSED_SHARE * targetMs)) return []
       const rooms = serving.map((service) => ({ model: getModel(service.image), left: estimateRoom(service, now, STOP_AHEAD_MS) }))
