--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -37,6 +37,8 @@
   readonly events: RunEvent[]
   readonly workers: Map<string, FakeRunWorker>
   addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
+  /** From a stop until the task has ended, ms. */
+  stopMs: number
   /** How long the tasks run; by default 1 s to success. */
   plan: (task: string, worker: string) => RunPlan
   /** What a worker reads of a task, given all tasks that run there; by default what was set for the task. */
@@ -57,6 +59,7 @@
     events,
     workers,
     onUpkeep: () => {},
+    stopMs: 0,
     approved: () => true,
     advice: {
       ask: async (step, named) => {
@@ -75,7 +78,7 @@
     measure: (task, running) => running.get(task)?.reading,
     addWorker: (partial) => {
       const life = { ...DEFAULT_LIFE, ...partial }
-      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
+      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
       const worker: FakeRunWorker = {
         life,
         running: state.running,
@@ -135,6 +138,7 @@
   leaseUntil: number
   ends: RunEnd[]
   lastEnd: number
+  getStopMs (): number
   plan (task: string): RunPlan
   measure: FakeRunFleet['measure']
 }
@@ -187,7 +191,11 @@
   const fenced = checkFence(state, order.fence)
   if (fenced.err) return fenced
   state.ended.set(order.task, Math.max(order.attempt, state.ended.get(order.task) ?? 0))
-  if (state.running.get(order.task)?.attempt === order.attempt) recordEnd(state, order.task, 'stopped', state.clock.now())
+  const end = (): void => {
+    if (state.running.get(order.task)?.attempt === order.attempt) recordEnd(state, order.task, 'stopped', state.clock.now())
+  }
+  if (state.getStopMs() === 0) end()
+  else state.clock.sleep(state.getStopMs()).then(end)
   return Ok({ clock: state.clock.now() })
 }
 
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -93,14 +93,14 @@
   stop (): Promise<void>
 }
 
-/** Several hosts with a replica of one log, of which the first leads, and workers that have reported. */
-export async function createHosts (names: readonly string[], workers: number, useClient: (clock: Clock, client: WorkerClient, host: string) => WorkerClient = (_clock, client) => client): Promise<Hosts> {
+/** Several hosts with a replica of one log, of which the first leads, and workers that have reported. The seed is that of the delays and losses of messages. */
+export async function createHosts (names: readonly string[], workers: number, useClient: (clock: Clock, client: WorkerClient, host: string) => WorkerClient = (_clock, client) => client, seed = 1): Promise<Hosts> {
   const clock = createManualClock(1000)
   const [first = 'h1', ...others] = names
   const log = createMemoryLog(first, { clock, commitMs: COMMIT_MS })
   const followers = new Map(others.map((host) => [host, log.join(host)]))
   const fleet = createFakeRunFleet(clock)
-  const network = createSimpleNetwork(clock, createRandom(1))
+  const network = createSimpleNetwork(clock, createRandom(seed))
   const coordinators = new Map(names.map((host) => [host, createWorkflowCoordinator({
     clock,
     logger: createSilentLogger(),
