Place one task at a risk for each wait of a workflow, not as many as fit into 50 ms

A workflow that had waited too long counted as starved until the next check, up to 50 ms after its first task was placed beside a service that bears it badly, and got more tasks there meanwhile.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -174,6 +174,8 @@
     offset += SAMPLE_SIZE
     const placed = placeAmong(options, group, { pool: pool.workers, workers: isPartial ? pool.freed : pool.workers, getScarcity, isStarved, offset })
     if (isStarved && placed.length > 0) recordOverdue(work)
+    // One task at a risk is enough for the workflow to go on.
+    if (placed.length > 0 && !group.step.lasting) progress.isStarved = false
     progress.isBlocked = placed.length < group.indexes.length
     const isFull = progress.isBlocked && !isPartial
     if (isFull) progress.blockedUntil = now + RETRY_MS
