--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -3,7 +3,7 @@
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskIndex, getPeerKey, type CandidateOptions, type Placing, type Pool } from './candidates.js'
 import { findReserved, placeAmong, type GroupOptions } from './groups.js'
-import { drainWorkers, observeSharing, stopStalled, type MoveOptions } from './moves.js'
+import { drainWorkers, observeSharing, stopPressing, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placing.js'
 import { compareGroups, getLateness } from './plan.js'
 import { createScarcity } from './scarcity.js'
@@ -59,7 +59,10 @@
   markChanged (workflow?: string): void
   /** The runs of a worker, or of all, may have changed. */
   markWorkerChanged (worker?: string): void
+  /** Learns from the last report of a worker, before the next is taken in. */
   observeReport (worker: WorkerView): void
+  /** Acts on the report of a worker that has just been taken in. */
+  stopPressing (worker: WorkerView): void
   /** What the scheduler is behind with at a priority or before it. */
   getLoad (priority: number): SchedulerLoad
   stop (): void
@@ -232,6 +235,7 @@
       return { ahead: ahead.reduce((sum, { group }) => sum + group.indexes.length, 0), startsPerSecond: startRate.get(clock.now()) }
     },
     observeReport: (worker) => observeSharing(sharingOptions, worker),
+    stopPressing: (worker) => stopPressing(sharingOptions, worker),
     stop: () => {
       stopping.abort()
       wake.notify()
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -24,13 +24,19 @@
   keptLoggedAt: WeakMap<WorkerView, number>
 }
 
-/** Learns from the tails on a worker and acts on those over their targets. */
+/** Learns from the tails on a worker. A reading is of the time before its report, so it is compared with those who were there before the next one. */
 export function observeSharing (options: SharingOptions, session: WorkerView): void {
-  const { clock, stopRun, logger, sharing } = options
+  const { clock, logger, sharing } = options
   const { serving, filling } = listSharing(options, session)
   sharing.observe(session.worker, serving, filling, clock.now()).forEach(({ service, neighbour, pressure, variance }) => {
     logger.info('sharing.pair-known', { service, neighbour, pressure: pressure.toFixed(2), variance: variance.toFixed(3), worker: session.worker })
   })
+}
+
+/** Stops what presses tasks that serve over their targets. */
+export function stopPressing (options: SharingOptions, session: WorkerView): void {
+  const { clock, stopRun, logger, sharing } = options
+  const { serving, filling } = listSharing(options, session)
   const isWanted = ({ task }: { task: string }): boolean => session.runs.get(task)?.stopReason === undefined
   const pressing = sharing.listPressing(serving.filter(isWanted), filling.filter(isWanted), clock.now())
   if (pressing.length === 0) recordKept(options, session, serving, filling.filter(isWanted))
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -110,10 +110,10 @@
   const observeReport = (from: string, report: WorkerReport): void => {
     const known = views.workers.get(report.worker)
     const wasReachable = known?.reachable
-    // A reading is of the time before its report: it is compared once it is known who has come and gone since.
     if (known !== undefined) dispatcher.observeReport(known)
     const view = views.recordReport(from, report)
     if (view === undefined) return
+    dispatcher.stopPressing(view)
     const running = [...view.runs.values()].flatMap(({ row }) => row ?? [])
     health.observeRuns(view, { running, ends: [] }, findTaskStep)
     if (view.reachable && wasReachable !== true) dispatcher.schedule()
