Place nothing that fills on a worker whose host starts none there

The host of a worker ends what fills beside an overdue service and starts no more until it has recovered. The leader did not know and went on giving tasks to that worker, each an entry to assign and one to release. The reports carry it now, at once when it changes.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -106,8 +106,9 @@
     entry.isChanged = false
     const { candidate } = entry
     const slowness = health.getSlowness(session.worker)
-    const isFreed = known?.isUsable !== true || slowness < known.candidate.slowness || (entry !== known && hasMoreRoom(candidate, known.candidate))
+    const isFreed = known?.isUsable !== true || (known.candidate.hasOverdueService === true && !session.hasOverdueService) || slowness < known.candidate.slowness || (entry !== known && hasMoreRoom(candidate, known.candidate))
     candidate.slowness = slowness
+    candidate.hasOverdueService = session.hasOverdueService
     candidate.isBusy = options.isBusy?.(session.worker) ?? false
     entry.isUsable = !candidate.isBusy && isAvailable(session, record.life)
     return { entry, isFreed }
--- a/src/coordination/workflows/leaderExchange.ts
+++ b/src/coordination/workflows/leaderExchange.ts
@@ -149,5 +149,5 @@
 function createReport (session: Session, now: number): WorkerReport {
   const runs = [...session.runs.values()].flatMap(({ task, attempt, row, startedAt }): ReportedRun[] =>
     row === undefined ? [] : [[task, attempt, row.percent, row.reading ?? null, Math.round(now - (startedAt ?? now))]])
-  return { worker: session.worker, bornAt: session.bornAt, reachable: session.reachable, readAgoMs: session.readAt === -Infinity ? null : Math.round(now - session.readAt), runs, strays: [...session.strays.keys()] }
+  return { worker: session.worker, bornAt: session.bornAt, reachable: session.reachable, hasOverdueService: session.hasOverdueService, readAgoMs: session.readAt === -Infinity ? null : Math.round(now - session.readAt), runs, strays: [...session.strays.keys()] }
 }
--- a/src/coordination/workflows/placing.ts
+++ b/src/coordination/workflows/placing.ts
@@ -23,6 +23,8 @@
   filling: Array<{ image: string, part: number }>
   /** Work takes this many times as long as on a sound worker. */
   slowness: number
+  /** Nothing that fills may start beside a service there. */
+  hasOverdueService?: boolean
   /** Runs of each step whose number on a worker is limited. */
   peers?: ReadonlyMap<string, number>
 }
@@ -71,6 +73,7 @@
   const hasFillingRoom = acceptsRisk === true || candidate.spareCores >= step.cores
   const hasCores = step.fills ? hasFillingRoom : candidate.freeCores >= step.cores
   return hasCores &&
+    !(step.fills && candidate.hasOverdueService === true) &&
     candidate.freeMemoryMb >= step.memoryMb &&
     candidate.freeAccelerators >= step.accelerators &&
     (step.requiredLabel === undefined || candidate.labels.includes(step.requiredLabel)) &&
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -90,9 +90,9 @@
 }
 
 /** A member of a gang starts all the same: the others would wait for it in vain. */
-function isBarred ({ clock, getState }: SessionContext, { services }: Session, { task }: Run): boolean {
+function isBarred ({ getState }: SessionContext, { hasOverdueService }: Session, { task }: Run): boolean {
   const step = findStep(getState(), task)
-  return step?.fills === true && !step.gang && services.isOverdue(clock.now())
+  return step?.fills === true && !step.gang && hasOverdueService
 }
 
 /** Gives back a run that is not to start on this worker. */
--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -20,7 +20,7 @@
   const { over, recovered } = session.services.update(listReadings(context, rows), now)
   over.forEach((service) => recordOverTarget(context, session, service, rows))
   over.filter(({ since }) => since === now).forEach((service) => applyBound(context, session, service))
-  stopFilling(context, session)
+  updateOverdue(context, session)
   recovered.forEach((service) => recordRecovery(context, session, service))
 }
 
@@ -30,12 +30,20 @@
   await clock.sleep(Math.max(0, stopBy - clock.now()))
   if (context.isStopped() || session.ended || !session.services.isOverdue(clock.now())) return
   logger.warn('service.bound', { task, worker: session.worker, withinAgoMs: Math.round(clock.now() - withinAt), readAgeMs: Math.round(clock.now() - session.readAt), authorityAgeMs: Math.round(clock.now() - context.getAuthorityAt()), runs: session.runs.size })
-  stopFilling(context, session)
+  updateOverdue(context, session)
 }
 
-/** Ends everything that fills while a service is overdue: what was ordered and not seen yet, and what nobody wants, as well. */
+function updateOverdue (context: SessionContext, session: Session): void {
+  const isOverdue = session.services.isOverdue(context.clock.now())
+  if (isOverdue !== session.hasOverdueService) {
+    session.hasOverdueService = isOverdue
+    context.onReply(session, true)
+  }
+  if (isOverdue) stopFilling(context, session)
+}
+
+/** Ends everything that fills: what was ordered and not seen yet, and what nobody wants, as well. */
 function stopFilling (context: SessionContext, session: Session): void {
-  if (!session.services.isOverdue(context.clock.now())) return
   session.runs.forEach((run) => {
     if (canPress(context, run)) stopRun(context, session, run, run.stopReason ?? SERVICE_BOUND_REASON)
   })
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -86,7 +86,7 @@
 }
 
 async function handleReply (context: SessionContext, session: Session, reply: HoldReply, sentAt: number): Promise<void> {
-  context.onReply(session, reply)
+  context.onReply(session, false)
   recordStops(context, session, reply)
   if (reply.ends.length > 0) {
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
--- a/src/coordination/workflows/sessionMessages.ts
+++ b/src/coordination/workflows/sessionMessages.ts
@@ -9,6 +9,7 @@
   worker: string
   bornAt: number
   reachable: boolean
+  hasOverdueService: boolean
   /** How long ago the host received what the report says of the runs; nothing before the first look. */
   readAgoMs: number | null
   runs: ReportedRun[]
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -1,6 +1,6 @@
 import type { Clock, Logger, Metrics, WorkMeter } from '../../common/index.js'
 import type { RunEnd, WorkerLife, WorkerRecord, WorkflowsState } from '../../state/index.js'
-import type { HoldReply, RunRow, WorkerClient } from './orders.js'
+import type { RunRow, WorkerClient } from './orders.js'
 import { createServiceWatch, type ServiceBound, type ServiceWatch } from './serviceWatch.js'
 import { createSignal, type Signal } from './signal.js'
 import type { StartQueue } from './startQueue.js'
@@ -30,6 +30,8 @@
   readonly runs: ReadonlyMap<string, RunView>
   /** Runs that are there and that nobody wants, by task and attempt. */
   readonly strays: ReadonlyMap<string, unknown>
+  /** A service on it has been over its target for so long that nothing that fills may be beside it. */
+  hasOverdueService: boolean
   /** When the host of the worker last saw its runs. */
   readAt: number
   reachable: boolean
@@ -91,7 +93,8 @@
   /** Forgets a worker that is gone. */
   removeLife (worker: string, bornAt: number): Promise<boolean>
   onFenced (worker: string): void
-  onReply (session: Session, reply: HoldReply): void
+  /** `isUrgent`: the leader should not place by what it was told before. */
+  onReply (session: Session, isUrgent: boolean): void
   onRefused (session: Session, run: Run, reason: string): void
   onStarted (session: Session, run: Run): void
   /** The worker answers again, or does not any more. */
@@ -105,6 +108,7 @@
     bornAt: life.bornAt,
     runs: new Map(),
     strays: new Map(),
+    hasOverdueService: false,
     readAt: -Infinity,
     reachable: false,
     silentSince: now,
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -112,7 +112,7 @@
       new Set([...view.runs.keys(), ...Object.keys(record.assigned)]).forEach((task) => syncRun(worker, task))
       return
     }
-    const created: ReportedWorker = { worker, bornAt: record.life.bornAt, host: findHost(worker), runs: new Map(), strays: new Map(), readAt: -Infinity, reachable: false, ended: false }
+    const created: ReportedWorker = { worker, bornAt: record.life.bornAt, host: findHost(worker), runs: new Map(), strays: new Map(), hasOverdueService: false, readAt: -Infinity, reachable: false, ended: false }
     workers.set(worker, created)
     Object.keys(record.assigned).forEach((task) => addRun(created, task, false))
   }
@@ -154,12 +154,12 @@
       view.runs.forEach((run) => { if (run.confirmedAt === undefined) addUnconfirmed(host, 1) })
       queueStops(view)
     }),
-    recordReport: (from, { worker, bornAt, reachable, readAgoMs, runs, strays }) => {
+    recordReport: (from, { worker, bornAt, reachable, hasOverdueService, readAgoMs, runs, strays }) => {
       const view = workers.get(worker)
       if (view === undefined || view.bornAt !== bornAt || view.host !== from) return undefined
       // Nothing was seen meanwhile, so the time without news is no standstill.
       if (reachable && !view.reachable) view.runs.forEach((run) => { run.progressAt = clock.now() })
-      view.reachable = reachable
+      Object.assign(view, { reachable, hasOverdueService })
       if (readAgoMs !== null) view.readAt = clock.now() - readAgoMs
       view.strays = new Map(strays.map((key) => [key, clock.now()]))
       runs.forEach((run) => recordRun(view, run))
