Change to a finished build by one rename, and end well on SIGTERM during the start

Two faults with one place.

Builds have folders of their own, named by their content, and the entry file changes by a rename.

--- a/deploy/build.mjs
+++ b/deploy/build.mjs
@@ -1,7 +1,9 @@
 // Bundles the programs for the platform and stores the compiled code beside the bundle, because a restart on a
-// small host spends most of its time on reading and compiling modules.
+// small host spends most of its time on reading and compiling modules. A build has a folder of its own, named by its
+// content, and the entry file changes to it by one rename: a process that starts meanwhile finds one whole build.
 import { execFileSync } from 'node:child_process'
-import { copyFileSync, mkdirSync } from 'node:fs'
+import { createHash } from 'node:crypto'
+import { copyFileSync, existsSync, mkdirSync, readFileSync, renameSync, rmSync, writeFileSync } from 'node:fs'
 import { createRequire } from 'node:module'
 import { dirname, join } from 'node:path'
 import { build } from 'esbuild'
@@ -19,10 +21,12 @@
   }
 }
 
-mkdirSync('target', { recursive: true })
-await build({
+const LOADER = 'deploy/loader.cjs'
+const ENTRY = 'target/sequoiadrift.cjs'
+
+const { outputFiles: [bundle] } = await build({
   entryPoints: ['platform/main.ts'],
-  outfile: 'target/bundle.cjs',
+  write: false,
   bundle: true,
   platform: 'node',
   target: 'node20',
@@ -33,5 +37,18 @@
   external: ['bufferutil', 'utf-8-validate', 'pino-pretty'],
   logLevel: 'warning'
 })
-copyFileSync('deploy/loader.cjs', 'target/sequoiadrift.cjs')
-execFileSync(process.execPath, ['target/sequoiadrift.cjs', '--compile'], { stdio: 'inherit' })
+
+const hash = createHash('sha256').update(bundle.contents).update(readFileSync(LOADER)).update(process.version).digest('hex').slice(0, 16)
+const name = `build-${hash}`
+if (!existsSync(`target/${name}`)) {
+  const unfinished = `target/unfinished-${process.pid}`
+  mkdirSync(unfinished, { recursive: true })
+  writeFileSync(`${unfinished}/bundle.cjs`, bundle.contents)
+  copyFileSync(LOADER, `${unfinished}/loader.cjs`)
+  execFileSync(process.execPath, [`${unfinished}/loader.cjs`, '--compile'], { stdio: 'inherit' })
+  // Another build of the same content may have been faster.
+  if (existsSync(`target/${name}`)) rmSync(unfinished, { recursive: true })
+  else renameSync(unfinished, `target/${name}`)
+}
+writeFileSync(`${ENTRY}.${process.pid}`, `require('./${name}/loader.cjs')\n`)
+renameSync(`${ENTRY}.${process.pid}`, ENTRY)
--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -1,4 +1,7 @@
 // Runs the bundle beside this file from its stored compiled code. `--compile` stores that code.
+// The bundle replaces this handler; nothing has to be put in order before it runs.
+process.on('SIGTERM', () => process.exit(0))
+
 const { readFileSync, writeFileSync } = require('node:fs')
 const { join } = require('node:path')
 const vm = require('node:vm')
