Order no start on a worker that has announced that it leaves

What callers would have seen: a task started later than drainMs (2 s) after its worker announced that it leaves, and lost with it (DRAIN).

Change: an order that has not been confirmed is given back once the worker drains, by the same check that keeps filling work off a worker with an overdue service. The new test in runs.test.ts fails before, with starts 2.1 s after the announcement.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -35,8 +35,9 @@
   const { clock, logger, client } = context
   const record = getRecord(context, session)
   const workflow = findWorkflow(context, run.task)
-  if (isBarred(context, session, run)) {
-    rejectRun(context, session, run)
+  const barred = findBar(context, session, run)
+  if (barred !== undefined) {
+    rejectRun(context, session, run, barred)
     return false
   }
   const isWanted = context.isActive() && session.runs.get(run.task) === run && run.stopReason === undefined
@@ -89,17 +90,19 @@
   return false
 }
 
-/** A member of a gang starts all the same: the others would wait for it in vain. */
-function isBarred ({ getState }: SessionContext, { hasOverdueService }: Session, { task }: Run): boolean {
-  const step = findStep(getState(), task)
-  return step?.fills === true && !step.gang && hasOverdueService
+/** Why a run may not start on its worker any more, however long ago it was assigned. */
+function findBar (context: SessionContext, session: Session, { task }: Run): string | undefined {
+  if (getRecord(context, session)?.life.draining === true) return 'draining'
+  const step = findStep(context.getState(), task)
+  // A member of a gang starts all the same: the others would wait for it in vain.
+  return step?.fills === true && !step.gang && session.hasOverdueService ? SERVICE_BOUND_REASON : undefined
 }
 
 /** Gives back a run that is not to start on this worker. */
-function rejectRun (context: SessionContext, session: Session, run: Run): void {
+function rejectRun (context: SessionContext, session: Session, run: Run, reason: string): void {
   if (run.stopReason !== undefined) return
-  context.logger.info('run.declined', { task: run.task, attempt: run.attempt, worker: session.worker, reason: SERVICE_BOUND_REASON })
-  stopUnstarted(context, session, run, SERVICE_BOUND_REASON)
+  context.logger.info('run.rejected', { task: run.task, attempt: run.attempt, worker: session.worker, reason })
+  stopUnstarted(context, session, run, reason)
 }
 
 /** Ends a run that the worker has not confirmed; an order without an answer may have been executed all the same. */
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import type { RunEvent } from '../../src/fakes/runWorker.js'
+import type { WorkerLife } from '../../src/state/index.js'
 import { createScene, type Scene } from './support.js'
 
 function getOutcome ({ log }: Scene, id: string): string | undefined {
@@ -219,3 +220,25 @@
   await scene.run(6000)
   expect(scene.fleet.workers.get('w2')?.running.size).toBe(2)
 })
+
+test('starts that had no answer are ordered on long after their worker has announced that it leaves', async () => {
+  const scene = await createScene(['w1', 'w2'])
+  const worker = scene.fleet.workers.get('w1')
+  const orderedAt: number[] = []
+  if (worker !== undefined) {
+    worker.fault = (kind) => {
+      if (kind !== 'start') return 'none'
+      orderedAt.push(scene.clock.now())
+      return 'lost-order'
+    }
+  }
+  await scene.submit('x', [{ count: 4, cores: 10 }])
+  await scene.run(200)
+  scene.log.propose({ kind: 'life.report', life: { ...worker?.life as WorkerLife, draining: true } }, Infinity)
+  const drainedAt = scene.clock.now()
+  await scene.run(8000)
+  expect(orderedAt.some((at) => at < drainedAt)).toBe(true)
+  // An order may be under way while the report is agreed.
+  expect(orderedAt.filter((at) => at > drainedAt + 100)).toEqual([])
+  expect(scene.log.state().workflows.workflows.x?.outcome).toBe('completed')
+})
