Follow services before the ends of the same look wait for the log

Found by reading the change again. A look was taken in for the bound of services only once its ends were recorded, which takes up to 3 s while the log is slow: a reading within the target counted as that much younger, and a service over its target was not noticed meanwhile. The look is taken in first now. The new test fails before.

--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -13,7 +13,8 @@
 /**
  * Follows the tasks that serve on a worker, as a look has just shown them, and ends what fills beside one that would
  * otherwise be over its target for longer than the bound. The leader moves what its forecast blames, usually long before;
- * this host keeps the bound whatever the forecast says and however late the leader hears of it.
+ * this host keeps the bound whatever the forecast says and however late the leader hears of it. The time of the look
+ * counts, so this comes before anything that waits for the log.
  */
 export function observeServices (context: SessionContext, session: Session, rows: readonly RunRow[]): void {
   const now = context.clock.now()
@@ -37,7 +38,7 @@
   const isOverdue = session.services.isOverdue(context.clock.now())
   if (isOverdue !== session.hasOverdueService) {
     session.hasOverdueService = isOverdue
-    context.onReply(session, true)
+    context.onNews(session, true)
   }
   if (isOverdue) stopFilling(context, session)
 }
--- a/src/coordination/workflows/serviceWatch.ts
+++ b/src/coordination/workflows/serviceWatch.ts
@@ -10,8 +10,6 @@
   withinAt: number
   /** When a look first showed it over its target. */
   since: number
-  /** When the latest tail latency was received. */
-  readAt: number
   /** What fills beside it has to be told to stop by then, for the bound to be kept. */
   stopBy: number
 }
@@ -33,7 +31,7 @@
 
 /** A reading covers half a second and is repeated for another half, so a stretch may be older than the last good reading by both. */
 const READING_AGE_MS = 1000
-/** For a late timer and the way of a stop to the worker: two waits of the thread of some 100 ms at the most seen. */
+/** For a timer that fires late and the way of a stop to the worker, each some tens of ms on the reference sites (`lateMs` of `host.work`). */
 const ORDER_MS = 300
 /** Rough readings may be a little under the target while the tail is over it; a stretch ends below this part of the target. */
 const RECOVERED_SHARE = 0.95
@@ -45,7 +43,7 @@
 
   const createStretch = (reading: ServiceReading, now: number): OverTarget => {
     const lastWithinAt = withinAt.get(reading.task) ?? updatedAt
-    return { ...reading, withinAt: lastWithinAt, since: now, readAt: now, stopBy: lastWithinAt - READING_AGE_MS + bound.overTargetMs - bound.stopMs - ORDER_MS }
+    return { ...reading, withinAt: lastWithinAt, since: now, stopBy: lastWithinAt - READING_AGE_MS + bound.overTargetMs - bound.stopMs - ORDER_MS }
   }
 
   const updateTask = (reading: ServiceReading, now: number): OverTarget[] => {
@@ -54,7 +52,8 @@
       withinAt.set(reading.task, now)
       return []
     }
-    const current = Object.assign(known ?? createStretch(reading, now), reading, { readAt: now })
+    const current = known ?? createStretch(reading, now)
+    current.tailMs = reading.tailMs
     over.set(reading.task, current)
     return [current]
   }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -86,15 +86,13 @@
 }
 
 async function handleReply (context: SessionContext, session: Session, reply: HoldReply, sentAt: number): Promise<void> {
-  context.onReply(session, false)
+  context.onNews(session, false)
+  context.work.measure('session.services', () => observeServices(context, session, reply.running))
   recordStops(context, session, reply)
   if (reply.ends.length > 0) {
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
   }
-  context.work.measure('session.update', () => {
-    updateRuns(context, session, reply, sentAt)
-    observeServices(context, session, reply.running)
-  })
+  context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
 }
 
 /** Records how long the runs that have ended were still there after it was decided that they end. */
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -75,7 +75,7 @@
       logger.warn('sessions.fenced', { worker, fence: exchange.getFence() })
       exchange.dropAuthority()
     },
-    onReply: (session, isUrgent) => exchange.addNews(session.worker, isUrgent),
+    onNews: (session, isUrgent) => exchange.addNews(session.worker, isUrgent),
     onStarted: (session, run) => exchange.addStart([session.worker, run.task, run.attempt]),
     onRefused: (session, run, reason) => exchange.addRefusal([session.worker, run.task, run.attempt, reason]),
     onReachable: (session) => exchange.addNews(session.worker, true)
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -93,8 +93,8 @@
   /** Forgets a worker that is gone. */
   removeLife (worker: string, bornAt: number): Promise<boolean>
   onFenced (worker: string): void
-  /** `isUrgent`: the leader should not place by what it was told before. */
-  onReply (session: Session, isUrgent: boolean): void
+  /** The leader has to hear of the worker. `isUrgent`: the leader should not place by what it was told before. */
+  onNews (session: Session, isUrgent: boolean): void
   onRefused (session: Session, run: Run, reason: string): void
   onStarted (session: Session, run: Run): void
   /** The worker answers again, or does not any more. */
--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -1,5 +1,10 @@
 import { expect, test } from 'vitest'
-import { createScene, SERVICE_BOUND, type Scene } from './support.js'
+import { createManualClock, createNoMetrics, createNoWorkMeter, createSilentLogger, Ok } from '../../src/common/index.js'
+import type { HoldReply } from '../../src/coordination/workflows/index.js'
+import { runSession } from '../../src/coordination/workflows/session.js'
+import { createSession, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
+import { createWorkflowsState, workflowHandlers, type WorkerLife } from '../../src/state/index.js'
+import { CATALOG, createScene, SERVICE_BOUND, STEP, type Scene } from './support.js'
 
 const TARGET_MS = 18
 const WORKERS = ['w1', 'w2', 'w3', 'w4', 'w5', 'w6']
@@ -44,3 +49,33 @@
   await scene.run(1000)
   expect(isBarred()).toBe(false)
 })
+
+test('a service is not followed while the ends of the same look wait for the log', async () => {
+  const clock = createManualClock(1000)
+  const state = createWorkflowsState()
+  const life: WorkerLife = { id: 'w1', bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 100_000, accelerators: 0, labels: [], draining: false }
+  workflowHandlers['catalog.put'](state, { catalog: CATALOG })
+  workflowHandlers['life.report'](state, { life })
+  workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 's1', command: '', steps: [{ ...STEP, lasting: true, tailTargetMs: TARGET_MS }] }, at: 0 })
+  const reply: HoldReply = { clock: 0, running: [{ task: 's1.0.0.0', attempt: 1, checkpoint: '', percent: 100, reading: 40 }], ends: [[1, 'x.0.0.0', 1, 'succeeded', '']] }
+  const context = {
+    clock,
+    logger: createSilentLogger(),
+    metrics: createNoMetrics(),
+    work: createNoWorkMeter(),
+    serviceBound: SERVICE_BOUND,
+    fence: 1,
+    client: { hold: async () => Ok(reply) },
+    getState: () => state,
+    getAuthorityAt: () => clock.now(),
+    isActive: () => true,
+    isStopped: () => false,
+    recordEnds: () => new Promise(() => {}),
+    onNews: () => {},
+    onReachable: () => {}
+  } as unknown as SessionContext
+  const session = createSession(context, life)
+  runSession(context, session)
+  await clock.advance(SERVICE_BOUND.overTargetMs - SERVICE_BOUND.stopMs)
+  expect(session.hasOverdueService).toBe(true)
+})
