--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -1,8 +1,8 @@
-import { execFileSync, spawn } from 'node:child_process'
+import { execFileSync, spawn, type ChildProcess } from 'node:child_process'
 import { mkdtemp, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { afterAll, beforeAll, expect, test } from 'vitest'
+import { afterAll, beforeAll, expect, onTestFinished, test } from 'vitest'
 
 const TIMEOUT_MS = 60_000
 const HOST = '127.0.0.19'
@@ -13,6 +13,8 @@
   folder = await mkdtemp(join(tmpdir(), 'sequoiadrift-start-'))
   // Runs once the entry file has been read, while the program still starts.
   await writeFile(join(folder, 'hook.cjs'), "setImmediate(() => process.stdout.write('loaded\\n'))")
+  // Sends the signal while the program takes over the handler of the loader.
+  await writeFile(join(folder, 'takeover.cjs'), "process.prependListener('removeListener', (name) => { if (name === 'SIGTERM') process.kill(process.pid, 'SIGTERM') })")
 }, TIMEOUT_MS)
 
 afterAll(() => rm(folder, { recursive: true }))
@@ -40,12 +42,25 @@
   return path
 }
 
-test.each(['voter', 'entry'])('SIGTERM during the start ends a %s by the signal instead of a planned stop', { timeout: TIMEOUT_MS }, async (role) => {
+interface Start { child: ChildProcess, ended: Promise<[number | null, string | null]> }
+
+async function startProgram (role: string, hook: string): Promise<Start> {
   const settings = await writeSettings(role)
-  const child = spawn(process.execPath, ['--require', join(folder, 'hook.cjs'), 'target/sequoiadrift.cjs', role], { env: { PATH: process.env.PATH, SEQUOIADRIFT_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'inherit'] })
-  const ended = new Promise<[number | null, string | null]>((resolve) => child.once('exit', (code, signal) => resolve([code, signal])))
-  await new Promise((resolve) => child.stdout.once('data', resolve))
-  child.stdout.resume()
+  const child = spawn(process.execPath, ['--require', join(folder, hook), 'target/sequoiadrift.cjs', role], { env: { PATH: process.env.PATH, SEQUOIADRIFT_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'inherit'] })
+  onTestFinished(() => { child.kill('SIGKILL') })
+  return { child, ended: new Promise((resolve) => child.once('exit', (code, signal) => resolve([code, signal]))) }
+}
+
+test.each(['voter', 'entry'])('SIGTERM during the start ends a %s by the signal instead of a planned stop', { timeout: TIMEOUT_MS }, async (role) => {
+  const { child, ended } = await startProgram(role, 'hook.cjs')
+  await new Promise((resolve) => child.stdout?.once('data', resolve))
+  child.stdout?.resume()
   child.kill('SIGTERM')
   expect(await ended).toEqual([0, null])
 })
+
+test('SIGTERM at the moment at which an entry takes over the handler of its loader is lost', { timeout: TIMEOUT_MS }, async () => {
+  const { child, ended } = await startProgram('entry', 'takeover.cjs')
+  child.stdout?.resume()
+  expect(await ended).toEqual([0, null])
+})
