Play services beside batch work under troubles, and check their bound once hosts are in touch again

Troubles are drawn from the seed, up to four that may overlap, and a stretch counts only while the last one is 3 s past.

--- a/src/fakes/runWorker.ts
+++ b/src/fakes/runWorker.ts
@@ -7,7 +7,7 @@
 
 export interface RunPlan { runMs: number, result: 'succeeded' | 'failed' | 'never' }
 export type OrderKind = 'start' | 'stop' | 'hold'
-/** `lost-order`: never arrives. `lost-answer`: executed, without an answer. `late`: executed after `lateMs`, without an answer. */
+/** `lost-order`: never arrives. `lost-answer`: executed, without an answer. `late`: executed after `lateMs` of the fleet, without an answer. */
 export type OrderFault = 'none' | 'lost-order' | 'lost-answer' | 'late'
 
 export interface RunEvent { at: number, kind: 'started' | 'ended' | 'acknowledged', worker: string, task: string, attempt: number, cause?: string }
@@ -39,6 +39,8 @@
   addWorker (life: Partial<WorkerLife> & { id: string }): FakeRunWorker
   /** From a stop until the task has ended, ms. */
   stopMs: number
+  /** From a late order until it is executed, ms. */
+  lateMs: number
   /** How long the tasks run; by default 1 s to success. */
   plan: (task: string, worker: string) => RunPlan
   /** What a worker reads of a task, given all tasks that run there; by default what was set for the task. */
@@ -48,7 +50,6 @@
 const DEFAULT_LIFE: Omit<WorkerLife, 'id'> = {
   bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 128_000, accelerators: 0, labels: [], draining: false
 }
-const LATE_MS = 3000
 const ADVICE_MS = 50
 
 export function createFakeRunFleet (clock: Clock): FakeRunFleet {
@@ -60,6 +61,7 @@
     workers,
     onUpkeep: () => {},
     stopMs: 0,
+    lateMs: 3000,
     approved: () => true,
     advice: {
       ask: async (step, named) => {
@@ -111,7 +113,7 @@
     await clock.sleep(1)
     const fault = worker?.reachable === true ? worker.fault(kind, task) : 'lost-order'
     if (state === undefined || fault === 'lost-order') return giveUp(deadline)
-    if (fault === 'late') clock.sleep(LATE_MS).then(() => execute(state))
+    if (fault === 'late') clock.sleep(fleet.lateMs).then(() => execute(state))
     if (fault === 'late') return giveUp(deadline)
     if (state.life.bornAt !== life.bornAt) return Err({ kind: 'other-life' })
     const reply = await execute(state)
--- a/test/support/servicePlay.ts
+++ b/test/support/servicePlay.ts
@@ -1,6 +1,7 @@
 import { createRandom, type Random } from '../../src/common/index.js'
 import type { RunningTask } from '../../src/fakes/runWorker.js'
 import { createHosts, SERVICE_BOUND, type Hosts } from '../workflows/support.js'
+import { createTroubles } from './troubles.js'
 
 const HOSTS = ['h1', 'h2', 'h3', 'h4', 'h5']
 const WORKERS = 6
@@ -35,12 +36,14 @@
 
 /** What one load did to services and callers. */
 export interface ServicePlay {
-  /** Longest time that a service was over its target on end, up to a moment at which work that fills was beside it, ms. */
+  /** Longest time that a service was over its target on end, up to a moment without troubles at which work that fills was beside it, ms. */
   longestMs: number
   harmedShare: number
   batches: number
   onTime: number
   stops: number
+  /** What was disturbed, and from when to when. */
+  troubles: string[]
 }
 
 interface Service { backlogMs: number, overSince: number | undefined, sum: number, reading: number }
@@ -66,8 +69,8 @@
   return SERVICES.includes(getImage(task))
 }
 
-/** Plays batch work in waves beside services whose loads swing, with pressures, delays and readings drawn from the seed. */
-export async function playServices (seed: number): Promise<ServicePlay> {
+/** Plays batch work in waves beside services whose loads swing, with pressures, readings, and delays or troubles drawn from the seed. */
+export async function playServices (seed: number, withTroubles = false): Promise<ServicePlay> {
   const random = createRandom(seed)
   const readings = createRandom(seed)
   const getPressure = createPressures(createRandom(seed))
@@ -78,7 +81,9 @@
   fleet.stopMs = random.below(SERVICE_BOUND.stopMs)
   fleet.plan = (task) => isService(task) ? { runMs: 0, result: 'never' } : { runMs: TASK_MS, result: 'succeeded' }
   fleet.measure = (task) => services.get(task)?.reading
-  network.setFaults({ loss: 0, duplication: 0, maxDelayMs: random.pick([0, 50, 150, 300]) })
+  const maxDelayMs = random.pick([0, 50, 150, 300])
+  const troubles = withTroubles ? createTroubles(hosts, createRandom(seed), SETTLE_MS + LOAD_MS) : undefined
+  if (troubles === undefined) network.setFaults({ loss: 0, duplication: 0, maxDelayMs })
 
   const computeTail = (service: Service, load: number): number => {
     service.backlogMs = Math.min(MAX_BACKLOG_MS, Math.max(0, service.backlogMs + (load - 1) * STEP_MS))
@@ -102,11 +107,13 @@
     seen.watched += 1
     if (service.overSince === undefined || fills.length === 0) return
     seen.harmed += 1
+    if (troubles?.isCalm(now) === false) return
     seen.longestMs = Math.max(seen.longestMs, now - service.overSince)
   }
 
   const run = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += STEP_MS) {
+      troubles?.update(clock.now())
       await clock.advance(STEP_MS)
       fleet.workers.forEach(({ running }) => [...running.keys()].filter(isService).forEach((task) => updateService(task, running)))
     }
@@ -126,7 +133,7 @@
   await run(BATCH_OBJECTIVE_MS)
   const play = summarizePlay(hosts, submittedAt)
   await hosts.stop()
-  return { ...play, longestMs: seen.longestMs, harmedShare: seen.harmed / seen.watched }
+  return { ...play, longestMs: seen.longestMs, harmedShare: seen.harmed / seen.watched, troubles: troubles?.kinds ?? [] }
 }
 
 function summarizePlay ({ fleet }: Hosts, submittedAt: ReadonlyMap<string, { at: number, count: number }>): Pick<ServicePlay, 'batches' | 'onTime' | 'stops'> {
