Order the members of a gang before other starts that wait

A member of a gang waited behind other starts to a worker that did not answer them, up to 30 s, while the others ran out of patience (gangTimeoutMs) and ended alone. The test failed before: after a second one of two members had started.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -11,7 +11,9 @@
 export async function startRun (context: SessionContext, session: Session, run: Run): Promise<void> {
   if (run.starting || run.stopReason !== undefined) return
   run.starting = true
-  const isUrgent = findStep(context.getState(), run.task)?.lasting === true
+  const step = findStep(context.getState(), run.task)
+  // The members of a gang that have started wait for the others for a bounded time only.
+  const isUrgent = step?.lasting === true || step?.gang === true
   let tries = 0
   let isOpen = true
   while (isOpen && tries < MAX_START_TRIES) {
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -350,6 +350,26 @@
   await Promise.all([host.stop(), lone.clock.advance(2000)])
 })
 
+test('a member of a gang waits behind starts that its worker does not answer, while the others run out of patience', async () => {
+  const lone = createLone()
+  const worker = lone.fleet.addWorker({ id: 'w' })
+  const other = lone.fleet.addWorker({ id: 'v' })
+  worker.fault = (kind, task) => kind === 'start' && task?.startsWith('x.0.0.') === true ? 'lost-order' : 'none'
+  lone.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  lone.apply({ kind: 'catalog.put', catalog: CATALOG })
+  lone.apply({ kind: 'life.report', life: worker.life })
+  lone.apply({ kind: 'life.report', life: other.life })
+  lone.apply({ kind: 'sessions.divide', hosts: [OWN] })
+  lone.apply({ kind: 'workflow.submit', queue: 'quotes', workflow: { id: 'x', command: 'run', steps: [{ ...STEP, count: 64, cores: 0.1 }, { ...STEP, count: 2, gang: true }] }, at: 0 })
+  const host = lone.open()
+  await lone.clock.advance(500)
+  lone.apply({ kind: 'workflow.assign', assignments: Array.from({ length: 64 }, (_, index) => [`x.0.0.${index}`, 'w', 1]) })
+  lone.apply({ kind: 'workflow.assign', assignments: [['x.0.1.0', 'w', 1], ['x.0.1.1', 'v', 1]] })
+  await lone.clock.advance(1000)
+  expect([...worker.running.keys(), ...other.running.keys()]).toEqual(['x.0.1.0', 'x.0.1.1'])
+  await Promise.all([host.stop(), lone.clock.advance(2000)])
+})
+
 test('a leader that was held up takes the silence of that time for the absence of all other hosts', async () => {
   const clock = createManualClock(1000)
   const proposed: string[] = []
