Emulator of services beside batch work in virtual time, and experiments over its settings

The play behind the HARM fuzz test moves from test/support to src/emulator: hosts, tails, batch work and troubles come from settings (TOML, checked), and `npm run emulate` plays all combinations of what a file varies with the same seeds and prints a table and a page with charts. Charts and pages of the burn report and the checks of settings files are shared.

--- a/src/coordination/reports/charts.ts
+++ b/src/coordination/reports/charts.ts
@@ -4,7 +4,7 @@
 import { formatCell } from './tables.js'
 
 /** A bar chart with one group of bars for each category. */
-interface BarChart {
+export interface BarChart {
   title: string
   unit: string
   categories: string[]
@@ -20,9 +20,9 @@
 const MAX_CATEGORIES = 25
 const MAX_CAUSES = 8
 
-/** Draws the report's charts as static SVG. The library is loaded on the first call, since it takes about 40 MB. */
-export async function renderCharts (report: BurnReport): Promise<string[]> {
-  const charts = listCharts(report).filter((chart) => chart.categories.length > 0)
+/** Draws charts as static SVG, those without categories left out. The library is loaded on the first call, since it takes about 40 MB. */
+export async function renderBarCharts (all: readonly BarChart[]): Promise<string[]> {
+  const charts = all.filter((chart) => chart.categories.length > 0)
   if (charts.length === 0) return []
   const [{ init, use }, { BarChart }, { GridComponent, LegendComponent, TitleComponent }, { SVGRenderer }] = await Promise.all([
     import('echarts/core'), import('echarts/charts'), import('echarts/components'), import('echarts/renderers')
@@ -37,7 +37,7 @@
   })
 }
 
-function listCharts (report: BurnReport): BarChart[] {
+export function listCharts (report: BurnReport): BarChart[] {
   return [createBurnChart(report), createCauseChart(report), createEvictionChart(report), createBatchChart(report)]
 }
 
--- a/src/coordination/reports/renderHtml.ts
+++ b/src/coordination/reports/renderHtml.ts
@@ -1,4 +1,4 @@
-import { renderCharts } from './charts.js'
+import { listCharts, renderBarCharts, type BarChart } from './charts.js'
 import type { BurnReport } from './schemas.js'
 import { describeReport, formatCell, listTables, type ReportTable } from './tables.js'
 
@@ -12,9 +12,16 @@
 
 const MARKED = new Set(['PAGE', 'TICKET', 'RIVAL'])
 
+/** What a page shows, from top to bottom. */
+export interface Page { title: string, summary: string, charts: readonly BarChart[], tables: readonly ReportTable[] }
+
+export function renderReportHtml (report: BurnReport): Promise<string> {
+  return renderPage({ title: 'sequoiadrift report', summary: describeReport(report), charts: listCharts(report), tables: listTables(report) })
+}
+
 /** One page that loads nothing from elsewhere. Every text is escaped. */
-export async function renderReportHtml (report: BurnReport): Promise<string> {
-  const charts = await renderCharts(report)
+export async function renderPage ({ title, summary, charts, tables }: Page): Promise<string> {
+  const drawings = await renderBarCharts(charts)
   return [
     '<!doctype html>',
     '<html lang="en">',
@@ -22,14 +29,14 @@
     '<meta charset="utf-8">',
     // Even if an escape were missing, the browser would run and load nothing.
     '<meta http-equiv="Content-Security-Policy" content="default-src \'none\'; style-src \'unsafe-inline\'">',
-    '<title>sequoiadrift report</title>',
+    `<title>${encodeHtml(title)}</title>`,
     `<style>${STYLE}\n</style>`,
     '</head>',
     '<body>',
-    '<h1>sequoiadrift report</h1>',
-    `<p>${encodeHtml(describeReport(report))}</p>`,
-    ...charts.map((svg) => `<figure>${svg}</figure>`),
-    ...listTables(report).map(renderTable),
+    `<h1>${encodeHtml(title)}</h1>`,
+    `<p>${encodeHtml(summary)}</p>`,
+    ...drawings.map((svg) => `<figure>${svg}</figure>`),
+    ...tables.map(renderTable),
     '</body>',
     '</html>',
     ''
--- /dev/null
+++ b/src/emulator/hosts.ts
@@ -0,0 +1,94 @@
+import { createManualClock, createNoMetrics, createNoWorkMeter, createRandom, createSilentLogger, type Clock, type ManualClock } from '../common/index.js'
+import { createWorkflowCoordinator, type ServiceBound, type WorkerClient, type WorkflowCoordinator } from '../coordination/workflows/index.js'
+import { createMemoryLog, type MemoryFollower, type MemoryLog } from '../fakes/memoryLog.js'
+import { createFakeRunFleet, type FakeRunFleet } from '../fakes/runWorker.js'
+import { createSimpleNetwork, type SimpleNetwork } from '../fakes/simpleNetwork.js'
+import type { Catalog, Entry, Step } from '../state/index.js'
+
+/** One sync of a disk, as on the hosts that are aimed at, and the way to a majority. */
+export const COMMIT_MS = 12
+const STARTED_MS = 1000
+const DEFAULT_WORKER_CORES = 32
+export const DEFAULT_SERVICE_BOUND: ServiceBound = { overTargetMs: 4000, stopMs: 400 }
+
+/** A task without any wishes. */
+export const PLAIN_STEP: Step = {
+  count: 1, cores: 2, memoryMb: 1000, accelerators: 0, expectedRunMs: 1000, dependsOn: [], gang: false, rackSensitive: false, speculative: false, checkpoints: false, lasting: false, fills: false
+}
+
+/** One queue of one service. */
+export const ONE_QUEUE: Catalog = {
+  version: 1,
+  queues: [{ name: 'quotes', hostName: 'desk.example', pathPrefix: '/quotes/', service: 'desk', requestTimeoutMs: 3000, priority: 0, maxAttempts: 2, slackFactor: 2, objectiveMs: 500 }],
+  pools: [{ service: 'desk', rejectsOverload: true, maxConnections: 64, standby: false }],
+  document: '{}'
+}
+
+export interface EmulatedHosts {
+  clock: ManualClock
+  /** The log of the first host, which leads. */
+  log: MemoryLog
+  followers: Map<string, MemoryFollower>
+  network: SimpleNetwork
+  fleet: FakeRunFleet
+  coordinators: Map<string, WorkflowCoordinator>
+  propose (entry: Entry): Promise<unknown>
+  submit (id: string, steps: Array<Partial<Step>>): void
+  stop (): Promise<void>
+}
+
+export interface EmulatedHostsOptions {
+  /** Names of the hosts, of which the first leads. */
+  names: readonly string[]
+  workers: number
+  workerCores?: number
+  serviceBound?: ServiceBound
+  /** Of the delays and losses of messages. */
+  seed?: number
+  /** Puts something between a host and the workers. */
+  useClient? (clock: Clock, client: WorkerClient, host: string): WorkerClient
+}
+
+/** Several hosts in virtual time, with a replica of one log each, and workers that have reported. */
+export async function createEmulatedHosts ({ names, workers, workerCores = DEFAULT_WORKER_CORES, serviceBound = DEFAULT_SERVICE_BOUND, seed = 1, useClient }: EmulatedHostsOptions): Promise<EmulatedHosts> {
+  const clock = createManualClock(1000)
+  const [first = 'h1', ...others] = names
+  const log = createMemoryLog(first, { clock, commitMs: COMMIT_MS })
+  const followers = new Map(others.map((host) => [host, log.join(host)]))
+  const fleet = createFakeRunFleet(clock)
+  const network = createSimpleNetwork(clock, createRandom(seed))
+  const coordinators = new Map(names.map((host) => [host, createWorkflowCoordinator({
+    clock,
+    logger: createSilentLogger(),
+    metrics: createNoMetrics(),
+    work: createNoWorkMeter(),
+    network: network.join(host),
+    log: followers.get(host) ?? log,
+    availabilityZone: 'a',
+    serviceBound,
+    process: host,
+    client: useClient?.(clock, fleet.client, host) ?? fleet.client,
+    hosts: fleet.hosts,
+    advice: fleet.advice
+  })]))
+  const propose = async (entry: Entry): Promise<unknown> => log.propose(entry, Infinity)
+  propose({ kind: 'catalog.put', catalog: ONE_QUEUE })
+  Array.from({ length: workers }, (_, index) => fleet.addWorker({ id: `w${index}`, address: `127.0.0.1:${index}`, cores: workerCores }))
+    .forEach(({ life }) => propose({ kind: 'life.report', life }))
+  await clock.advance(STARTED_MS)
+  return {
+    clock,
+    log,
+    followers,
+    network,
+    fleet,
+    coordinators,
+    propose,
+    submit: (id, steps) => {
+      propose({ kind: 'workflow.submit', queue: 'quotes', workflow: { id, command: 'run', steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })) }, at: clock.wall() })
+    },
+    stop: async () => {
+      await Promise.all([...[...coordinators.values()].map((coordinator) => coordinator.stop()), clock.advance(2000)])
+    }
+  }
+}
--- a/src/programs/settings/load.ts
+++ b/src/programs/settings/load.ts
@@ -29,10 +29,14 @@
 
 export function parseSettings (file: string, text: string): Result<Settings, SettingsFailure> {
   const table = parseToml(file, text)
-  if (!table.ok) return table
-  const parsed = settingsSchema.safeParse(table.val)
+  return table.ok ? checkTable(settingsSchema, file, table.val) : table
+}
+
+/** Checks a table by a schema and names each key that is wrong. */
+export function checkTable<S extends z.ZodType> (schema: S, file: string, table: Record<string, unknown>): Result<z.infer<S>, SettingsFailure> {
+  const parsed = schema.safeParse(table)
   if (parsed.success) return Ok(parsed.data)
-  return Err({ kind: 'invalid-settings', file, issues: parsed.error.issues.flatMap((issue) => describeIssue(issue, table.val)) })
+  return Err({ kind: 'invalid-settings', file, issues: parsed.error.issues.flatMap((issue) => describeIssue(issue, table)) })
 }
 
 /** One line for each problem: file, key, value and what is allowed. */
@@ -106,7 +110,7 @@
   return Err({ kind: 'invalid-settings', file, issues: [{ key, value, allowed }] })
 }
 
-function parseToml (file: string, text: string): Result<Record<string, unknown>, SettingsFailure> {
+export function parseToml (file: string, text: string): Result<Record<string, unknown>, SettingsFailure> {
   try {
     return Ok(parse(text))
   } catch (error) {
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -1,18 +1,14 @@
-import { createManualClock, createNoMetrics, createNoWorkMeter, createRandom, createSilentLogger, type Clock, type ManualClock, type RequestHandler } from '../../src/common/index.js'
+import { createManualClock, createNoMetrics, createNoWorkMeter, createSilentLogger, type Clock, type ManualClock, type RequestHandler } from '../../src/common/index.js'
 import { createWorkflowCoordinator, type WorkerClient, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 import type { Candidate } from '../../src/coordination/workflows/placing.js'
 import { WORKFLOW_MESSAGE } from '../../src/coordination/workflows/messages.js'
-import { createMemoryLog, type MemoryFollower, type MemoryLog } from '../../src/fakes/memoryLog.js'
+import { COMMIT_MS, createEmulatedHosts, DEFAULT_SERVICE_BOUND, ONE_QUEUE, PLAIN_STEP, type EmulatedHosts } from '../../src/emulator/index.js'
+import { createMemoryLog, type MemoryLog } from '../../src/fakes/memoryLog.js'
 import { createFakeRunFleet, type FakeRunFleet, type RunEvent } from '../../src/fakes/runWorker.js'
-import { createSimpleNetwork, type SimpleNetwork } from '../../src/fakes/simpleNetwork.js'
 import { findSessionHost, type Catalog, type Entry, type Step, type Workflow } from '../../src/state/index.js'
 
-const COMMIT_MS = 12
-export const SERVICE_BOUND = { overTargetMs: 4000, stopMs: 400 }
-
-export const STEP: Step = {
-  count: 1, cores: 2, memoryMb: 1000, accelerators: 0, expectedRunMs: 1000, dependsOn: [], gang: false, rackSensitive: false, speculative: false, checkpoints: false, lasting: false, fills: false
-}
+export { DEFAULT_SERVICE_BOUND as SERVICE_BOUND, ONE_QUEUE as CATALOG, PLAIN_STEP as STEP }
+export type { EmulatedHosts as Hosts }
 
 export function createCandidate (id: string, more: Partial<Candidate> = {}): Candidate {
   return {
@@ -20,13 +16,6 @@
   }
 }
 
-export const CATALOG: Catalog = {
-  version: 1,
-  queues: [{ name: 'quotes', hostName: 'desk.example', pathPrefix: '/quotes/', service: 'desk', requestTimeoutMs: 3000, priority: 0, maxAttempts: 2, slackFactor: 2, objectiveMs: 500 }],
-  pools: [{ service: 'desk', rejectsOverload: true, maxConnections: 64, standby: false }],
-  document: '{}'
-}
-
 export interface Scene {
   clock: ManualClock
   log: MemoryLog
@@ -41,13 +30,13 @@
 }
 
 /** One leading host over an agreed log in memory, with workers that can fail. */
-export async function createScene (workers: string[], catalog: Catalog = CATALOG): Promise<Scene> {
+export async function createScene (workers: string[], catalog: Catalog = ONE_QUEUE): Promise<Scene> {
   const clock = createManualClock(1000)
   const log = createMemoryLog('h1', { clock, commitMs: COMMIT_MS })
   const fleet = createFakeRunFleet(clock)
   const handlers = new Map<string, RequestHandler>()
   const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
-  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, availabilityZone: 'a', serviceBound: SERVICE_BOUND, process: 'p1', client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
+  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: 'p1', client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
   const record = async (entry: Entry): Promise<void> => {
     log.propose(entry, Infinity)
     await clock.advance(COMMIT_MS)
@@ -75,67 +64,15 @@
     send,
     run,
     submit: (id, steps, more = {}) => send({
-      kind: 'submit', address: { hostName: 'desk.example', path: `/quotes/${id}` }, remainingMs: 1000, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...STEP, ...step })), ...more }
+      kind: 'submit', address: { hostName: 'desk.example', path: `/quotes/${id}` }, remainingMs: 1000, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })), ...more }
     }),
     listEvents: (kind) => fleet.events.filter((event) => event.kind === kind)
   }
 }
 
-export interface Hosts {
-  clock: ManualClock
-  /** The log of the first host, which leads. */
-  log: MemoryLog
-  followers: Map<string, MemoryFollower>
-  network: SimpleNetwork
-  fleet: FakeRunFleet
-  coordinators: Map<string, WorkflowCoordinator>
-  propose (entry: Entry): Promise<unknown>
-  submit (id: string, steps: Array<Partial<Step>>): void
-  stop (): Promise<void>
-}
-
-/** Several hosts with a replica of one log, of which the first leads, and workers that have reported. The seed is that of the delays and losses of messages. */
-export async function createHosts (names: readonly string[], workers: number, useClient: (clock: Clock, client: WorkerClient, host: string) => WorkerClient = (_clock, client) => client, seed = 1): Promise<Hosts> {
-  const clock = createManualClock(1000)
-  const [first = 'h1', ...others] = names
-  const log = createMemoryLog(first, { clock, commitMs: COMMIT_MS })
-  const followers = new Map(others.map((host) => [host, log.join(host)]))
-  const fleet = createFakeRunFleet(clock)
-  const network = createSimpleNetwork(clock, createRandom(seed))
-  const coordinators = new Map(names.map((host) => [host, createWorkflowCoordinator({
-    clock,
-    logger: createSilentLogger(),
-    metrics: createNoMetrics(),
-    work: createNoWorkMeter(),
-    network: network.join(host),
-    log: followers.get(host) ?? log,
-    availabilityZone: 'a',
-    serviceBound: SERVICE_BOUND,
-    process: host,
-    client: useClient(clock, fleet.client, host),
-    hosts: fleet.hosts,
-    advice: fleet.advice
-  })]))
-  const propose = async (entry: Entry): Promise<unknown> => log.propose(entry, Infinity)
-  propose({ kind: 'catalog.put', catalog: CATALOG })
-  Array.from({ length: workers }, (_, index) => fleet.addWorker({ id: `w${index}`, address: `127.0.0.1:${index}` }))
-    .forEach(({ life }) => propose({ kind: 'life.report', life }))
-  await clock.advance(1000)
-  return {
-    clock,
-    log,
-    followers,
-    network,
-    fleet,
-    coordinators,
-    propose,
-    submit: (id, steps) => {
-      propose({ kind: 'workflow.submit', queue: 'quotes', workflow: { id, command: 'run', steps: steps.map((step) => ({ ...STEP, ...step })) }, at: clock.wall() })
-    },
-    stop: async () => {
-      await Promise.all([...[...coordinators.values()].map((coordinator) => coordinator.stop()), clock.advance(2000)])
-    }
-  }
+/** Hosts with workers, with `useClient` between them. */
+export function createHosts (names: readonly string[], workers: number, useClient?: (clock: Clock, client: WorkerClient, host: string) => WorkerClient): Promise<EmulatedHosts> {
+  return createEmulatedHosts({ names, workers, ...useClient !== undefined && { useClient } })
 }
 
 /** Tasks of which two runs were there at the same time. */
@@ -149,7 +86,7 @@
 }
 
 /** The workers that the agreed division gives to a host. */
-export function listOwned ({ log }: Hosts, host: string): string[] {
+export function listOwned ({ log }: EmulatedHosts, host: string): string[] {
   const { workers, sessionHosts } = log.state().workflows
   return Object.values(workers).filter(({ life }) => findSessionHost(sessionHosts, life) === host).map(({ life }) => life.id)
 }
