--- a/src/coordination/placement/candidates.ts
+++ b/src/coordination/placement/candidates.ts
@@ -68,6 +68,8 @@
       addAlternative(choice, worker, result.score, HIGHER_COST)
     }
   }
+  const score = computeShownScore(choice.score)
+  choice.alternatives.filter((other) => other.rejectedBecause === HIGHER_COST && other.score === score).forEach((other) => { other.rejectedBecause = EQUAL_COST })
   return choice
 }
 
@@ -157,15 +159,20 @@
 }
 
 const HIGHER_COST = 'higher cost'
+const EQUAL_COST = 'equal cost, looked at later'
+
+function computeShownScore (score: number): number {
+  return Number(score.toPrecision(4))
+}
 
 /** Keeps a few alternatives; workers that had room take precedence over rejected ones. */
 function addAlternative ({ alternatives }: Choice, worker: WorkerRecord, score: number, rejectedBecause: string): void {
   const hadRoom = rejectedBecause === HIGHER_COST
   if (alternatives.length < ALTERNATIVES_KEPT) {
-    alternatives.push({ worker: worker.id, score: Number(score.toPrecision(4)), rejectedBecause })
+    alternatives.push({ worker: worker.id, score: computeShownScore(score), rejectedBecause })
     return
   }
   if (!hadRoom) return
   const index = alternatives.findIndex((other) => other.rejectedBecause !== HIGHER_COST || other.score > score)
-  if (index >= 0) alternatives[index] = { worker: worker.id, score: Number(score.toPrecision(4)), rejectedBecause }
+  if (index >= 0) alternatives[index] = { worker: worker.id, score: computeShownScore(score), rejectedBecause }
 }
--- a/test/placement/rules.test.ts
+++ b/test/placement/rules.test.ts
@@ -18,6 +18,27 @@
   return script
 }
 
+test('an alternative of the same cost is explained as one of a higher cost', () => {
+  const script = createScript(3)
+  script.queue(createTask('a-0'))
+  const [start] = script.decide()
+  const alternatives = start?.kind === 'start' ? start.reason.alternatives : []
+  expect(alternatives).toMatchInlineSnapshot(`
+    [
+      {
+        "rejectedBecause": "equal cost, looked at later",
+        "score": 0.005454,
+        "worker": "w1",
+      },
+      {
+        "rejectedBecause": "equal cost, looked at later",
+        "score": 0.005454,
+        "worker": "w2",
+      },
+    ]
+  `)
+})
+
 test('an urgent task uses the headroom that batch tasks may not', () => {
   const script = createScript(1)
   script.setPolicy('ordinary', { safetyMargin: 0 })
