--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -1,7 +1,8 @@
 #!/usr/bin/env node
 import { setMaxListeners } from 'node:events'
-import { boolean, command, flag, option, optional, runSafely, string } from 'cmd-ts'
+import { boolean, command, flag, option, optional, string } from 'cmd-ts'
 import { startEntryHost } from './entryHost/index.js'
+import { runProgram } from './runProgram.js'
 import { chooseHost, describeSettingsFailure, loadSettings } from './settings/index.js'
 
 const EXIT_USAGE = 2
@@ -44,8 +45,4 @@
 // The loops of all workers and peers listen to one stop signal, so their number says nothing about a leak.
 setMaxListeners(0)
 
-const result = await runSafely(daemon, process.argv.slice(2))
-if (result._tag === 'error') {
-  console.error(result.error.config.message)
-  process.exitCode = result.error.config.exitCode === 0 ? 0 : EXIT_USAGE
-}
+await runProgram(daemon)
--- a/src/programs/emulator.ts
+++ b/src/programs/emulator.ts
@@ -1,8 +1,9 @@
 #!/usr/bin/env node
 import { readFile, writeFile } from 'node:fs/promises'
-import { command, number, option, optional, positional, runSafely, string } from 'cmd-ts'
+import { command, number, option, optional, positional, string } from 'cmd-ts'
 import { listRows, parseExperiment, renderExperimentHtml, runExperiment } from '../emulator/index.js'
 import { EXIT_CODES, renderTable } from './cli/output.js'
+import { runProgram } from './runProgram.js'
 import { describeSettingsFailure } from './settings/index.js'
 
 const program = command({
@@ -35,10 +36,4 @@
   return undefined
 }
 
-const result = await runSafely(program, process.argv.slice(2))
-if (result._tag === 'error') {
-  const { message, into, exitCode } = result.error.config
-  const write = into === 'stdout' ? console.log : console.error
-  write(message)
-  process.exitCode = exitCode === 0 ? EXIT_CODES.success : EXIT_CODES.usage
-}
+await runProgram(program)
