Have the settings read again on SIGHUP during the start of a program

Cause: the handler was added once the program had started, so the default action held until then; the same class as SIGTERM during the start. The test failed before for both roles.

--- a/deploy/loader.cjs
+++ b/deploy/loader.cjs
@@ -1,6 +1,7 @@
 // Runs the bundle beside this file from its stored compiled code. `--compile` stores that code.
-// The bundle replaces this handler; nothing has to be put in order before it runs.
+// The bundle replaces these handlers. Nothing has to be put in order and no settings have been read before it runs.
 process.on('SIGTERM', () => process.exit(0))
+process.on('SIGHUP', () => {})
 
 const { readFileSync, writeFileSync } = require('node:fs')
 const { join } = require('node:path')
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -59,6 +59,20 @@
   expect(await ended).toEqual([0, null])
 })
 
+test.each(['voter', 'entry'])('SIGHUP during the start ends a %s by the signal instead of having the settings read again', { timeout: TIMEOUT_MS }, async (role) => {
+  const { child, ended } = await startProgram(role, 'hook.cjs')
+  let output = ''
+  const reloaded = new Promise<string>((resolve) => child.stdout?.on('data', (data) => {
+    output += String(data)
+    if (output.includes('event=reload')) resolve('reloaded')
+  }))
+  await new Promise((resolve) => child.stdout?.once('data', resolve))
+  child.kill('SIGHUP')
+  expect(await Promise.race([reloaded, ended])).toBe('reloaded')
+  child.kill('SIGTERM')
+  expect(await ended).toEqual([0, null])
+})
+
 test('SIGTERM at the moment at which an entry takes over the handler of its loader is lost', { timeout: TIMEOUT_MS }, async () => {
   const { child, ended } = await startProgram('entry', 'takeover.cjs')
   child.stdout?.resume()
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -10,7 +10,8 @@
 /** Seeds that have failed once, with the cause. */
 const REGRESSION_SEEDS: Array<[seed: number, cause: string]> = [
   [14, 'a host that took over a worker after the cancel of a job did not stop the run of that job'],
-  [329, 'a host that got SIGTERM while it started died of the signal']
+  [329, 'a host that got SIGTERM while it started died of the signal'],
+  [509, 'a host that got SIGHUP while it started died of the signal']
 ]
 
 beforeAll(() => {
