Give a request up at the time-out of its queue

Clients of a queue whose time-out was set below their own deadline were held until that deadline: requestTimeoutMs was checked when a catalog came and read by no code since. The entry host now says how long it has held a request, and the leader takes the earlier of the client's deadline and the time-out in force; what is past it is answered 'not run' before anything is proposed. With the time-out left out of the deadline the four tests fail (2,970 ms instead of 470).

--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger, Network } from '../../common/index.js'
-import { WORKFLOW_MESSAGE, type WorkflowReply, type WorkflowRequest } from './messages.js'
+import { WORKFLOW_MESSAGE, type ClientRequest, type WorkflowReply, type WorkflowRequest } from './messages.js'
 
 /** One try at one host; a leader answers after one sync of its disk and one round trip. */
 const TRY_TIMEOUT_MS = 1500
@@ -25,7 +25,7 @@
 
 export interface WorkflowGateway {
   /** Passes a request to the leader, wherever it is by then, until the deadline. */
-  send (request: Exclude<WorkflowRequest, { kind: 'ping' }>, deadline: number): Promise<WorkflowReply>
+  send (request: ClientRequest, deadline: number): Promise<WorkflowReply>
   /** True while the leader answers and has a catalog. */
   isReady (): boolean
   /** Hosts to ask for the leader from now on, beside those that it has named. */
@@ -103,6 +103,7 @@
 
   const send: WorkflowGateway['send'] = async (request, deadline) => {
     let isUnclear = false
+    const receivedAt = clock.now()
     const patience = Math.max(clock.now(), answeredAt) + LEADER_PATIENCE_MS
     while (clock.now() < deadline && !stopping.signal.aborted) {
       const host = leader
@@ -113,7 +114,7 @@
         continue
       }
       const tryUntil = Math.min(deadline, clock.now() + TRY_TIMEOUT_MS)
-      const reply = await ask(host, { ...request, remainingMs: tryUntil - clock.now() }, tryUntil)
+      const reply = await ask(host, { ...request, remainingMs: tryUntil - clock.now(), heldMs: clock.now() - receivedAt }, tryUntil)
       if (typeof reply === 'object' && reply.kind !== 'not-leader') {
         // A later leader may answer that nothing was recorded while a copy of an earlier try is still under way.
         return isUnclear && reply.kind === 'not-run' ? { kind: 'unknown', reason: reply.reason } : reply
--- a/src/coordination/workflows/messages.ts
+++ b/src/coordination/workflows/messages.ts
@@ -5,11 +5,21 @@
 export const queueAddressSchema = z.object({ hostName: z.string(), path: z.string() })
 export type QueueAddress = z.infer<typeof queueAddressSchema>
 
-/** Requests of entry hosts to the leader. `remainingMs` is how long the client still waits. */
+const submitSchema = z.object({ kind: z.literal('submit'), address: queueAddressSchema, workflow: workflowSchema.nullable() })
+const readSchema = z.object({ kind: z.literal('read'), address: queueAddressSchema })
+const cancelSchema = z.object({ kind: z.literal('cancel'), address: queueAddressSchema })
+
+/** What a client asks an entry host for. */
+export type ClientRequest = z.infer<typeof submitSchema> | z.infer<typeof readSchema> | z.infer<typeof cancelSchema>
+
+/** `remainingMs` is how long the client still waits, `heldMs` how long the entry host has had the request. */
+const timing = { remainingMs: z.number(), heldMs: z.number().nonnegative() }
+
+/** Requests of entry hosts to the leader. */
 export const workflowRequestSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('submit'), address: queueAddressSchema, workflow: workflowSchema.nullable(), remainingMs: z.number() }),
-  z.object({ kind: z.literal('read'), address: queueAddressSchema, remainingMs: z.number() }),
-  z.object({ kind: z.literal('cancel'), address: queueAddressSchema, remainingMs: z.number() }),
+  submitSchema.extend(timing),
+  readSchema.extend(timing),
+  cancelSchema.extend(timing),
   z.object({ kind: z.literal('ping') })
 ])
 export type WorkflowRequest = z.infer<typeof workflowRequestSchema>
--- a/src/coordination/workflows/service.ts
+++ b/src/coordination/workflows/service.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
-import type { AgreedLog, Catalog, LogFailure, Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
+import type { AgreedLog, Catalog, LogFailure, Queue, WorkflowRecord, WorkflowsState } from '../../state/index.js'
 import { admitWorkflow, computeTotals, createTotalsCache, type BacklogTotals } from './admission.js'
 import type { QueueAddress, WorkflowReply, WorkflowRequest, WorkflowStatus } from './messages.js'
 import type { Term } from './term.js'
@@ -9,6 +9,8 @@
 const REPLY_RESERVE_MS = 30
 /** When nothing was recorded, a new leader is expected within this; the time without a leader is below 2 s (docs/design.md). */
 const NO_LEADER_RETRY_MS = 1000
+/** An answer that the queue or the client would not wait for any more; a change of leader, the usual reason, is over within the pause. */
+const TIMED_OUT: WorkflowReply = { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: 'queue-timeout' }
 
 export interface WorkflowServiceOptions {
   clock: Clock
@@ -40,9 +42,9 @@
 
   const handlers: { [K in WorkflowRequest['kind']]: (request: Extract<WorkflowRequest, { kind: K }>) => Promise<WorkflowReply> } = {
     ping: async () => ({ kind: 'pong', hasCatalog: getState(log).catalog !== undefined, voters: log.status().voters }),
-    submit: (request) => handleSubmit(options, request.address, request.workflow ?? undefined, request.remainingMs),
-    cancel: (request) => handleCancel(options, request.address, request.remainingMs),
-    read: (request) => handleRead(options, request.address, request.remainingMs)
+    submit: (request) => handleSubmit(options, request),
+    cancel: (request) => handleCancel(options, request),
+    read: (request) => handleRead(options, request)
   }
 
   return {
@@ -95,12 +97,22 @@
   return queue === undefined ? undefined : { queue, rest: path.slice(queue.pathPrefix.length) }
 }
 
-async function handleSubmit (options: RequestOptions, address: QueueAddress, workflow: Workflow | undefined, remainingMs: number): Promise<WorkflowReply> {
+type Timing = Pick<Extract<WorkflowRequest, { kind: 'read' }>, 'remainingMs' | 'heldMs'>
+
+/** Until when the client waits and the time-out of its queue lets it; less the way back. */
+function computeDeadline ({ clock }: RequestOptions, { remainingMs, heldMs }: Timing, queue?: Queue): number {
+  return clock.now() + Math.min(remainingMs, (queue?.requestTimeoutMs ?? Infinity) - heldMs) - REPLY_RESERVE_MS
+}
+
+async function handleSubmit (options: RequestOptions, request: Extract<WorkflowRequest, { kind: 'submit' }>): Promise<WorkflowReply> {
   const { log, clock, logger } = options
-  const found = findQueue(getState(log).catalog, address)
-  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, remainingMs)
-  if (workflow === undefined) return { kind: 'invalid', message: 'the body is not a workflow' }
+  const { workflow } = request
+  const found = findQueue(getState(log).catalog, request.address)
+  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, computeDeadline(options, request))
+  if (workflow === null) return { kind: 'invalid', message: 'the body is not a workflow' }
   const { queue } = found
+  const deadline = computeDeadline(options, request, queue)
+  if (deadline <= clock.now()) return TIMED_OUT
   const isKnown = getState(log).workflows[workflow.id] !== undefined
   const view = options.getView()
   const load = view?.term.getSchedulerLoad(queue.priority)
@@ -111,43 +123,45 @@
     return { kind: 'overloaded', retryAfterMs: verdict.retryAfterMs }
   }
   const startedAt = clock.now()
-  const result = await log.propose({ kind: 'workflow.submit', queue: queue.name, workflow, at: clock.wall() }, clock.now() + remainingMs - REPLY_RESERVE_MS)
+  const result = await log.propose({ kind: 'workflow.submit', queue: queue.name, workflow, at: clock.wall() }, deadline)
   options.metrics.timing('workflow.accept', clock.now() - startedAt)
   logger.info('workflow.submit', { workflow: workflow.id, queue: queue.name, steps: workflow.steps.length, tasks: workflow.steps.reduce((sum, step) => sum + step.count, 0), known: isKnown, backlogMs: Math.round(verdict.backlogMs), catalog: getState(log).catalog?.version, outcome: result.ok ? 'accepted' : result.val.kind, ms: Math.round(clock.now() - startedAt) })
   return result.ok ? { kind: 'accepted' } : describeLogFailure(result.val)
 }
 
-async function handleCancel (options: RequestOptions, address: QueueAddress, remainingMs: number): Promise<WorkflowReply> {
+async function handleCancel (options: RequestOptions, request: Extract<WorkflowRequest, { kind: 'cancel' }>): Promise<WorkflowReply> {
   const { log, clock, logger } = options
-  const found = findQueue(getState(log).catalog, address)
-  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, remainingMs)
+  const found = findQueue(getState(log).catalog, request.address)
+  const deadline = computeDeadline(options, request, found?.queue)
+  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, deadline)
+  if (deadline <= clock.now()) return TIMED_OUT
   if (getState(log).workflows[found.rest] === undefined) {
-    const absence = await confirmAbsence(options, { kind: 'no-workflow' }, remainingMs)
+    const absence = await confirmAbsence(options, { kind: 'no-workflow' }, deadline)
     if (absence.kind !== 'no-workflow' || getState(log).workflows[found.rest] === undefined) return absence
   }
-  const result = await log.propose({ kind: 'workflow.cancel', id: found.rest, at: clock.wall() }, clock.now() + remainingMs - REPLY_RESERVE_MS)
+  const result = await log.propose({ kind: 'workflow.cancel', id: found.rest, at: clock.wall() }, deadline)
   logger.info('workflow.cancel', { workflow: found.rest, queue: found.queue.name, outcome: result.ok ? 'cancelled' : result.val.kind })
   if (result.ok) return { kind: 'accepted' }
   return result.val.kind === 'rejected' ? { kind: 'no-workflow' } : describeLogFailure(result.val)
 }
 
-async function handleRead (options: RequestOptions, address: QueueAddress, remainingMs: number): Promise<WorkflowReply> {
+async function handleRead (options: RequestOptions, request: Extract<WorkflowRequest, { kind: 'read' }>): Promise<WorkflowReply> {
   const { log } = options
-  const found = findQueue(getState(log).catalog, address)
-  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, remainingMs)
+  const found = findQueue(getState(log).catalog, request.address)
+  const deadline = computeDeadline(options, request, found?.queue)
+  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, deadline)
   if (found.rest === '') return { kind: 'queue', pending: countPending(options.getView()?.open.list() ?? Object.values(getState(log).workflows), found.queue.name) }
   const record = getState(log).workflows[found.rest]
   if (record !== undefined) return { kind: 'status', status: getStatus(record) }
-  const absence = await confirmAbsence(options, { kind: 'no-workflow' }, remainingMs)
+  const absence = await confirmAbsence(options, { kind: 'no-workflow' }, deadline)
   const later = getState(log).workflows[found.rest]
   return later === undefined ? absence : { kind: 'status', status: getStatus(later) }
 }
 
 /** A host that was frozen may miss what others recorded, so absence is only reported after a majority was asked. */
-async function confirmAbsence (options: RequestOptions, reply: WorkflowReply, remainingMs: number): Promise<WorkflowReply> {
-  const { log, clock } = options
+async function confirmAbsence ({ log }: RequestOptions, reply: WorkflowReply, deadline: number): Promise<WorkflowReply> {
   if (getState(log).catalog === undefined) return { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: 'no-catalog' }
-  const current = await log.readBarrier(clock.now() + remainingMs - REPLY_RESERVE_MS)
+  const current = await log.readBarrier(deadline)
   return current.ok ? reply : { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: current.val.kind }
 }
 
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -39,7 +39,7 @@
     send: async (kind, waitMs) => {
       const replies: WorkflowReply[] = []
       const startedAt = clock.now()
-      gateway.send({ kind, address: { hostName: 'h', path: '/q/1' }, workflow: null, remainingMs: 0 }, startedAt + waitMs).then((reply) => replies.push(reply))
+      gateway.send({ kind, address: { hostName: 'h', path: '/q/1' }, workflow: null }, startedAt + waitMs).then((reply) => replies.push(reply))
       while (replies.length === 0) await clock.advance(5)
       return { reply: replies[0] as WorkflowReply, ms: clock.now() - startedAt }
     }
@@ -76,3 +76,15 @@
   const scene = await createScene({ a: LEADS }, ['a'], 50)
   expect(scene.gateway.isReady()).toBe(true)
 })
+
+test('a leader takes a request that was held elsewhere before for a new one', async () => {
+  const held: number[] = []
+  const asked: Host = (request) => {
+    if (request.kind === 'ping') return PONG
+    held.push(request.heldMs)
+    return held.length === 1 ? 'deadline-exceeded' : { kind: 'accepted' }
+  }
+  const scene = await createScene({ a: asked }, ['a'])
+  const { ms } = await scene.send('submit', 3000)
+  expect([held[0], (held[1] ?? 0) > 1000, (held[1] ?? 0) < ms]).toEqual([0, true, true])
+})
--- /dev/null
+++ b/test/workflows/queueTimeout.test.ts
@@ -0,0 +1,47 @@
+import { expect, test } from 'vitest'
+import { createManualClock, createNoMetrics, createSilentLogger, Err } from '../../src/common/index.js'
+import type { WorkflowReply, WorkflowRequest } from '../../src/coordination/workflows/index.js'
+import { createWorkflowService, type WorkflowServiceOptions } from '../../src/coordination/workflows/service.js'
+import { createAgreedState, workflowHandlers } from '../../src/state/index.js'
+import { CATALOG, STEP } from './support.js'
+
+const TIMEOUT_MS = 500
+const ADDRESS = { hostName: 'desk.example', path: '/quotes/a1' }
+const WORKFLOW = { id: 'a1', command: 'run', steps: [STEP] }
+
+type Timed<K extends WorkflowRequest['kind']> = Omit<Extract<WorkflowRequest, { kind: K }>, 'remainingMs' | 'heldMs'>
+
+/** Sends a request to a leader whose log never answers; tells how long the leader waits for it. */
+async function send (request: Timed<'submit'> | Timed<'read'> | Timed<'cancel'>, timing: { remainingMs: number, heldMs: number }): Promise<{ reply: WorkflowReply, waitedMs: number | undefined }> {
+  const clock = createManualClock(1000)
+  const state = createAgreedState()
+  workflowHandlers['catalog.put'](state.workflows, { catalog: { ...CATALOG, queues: CATALOG.queues.map((queue) => ({ ...queue, requestTimeoutMs: TIMEOUT_MS })) } })
+  let waitedMs: number | undefined
+  const wait = async (deadline: number): Promise<ReturnType<typeof Err<{ kind: 'outcome-unknown', message: string }>>> => {
+    waitedMs = deadline - clock.now()
+    return Err({ kind: 'outcome-unknown', message: 'no answer in time' })
+  }
+  const log = { state: () => state, status: () => ({ voters: [] }), subscribe: () => () => {}, propose: (_entry: unknown, deadline: number) => wait(deadline), readBarrier: wait }
+  const term = { isActive: () => true, getSchedulerLoad: () => ({ ahead: 0, startsPerSecond: undefined }) }
+  const service = createWorkflowService({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), log, getTerm: () => term } as unknown as WorkflowServiceOptions)
+  const reply = await service.handle({ ...request, ...timing })
+  return { reply, waitedMs }
+}
+
+test.each([
+  { kind: 'submit', address: ADDRESS, workflow: WORKFLOW },
+  { kind: 'cancel', address: ADDRESS },
+  { kind: 'read', address: ADDRESS }
+] as const)('a $kind is held for longer than the time-out of its queue in force', async (request) => {
+  expect({
+    fresh: (await send(request, { remainingMs: 3000, heldMs: 0 })).waitedMs,
+    held: (await send(request, { remainingMs: 3000, heldMs: 200 })).waitedMs,
+    impatient: (await send(request, { remainingMs: 100, heldMs: 200 })).waitedMs
+  }).toEqual({ fresh: TIMEOUT_MS - 30, held: TIMEOUT_MS - 200 - 30, impatient: 100 - 30 })
+})
+
+test('a job whose queue has timed out is stored all the same after its client was told that it has not run', async () => {
+  expect(await send({ kind: 'submit', address: ADDRESS, workflow: WORKFLOW }, { remainingMs: 3000, heldMs: TIMEOUT_MS })).toEqual({
+    reply: { kind: 'not-run', retryAfterMs: 1000, reason: 'queue-timeout' }, waitedMs: undefined
+  })
+})
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -79,7 +79,7 @@
   scene.fleet.plan = () => ({ runMs: 60_000, result: 'succeeded' })
   await scene.submit('a1', [{ count: 3, lasting: true }])
   await scene.run(500)
-  expect(await scene.send({ kind: 'cancel', address: { hostName: 'desk.example', path: '/quotes/a1' }, remainingMs: 1000 })).toEqual({ kind: 'accepted' })
+  expect(await scene.send({ kind: 'cancel', address: { hostName: 'desk.example', path: '/quotes/a1' }, remainingMs: 1000, heldMs: 0 })).toEqual({ kind: 'accepted' })
   await scene.run(2000)
   expect([scene.fleet.workers.get('w1')?.running.size, scene.listEvents('started').length, scene.listEvents('acknowledged').length]).toEqual([0, 3, 3])
 })
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -64,7 +64,7 @@
     send,
     run,
     submit: (id, steps, more = {}) => send({
-      kind: 'submit', address: { hostName: 'desk.example', path: `/quotes/${id}` }, remainingMs: 1000, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })), ...more }
+      kind: 'submit', address: { hostName: 'desk.example', path: `/quotes/${id}` }, remainingMs: 1000, heldMs: 0, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })), ...more }
     }),
     listEvents: (kind) => fleet.events.filter((event) => event.kind === kind)
   }
