Give an order for the upkeep of a host again until it was surely given

Operators of a wave whose order to one host was lost, or whose answer was, saw it run for ever: an order without an answer counted as given, and nothing gave it again. Worse, a host whose order was lost counted as done as soon as its worker crashed and started again, so a wave could be shown as completed while a host had not begun its upkeep.

An order is now confirmed by an entry of the log, only confirmed hosts can be done, and the others are emptied and ordered again each second; the owner takes a repeated order for the same. Hosts stay closed to new work until then, by their own name, since a worker may return under its id. Both tests failed before (no host begun; done before it had begun).

--- a/src/coordination/workflows/upkeep.ts
+++ b/src/coordination/workflows/upkeep.ts
@@ -1,11 +1,13 @@
 import type { Clock, Logger, Result } from '../../common/index.js'
-import type { AgreedLog, Step, WaveRecord, WorkerRecord, WorkflowsState } from '../../state/index.js'
+import type { AgreedLog, Entry, Step, WaveRecord, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import { findTask } from '../../state/index.js'
 import type { RunView, WorkerView } from './sessionState.js'
 
 /** How often waves are looked at; a part of the time an upkeep takes. */
 const CHECK_MS = 250
 const ORDER_TIMEOUT_MS = 2000
+/** An order that may have been lost is given again after this long; the owner of the hosts takes a repeated one for the same. */
+const RESEND_MS = 1000
 /** Runs that neither end nor can be moved are stopped when this is left until the wave is due, for each host that still waits. */
 const PATIENCE_MS = 3000
 
@@ -43,13 +45,13 @@
 /** Leads the hosts of a wave through their upkeep, a few at a time, and empties each before. */
 export function startUpkeep (options: UpkeepOptions): Upkeep {
   const { clock, logger } = options
-  const closing = new Set<string>()
+  const orders: Orders = { closing: new Set(), resendAt: new Map() }
   const getState = (): WorkflowsState => options.log.state().workflows
 
   const runWaves = async (): Promise<void> => {
     while (!options.isStopped()) {
       if (options.isActive()) {
-        for (const record of Object.values(getState().waves)) await runWave(options, record, closing)
+        for (const record of Object.values(getState().waves)) await runWave(options, record, orders)
       }
       await clock.sleep(CHECK_MS)
     }
@@ -58,45 +60,55 @@
   runWaves().catch((error: unknown) => {
     logger.error('upkeep.failed', { message: error instanceof Error ? error.stack : String(error) })
   })
-  return { isClosing: (worker) => closing.has(worker) }
+  return { isClosing: (worker) => orders.closing.has(getState().workers[worker]?.life.host ?? '') }
 }
 
 export function isWaveDone ({ wave, done }: WaveRecord): boolean {
   return wave.hosts.every((host) => done.includes(host))
 }
 
-async function runWave (options: UpkeepOptions, record: WaveRecord, closing: Set<string>): Promise<void> {
+/** Hosts that are about to go down, and when orders that may have been lost are given again. */
+interface Orders { closing: Set<string>, resendAt: Map<string, number> }
+
+async function runWave (options: UpkeepOptions, record: WaveRecord, orders: Orders): Promise<void> {
   if (isWaveDone(record)) return
   const state = options.log.state().workflows
-  const { wave, ordered, done } = record
-  for (const host of wave.hosts.filter((host) => ordered[host] !== undefined && !done.includes(host))) {
+  const { wave, ordered, confirmed, done } = record
+  for (const host of confirmed.filter((host) => !done.includes(host))) {
     const isBack = listLives(state, host).some(({ life }) => life.bornAt > (ordered[host] ?? 0))
     if (isBack) await recordDone(options, wave.id, host)
   }
   const open = wave.hosts.filter((host) => !done.includes(host))
   const isDown = (host: string): boolean => ordered[host] !== undefined
+  const unconfirmed = open.filter((host) => isDown(host) && !confirmed.includes(host))
   const down = open.filter(isDown).length
   const next = open.filter((host) => !isDown(host)).slice(0, Math.max(0, wave.maxDown - down))
   const remaining = open.length - down
   const isLate = options.clock.wall() > wave.dueAt - remaining * PATIENCE_MS
-  for (const host of next) await closeHost(options, wave.id, host, isLate, closing)
+  for (const host of [...unconfirmed, ...next]) await closeHost(options, record, host, isLate, orders)
 }
 
-async function closeHost (options: UpkeepOptions, wave: number, host: string, isLate: boolean, closing: Set<string>): Promise<void> {
+/** Empties a host and orders its upkeep, again while it is not sure that the order was given. */
+async function closeHost (options: UpkeepOptions, record: WaveRecord, host: string, isLate: boolean, { closing, resendAt }: Orders): Promise<void> {
   const { log, clock, logger, sessions } = options
+  const { wave: { id: wave }, ordered } = record
+  const isFirst = ordered[host] === undefined
   const lives = listLives(log.state().workflows, host)
-  lives.forEach(({ life }) => closing.add(life.id))
+  closing.add(host)
   const busy = lives.filter(({ life }) => !drainWorker(options, sessions.get(life.id), isLate))
-  if (busy.length > 0) return
+  if (busy.length > 0 || clock.now() < (resendAt.get(`${wave} ${host}`) ?? -Infinity)) return
+  const propose = async (entry: Entry): Promise<boolean> => (await log.propose(entry, clock.now() + ORDER_TIMEOUT_MS)).ok
   const bornAt = Math.max(0, ...lives.map(({ life }) => life.bornAt))
-  const recorded = await log.propose({ kind: 'wave.order', wave, host, bornAt }, clock.now() + ORDER_TIMEOUT_MS)
-  if (!recorded.ok) return
+  if (isFirst && !await propose({ kind: 'wave.order', wave, host, bornAt })) return
+  resendAt.set(`${wave} ${host}`, clock.now() + RESEND_MS)
   const result = await options.hosts.startUpkeep({ host, wave, fence: options.fence }, clock.now() + ORDER_TIMEOUT_MS)
-  logger.info('upkeep.order', { wave, host, fence: options.fence, outcome: result.ok ? 'ordered' : result.val.kind })
-  if (!result.ok && result.val.kind === 'unknown-host') await recordDone(options, wave, host)
-  // An order without an answer counts as given until the host is back or it turns out that it never left.
-  if (!result.ok && result.val.kind === 'refused') await log.propose({ kind: 'wave.withdraw', wave, host }, clock.now() + ORDER_TIMEOUT_MS)
-  lives.forEach(({ life }) => closing.delete(life.id))
+  logger.info('upkeep.order', { wave, host, fence: options.fence, first: isFirst, outcome: result.ok ? 'ordered' : result.val.kind })
+  if (result.ok) await propose({ kind: 'wave.confirm', wave, host })
+  const failure = result.ok ? undefined : result.val.kind
+  if (failure === 'unknown-host') await recordDone(options, wave, host)
+  // A repeated order may be refused because the host is down by the one before.
+  const isWithdrawn = isFirst && failure === 'refused' && await propose({ kind: 'wave.withdraw', wave, host })
+  if (result.ok || failure === 'unknown-host' || isWithdrawn) closing.delete(host)
 }
 
 async function recordDone ({ log, clock, logger }: UpkeepOptions, wave: number, host: string): Promise<void> {
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -169,6 +169,8 @@
   z.strictObject({ kind: z.literal('wave.open'), wave: upkeepWaveSchema }),
   /** Recorded before the upkeep of a host is ordered; a worker life on it that starts after `bornAt` shows that it is back. */
   z.strictObject({ kind: z.literal('wave.order'), wave: z.number().int(), host: z.string(), bornAt: z.number() }),
+  /** The order was surely given. */
+  z.strictObject({ kind: z.literal('wave.confirm'), wave: z.number().int(), host: z.string() }),
   /** The order was refused, so the host is not down. */
   z.strictObject({ kind: z.literal('wave.withdraw'), wave: z.number().int(), host: z.string() }),
   z.strictObject({ kind: z.literal('wave.done'), wave: z.number().int(), host: z.string() })
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -44,8 +44,11 @@
   assigned: Record<string, true>
 }
 
-/** `ordered` holds, for each host whose upkeep was ordered, when its worker life of that time was born. */
-export interface WaveRecord { wave: UpkeepWave, ordered: Record<string, number>, done: string[] }
+/**
+ * `ordered` holds, for each host whose upkeep was ordered, when its worker life of that time was born; an order that is
+ * not `confirmed` may have been lost.
+ */
+export interface WaveRecord { wave: UpkeepWave, ordered: Record<string, number>, confirmed: string[], done: string[] }
 
 export interface WorkflowsState {
   catalog: Catalog | undefined
@@ -203,7 +206,7 @@
   },
 
   'wave.open': (state: WorkflowsState, { wave }: { wave: UpkeepWave }): Change => {
-    state.waves[wave.id] ??= { wave, ordered: {}, done: [] }
+    state.waves[wave.id] ??= { wave, ordered: {}, confirmed: [], done: [] }
     return Ok({})
   },
 
@@ -214,6 +217,13 @@
     return Ok({})
   },
 
+  'wave.confirm': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
+    const record = state.waves[wave]
+    if (record === undefined) return Err({ kind: 'unknown-wave', wave })
+    if (!record.confirmed.includes(host)) record.confirmed.push(host)
+    return Ok({})
+  },
+
   'wave.withdraw': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
     const record = state.waves[wave]
     if (record === undefined) return Err({ kind: 'unknown-wave', wave })
--- a/test/workflows/upkeep.test.ts
+++ b/test/workflows/upkeep.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
+import { Err, Ok } from '../../src/common/index.js'
 import { listEvacuated } from '../../src/coordination/workflows/evacuation.js'
-import { createScene, STEP } from './support.js'
+import { createScene, STEP, type Scene } from './support.js'
 
 test('a wave takes one host down after the other, empties each before, and ends when all are back', async () => {
   const scene = await createScene(['w1', 'w2', 'w3'])
@@ -40,3 +41,54 @@
   ]
   expect(listEvacuated(runs, 2000)).toEqual(['lasting', 'saved', 'just begun'])
 })
+
+interface Owner { scene: Scene, begun: string[], /** Upkeeps whose order was lost on its way. */ lost: number }
+
+/** Workers on hosts of their own, and an owner of the hosts that loses the first orders and executes an order once. */
+async function createOwner (lost: number, onLost: (owner: Owner, host: string) => void = () => {}): Promise<Owner> {
+  const scene = await createScene(['w1', 'w2'])
+  const owner: Owner = { scene, begun: [], lost }
+  const reviveWorker = (id: string): void => {
+    const { life } = scene.fleet.workers.get(id)!
+    const revived = scene.fleet.addWorker({ ...life, host: `m-${id}`, bornAt: life.bornAt + 1 })
+    scene.log.propose({ kind: 'life.report', life: revived.life }, Infinity)
+  }
+  ['w1', 'w2'].forEach(reviveWorker)
+  scene.fleet.hosts.startUpkeep = async ({ host }) => {
+    if (owner.lost > 0) {
+      owner.lost -= 1
+      onLost(owner, host)
+      return Err({ kind: 'no-answer', message: 'lost' })
+    }
+    if (owner.begun.includes(host)) return Ok(undefined)
+    owner.begun.push(host)
+    scene.clock.sleep(2000).then(() => reviveWorker(host.slice(2)))
+    return Ok(undefined)
+  }
+  await scene.run(100)
+  scene.log.propose({ kind: 'wave.open', wave: { id: 1, hosts: ['m-w1', 'm-w2'], dueAt: scene.clock.wall() + 60_000, maxDown: 1 } }, Infinity)
+  return owner
+}
+
+test('a wave stands still for good when an order to take a host down is lost', async () => {
+  const { scene, begun } = await createOwner(2)
+  await scene.run(25_000)
+  expect({ begun, done: scene.log.state().workflows.waves[1]?.done }).toEqual({ begun: ['m-w1', 'm-w2'], done: ['m-w1', 'm-w2'] })
+})
+
+test('a host whose order was lost counts as done when its worker crashes and starts again', async () => {
+  const restarted = new Set<string>()
+  const owner = await createOwner(3, ({ scene }, host) => {
+    if (restarted.has(host)) return
+    restarted.add(host)
+    const { life } = scene.fleet.workers.get(host.slice(2))!
+    const again = scene.fleet.addWorker({ ...life, bornAt: life.bornAt + 1 })
+    scene.log.propose({ kind: 'life.report', life: again.life }, Infinity)
+  })
+  const early: string[] = []
+  for (let passed = 0; passed < 25_000; passed += 250) {
+    await owner.scene.run(250)
+    early.push(...(owner.scene.log.state().workflows.waves[1]?.done ?? []).filter((host) => !owner.begun.includes(host)))
+  }
+  expect({ early, done: owner.scene.log.state().workflows.waves[1]?.done }).toEqual({ early: [], done: ['m-w1', 'm-w2'] })
+})
