Give no order for a host within the lease of the leader before

Two holders in touch could give orders for one host within leaseMs: a new leader went on with a wave at once, and the bound was read by no code; a change of leader usually takes as long. A term now waits for leaseMs of the settings before its first order for a host.

--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -31,6 +31,8 @@
   process: string
   client: WorkerClient
   hosts: HostClient
+  /** For so long nobody else may give orders for a host after one of its holder. */
+  hostLeaseMs: number
   advice: AdviceClient
 }
 
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -24,6 +24,7 @@
   /** The name of this host. */
   self: string
   hosts: HostClient
+  hostLeaseMs: number
   advice: AdviceClient
   /** What this and earlier terms have learned of images that share workers. */
   sharing: Sharing
@@ -219,6 +220,7 @@
     logger,
     log,
     fence,
+    hostLeaseMs: options.hostLeaseMs,
     hosts: options.hosts,
     sessions: views.workers,
     isActive,
--- a/src/coordination/workflows/upkeep.ts
+++ b/src/coordination/workflows/upkeep.ts
@@ -29,6 +29,8 @@
   logger: Logger
   log: AgreedLog
   fence: number
+  /** For so long nobody else may give orders for a host after one of its holder. */
+  hostLeaseMs: number
   hosts: HostClient
   sessions: ReadonlyMap<string, WorkerView>
   isActive (): boolean
@@ -47,10 +49,12 @@
   const { clock, logger } = options
   const orders: Orders = { closing: new Set(), resendAt: new Map() }
   const getState = (): WorkflowsState => options.log.state().workflows
+  /** The leader before may have given orders until the term began. */
+  const ordersFrom = clock.now() + options.hostLeaseMs
 
   const runWaves = async (): Promise<void> => {
     while (!options.isStopped()) {
-      if (options.isActive()) {
+      if (options.isActive() && clock.now() >= ordersFrom) {
         for (const record of Object.values(getState().waves)) await runWave(options, record, orders)
       }
       await clock.sleep(CHECK_MS)
--- a/src/emulator/hosts.ts
+++ b/src/emulator/hosts.ts
@@ -9,6 +9,8 @@
 export const COMMIT_MS = 12
 const STARTED_MS = 1000
 const DEFAULT_WORKER_CORES = 32
+/** As on the reference sites. */
+export const HOST_LEASE_MS = 3000
 export const DEFAULT_SERVICE_BOUND: ServiceBound = { overTargetMs: 4000, stopMs: 400 }
 
 /** A task without any wishes. */
@@ -69,6 +71,7 @@
     process: host,
     client: useClient?.(clock, fleet.client, host) ?? fleet.client,
     hosts: fleet.hosts,
+    hostLeaseMs: HOST_LEASE_MS,
     advice: fleet.advice
   })]))
   const propose = async (entry: Entry): Promise<unknown> => log.propose(entry, Infinity)
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -2,12 +2,12 @@
 import { createWorkflowCoordinator, type WorkerClient, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 import type { Candidate } from '../../src/coordination/workflows/placing.js'
 import { WORKFLOW_MESSAGE } from '../../src/coordination/workflows/messages.js'
-import { COMMIT_MS, createEmulatedHosts, DEFAULT_SERVICE_BOUND, ONE_QUEUE, PLAIN_STEP, type EmulatedHosts } from '../../src/emulator/index.js'
+import { COMMIT_MS, createEmulatedHosts, DEFAULT_SERVICE_BOUND, HOST_LEASE_MS, ONE_QUEUE, PLAIN_STEP, type EmulatedHosts } from '../../src/emulator/index.js'
 import { createMemoryLog, type MemoryLog } from '../../src/fakes/memoryLog.js'
 import { createFakeRunFleet, type FakeRunFleet, type RunEvent } from '../../src/fakes/runWorker.js'
 import { findSessionHost, type Catalog, type Entry, type Step, type Workflow } from '../../src/state/index.js'
 
-export { DEFAULT_SERVICE_BOUND as SERVICE_BOUND, ONE_QUEUE as CATALOG, PLAIN_STEP as STEP }
+export { DEFAULT_SERVICE_BOUND as SERVICE_BOUND, HOST_LEASE_MS, ONE_QUEUE as CATALOG, PLAIN_STEP as STEP }
 export type { EmulatedHosts as Hosts }
 
 export function createCandidate (id: string, more: Partial<Candidate> = {}): Candidate {
@@ -36,7 +36,7 @@
   const fleet = createFakeRunFleet(clock)
   const handlers = new Map<string, RequestHandler>()
   const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
-  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: 'p1', client: fleet.client, hosts: fleet.hosts, advice: fleet.advice })
+  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoMetrics(), work: createNoWorkMeter(), network, log, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: 'p1', client: fleet.client, hosts: fleet.hosts, hostLeaseMs: HOST_LEASE_MS, advice: fleet.advice })
   const record = async (entry: Entry): Promise<void> => {
     log.propose(entry, Infinity)
     await clock.advance(COMMIT_MS)
--- a/test/workflows/upkeep.test.ts
+++ b/test/workflows/upkeep.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { Err, Ok } from '../../src/common/index.js'
 import { listEvacuated } from '../../src/coordination/workflows/evacuation.js'
-import { createScene, STEP, type Scene } from './support.js'
+import { createScene, HOST_LEASE_MS, STEP, type Scene } from './support.js'
 
 test('a wave takes one host down after the other, empties each before, and ends when all are back', async () => {
   const scene = await createScene(['w1', 'w2', 'w3'])
@@ -92,3 +92,18 @@
   }
   expect({ early, done: owner.scene.log.state().workflows.waves[1]?.done }).toEqual({ early: [], done: ['m-w1', 'm-w2'] })
 })
+
+test('a new leader gives orders for hosts while an earlier one may still give them', async () => {
+  const orders: number[] = []
+  const scene = await createScene(['w1'])
+  const { life } = scene.fleet.workers.get('w1')!
+  const startedAt = scene.clock.now()
+  scene.fleet.hosts.startUpkeep = async () => {
+    orders.push(scene.clock.now() - startedAt)
+    return Ok(undefined)
+  }
+  scene.log.propose({ kind: 'life.report', life: { ...life, host: 'm-w1', bornAt: 2 } }, Infinity)
+  scene.log.propose({ kind: 'wave.open', wave: { id: 1, hosts: ['m-w1'], dueAt: scene.clock.wall() + 60_000, maxDown: 1 } }, Infinity)
+  await scene.run(6000)
+  expect({ orders: orders.length, isLate: (orders[0] ?? 0) >= HOST_LEASE_MS - 500 }).toEqual({ orders: 1, isLate: true })
+})
