Count a host of a wave as back by what was known when its order was confirmed

The test for a lost order, which now also watches who is down, failed before. The order is confirmed together with the life that was known then; a later one is back from the upkeep, and so is the same one when it answers a second later, since the upkeep was then over before the answer that was heard.

--- a/src/coordination/workflows/upkeep.ts
+++ b/src/coordination/workflows/upkeep.ts
@@ -8,6 +8,8 @@
 const ORDER_TIMEOUT_MS = 2000
 /** An order that may have been lost is given again after this long; the owner of the hosts takes a repeated one for the same. */
 const RESEND_MS = 1000
+/** Answers of a worker may arrive this much later than they were given. */
+const ANSWER_AGE_MS = 1000
 /** Runs that neither end nor can be moved are stopped when this is left until the wave is due, for each host that still waits. */
 const PATIENCE_MS = 3000
 
@@ -47,10 +49,10 @@
 /** Leads the hosts of a wave through their upkeep, a few at a time, and empties each before. */
 export function startUpkeep (options: UpkeepOptions): Upkeep {
   const { clock, logger } = options
-  const orders: Orders = { closing: new Set(), resendAt: new Map() }
   const getState = (): WorkflowsState => options.log.state().workflows
   /** The leader before may have given orders until the term began. */
   const ordersFrom = clock.now() + options.hostLeaseMs
+  const orders: Orders = { closing: new Set(), resendAt: new Map(), confirmedAt: new Map(), startedAt: clock.now() }
 
   const runWaves = async (): Promise<void> => {
     while (!options.isStopped()) {
@@ -71,20 +73,30 @@
   return wave.hosts.every((host) => done.includes(host))
 }
 
-/** Hosts that are about to go down, and when orders that may have been lost are given again. */
-interface Orders { closing: Set<string>, resendAt: Map<string, number> }
+/** Hosts that are about to go down, when orders that may have been lost are given again, and when this term heard that one was given. */
+interface Orders { closing: Set<string>, resendAt: Map<string, number>, confirmedAt: Map<string, number>, startedAt: number }
+
+/**
+ * True when a host is back from its upkeep: a later life of its worker has reported, or the one that was known when the
+ * order was confirmed answers since, so the upkeep was over by then and only its answer had been lost.
+ */
+function isBack ({ log, sessions }: UpkeepOptions, { wave, confirmed }: WaveRecord, host: string, { confirmedAt, startedAt }: Orders): boolean {
+  const since = (confirmedAt.get(`${wave.id} ${host}`) ?? startedAt) + ANSWER_AGE_MS
+  return listLives(log.state().workflows, host).some(({ life }) => {
+    const view = sessions.get(life.id)
+    return life.bornAt > (confirmed[host] ?? Infinity) || (view !== undefined && view.bornAt === life.bornAt && view.readAt > since)
+  })
+}
 
 async function runWave (options: UpkeepOptions, record: WaveRecord, orders: Orders): Promise<void> {
   if (isWaveDone(record)) return
-  const state = options.log.state().workflows
   const { wave, ordered, confirmed, done } = record
-  for (const host of confirmed.filter((host) => !done.includes(host))) {
-    const isBack = listLives(state, host).some(({ life }) => life.bornAt > (ordered[host] ?? 0))
-    if (isBack) await recordDone(options, wave.id, host)
+  for (const host of Object.keys(confirmed).filter((host) => !done.includes(host))) {
+    if (isBack(options, record, host, orders)) await recordDone(options, wave.id, host)
   }
   const open = wave.hosts.filter((host) => !done.includes(host))
-  const isDown = (host: string): boolean => ordered[host] !== undefined
-  const unconfirmed = open.filter((host) => isDown(host) && !confirmed.includes(host))
+  const isDown = (host: string): boolean => ordered.includes(host)
+  const unconfirmed = open.filter((host) => isDown(host) && confirmed[host] === undefined)
   const down = open.filter(isDown).length
   const next = open.filter((host) => !isDown(host)).slice(0, Math.max(0, wave.maxDown - down))
   const remaining = open.length - down
@@ -93,21 +105,25 @@
 }
 
 /** Empties a host and orders its upkeep, again while it is not sure that the order was given. */
-async function closeHost (options: UpkeepOptions, record: WaveRecord, host: string, isLate: boolean, { closing, resendAt }: Orders): Promise<void> {
+async function closeHost (options: UpkeepOptions, record: WaveRecord, host: string, isLate: boolean, { closing, resendAt, confirmedAt }: Orders): Promise<void> {
   const { log, clock, logger, sessions } = options
   const { wave: { id: wave }, ordered } = record
-  const isFirst = ordered[host] === undefined
+  const isFirst = !ordered.includes(host)
+  const key = `${wave} ${host}`
   const lives = listLives(log.state().workflows, host)
   closing.add(host)
   const busy = lives.filter(({ life }) => !drainWorker(options, sessions.get(life.id), isLate))
-  if (busy.length > 0 || clock.now() < (resendAt.get(`${wave} ${host}`) ?? -Infinity)) return
+  if (busy.length > 0 || clock.now() < (resendAt.get(key) ?? -Infinity)) return
   const propose = async (entry: Entry): Promise<boolean> => (await log.propose(entry, clock.now() + ORDER_TIMEOUT_MS)).ok
   const bornAt = Math.max(0, ...lives.map(({ life }) => life.bornAt))
-  if (isFirst && !await propose({ kind: 'wave.order', wave, host, bornAt })) return
-  resendAt.set(`${wave} ${host}`, clock.now() + RESEND_MS)
+  if (isFirst && !await propose({ kind: 'wave.order', wave, host })) return
+  resendAt.set(key, clock.now() + RESEND_MS)
   const result = await options.hosts.startUpkeep({ host, wave, fence: options.fence }, clock.now() + ORDER_TIMEOUT_MS)
   logger.info('upkeep.order', { wave, host, fence: options.fence, first: isFirst, outcome: result.ok ? 'ordered' : result.val.kind })
-  if (result.ok) await propose({ kind: 'wave.confirm', wave, host })
+  if (result.ok) {
+    confirmedAt.set(key, clock.now())
+    await propose({ kind: 'wave.confirm', wave, host, bornAt })
+  }
   const failure = result.ok ? undefined : result.val.kind
   if (failure === 'unknown-host') await recordDone(options, wave, host)
   // A repeated order may be refused because the host is down by the one before.
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -167,10 +167,10 @@
   /** Without a judge the worker itself has said that it ends. */
   z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), judge: judgeSchema.optional(), at: z.number() }),
   z.strictObject({ kind: z.literal('wave.open'), wave: upkeepWaveSchema }),
-  /** Recorded before the upkeep of a host is ordered; a worker life on it that starts after `bornAt` shows that it is back. */
-  z.strictObject({ kind: z.literal('wave.order'), wave: z.number().int(), host: z.string(), bornAt: z.number() }),
-  /** The order was surely given. */
-  z.strictObject({ kind: z.literal('wave.confirm'), wave: z.number().int(), host: z.string() }),
+  /** Recorded before the upkeep of a host is ordered. */
+  z.strictObject({ kind: z.literal('wave.order'), wave: z.number().int(), host: z.string() }),
+  /** The order was surely given; a worker life on the host that starts after `bornAt` shows that it is back. */
+  z.strictObject({ kind: z.literal('wave.confirm'), wave: z.number().int(), host: z.string(), bornAt: z.number() }),
   /** The order was refused, so the host is not down. */
   z.strictObject({ kind: z.literal('wave.withdraw'), wave: z.number().int(), host: z.string() }),
   z.strictObject({ kind: z.literal('wave.done'), wave: z.number().int(), host: z.string() })
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -45,10 +45,10 @@
 }
 
 /**
- * `ordered` holds, for each host whose upkeep was ordered, when its worker life of that time was born; an order that is
- * not `confirmed` may have been lost.
+ * An order for the upkeep of a host that is not confirmed may have been lost. `confirmed` holds when the last worker life
+ * on the host that was known by then was born.
  */
-export interface WaveRecord { wave: UpkeepWave, ordered: Record<string, number>, confirmed: string[], done: string[] }
+export interface WaveRecord { wave: UpkeepWave, ordered: string[], confirmed: Record<string, number>, done: string[] }
 
 export interface WorkflowsState {
   catalog: Catalog | undefined
@@ -206,28 +206,28 @@
   },
 
   'wave.open': (state: WorkflowsState, { wave }: { wave: UpkeepWave }): Change => {
-    state.waves[wave.id] ??= { wave, ordered: {}, confirmed: [], done: [] }
+    state.waves[wave.id] ??= { wave, ordered: [], confirmed: {}, done: [] }
     return Ok({})
   },
 
-  'wave.order': (state: WorkflowsState, { wave, host, bornAt }: { wave: number, host: string, bornAt: number }): Change => {
+  'wave.order': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
     const record = state.waves[wave]
     if (record === undefined) return Err({ kind: 'unknown-wave', wave })
-    record.ordered[host] = bornAt
+    if (!record.ordered.includes(host)) record.ordered.push(host)
     return Ok({})
   },
 
-  'wave.confirm': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
+  'wave.confirm': (state: WorkflowsState, { wave, host, bornAt }: { wave: number, host: string, bornAt: number }): Change => {
     const record = state.waves[wave]
     if (record === undefined) return Err({ kind: 'unknown-wave', wave })
-    if (!record.confirmed.includes(host)) record.confirmed.push(host)
+    record.confirmed[host] ??= bornAt
     return Ok({})
   },
 
   'wave.withdraw': (state: WorkflowsState, { wave, host }: { wave: number, host: string }): Change => {
     const record = state.waves[wave]
     if (record === undefined) return Err({ kind: 'unknown-wave', wave })
-    delete record.ordered[host]
+    record.ordered = record.ordered.filter((other) => other !== host)
     return Ok({})
   },
 
--- a/test/workflows/upkeep.test.ts
+++ b/test/workflows/upkeep.test.ts
@@ -42,12 +42,21 @@
   expect(listEvacuated(runs, 2000)).toEqual(['lasting', 'saved', 'just begun'])
 })
 
-interface Owner { scene: Scene, begun: string[], /** Upkeeps whose order was lost on its way. */ lost: number }
+interface Owner {
+  scene: Scene
+  begun: string[]
+  /** Hosts that are in their upkeep. */
+  down: Set<string>
+  /** Orders that are still to be lost on their way. */
+  lost: number
+  /** Answers that are still to be lost. */
+  unanswered: number
+}
 
-/** Workers on hosts of their own, and an owner of the hosts that loses the first orders and executes an order once. */
-async function createOwner (lost: number, onLost: (owner: Owner, host: string) => void = () => {}): Promise<Owner> {
+/** Workers on hosts of their own, and an owner of the hosts that loses the first orders or answers and executes an order once. */
+async function createOwner ({ lost = 0, unanswered = 0 }: { lost?: number, unanswered?: number }, onLost: (owner: Owner, host: string) => void = () => {}): Promise<Owner> {
   const scene = await createScene(['w1', 'w2'])
-  const owner: Owner = { scene, begun: [], lost }
+  const owner: Owner = { scene, begun: [], down: new Set(), lost, unanswered }
   const reviveWorker = (id: string): void => {
     const { life } = scene.fleet.workers.get(id)!
     const revived = scene.fleet.addWorker({ ...life, host: `m-${id}`, bornAt: life.bornAt + 1 })
@@ -62,8 +71,14 @@
     }
     if (owner.begun.includes(host)) return Ok(undefined)
     owner.begun.push(host)
-    scene.clock.sleep(2000).then(() => reviveWorker(host.slice(2)))
-    return Ok(undefined)
+    owner.down.add(host)
+    scene.fleet.workers.get(host.slice(2))?.crash()
+    scene.clock.sleep(2000).then(() => {
+      owner.down.delete(host)
+      reviveWorker(host.slice(2))
+    })
+    owner.unanswered -= 1
+    return owner.unanswered >= 0 ? Err({ kind: 'no-answer', message: 'lost' }) : Ok(undefined)
   }
   await scene.run(100)
   scene.log.propose({ kind: 'wave.open', wave: { id: 1, hosts: ['m-w1', 'm-w2'], dueAt: scene.clock.wall() + 60_000, maxDown: 1 } }, Infinity)
@@ -71,14 +86,14 @@
 }
 
 test('a wave stands still for good when an order to take a host down is lost', async () => {
-  const { scene, begun } = await createOwner(2)
+  const { scene, begun } = await createOwner({ lost: 2 })
   await scene.run(25_000)
   expect({ begun, done: scene.log.state().workflows.waves[1]?.done }).toEqual({ begun: ['m-w1', 'm-w2'], done: ['m-w1', 'm-w2'] })
 })
 
 test('a host whose order was lost counts as done when its worker crashes and starts again', async () => {
   const restarted = new Set<string>()
-  const owner = await createOwner(3, ({ scene }, host) => {
+  const owner = await createOwner({ lost: 3 }, ({ scene }, host) => {
     if (restarted.has(host)) return
     restarted.add(host)
     const { life } = scene.fleet.workers.get(host.slice(2))!
@@ -88,11 +103,21 @@
   const early: string[] = []
   for (let passed = 0; passed < 25_000; passed += 250) {
     await owner.scene.run(250)
-    early.push(...(owner.scene.log.state().workflows.waves[1]?.done ?? []).filter((host) => !owner.begun.includes(host)))
+    early.push(...(owner.scene.log.state().workflows.waves[1]?.done ?? []).filter((host) => !owner.begun.includes(host) || owner.down.has(host)))
   }
   expect({ early, done: owner.scene.log.state().workflows.waves[1]?.done }).toEqual({ early: [], done: ['m-w1', 'm-w2'] })
 })
 
+test('a wave stands still for good when the answer to an order is lost, or takes down two hosts at once', async () => {
+  const owner = await createOwner({ unanswered: 2 })
+  let mostDown = 0
+  for (let passed = 0; passed < 60_000; passed += 100) {
+    await owner.scene.run(100)
+    mostDown = Math.max(mostDown, owner.down.size)
+  }
+  expect({ begun: owner.begun, mostDown, done: owner.scene.log.state().workflows.waves[1]?.done }).toEqual({ begun: ['m-w1', 'm-w2'], mostDown: 1, done: ['m-w1', 'm-w2'] })
+})
+
 test('a new leader gives orders for hosts while an earlier one may still give them', async () => {
   const orders: number[] = []
   const scene = await createScene(['w1'])
