--- a/test/programs/recovery.test.ts
+++ b/test/programs/recovery.test.ts
@@ -91,12 +91,15 @@
   bytes.fill(0xff, Math.floor(bytes.length / 3), Math.floor(bytes.length / 3) + 20)
   await writeFile(join(folder, log.name), bytes)
 
+  const readLog = async (): Promise<string> => await readFile(join(deployment.folder, 'c-1.log'), 'utf8')
   const broken = start('c-1')
-  expect(await broken.waitUntilExit()).toBe(3)
-  expect(await readFile(join(deployment.folder, 'c-1.log'), 'utf8')).toMatch(/corrupt/i)
+  const exitCode = await broken.waitUntilExit()
+  expect(exitCode, await readLog()).toBe(3)
+  expect(await readLog()).toMatch(/corrupt/i)
 
   const repaired = start('c-1', ['--repair'])
-  expect(await waitUntilReady(repaired, Date.now() + 15_000)).toBe(true)
+  const isReady = await waitUntilReady(repaired, Date.now() + 15_000)
+  expect(isReady, await readLog()).toBe(true)
   await waitFor('the log of the others', 10_000, async () => {
     const indexes = await Promise.all(['a-1', 'c-1'].map(async (id) => (await sendRequest(url(id), '', 'GET', '/health')).json.appliedIndex))
     return indexes[0] === indexes[1]
