--- a/src/emulator/experiment.ts
+++ b/src/emulator/experiment.ts
@@ -26,8 +26,15 @@
   stops: number
 }
 
+/** What one seed of a variant came to. */
+export interface SeededOutcome extends PlayOutcome { seed: number }
+
 type Table = Record<string, unknown>
 
+export function listSeeds (first: number, count: number): number[] {
+  return Array.from({ length: count }, (_, index) => first + index)
+}
+
 /** Reads the file of an experiment: a play, its seeds and what to vary. */
 export function parseExperiment (file: string, text: string): Result<Experiment, SettingsFailure> {
   const table = parseToml(file, text)
@@ -47,30 +54,39 @@
     if (!settings.ok) return settings
     variants.push({ name: chosen.map(([path, value]) => `${path}=${JSON.stringify(value)}`).join(' ') || 'as set', settings: settings.val })
   }
-  return Ok({ variants, seeds: Array.from({ length: count }, (_, index) => first + index) })
+  return Ok({ variants, seeds: listSeeds(first, count) })
 }
 
 function setPath (table: Table, [key = '', ...rest]: readonly string[], value: unknown): Table {
   return { ...table, [key]: rest.length === 0 ? value : setPath((table[key] ?? {}) as Table, rest, value) }
 }
 
+/** Plays seeds one after the other. */
+export async function runSeeds (settings: PlaySettings, seeds: readonly number[]): Promise<SeededOutcome[]> {
+  const plays: SeededOutcome[] = []
+  for (const seed of seeds) plays.push({ seed, ...await runEmulation(settings, seed) })
+  return plays
+}
+
+export function summarizePlays ({ name, settings }: Variant, plays: readonly SeededOutcome[]): VariantOutcome {
+  const sum = (get: (play: PlayOutcome) => number): number => plays.reduce((total, play) => total + get(play), 0)
+  return {
+    variant: name,
+    plays: plays.length,
+    longestMs: Math.max(...plays.map(({ longestMs }) => longestMs)),
+    brokenSeeds: plays.filter(({ longestMs }) => longestMs >= settings.system.over_target_ms).map(({ seed }) => seed),
+    harmedShare: sum(({ harmedShare }) => harmedShare) / plays.length,
+    batches: sum(({ batches }) => batches),
+    onTime: sum(({ onTime }) => onTime),
+    stops: sum(({ stops }) => stops)
+  }
+}
+
 /** Plays every variant with the same seeds, so that their figures can be compared side by side. */
 export async function runExperiment ({ variants, seeds }: Experiment, onOutcome: (outcome: VariantOutcome) => void = () => {}): Promise<VariantOutcome[]> {
   const outcomes: VariantOutcome[] = []
-  for (const { name, settings } of variants) {
-    const plays: Array<PlayOutcome & { seed: number }> = []
-    for (const seed of seeds) plays.push({ seed, ...await runEmulation(settings, seed) })
-    const sum = (get: (play: PlayOutcome) => number): number => plays.reduce((total, play) => total + get(play), 0)
-    const outcome = {
-      variant: name,
-      plays: plays.length,
-      longestMs: Math.max(...plays.map(({ longestMs }) => longestMs)),
-      brokenSeeds: plays.filter(({ longestMs }) => longestMs >= settings.system.over_target_ms).map(({ seed }) => seed),
-      harmedShare: sum(({ harmedShare }) => harmedShare) / plays.length,
-      batches: sum(({ batches }) => batches),
-      onTime: sum(({ onTime }) => onTime),
-      stops: sum(({ stops }) => stops)
-    }
+  for (const variant of variants) {
+    const outcome = summarizePlays(variant, await runSeeds(variant.settings, seeds))
     outcomes.push(outcome)
     onOutcome(outcome)
   }
--- a/src/emulator/index.ts
+++ b/src/emulator/index.ts
@@ -1,4 +1,4 @@
-export { parseExperiment, runExperiment, type Experiment, type Variant, type VariantOutcome } from './experiment.js'
+export { listSeeds, parseExperiment, runExperiment, runSeeds, summarizePlays, type Experiment, type SeededOutcome, type Variant, type VariantOutcome } from './experiment.js'
 export { COMMIT_MS, createEmulatedHosts, DEFAULT_SERVICE_BOUND, HOST_LEASE_MS, ONE_QUEUE, PLAIN_STEP, type EmulatedHosts, type EmulatedHostsOptions } from './hosts.js'
 export { runEmulation, type PlayOutcome } from './play.js'
 export { listRows, renderExperimentHtml } from './renderExperiment.js'
--- a/src/programs/emulator.ts
+++ b/src/programs/emulator.ts
@@ -1,7 +1,7 @@
 #!/usr/bin/env node
 import { readFile, writeFile } from 'node:fs/promises'
 import { command, number, option, optional, positional, string } from 'cmd-ts'
-import { listRows, parseExperiment, renderExperimentHtml, runExperiment } from '../emulator/index.js'
+import { listRows, listSeeds, parseExperiment, renderExperimentHtml, runExperiment } from '../emulator/index.js'
 import { EXIT_CODES, renderTable } from './cli/output.js'
 import { runProgram } from './runProgram.js'
 import { describeSettingsFailure } from './settings/index.js'
@@ -17,7 +17,7 @@
   handler: async ({ file, seeds, html }) => {
     const experiment = await loadExperiment(file)
     if (experiment === undefined) return
-    const chosen = seeds === undefined ? experiment.seeds : Array.from({ length: seeds }, (_, index) => (experiment.seeds[0] ?? 1) + index)
+    const chosen = seeds === undefined ? experiment.seeds : listSeeds(experiment.seeds[0] ?? 1, seeds)
     const outcomes = await runExperiment({ ...experiment, seeds: chosen }, ({ variant }) => console.error(`played ${variant}`))
     console.log(renderTable(listRows(outcomes)))
     if (html !== undefined) await writeFile(html, await renderExperimentHtml(outcomes))
