Run background loops again after an unexpected error

On the platform the error was logged and the process went on without the loop, so that a leader stayed leader and scheduled nothing, a session host polled a worker no more until its leases ended, and an entry host found no leader again. In the daemon it was worse: an unhandled rejection ends a process of Node.js 20.

`handleProcessFaults` reports unhandled rejections in the daemon as on the platform, and stops the process after an exception outside a promise.

--- a/src/common/eventLoopMeter.ts
+++ b/src/common/eventLoopMeter.ts
@@ -1,6 +1,7 @@
 import type { Clock } from './clock.js'
 import type { Logger } from './log.js'
 import type { Metrics } from './metrics.js'
+import { runSupervised } from './supervisedLoop.js'
 
 const REPORT_INTERVAL_MS = 1000
 
@@ -42,9 +43,7 @@
     }
   }
 
-  runReportLoop().catch((error: unknown) => {
-    logger.error('host.work-failed', { message: error instanceof Error ? error.message : String(error) })
-  })
+  runSupervised({ clock, logger, event: 'host.work-failed', isStopped: () => stopping.signal.aborted }, runReportLoop)
 
   return {
     measure: (part, work) => {
--- a/src/common/index.ts
+++ b/src/common/index.ts
@@ -3,6 +3,8 @@
 export { createRateLimitedLogger, createLogger, createSilentLogger, type LogFields, type Logger, type LogLevel } from './log.js'
 export { createNoopMetrics, createPrometheusMetrics, createStatsdMetrics, type Metrics, type MetricTags, type PrometheusMetrics } from './metrics.js'
 export { type Network, type NetworkFailure, type RequestHandler } from './network.js'
+export { handleProcessFaults, type FaultHandlers } from './processFaults.js'
 export { createRandom, type Random } from './random.js'
 export { Err, Ok, type Result } from './results.js'
+export { describeError, runSupervised, type SupervisedLoopOptions } from './supervisedLoop.js'
 export { createNoopEventLoopMeter, createEventLoopMeter, type EventLoopMeter } from './eventLoopMeter.js'
--- a/src/coordination/authority/supervisor.ts
+++ b/src/coordination/authority/supervisor.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import type { Clock, Logger, Network } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
 import type { ReplicatedLog, ZoneAuthority } from '../../state/index.js'
 import { coordinatorTermSchema } from '../tasks/exchange.js'
 
@@ -154,7 +154,7 @@
       await clock.sleep(HEARTBEAT_INTERVAL_MS / 2, signal)
     }
   }
-  run()
+  runSupervised({ clock, logger, event: 'supervisor-failed', isStopped: () => signal.aborted }, run)
 
   return { observe: (host, heartbeat) => { lastHeartbeats.set(host, { at: clock.now(), heartbeat }) } }
 }
--- a/src/coordination/configuration/configuration.ts
+++ b/src/coordination/configuration/configuration.ts
@@ -1,5 +1,5 @@
 import { randomUUID } from 'node:crypto'
-import type { Clock, Logger, Metrics, Network } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Metrics, type Network } from '../../common/index.js'
 import type { ReplicatedLog } from '../../state/index.js'
 import { proposeChange, type ChangeOutcome, type PresetChange } from './change.js'
 import { createLeaseGranter } from './granter.js'
@@ -127,7 +127,8 @@
     activationTimer.wake()
   })
   network.handle(RENEW_KIND, handleRenew)
-  const loops = [runRenewals(), runActivations(), runReports()]
+  const isStopped = (): boolean => stopping.signal.aborted
+  const loops = [runRenewals, runActivations, runReports].map((loop) => runSupervised({ clock, logger, event: 'config-loop-failed', fields: { loop: loop.name }, isStopped }, loop))
 
   const changePreset = async (request: PresetChange, deadline: number): Promise<ChangeOutcome> => {
     const outcome = await proposeChange(log, clock, request, deadline)
--- a/src/coordination/membership/voterManager.ts
+++ b/src/coordination/membership/voterManager.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger } from '../../common/index.js'
 import type { LogStatus, Replica } from '../../state/index.js'
 
 /** Interval at which the leader checks the voters, ms. */
@@ -52,9 +52,7 @@
     }
   }
 
-  const loop = runChecks().catch((error: unknown) => {
-    logger.error('voters.failed', { message: error instanceof Error ? error.stack : String(error) })
-  })
+  const loop = runSupervised({ clock, logger, event: 'voters.failed', isStopped: () => stopping.signal.aborted }, runChecks)
   return {
     stop: async () => {
       stopping.abort()
--- a/src/coordination/routing/leaseClient.ts
+++ b/src/coordination/routing/leaseClient.ts
@@ -1,4 +1,4 @@
-import type { Clock, Network, Random } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
 import type { HealthTable } from './executorHealth.js'
 import type { LeasedExecutor, LeasedExecutors } from './leasedExecutors.js'
 import type { LeaseTable } from './leaseTable.js'
@@ -72,7 +72,7 @@
 
 export function createLeaseClient (options: {
   clock: Clock
-  random: Random
+  logger: Logger
   network: Network
   holder: string
   availabilityZone: string
@@ -112,7 +112,7 @@
       host, availabilityZone: zone, services: new Map(), excess: new Map(), lastHeardAt: 0, draining: false, hasGrantedLeases: false, renewAt: 0, requestAfter: 0, sequence: 0, pending: { since: 0, requestedSlots: new Map() }, wake
     }
     owners.set(host, owner)
-    runOwnerLoop(owner, wait)
+    runSupervised({ clock, logger: options.logger, event: 'slot-exchange-failed', fields: { owner: host }, isStopped: () => state.stopped }, () => runOwnerLoop(owner, wait))
     return owner
   }
 
--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -1,4 +1,4 @@
-import { Err, type Clock, type Logger, type Metrics, type Network, type Random, type Result } from '../../common/index.js'
+import { Err, runSupervised, type Clock, type Logger, type Metrics, type Network, type Random, type Result } from '../../common/index.js'
 import type { Policy, Service } from '../../state/index.js'
 import { createIdempotencyStore, type IdempotencyLimits } from './idempotencyStore.js'
 import { createLeaseClient, createWakeup, type LeaseClient } from './leaseClient.js'
@@ -77,7 +77,7 @@
     metrics
   })
   const leaseClient: LeaseClient = createLeaseClient({
-    clock, random, network, holder, availabilityZone, leaseTable, notifyHolders: () => notifyHolders(), leasedExecutors, health, getDemand: dispatcher.getDemand, onChange: dispatcher.dispatchAllQueues
+    clock, logger, network, holder, availabilityZone, leaseTable, notifyHolders: () => notifyHolders(), leasedExecutors, health, getDemand: dispatcher.getDemand, onChange: dispatcher.dispatchAllQueues
   })
   const keyedRequests = createKeyedRequests({
     clock, network, availabilityZone, secret: options.secret, idempotencyStore, getHosts, run: dispatcher.run, logger
@@ -215,7 +215,7 @@
     return [...owned, ...leased]
   }
 
-  runHousekeeping()
+  runSupervised({ clock, logger, event: 'housekeeping-failed', isStopped: () => state.stopped }, runHousekeeping)
 
   return {
     routeRequest,
--- a/src/coordination/tasks/activeTerm.ts
+++ b/src/coordination/tasks/activeTerm.ts
@@ -61,6 +61,7 @@
   const table = createTaskTable(state, availabilityZone)
   const writer = createJournalWriter({
     clock,
+    logger,
     network,
     term,
     group: zone.journalGroup,
@@ -100,6 +101,7 @@
     attempts,
     placement,
     clock,
+    logger,
     signal,
     record,
     haveAllWorkersReported: options.haveAllWorkersReported,
--- a/src/coordination/tasks/coordinator.ts
+++ b/src/coordination/tasks/coordinator.ts
@@ -1,6 +1,6 @@
 import { isDeepStrictEqual } from 'node:util'
 import { z } from 'zod'
-import type { Clock, Logger, Network } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
 import { createMemoryJournalStore, workerSchema, type ReplicatedLog, type JournalStore, type Worker, type ZoneAuthority } from '../../state/index.js'
 import { heartbeatSchema, HEARTBEAT_INTERVAL_MS, startSupervisor, type Heartbeat } from '../authority/supervisor.js'
 import { compareTerms } from '../authority/terms.js'
@@ -221,8 +221,9 @@
     coordinatorContactAt = clock.now()
     return await localReplica.read(term)
   })
-  watchZone()
-  runHeartbeat()
+  const isStopped = (): boolean => signal.aborted
+  runSupervised({ clock, logger, event: 'zone-watch-failed', isStopped }, watchZone)
+  runSupervised({ clock, logger, event: 'heartbeat-failed', isStopped }, runHeartbeat)
 
   const getStatus = (): ZoneStatus => ({
     availabilityZone,
--- a/src/coordination/tasks/journalWriter.ts
+++ b/src/coordination/tasks/journalWriter.ts
@@ -1,4 +1,4 @@
-import type { Clock, Network } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
 import type { CoordinatorTerm, InSyncSet } from './exchange.js'
 import { listSnapshot, type JournalRecord, type JournalState } from './journal.js'
 import { appendReplySchema, type AppendReply, type AppendRequest, type JournalReplica } from './journalReplica.js'
@@ -17,6 +17,7 @@
 
 export interface JournalWriterOptions {
   clock: Clock
+  logger: Logger
   network: Network
   term: CoordinatorTerm
   group: string[]
@@ -170,7 +171,9 @@
     pendingAppends.forEach((item) => item.resolve(false))
     pendingAppends = []
   }, { once: true })
-  peers.forEach((peer) => { runPeer(peer) })
+  peers.forEach((peer) => {
+    runSupervised({ clock, logger: options.logger, event: 'journal-peer-failed', fields: { peer: peer.host }, isStopped: () => signal.aborted }, () => runPeer(peer))
+  })
 
   return {
     append: (records) => new Promise((resolve) => {
--- a/src/coordination/tasks/session.ts
+++ b/src/coordination/tasks/session.ts
@@ -1,6 +1,6 @@
 import { setMaxListeners } from 'node:events'
 import { isDeepStrictEqual } from 'node:util'
-import type { Clock, Logger, Network } from '../../common/index.js'
+import { describeError, type Clock, type Logger, type Network } from '../../common/index.js'
 import type { ReplicatedLog, Worker, ZoneAuthority } from '../../state/index.js'
 import { compareTerms, formatTerm, GRANT_MS } from '../authority/terms.js'
 import { createWitnesses } from '../authority/witnesses.js'
@@ -160,6 +160,7 @@
       worker,
       client: options.client,
       clock,
+      logger,
       signal: AbortSignal.any([signal, state.controller.signal]),
       isClaiming: () => (phase !== 'active' || state.seen === undefined) && clock.now() < state.addedAt + FREQUENT_CLAIM_DURATION_MS,
       compose: () => compose(worker.id),
@@ -305,7 +306,11 @@
     if (recovered === undefined) return finish('the journal group holds a higher term')
     await activate(recovered)
   }
-  run()
+  // Another term, of this host or another one, recovers what this one can no longer be trusted with.
+  run().catch((error: unknown) => {
+    logger.error('coordinator-failed', { term: formatTerm(term), message: describeError(error) })
+    finish('an unexpected error')
+  })
 
   const release = async (): Promise<void> => {
     const deadline = clock.now() + FLUSH_TIMEOUT_MS
--- a/src/coordination/tasks/taskReconciler.ts
+++ b/src/coordination/tasks/taskReconciler.ts
@@ -1,4 +1,4 @@
-import type { Clock } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger } from '../../common/index.js'
 import { findOwningZone, type ReplicatedLog, type Entry, type Resources, type Worker } from '../../state/index.js'
 import type { Placement } from '../placement/types.js'
 import type { Attempts } from './attemptTypes.js'
@@ -19,6 +19,7 @@
   attempts: Attempts
   placement: Placement
   clock: Clock
+  logger: Logger
   signal: AbortSignal
   /** Every registered worker has answered this coordinator since it became active. */
   haveAllWorkersReported (): boolean
@@ -160,7 +161,7 @@
 
   const unsubscribe = log.subscribe(collectChanges)
   signal.addEventListener('abort', unsubscribe, { once: true })
-  readLog()
+  runSupervised({ clock, logger: options.logger, event: 'log-read-failed', isStopped: () => signal.aborted }, readLog)
 
   return { update, isHeld, isLogCurrent: () => clock.now() < logReadAt + LOG_CURRENT_MS }
 }
--- a/src/coordination/tasks/workerLink.ts
+++ b/src/coordination/tasks/workerLink.ts
@@ -1,4 +1,4 @@
-import type { Clock, NetworkFailure, Result } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type NetworkFailure, type Result } from '../../common/index.js'
 import type { Worker } from '../../state/index.js'
 import type { ExchangeReply, ExchangeRequest } from './exchange.js'
 import { WAKE_REASON } from './waking.js'
@@ -20,6 +20,7 @@
   worker: Worker
   client: WorkerClient
   clock: Clock
+  logger: Logger
   signal: AbortSignal
   /** True while the lease has to be claimed from this worker. */
   isClaiming (): boolean
@@ -35,7 +36,7 @@
 
 /** Starts a loop that sends one exchange after the other to the worker until `signal` is aborted. */
 export function startWorkerLink (options: WorkerLinkOptions): WorkerLink {
-  const { worker, client, clock, signal } = options
+  const { worker, client, clock, logger, signal } = options
   let controller = new AbortController()
   signal.addEventListener('abort', () => controller.abort(WAKE_REASON), { once: true })
 
@@ -51,7 +52,7 @@
       await clock.sleep(Math.max(0, sentAt + interval - clock.now()), controller.signal)
     }
   }
-  run()
+  runSupervised({ clock, logger, event: 'worker-link-failed', fields: { worker: worker.id }, isStopped: () => signal.aborted }, run)
 
   return { worker, wake: () => controller.abort(WAKE_REASON) }
 }
--- a/src/coordination/workflows/advice.ts
+++ b/src/coordination/workflows/advice.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Result } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Result } from '../../common/index.js'
 import type { AdvicePolicy } from '../../state/index.js'
 
 /** Maximum number of workers in one query: the latency objective of a workflow includes the time of one query of this size for each step. */
@@ -82,9 +82,7 @@
     request: (step, workers, policy) => {
       if (hasTickets(step) || queries.has(step) || workers.length === 0) return
       queries.set(step, { workers: [...workers], policy })
-      running ??= runQueries().catch((error: unknown) => {
-        logger.error('advice.failed', { message: error instanceof Error ? error.stack : String(error) })
-      })
+      running ??= runSupervised({ clock, logger, event: 'advice.failed', isStopped: () => stopping.signal.aborted }, runQueries)
     },
     findTicket: (step, worker) => {
       const known = tickets.get(step)?.get(worker)
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, Network, EventLoopMeter } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Metrics, type Network, type EventLoopMeter } from '../../common/index.js'
 import type { ReplicatedLog } from '../../state/index.js'
 import type { AdviceClient } from './advice.js'
 import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
@@ -99,9 +99,7 @@
     term = startTerm({ ...options, self: network.self, interferenceModel, fence })
   }
 
-  const loop = runTerms().catch((error: unknown) => {
-    logger.error('workflow.coordinator-failed', { message: error instanceof Error ? error.stack : String(error) })
-  })
+  const loop = runSupervised({ clock, logger, event: 'workflow.coordinator-failed', isStopped: () => stopping.signal.aborted }, runTerms)
 
   return {
     getTerm,
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, EventLoopMeter } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Metrics, type EventLoopMeter } from '../../common/index.js'
 import type { Assignment, WorkflowsState } from '../../state/index.js'
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskStepIndex, formatStepName, type CandidateOptions, type PlacementCandidate, type Pool } from './candidates.js'
@@ -219,9 +219,7 @@
     }
   }
 
-  runPasses().catch((error: unknown) => {
-    logger.error('dispatch.failed', { message: error instanceof Error ? error.stack : String(error) })
-  })
+  runSupervised({ clock, logger, event: 'dispatch.failed', isStopped: () => stopping.signal.aborted }, runPasses)
 
   return {
     schedule: () => wake.notify(),
--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Network } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
 import { WORKFLOW_MESSAGE, type ClientRequest, type WorkflowReply, type WorkflowRequest } from './messages.js'
 
 /** Time-out of one try at one host; a leader answers after one sync of its disk and one round trip. */
@@ -127,9 +127,7 @@
       : { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: 'no-leader' }
   }
 
-  const loop = runPings().catch((error: unknown) => {
-    logger.error('gateway.failed', { message: error instanceof Error ? error.stack : String(error) })
-  })
+  const loop = runSupervised({ clock, logger, event: 'gateway.failed', isStopped: () => stopping.signal.aborted }, runPings)
 
   return {
     send,
--- a/src/coordination/workflows/hostMaintenance.ts
+++ b/src/coordination/workflows/hostMaintenance.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Result } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Result } from '../../common/index.js'
 import type { ReplicatedLog, Entry, Step, MaintenanceWaveRecord, WorkerRecord, WorkflowsState } from '../../state/index.js'
 import { findTask } from '../../state/index.js'
 import type { RunView, WorkerView } from './sessionState.js'
@@ -63,9 +63,7 @@
     }
   }
 
-  runWaves().catch((error: unknown) => {
-    logger.error('upkeep.failed', { message: error instanceof Error ? error.stack : String(error) })
-  })
+  runSupervised({ clock, logger, event: 'upkeep.failed', isStopped: options.isStopped }, runWaves)
   return { isCordoned: (worker) => orders.cordoned.has(getState().workers[worker]?.life.host ?? '') }
 }
 
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, Network, EventLoopMeter } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Metrics, type Network, type EventLoopMeter } from '../../common/index.js'
 import { findSessionHost, findTask, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkflowsState } from '../../state/index.js'
 import { createEndRecorder } from './endRecorder.js'
 import { createLeaderExchange } from './leaderExchange.js'
@@ -91,9 +91,8 @@
     sessions.set(worker, session)
     exchange.queueReport(worker, true)
     Object.keys(record.assigned).forEach((task) => addRun(session, task, false, undefined))
-    runSession(context, session).catch((error: unknown) => {
-      logger.error('worker.session-failed', { worker, message: error instanceof Error ? error.stack : String(error) })
-    })
+    const isStopped = (): boolean => session.ended || context.isStopped()
+    runSupervised({ clock, logger, event: 'worker.session-failed', fields: { worker }, isStopped }, () => runSession(context, session))
   }
 
   const removeSession = (session: Session): void => {
@@ -224,9 +223,7 @@
   }
 
   syncSessions()
-  const loop = runExchanges().catch((error: unknown) => {
-    logger.error('sessions.failed', { message: error instanceof Error ? error.stack : String(error) })
-  })
+  const loop = runSupervised({ clock, logger, event: 'sessions.failed', isStopped: () => stopping.signal.aborted }, runExchanges)
 
   return {
     sessions,
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,4 +1,4 @@
-import type { Clock, Logger, Metrics, EventLoopMeter } from '../../common/index.js'
+import { runSupervised, type Clock, type Logger, type Metrics, type EventLoopMeter } from '../../common/index.js'
 import { findSessionHost, getStepName, parseTaskName, type ReplicatedLog, type Assignment, type Entry, type WorkerRunEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
@@ -260,7 +260,7 @@
   const state = getState()
   logger.info('term.start', { fence, workers: Object.keys(state.workers).length, workflows: Object.keys(state.workflows).length - state.ended.length, catalog: state.catalog?.version })
   Object.keys(state.workers).forEach(views.syncWorker)
-  runAuthority()
+  runSupervised({ clock, logger, event: 'term.failed', isStopped: () => stopping.signal.aborted }, runAuthority)
   dispatcher.schedule()
   return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, exchange, stop }
 }
--- a/src/programs/daemon.ts
+++ b/src/programs/daemon.ts
@@ -1,6 +1,7 @@
 #!/usr/bin/env node
 import { setMaxListeners } from 'node:events'
 import { boolean, command, flag, option, optional, string } from 'cmd-ts'
+import { handleProcessFaults } from '../common/index.js'
 import { startEntryHost } from './entryHost/index.js'
 import { runProgram } from './runProgram.js'
 import { chooseHost, describeSettingsFailure, loadSettings } from './settings/index.js'
@@ -8,6 +9,8 @@
 const EXIT_USAGE = 2
 const EXIT_START_FAILED = 3
 const EXIT_STOPPED_BY_FAILURE = 4
+/** Ended after an exception that no code handled. */
+const EXIT_FAULT = 5
 
 interface Flags { config: string, host: string | undefined, repair: boolean }
 
@@ -29,6 +32,10 @@
   const started = await startEntryHost({ settings: settings.val, repair })
   if (!started.ok) return reportFailure(started.val.message, EXIT_START_FAILED)
   const running = started.val
+  handleProcessFaults(process, {
+    report: running.reportFault,
+    stop: () => { process.exitCode = EXIT_FAULT; running.stop() }
+  })
   process.on('SIGTERM', () => { running.stop() })
   process.on('SIGINT', () => { running.stop() })
   const failure = await running.waitUntilStopped()
--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -1,5 +1,5 @@
 import { join } from 'node:path'
-import { Err, Ok, createLogger, createNoopMetrics, createNoopEventLoopMeter, createRandom, createStatsdMetrics, createSystemClock, type Clock, type Logger, type Metrics, type Result } from '../../common/index.js'
+import { Err, Ok, createLogger, describeError, createNoopMetrics, createNoopEventLoopMeter, createRandom, createStatsdMetrics, createSystemClock, type Clock, type Logger, type Metrics, type Result } from '../../common/index.js'
 import { createConfiguration, type ConfigurationModule } from '../../coordination/configuration/index.js'
 import { createPlacement } from '../../coordination/placement/index.js'
 import { createReportRecorder, type ReportRecorder } from '../../coordination/reports/index.js'
@@ -26,6 +26,8 @@
   stop (): Promise<void>
   /** Resolves when the host has stopped; with a failure if a fault of the replica stopped it. */
   waitUntilStopped (): Promise<ReplicaFailure | undefined>
+  /** Logs an error that no other code has handled. */
+  reportFault (kind: string, error: unknown): void
 }
 
 export interface StartFailure { kind: 'store-failure' | 'address-in-use', message: string }
@@ -77,7 +79,8 @@
       const failure = await replicaStopped
       await stop()
       return failure
-    }
+    },
+    reportFault: (kind, error) => logger.error('fault', { kind, message: describeError(error) })
   })
 }
 
