Wait for space while the disk of a voter is full

The store took that for a failure, so the voter stopped and exited with code 1, was started again and exited again, 12 times in a disk that was full for 9 s.

Change: writes wait for space and are tried again each 200 ms, also while the store is opened; nothing counts as durable meanwhile. A part of a record that the full disk has taken is cut off before the record is written again. A leader whose disk becomes full transfers its leadership; a voter with a full disk cannot vote or lead, since its term is not stored. It takes up again by itself.

The fake disk keeps the first part of a write that does not fit, as real ones do.

--- a/src/fakes/fakeDisk.ts
+++ b/src/fakes/fakeDisk.ts
@@ -83,11 +83,12 @@
       append: async (name, bytes) => {
         await step(operationMs)
         const space = checkSpace(name, bytes.length)
-        if (space.err) return space
         const file = getFile(name)
-        file.bytes = Buffer.concat([file.bytes, bytes])
+        // A disk that becomes full during a write has taken the first part of it.
+        const taken = space.ok ? bytes : bytes.subarray(0, Math.max(0, capacity - countBytes()))
+        file.bytes = Buffer.concat([file.bytes, taken])
         await step(operationMs)
-        return Ok(undefined)
+        return space
       },
       sync: async (name) => {
         const length = getFile(name).bytes.length
--- a/src/state/disk/folderDisk.ts
+++ b/src/state/disk/folderDisk.ts
@@ -68,6 +68,10 @@
       try {
         await handle.writeFile(bytes)
         await handle.sync()
+      } catch (error) {
+        // A part of the file would take the space that a full disk lacks.
+        await handle.truncate(0).catch(() => {})
+        throw error
       } finally {
         await handle.close()
       }
--- a/src/state/logStore/logStore.ts
+++ b/src/state/logStore/logStore.ts
@@ -1,5 +1,5 @@
 import { Packr } from 'msgpackr'
-import { Err, Ok, type Result } from '../../common/index.js'
+import { Err, Ok, type Clock, type Result } from '../../common/index.js'
 import type { Disk, DiskFailure } from '../disk/index.js'
 import { encodeLarge } from './encoding.js'
 import { decodeFrames, encodeFrame, SYNC_MARKER } from './frames.js'
@@ -8,6 +8,8 @@
 const HARD_STATE_FILE = 'hard-state'
 const SNAPSHOT_FILE = 'snapshot'
 const LOG_PREFIX = 'log-'
+/** Interval at which a write that a full disk has refused is tried again, ms. */
+const FULL_DISK_RETRY_MS = 200
 const packr = new Packr({ useRecords: false })
 
 export interface StoredEntry { index: number, term: number, bytes: Uint8Array }
@@ -29,6 +31,9 @@
   createIncarnation: () => string
   /** If the store is corrupt, erases it and starts a new incarnation, which replicates the log from the leader. */
   repair?: boolean
+  clock: Clock
+  /** Called with true when the disk is full and writes begin to wait for space, with false when they go on. */
+  onFullDisk?: (isFull: boolean) => void
 }
 
 export interface LoadedLog {
@@ -43,7 +48,8 @@
 
 /**
  * Storage of one replica: identity, term and vote, log and snapshot. Operations run one after the other, except where noted.
- * After the first failure every later operation returns the same failure and writes nothing.
+ * While the disk is full they wait for space. After the first other failure every later operation returns the same failure and
+ * writes nothing.
  */
 export interface LogStore {
   readonly incarnation: string
@@ -62,6 +68,8 @@
    */
   saveCoveredSnapshot (snapshot: StoredSnapshot, listFollowing: () => StoredEntry[] | undefined): Promise<Result<void, StoreFailure>>
   readSnapshot (): Promise<Result<StoredSnapshot | undefined, StoreFailure>>
+  /** Makes operations that wait for space fail, so that the store can be closed. */
+  abandonWaits (): void
   close (): Promise<void>
 }
 
@@ -72,15 +80,16 @@
 }
 
 export async function openLogStore (options: OpenStoreOptions): Promise<Result<{ store: LogStore, loaded: LoadedLog }, StoreFailure>> {
-  const opened = await loadStore(options)
+  const fullDisk = createFullDiskWait(options)
+  const opened = await fullDisk.retry(() => loadStore(options, fullDisk))
   if (opened.ok || opened.val.kind !== 'corrupt-record' || options.repair !== true) return opened
   const erased = await removeAllFiles(options.disk)
   if (erased.err) return erased
-  const again = await loadStore(options)
+  const again = await fullDisk.retry(() => loadStore(options, fullDisk))
   return again.ok ? Ok({ store: again.val.store, loaded: { ...again.val.loaded, repaired: true } }) : again
 }
 
-async function loadStore (options: OpenStoreOptions): Promise<Result<{ store: LogStore, loaded: LoadedLog }, StoreFailure>> {
+async function loadStore (options: OpenStoreOptions, fullDisk: FullDiskWait): Promise<Result<{ store: LogStore, loaded: LoadedLog }, StoreFailure>> {
   const { disk } = options
   const files = await disk.list()
   if (files.err) return files
@@ -110,7 +119,7 @@
   if (rewritten.err) return rewritten
   const removed = await removeFiles(disk, generations.map(getLogFile))
   if (removed.err) return removed
-  const store = createLogStore(disk, identity.val.identity, generation + 1)
+  const store = createLogStore(disk, identity.val.identity, { generation: generation + 1, bytes: rewritten.val }, fullDisk)
   return Ok({
     store,
     loaded: {
@@ -123,8 +132,38 @@
   })
 }
 
-function createLogStore (disk: Disk, identity: Identity, firstGeneration: number): LogStore {
-  let generation = firstGeneration
+/** Repeats writes that a full disk refuses. */
+interface FullDiskWait {
+  /** Repeats `action` until it does not fail for lack of space; the action must have the same effect when it is run again. */
+  retry<T> (action: () => Promise<Result<T, StoreFailure>>): Promise<Result<T, StoreFailure>>
+  abandon (): void
+}
+
+function createFullDiskWait ({ clock, onFullDisk }: OpenStoreOptions): FullDiskWait {
+  let waiting = 0
+  const abandoned = new AbortController()
+  return {
+    retry: async (action) => {
+      let result = await action()
+      if (result.ok || result.val.kind !== 'disk-full') return result
+      waiting += 1
+      if (waiting === 1) onFullDisk?.(true)
+      while (result.err && result.val.kind === 'disk-full' && !abandoned.signal.aborted) {
+        await clock.sleep(FULL_DISK_RETRY_MS, abandoned.signal)
+        result = await action()
+      }
+      waiting -= 1
+      if (waiting === 0 && result.ok) onFullDisk?.(false)
+      return result
+    },
+    abandon: () => abandoned.abort()
+  }
+}
+
+function createLogStore (disk: Disk, identity: Identity, log: { generation: number, bytes: number }, fullDisk: FullDiskWait): LogStore {
+  let { generation } = log
+  /** Length of the log file up to the end of the last append that was completed. */
+  let logBytes = log.bytes
   let failure: StoreFailure | undefined
   let lastOperation: Promise<unknown> = Promise.resolve()
   let lastSnapshot: Promise<unknown> = Promise.resolve()
@@ -132,7 +171,7 @@
 
   const runUnlessFailed = async <T>(action: () => Promise<Result<T, StoreFailure>>): Promise<Result<T, StoreFailure>> => {
     if (failure !== undefined) return Err(failure)
-    const result = await action()
+    const result = await fullDisk.retry(action)
     if (result.err) failure ??= result.val
     return result
   }
@@ -154,6 +193,7 @@
     const written = await writeLog(disk, generation + 1, entries)
     if (written.err) return written
     generation += 1
+    logBytes = written.val
     return removeFiles(disk, [getLogFile(generation - 1)])
   }
 
@@ -169,13 +209,20 @@
 
     saveHardState: (hardState) => runInOrder(() => writeRecord(disk, HARD_STATE_FILE, hardState)),
 
-    append: (entries) => runInOrder(async () => {
-      const file = getLogFile(generation)
-      const appended = await disk.append(file, encodeEntries(entries))
-      if (appended.err) return appended
-      const synced = await disk.sync(file)
-      return synced.err ? synced : disk.append(file, SYNC_MARKER)
-    }),
+    append: (entries) => {
+      const frame = encodeEntries(entries)
+      let isRepeated = false
+      return runInOrder(async () => {
+        const file = getLogFile(generation)
+        // A full disk may have taken a part of the record, which must not stand before an intact one.
+        const truncated = isRepeated ? await disk.truncate(file, logBytes) : Ok(undefined)
+        isRepeated = true
+        if (truncated.err) return truncated
+        const appended = await appendSynced(disk, file, frame)
+        if (appended.ok) logBytes += frame.length + SYNC_MARKER.length
+        return appended
+      })
+    },
 
     saveSnapshot: (snapshot, entries) => runInOrder(async () => {
       const saved = await writeSnapshot(snapshot)
@@ -195,6 +242,8 @@
 
     readSnapshot: () => runInOrder(() => readRecord<StoredSnapshot>(disk, SNAPSHOT_FILE)),
 
+    abandonWaits: fullDisk.abandon,
+
     close: async () => {
       await lastCoveredSnapshot
       await lastOperation
@@ -253,8 +302,18 @@
     : Err({ kind: 'corrupt-record', file, message: `entries are missing after index ${base}` })
 }
 
-function writeLog (disk: Disk, generation: number, entries: StoredEntry[]): Promise<Result<void, StoreFailure>> {
-  return disk.writeAtomic(getLogFile(generation), Buffer.concat([encodeEntries(entries), SYNC_MARKER]))
+/** Writes a new log file; returns its length. */
+async function writeLog (disk: Disk, generation: number, entries: StoredEntry[]): Promise<Result<number, StoreFailure>> {
+  const bytes = Buffer.concat([encodeEntries(entries), SYNC_MARKER])
+  const written = await disk.writeAtomic(getLogFile(generation), bytes)
+  return written.err ? written : Ok(bytes.length)
+}
+
+async function appendSynced (disk: Disk, file: string, frame: Uint8Array): Promise<Result<void, StoreFailure>> {
+  const appended = await disk.append(file, frame)
+  if (appended.err) return appended
+  const synced = await disk.sync(file)
+  return synced.err ? synced : disk.append(file, SYNC_MARKER)
 }
 
 /**
--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -58,9 +58,10 @@
 export async function createReplica (options: CreateReplicaOptions): Promise<Result<Replica, StoreFailure>> {
   const { disk, deployment, self, bootstrapVoters, repair } = options
   const createId = options.createId ?? (() => randomUUID().replaceAll('-', '').slice(0, ID_LENGTH))
+  const fullDisk = { observe: (isFull: boolean): void => reportFullDisk(options.logger, isFull) }
   const opened = disk === undefined
     ? undefined
-    : await openLogStore({ disk, deployment, host: self, createIncarnation: createId, repair })
+    : await openLogStore({ disk, deployment, host: self, createIncarnation: createId, repair, clock: options.clock, onFullDisk: (isFull) => fullDisk.observe(isFull) })
   if (opened?.err) return opened
   const store = opened?.val.store
   const loaded = opened?.val.loaded
@@ -79,15 +80,26 @@
     createState: options.createState ?? createReplicatedState,
     limits: { ...DEFAULT_LOG_LIMITS, ...options.limits }
   }, store, loaded, createId())
+  fullDisk.observe = (isFull) => {
+    reportFullDisk(options.logger, isFull)
+    // The others hold what this host cannot store, so another one leads until there is space again.
+    if (isFull) releaseLeadership(context, context.clock.now() + LEADERSHIP_TRANSFER_TIMEOUT_MS)
+  }
   setHandlers(context)
   const loops = [runLogWriter(context), runElections(context), runBootstrap(context)]
   return Ok(createHandle(context, loops))
 }
 
+function reportFullDisk (logger: Logger, isFull: boolean): void {
+  if (isFull) logger.warn('store.full')
+  else logger.info('store.space-again')
+}
+
 function createHandle (context: Context, loops: Array<Promise<void>>): Replica {
   const stop = async (): Promise<void> => {
     if (!context.stopped) await releaseLeadership(context, context.clock.now() + LEADERSHIP_TRANSFER_TIMEOUT_MS)
     stopContext(context, 'this host has stopped')
+    context.store?.abandonWaits()
     await Promise.all(loops)
     await context.store?.close()
   }
