Keep the order of catalog versions in the answers of an entry host

A request that arrives later may reach a leader that answers at once by the older catalog, before the change is in force. Both answers are true when they are given, but the client sees its later request handled by the older version. The answer of 3.743 s was given by a leader with authority, so no stale leader was involved.

Change: answers about queues carry the catalog version by which the leader has decided. Answers about workflows stay as they are, as no version takes them back.

--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -1,4 +1,5 @@
 import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
+import { createVersionOrder } from './versionOrder.js'
 import { WORKFLOW_MESSAGE, type ClientRequest, type WorkflowReply, type WorkflowRequest } from './messages.js'
 
 /** Time-out of one try at one host; a leader answers after one sync of its disk and one round trip. */
@@ -21,6 +22,8 @@
   network: Network
   /** Hosts that may know the leader. */
   seeds: string[]
+  /** For this long after the first request that a catalog version has answered, later requests may be answered by an older one. */
+  reorderMs: number
 }
 
 export interface WorkflowGateway {
@@ -42,6 +45,8 @@
   let answeredAt = -Infinity
   let hasCatalog = false
   let wasReady = false
+  // Half of the tolerance is left for the transfer of the requests.
+  const versionOrder = createVersionOrder(options.reorderMs / 2)
 
   const recordVoters = (voters: string[]): void => {
     if (voters.length > 0) hosts = [...new Set([...voters, ...seeds])]
@@ -101,6 +106,18 @@
     if (leader === asked || leader === undefined) await clock.sleep(Math.min(RETRY_MS, Math.max(0, deadline - clock.now())))
   }
 
+  /** Replaces an answer about a queue that contradicts the one to an earlier or later request. */
+  const checkOrder = (reply: WorkflowReply, arrivedAt: number): WorkflowReply => {
+    if (!('catalogVersion' in reply)) return reply
+    const { catalogVersion } = reply
+    if (!versionOrder.isKept(arrivedAt, catalogVersion)) {
+      logger.warn('catalog.reordered', { version: catalogVersion, outcome: reply.kind, heldMs: Math.round(clock.now() - arrivedAt) })
+      return { kind: 'not-run', retryAfterMs: RETRY_MS, reason: 'catalog-changed' }
+    }
+    versionOrder.record(arrivedAt, catalogVersion)
+    return reply
+  }
+
   const send: WorkflowGateway['send'] = async (request, deadline) => {
     let mayHaveRun = false
     const receivedAt = clock.now()
@@ -117,7 +134,7 @@
       const reply = await ask(host, { ...request, remainingMs: tryUntil - clock.now(), heldMs: clock.now() - receivedAt }, tryUntil)
       if (typeof reply === 'object' && reply.kind !== 'not-leader') {
         // The new leader may answer that nothing was recorded while an earlier try of the same request is still in transit.
-        return mayHaveRun && reply.kind === 'not-run' ? { kind: 'unknown', reason: reply.reason } : reply
+        return mayHaveRun && reply.kind === 'not-run' ? { kind: 'unknown', reason: reply.reason } : checkOrder(reply, receivedAt)
       }
       if (reply === 'no-answer') mayHaveRun = true
       await waitForLeader(host, deadline)
--- a/src/coordination/workflows/messages.ts
+++ b/src/coordination/workflows/messages.ts
@@ -28,15 +28,15 @@
 
 /**
  * `not-run`: the request changed nothing and will not take effect later; it may be repeated after `retryAfterMs`.
- * `unknown`: the request may or may not have been recorded.
+ * `unknown`: the request may or may not have been recorded. `catalogVersion`: the catalog by which a queue exists or not.
  */
 export type WorkflowReply =
   | { kind: 'not-leader', leader: string | undefined, voters: string[] }
   | { kind: 'pong', hasCatalog: boolean, voters: string[] }
   | { kind: 'accepted' }
   | { kind: 'status', status: WorkflowStatus }
-  | { kind: 'queue', pending: number }
-  | { kind: 'no-queue' }
+  | { kind: 'queue', pending: number, catalogVersion: number }
+  | { kind: 'no-queue', catalogVersion: number }
   | { kind: 'no-workflow' }
   | { kind: 'invalid', message: string }
   | { kind: 'overloaded', retryAfterMs: number }
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -108,7 +108,7 @@
   const { log, clock, logger } = options
   const { workflow } = request
   const found = findQueue(getState(log).catalog, request.address)
-  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, computeDeadline(options, request))
+  if (found === undefined) return confirmAbsence(options, createNoQueue(log), computeDeadline(options, request))
   if (workflow === null) return { kind: 'invalid', message: 'the body is not a workflow' }
   const { queue } = found
   const deadline = computeDeadline(options, request, queue)
@@ -126,14 +126,14 @@
   const result = await log.propose({ kind: 'workflow.submit', queue: queue.name, workflow, at: clock.wall() }, deadline)
   options.metrics.timing('workflow.accept', clock.now() - startedAt)
   logger.info('workflow.submit', { workflow: workflow.id, queue: queue.name, steps: workflow.steps.length, tasks: workflow.steps.reduce((sum, step) => sum + step.count, 0), known: isKnown, backlogMs: Math.round(verdict.backlogMs), catalog: getState(log).catalog?.version, outcome: result.ok ? 'accepted' : result.val.kind, ms: Math.round(clock.now() - startedAt) })
-  return result.ok ? { kind: 'accepted' } : describeLogFailure(result.val)
+  return result.ok ? { kind: 'accepted' } : describeLogFailure(log, result.val)
 }
 
 async function handleCancel (options: RequestOptions, request: Extract<WorkflowRequest, { kind: 'cancel' }>): Promise<WorkflowReply> {
   const { log, clock, logger } = options
   const found = findQueue(getState(log).catalog, request.address)
   const deadline = computeDeadline(options, request, found?.queue)
-  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, deadline)
+  if (found === undefined) return confirmAbsence(options, createNoQueue(log), deadline)
   if (deadline <= clock.now()) return TIMED_OUT
   if (getState(log).workflows[found.rest] === undefined) {
     const absence = await confirmAbsence(options, { kind: 'no-workflow' }, deadline)
@@ -142,15 +142,15 @@
   const result = await log.propose({ kind: 'workflow.cancel', id: found.rest, at: clock.wall() }, deadline)
   logger.info('workflow.cancel', { workflow: found.rest, queue: found.queue.name, outcome: result.ok ? 'cancelled' : result.val.kind })
   if (result.ok) return { kind: 'accepted' }
-  return result.val.kind === 'rejected' ? { kind: 'no-workflow' } : describeLogFailure(result.val)
+  return result.val.kind === 'rejected' ? { kind: 'no-workflow' } : describeLogFailure(log, result.val)
 }
 
 async function handleRead (options: RequestOptions, request: Extract<WorkflowRequest, { kind: 'read' }>): Promise<WorkflowReply> {
   const { log } = options
   const found = findQueue(getState(log).catalog, request.address)
   const deadline = computeDeadline(options, request, found?.queue)
-  if (found === undefined) return confirmAbsence(options, { kind: 'no-queue' }, deadline)
-  if (found.rest === '') return { kind: 'queue', pending: countPending(options.getView()?.open.list() ?? Object.values(getState(log).workflows), found.queue.name) }
+  if (found === undefined) return confirmAbsence(options, createNoQueue(log), deadline)
+  if (found.rest === '') return { kind: 'queue', pending: countPending(options.getView()?.open.list() ?? Object.values(getState(log).workflows), found.queue.name), catalogVersion: getCatalogVersion(log) }
   const record = getState(log).workflows[found.rest]
   if (record !== undefined) return { kind: 'status', status: getStatus(record) }
   const absence = await confirmAbsence(options, { kind: 'no-workflow' }, deadline)
@@ -165,8 +165,16 @@
   return current.ok ? reply : { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: current.val.kind }
 }
 
-function describeLogFailure (failure: LogFailure): WorkflowReply {
-  if (failure.kind === 'rejected') return failure.rejection.kind === 'unknown-queue' ? { kind: 'no-queue' } : { kind: 'invalid', message: failure.rejection.kind }
+function getCatalogVersion (log: ReplicatedLog): number {
+  return getState(log).catalog?.version ?? 0
+}
+
+function createNoQueue (log: ReplicatedLog): WorkflowReply {
+  return { kind: 'no-queue', catalogVersion: getCatalogVersion(log) }
+}
+
+function describeLogFailure (log: ReplicatedLog, failure: LogFailure): WorkflowReply {
+  if (failure.kind === 'rejected') return failure.rejection.kind === 'unknown-queue' ? createNoQueue(log) : { kind: 'invalid', message: failure.rejection.kind }
   if (failure.kind === 'outcome-unknown') return { kind: 'unknown', reason: failure.message }
   if (failure.kind === 'invalid-entry' || failure.kind === 'entry-too-large') return { kind: 'invalid', message: failure.message }
   return { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: failure.kind }
--- a/test/supervisedLoop.test.ts
+++ b/test/supervisedLoop.test.ts
@@ -75,7 +75,7 @@
       return { ok: true, err: false, val: { kind: 'pong', hasCatalog: true, voters: ['a'] } }
     }
   }
-  const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network: network as never, seeds: ['a'] })
+  const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network: network as never, seeds: ['a'], reorderMs: 250 })
   await clock.advance(1000)
   expect(gateway.isReady()).toBe(true)
 })
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -1,5 +1,6 @@
 import { expect, test } from 'vitest'
 import { createManualClock, createSilentLogger, Err, Ok, type ManualClock, type NetworkFailure, type Result } from '../../src/common/index.js'
+import { createVersionOrder } from '../../src/coordination/workflows/versionOrder.js'
 import { createWorkflowGateway, type WorkflowGateway, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 
 type Host = (request: WorkflowRequest) => WorkflowReply | NetworkFailure['kind']
@@ -30,7 +31,7 @@
       return Err({ kind: answer, to, message: answer })
     }
   }
-  const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network, seeds })
+  const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network, seeds, reorderMs: 250 })
   for (let passed = 0; passed < settleMs; passed += 10) await clock.advance(10)
   return {
     clock,
@@ -88,3 +89,28 @@
   const { ms } = await scene.send('submit', 3000)
   expect([held[0], (held[1] ?? 0) > 1000, (held[1] ?? 0) < ms]).toEqual([0, true, true])
 })
+
+// Guards against a client that sees the configuration go back: its later request was handled by the older version.
+test('a request that waited for a new leader is not answered by a newer catalog than a later request that did not wait', async () => {
+  let version = 4
+  const leader: Host = (request) => request.kind === 'ping' ? PONG : { kind: version > 4 ? 'no-queue' : 'queue', pending: 0, catalogVersion: version }
+  const hosts: Record<string, Host> = { a: () => 'deadline-exceeded', b: follow('a') }
+  const scene = await createScene(hosts, ['a', 'b'])
+  const early = scene.send('read', 3000)
+  scene.clock.sleep(300).then(() => { hosts.b = leader })
+  await scene.clock.sleep(1400)
+  const late = await scene.send('read', 3000)
+  version = 6
+  expect([late.reply.kind, (await early).reply]).toEqual(['queue', { kind: 'not-run', retryAfterMs: 60, reason: 'catalog-changed' }])
+  expect((await scene.send('read', 3000)).reply.kind).toBe('no-queue')
+})
+
+test('answers keep the order of the catalog versions, apart from requests that arrive at about the same time', () => {
+  const order = createVersionOrder(100)
+  order.record(1000, 4)
+  order.record(1300, 4)
+  const newer = [1000, 1190, 1210, 1400].map((arrivedAt) => order.isKept(arrivedAt, 6))
+  order.record(1400, 6)
+  const older = [1350, 1490, 1510].map((arrivedAt) => order.isKept(arrivedAt, 4))
+  expect([newer, older, order.isKept(9000, 6)]).toEqual([[false, false, true, true], [true, true, false], true])
+})
