--- a/src/bench/logLoadHost.ts
+++ b/src/bench/logLoadHost.ts
@@ -119,8 +119,9 @@
   }
 
   const proposeEnd = (): void => {
-    const followers = names.length
-    const found = [...running].find(([worker, tasks]) => Number(worker.slice('worker-'.length)) % followers === position && (tasks[ENDS_PER_ENTRY - 1]?.dueAt ?? Infinity) <= clock.now())
+    // The leader proposes no ends, so the workers are divided among the others.
+    const followers = names.filter((other) => other !== replica.status().leader)
+    const found = [...running].find(([worker, tasks]) => Number(worker.slice('worker-'.length)) % followers.length === followers.indexOf(name) && (tasks[ENDS_PER_ENTRY - 1]?.dueAt ?? Infinity) <= clock.now())
     const worker = found?.[0] ?? 'worker-0'
     const number = ends.get(worker) ?? 0
     const tasks = found === undefined ? Array.from({ length: ENDS_PER_ENTRY }, () => ({ task: '9e88b53aa315d574.0.0.0', attempt: 1 })) : found[1].splice(0, ENDS_PER_ENTRY)
--- a/src/common/log.ts
+++ b/src/common/log.ts
@@ -41,16 +41,34 @@
 /** Maximum of lines per event and second. Further lines are dropped; the first line of a later second states their number as `suppressed`. */
 const DEFAULT_LINES_PER_EVENT_PER_SECOND = 100
 
+export interface RateLimitedLoggerOptions {
+  linesPerSecond?: number
+  /** Takes the lines and emits `drop`, before `write` returns, for one that it does not keep; standard output by default. */
+  destination?: LogDestination
+}
+
+export interface LogDestination {
+  write (line: string): unknown
+  flushSync (): void
+  on (event: 'error' | 'drop', listener: () => void): unknown
+}
+
 interface LineBudget { second: number, lines: number, suppressed: number }
 
 /**
  * Creates a logger that writes to standard output and never waits for its reader. Each event has a limit of lines per second,
- * so that a burst of events takes little CPU time for logging.
+ * so that a burst of events takes little CPU time for logging. Lines that a full buffer drops are counted too: the next line
+ * states their number as `dropped`.
  */
-export function createRateLimitedLogger (clock: { now (): number, wall (): number }, fields: LogFields = {}, linesPerSecond = DEFAULT_LINES_PER_EVENT_PER_SECOND): Logger & { close (): void } {
-  const destination = pino.destination({ dest: STANDARD_OUTPUT, sync: false, minLength: 0, maxLength: MAX_BUFFERED_BYTES })
+export function createRateLimitedLogger (clock: { now (): number, wall (): number }, fields: LogFields = {}, options: RateLimitedLoggerOptions = {}): Logger & { close (): void } {
+  const { linesPerSecond = DEFAULT_LINES_PER_EVENT_PER_SECOND } = options
+  const destination = options.destination ?? pino.destination({ dest: STANDARD_OUTPUT, sync: false, minLength: 0, maxLength: MAX_BUFFERED_BYTES })
   // The process must not end when the reader of standard output closes the pipe.
   destination.on('error', () => {})
+  /** Lines that were dropped at a full buffer since the last line that was not. */
+  let dropped = 0
+  let hasDropped = false
+  destination.on('drop', () => { hasDropped = true })
   const budgets = new Map<string, LineBudget>()
 
   const countLine = (event: string): number | undefined => {
@@ -69,8 +87,10 @@
     const write = (level: string) => (event: string, own: LogFields = {}): void => {
       const suppressed = countLine(event)
       if (suppressed === undefined) return
-      const counted = suppressed > 0 ? ` suppressed=${suppressed}` : ''
+      const counted = (suppressed > 0 ? ` suppressed=${suppressed}` : '') + (dropped > 0 ? ` dropped=${dropped}` : '')
+      hasDropped = false
       destination.write(`time=${new Date(clock.wall()).toISOString()} level=${level} event=${event}${common}${formatFields(own)}${counted}\n`)
+      dropped = hasDropped ? dropped + 1 : 0
     }
     return { info: write('info'), warn: write('warn'), error: write('error'), child: (more) => createChild(common + formatFields(more)) }
   }
--- a/src/coordination/configuration/index.ts
+++ b/src/coordination/configuration/index.ts
@@ -2,4 +2,4 @@
 export { createConfiguration, type ConfigurationModule, type ConfigurationOptions } from './configuration.js'
 export { type Certainty, type ClaimStatus as Claim, type ConfigurationView } from './holder.js'
 export { ISOLATION_POLICY } from './isolationPolicy.js'
-export { CLOCK_RATE_BOUND, GRANT_HOLD_MS, LEASE_MS, RENEW_INTERVAL_MS, RENEW_KIND, renewReplySchema, renewRequestSchema } from './messages.js'
+export { CLOCK_RATE_ERROR, GRANT_HOLD_MS, LEASE_MS, RENEW_INTERVAL_MS, RENEW_KIND, renewReplySchema, renewRequestSchema } from './messages.js'
--- a/src/coordination/configuration/messages.ts
+++ b/src/coordination/configuration/messages.ts
@@ -8,13 +8,13 @@
 export const LEASE_MS = 1500
 
 /** Maximum relative error of a clock: each runs between 0.99 and 1.01 times the rate of true time. */
-export const CLOCK_RATE_BOUND = 0.01
+export const CLOCK_RATE_ERROR = 0.01
 
 /**
  * Time after which a granter may treat a lease as expired, by its own clock, ms. The clock of the holder may be the slowest
  * permitted one and that of the granter the fastest, so the bound applies twice.
  */
-export const GRANT_HOLD_MS = LEASE_MS * (1 + CLOCK_RATE_BOUND) / (1 - CLOCK_RATE_BOUND)
+export const GRANT_HOLD_MS = LEASE_MS * (1 + CLOCK_RATE_ERROR) / (1 - CLOCK_RATE_ERROR)
 
 /** Interval of renewals, ms. At most a third of the lease, so that a claim survives two lost renewals in a row. */
 export const RENEW_INTERVAL_MS = 400
--- a/src/coordination/placement/observations.ts
+++ b/src/coordination/placement/observations.ts
@@ -2,13 +2,14 @@
 import { recordLoss, recordResult } from './health.js'
 import { recordLatency } from './neighbours.js'
 import { createTaskRecord, createWorkerRecord, type TaskRecord } from './records.js'
-import { createResources } from './resources.js'
 import { computeMargin } from './sizes.js'
 import { getMember, updateCapacities, type PlacementState } from './state.js'
 import type { Observation, PlacementTask } from './types.js'
 
 /** Time for which no task is placed on a worker after its guard (its own overload protection) became active or it refused a task. */
 const GUARD_PAUSE_MS = 10_000
+/** Quantile of the latencies in the reports of executors. */
+const REPORTED_QUANTILE = 0.99
 /** Time for which the memory that a refusal has shown to be unavailable is not used for placements. */
 const UNAVAILABLE_MS = 30_000
 /** Usage reports this soon after a change of the CPU share may still show the old share. */
@@ -29,8 +30,8 @@
   member: (state, { member, quota, weight }) => {
     Object.assign(getMember(state, member), { quota, weight })
   },
-  service: (state, { service, member, latencyMs }) => {
-    state.services.set(service, { id: service, member, latencyMs })
+  service: (state, { service, member, latencyMs, quantile }) => {
+    state.services.set(service, { id: service, member, latencyMs: computeP99Objective(latencyMs, quantile) })
   },
   'worker-up': (state, { worker, rack, capacity }) => {
     const workerRecord = state.workers.get(worker)
@@ -109,12 +110,20 @@
   if (result === 'succeeded' && record.share === 1) state.sizes.recordRun(record.task, now - record.startedAt, now)
   if (result !== 'refused') return
   // A refusal shows that the worker has less free memory than its allocations leave.
-  if (now >= worker.unavailableUntil) worker.unavailable = createResources()
-  worker.unavailable.memoryBytes = Math.max(worker.unavailable.memoryBytes, worker.capacity.memoryBytes - worker.held.memoryBytes - record.allocation.memoryBytes * 0.9)
+  if (now >= worker.unavailableUntil) worker.unavailableMemoryBytes = 0
+  worker.unavailableMemoryBytes = Math.max(worker.unavailableMemoryBytes, worker.capacity.memoryBytes - worker.held.memoryBytes - record.allocation.memoryBytes * 0.9)
   worker.unavailableUntil = now + UNAVAILABLE_MS
   worker.pausedUntil = now + GUARD_PAUSE_MS
 }
 
+/**
+ * The p99 that is expected when the given quantile of the latencies is `latencyMs`, for an exponential tail: executors report
+ * p99 only, whatever the quantile of the objective.
+ */
+function computeP99Objective (latencyMs: number, quantile: number): number {
+  return latencyMs * Math.log(1 - REPORTED_QUANTILE) / Math.log(1 - quantile)
+}
+
 /** Updates the size of the class by a usage report, and raises or lowers the allocation of the task to its measured usage with margin. */
 function recordUsage (state: PlacementState, { task, worker: workerId, cores, memoryBytes, measuredAt }: Extract<Observation, { kind: 'usage' }>, now: number): void {
   const record = state.tasks.get(task)
--- a/src/coordination/placement/preemption.ts
+++ b/src/coordination/placement/preemption.ts
@@ -5,7 +5,7 @@
 import { isLatencyAtRisk } from './latencyForecasts.js'
 import { isAboveQuota, isEvictionForbidden } from './quotas.js'
 import { createFigure, createReason } from './reasons.js'
-import { computeAllocatedCores, type TaskRecord, type WorkerRecord } from './records.js'
+import { computeAllocatedCores, getUsableCapacity, type TaskRecord, type WorkerRecord } from './records.js'
 import { addResources, findExcess } from './resources.js'
 import type { PlacementState } from './state.js'
 import type { Decision } from './types.js'
@@ -51,7 +51,7 @@
 /** Throttles batch tasks on the worker with the smallest shortage of cores; undefined when throttles cannot free enough on any worker. */
 function planThrottles (state: PlacementState, workers: WorkerRecord[], record: TaskRecord, size: Resources, now: number): Preemption | undefined {
   const options = workers.flatMap((worker) => {
-    if (worker.held.memoryBytes + size.memoryBytes > worker.capacity.memoryBytes) return []
+    if (worker.held.memoryBytes + size.memoryBytes > getUsableCapacity(worker, now).memoryBytes) return []
     if (worker.held.accelerators + size.accelerators > worker.capacity.accelerators) return []
     const shortage = worker.held.cores + size.cores - worker.capacity.cores
     const throttleableCores = listPreemptible(worker).reduce((sum, victim) => sum + victim.allocation.cores * Math.max(0, victim.allocatedShare - MIN_SHARE), 0)
@@ -89,8 +89,9 @@
     const victims = listPreemptible(worker)
       .filter((victim) => isEvictable(state, victim, record, cause, mayEvictOthers, now))
       .sort((one, other) => other.allocation.memoryBytes - one.allocation.memoryBytes)
-    const chosen = chooseVictims(worker, victims, size)
-    return chosen === undefined || chosen.length > allowed ? [] : [{ worker, chosen }]
+    const chosen = chooseVictims(victims, size, worker.held, getUsableCapacity(worker, now))
+    // Where the task already fits, something else rules the worker out, and an eviction would not help.
+    return chosen === undefined || chosen.length === 0 || chosen.length > allowed ? [] : [{ worker, chosen }]
   })
   if (options.length === 0) return []
   const { worker, chosen } = options.reduce((best, option) => option.chosen.length < best.chosen.length ? option : best)
@@ -111,15 +112,15 @@
 }
 
 /** The first tasks of `victims` whose stop frees enough for `size`; undefined when all of them together do not. */
-function chooseVictims (worker: WorkerRecord, victims: TaskRecord[], size: Resources): TaskRecord[] | undefined {
-  const held = { ...worker.held }
+function chooseVictims (victims: TaskRecord[], size: Resources, allHeld: Resources, capacity: Resources): TaskRecord[] | undefined {
+  const held = { ...allHeld }
   const chosen: TaskRecord[] = []
   for (const victim of victims) {
-    if (findExcess(size, worker.capacity, held) === undefined) break
+    if (findExcess(size, capacity, held) === undefined) break
     addResources(held, getAllocated(victim), -1)
     chosen.push(victim)
   }
-  return findExcess(size, worker.capacity, held) === undefined ? chosen : undefined
+  return findExcess(size, capacity, held) === undefined ? chosen : undefined
 }
 
 export function recordReservation (worker: WorkerRecord, record: TaskRecord, now: number): void {
--- a/src/coordination/placement/records.ts
+++ b/src/coordination/placement/records.ts
@@ -91,8 +91,8 @@
   guardActive: boolean
   /** No task is placed on the worker before this time. */
   pausedUntil: number
-  /** Capacity that is not used for placements until `unavailableUntil`, because a refusal has shown that it is missing. */
-  unavailable: Resources
+  /** Memory that is not used for placements until `unavailableUntil`, because a refusal has shown that it is missing. */
+  unavailableMemoryBytes: number
   unavailableUntil: number
   health: WorkerHealth
   /** The waiting task for which the worker is kept free of other tasks that are not urgent, and since when. */
@@ -185,7 +185,7 @@
     forecastsAt: 0,
     guardActive: false,
     pausedUntil: -Infinity,
-    unavailable: createResources(),
+    unavailableMemoryBytes: 0,
     unavailableUntil: -Infinity,
     health: { state: 'healthy', failures: new Map(), lastFailureAt: -Infinity, deadline: 0, quarantines: 0, successes: 0, losses: [], since: 0 },
     reservedFor: undefined,
@@ -224,3 +224,8 @@
     if (isBatch(record.task)) worker.batchCores += cores
   }
 }
+
+/** The capacity without the memory that a refusal has shown to be unavailable. */
+export function getUsableCapacity ({ capacity, unavailableMemoryBytes, unavailableUntil }: WorkerRecord, now: number): Resources {
+  return now < unavailableUntil ? { ...capacity, memoryBytes: capacity.memoryBytes - unavailableMemoryBytes } : capacity
+}
--- a/src/coordination/placement/workerSelection.ts
+++ b/src/coordination/placement/workerSelection.ts
@@ -1,7 +1,7 @@
 import type { Resources } from '../../state/schemas.js'
 import { findHealthRejection } from './health.js'
 import { computeLatencyMargin, getForecasts } from './latencyForecasts.js'
-import { isBatch, type TaskRecord, type WorkerRecord } from './records.js'
+import { getUsableCapacity, isBatch, type TaskRecord, type WorkerRecord } from './records.js'
 import { findExcess } from './resources.js'
 import type { PlacementState } from './state.js'
 import type { Reason } from './types.js'
@@ -107,7 +107,8 @@
 function findWorkerRejection (worker: WorkerRecord, now: number): string | undefined {
   if (!worker.up) return 'down'
   if (worker.draining) return 'draining'
-  return worker.guardActive || now < worker.pausedUntil ? 'its guard is active' : undefined
+  if (worker.guardActive) return 'its guard is active'
+  return now < worker.pausedUntil ? 'its guard was active or it refused a task just before' : undefined
 }
 
 /** Why the worker may not take this task, other than for the latency of its services. */
@@ -117,22 +118,13 @@
   const excess = findExcess(size, worker.capacity, worker.held)
   if (excess !== undefined) return `no room in ${excess}`
   if (batch && worker.batchCores + size.cores > worker.capacity.cores * state.policy.policy.batchShare * ROUNDING) return 'its batch share is used'
-  if (now < worker.unavailableUntil && findExcess(size, computeUsableCapacity(worker), worker.held) !== undefined) return 'it refused such a size'
+  if (findExcess(size, getUsableCapacity(worker, now), worker.held) !== undefined) return 'it refused such a size'
   if (worker.reservedFor !== undefined && worker.reservedFor !== record.task.id && !record.task.urgent) return 'reserved for a task that waits longer'
   const rejection = findHealthRejection(worker, record)
   if (rejection !== undefined) return rejection
   return unmeasured && countUnmeasured(worker, record, now) >= MAX_UNMEASURED_PER_WORKER ? 'holds a task of this class whose size is not yet known' : undefined
 }
 
-/** The capacity without the part that a refusal has shown to be unavailable. */
-function computeUsableCapacity ({ capacity, unavailable }: WorkerRecord): Resources {
-  return {
-    cores: capacity.cores - unavailable.cores,
-    memoryBytes: capacity.memoryBytes - unavailable.memoryBytes,
-    accelerators: capacity.accelerators
-  }
-}
-
 /** Tasks of the same class and member on the worker that started recently and have no usage report yet. */
 function countUnmeasured (worker: WorkerRecord, { task }: TaskRecord, now: number): number {
   let count = 0
--- a/src/coordination/routing/executorHealth.ts
+++ b/src/coordination/routing/executorHealth.ts
@@ -81,8 +81,8 @@
     if (record.consecutiveFailures >= CONSECUTIVE_FAILURES) return 'consecutive failures'
     if (record.samples >= MIN_SAMPLES && record.failureRate > MAX_FAILURE_RATE) return 'failure rate'
     const median = computeMedian(record.service, executor)
-    // While the concurrency limit rises again, `MIN_SAMPLES` is not required, so the first attempts after the ejection
-    // decide; the average may still contain attempts from the slow time.
+    // While the concurrency limit rises again, few attempts are let through, so the average decides without `MIN_SAMPLES` of
+    // them; it still contains attempts from before the ejection.
     const hasEnoughSamples = record.samples >= MIN_SAMPLES || record.concurrencyLimit !== Infinity
     return hasEnoughSamples && median !== undefined && record.latencyMs > SLOW_RATIO * median ? 'slow' : undefined
   }
--- a/src/coordination/routing/leaseClient.ts
+++ b/src/coordination/routing/leaseClient.ts
@@ -2,7 +2,7 @@
 import type { HealthTable } from './executorHealth.js'
 import type { LeasedExecutor, LeasedExecutors } from './leasedExecutors.js'
 import type { LeaseTable } from './leaseTable.js'
-import { leaseReplySchema, type LeaseReply, type LeaseRequest, type TargetsSummary } from './messages.js'
+import { leaseAnswerSchema, type LeaseAnswer, type LeaseReply, type LeaseRequest, type TargetsSummary } from './messages.js'
 
 const RENEW_INTERVAL_MS = 250
 const IDLE_WAIT_MS = 1000
@@ -258,19 +258,21 @@
       if (owner.host !== network.self) owner.services.forEach((capacity) => { capacity.free = 0 })
       return false
     }
+    // A later request of this host was faster; its own reply tells what this host holds.
+    if ('outdated' in reply) return false
     applyReply(owner, reply, sentAt)
     return countLeasedSlots(owner) > before
   }
 
-  const sendExchange = async (host: string, request: LeaseRequest, sentAt: number): Promise<LeaseReply | undefined> => {
+  const sendExchange = async (host: string, request: LeaseRequest, sentAt: number): Promise<LeaseAnswer | undefined> => {
     if (host === network.self) {
-      const reply = leaseTable.applyRequest(request)
+      const reply = leaseTable.applyRequest(request) ?? { outdated: true as const }
       options.notifyHolders()
       return reply
     }
     const kind = request.wants.length > 0 ? 'credit.take' : 'credit.return'
     const result = await network.request(host, kind, request, sentAt + EXCHANGE_TIMEOUT_MS)
-    const parsed = result.ok ? leaseReplySchema.safeParse(result.val) : undefined
+    const parsed = result.ok ? leaseAnswerSchema.safeParse(result.val) : undefined
     return parsed?.success ? parsed.data : undefined
   }
 
--- a/src/coordination/routing/messages.ts
+++ b/src/coordination/routing/messages.ts
@@ -50,7 +50,11 @@
     excess: count
   }))
 })
+/** The owner has already applied a later request of this host, so this one had no effect. */
+export const outdatedReplySchema = z.strictObject({ outdated: z.literal(true) })
+export const leaseAnswerSchema = z.union([leaseReplySchema, outdatedReplySchema])
 export type LeaseReply = z.infer<typeof leaseReplySchema>
+export type LeaseAnswer = z.infer<typeof leaseAnswerSchema>
 export type ExecutorLease = LeaseReply['loans'][number]
 
 /** `targets.summary`: the executors of one owner, sent to all other entry hosts. */
--- a/src/coordination/routing/router.ts
+++ b/src/coordination/routing/router.ts
@@ -8,7 +8,7 @@
 import { createLeaseTable, parseAnnouncement } from './leaseTable.js'
 import { createKeyedRequests, type HostLocation } from './keyedRequests.js'
 import { checkRequest } from './requests.js'
-import { leaseRequestSchema, targetsSummarySchema, type TargetsSummary } from './messages.js'
+import { leaseRequestSchema, targetsSummarySchema, type LeaseAnswer, type TargetsSummary } from './messages.js'
 import type { AnnounceFailure, AnnounceReply, ExecutorClient, NotRunReason, RequestOutcome, RoutedRequest, TargetStatus, UnknownReason } from './types.js'
 
 const HOUSEKEEPING_INTERVAL_MS = 100
@@ -134,8 +134,8 @@
     leaseClient.observeSummary(from, targetsSummarySchema.parse(body))
     return {}
   })
-  const handleLeaseRequest = async (_: string, body: unknown): Promise<unknown> => {
-    const reply = leaseTable.applyRequest(leaseRequestSchema.parse(body)) ?? { outdated: true }
+  const handleLeaseRequest = async (_: string, body: unknown): Promise<LeaseAnswer> => {
+    const reply = leaseTable.applyRequest(leaseRequestSchema.parse(body)) ?? { outdated: true as const }
     notifyHolders()
     return reply
   }
--- a/src/coordination/tasks/attempts.ts
+++ b/src/coordination/tasks/attempts.ts
@@ -18,8 +18,10 @@
   const { table, clock, term, logger, observe } = options
   const { journal, specs } = table
   const workers = new Map<string, WorkerView>()
-  // Attempts whose start or stop command may be sent, because the journal group has stored its record.
+  // Attempts that may have been started, because the journal group has stored the start or the worker has reported it.
   const sendable = new Set<string>()
+  // Attempts whose stop is applied to the local table but not stored by the journal group yet; it must not be sent before.
+  const unrecordedStops = new Set<string>()
   const recorded = new Map<string, TaskOutcome>()
   // Attempts whose end is applied to the local table but not stored by the journal group yet. The worker has to keep their outcomes.
   const unrecordedEnds = new Set<string>()
@@ -115,7 +117,10 @@
     observe({ kind: 'task-stopping', task })
     // The local table shows the attempt as stopping from now on, so a start that was not sent yet is never sent.
     // The stop becomes due when the journal group has stored it.
+    const key = formatKey(entry)
+    unrecordedStops.add(key)
     record([{ kind: 'stop', task, attempt, purpose }], () => {
+      unrecordedStops.delete(key)
       if (!isActiveAttempt(entry)) return
       markSendable(worker, entry)
       options.wakeWorker(worker)
@@ -178,6 +183,8 @@
     const { size, idempotent } = spec.task
     const { incarnation } = getWorkerView(worker)
     observe({ kind: 'task-started', task: spec.task, worker })
+    // The worker has reported the attempt, so it counts as started even if the record is never stored.
+    sendable.add(formatKey({ task, attempt }))
     record([{ kind: 'start', task, attempt, token, worker, incarnation, size, once: !idempotent }], () => markSendable(worker, { task, attempt }))
     if (spec.cancelled) cancel(spec)
   }
@@ -263,7 +270,8 @@
         return []
       }
       const { attempt, token, purpose } = entry
-      if (!sendable.has(formatKey(entry))) return []
+      const key = formatKey(entry)
+      if (!sendable.has(key) || unrecordedStops.has(key)) return []
       return entry.state === 'started'
         ? createStartCommands(entry, specs.get(task))
         : [{ kind: 'stop', task, attempt, token, checkpoint: purpose === 'evict' }]
--- a/src/coordination/tasks/journalReplica.ts
+++ b/src/coordination/tasks/journalReplica.ts
@@ -36,7 +36,7 @@
 /** One host's replica of the zone's journal. */
 export interface JournalReplica {
   append (request: AppendRequest): Promise<AppendReply>
-  /** Returns the journal, and rejects appends of terms lower than `term` from now on. */
+  /** Returns the journal, and rejects appends of terms lower than `term` from now on, also after a restart with a disk. */
   read (term: CoordinatorTerm): Promise<ReadReply>
   /** The highest term that this replica has seen. */
   getPromised (): CoordinatorTerm
@@ -86,10 +86,20 @@
 
   const compact = async (): Promise<void> => {
     if (journalTerm === undefined) return
-    await store.replace(encodeLines(journalTerm, next, listSnapshot(state)))
+    await store.replace([...encodeLines(journalTerm, next, listSnapshot(state)), encodePromise(promised)])
     lines = 0
   }
 
+  const readNow = async (term: CoordinatorTerm): Promise<ReadReply> => {
+    if (compareTerms(term, promised) > 0) {
+      // After a restart this host would otherwise accept records of an earlier coordinator that the reader does not see.
+      const saved = await store.append([encodePromise(term)])
+      if (saved.err) throw new Error(saved.val.message)
+      promised = term
+    }
+    return { promised, journalTerm, next, records: listSnapshot(state) }
+  }
+
   // Runs requests one after the other, since each awaits the store before it changes the state.
   const runSerially = <T>(run: () => Promise<T>): Promise<T> => {
     const result = queue.then(run)
@@ -99,10 +109,7 @@
 
   return {
     append: (request) => runSerially(() => appendNow(request)),
-    read: (term) => runSerially(async () => {
-      if (compareTerms(term, promised) > 0) promised = term
-      return { promised, journalTerm, next, records: listSnapshot(state) }
-    }),
+    read: (term) => runSerially(() => readNow(term)),
     getPromised: () => promised
   }
 }
@@ -113,13 +120,25 @@
   return [JSON.stringify({ term, next, records: records.length }), ...records.map((record) => JSON.stringify(record))]
 }
 
+/** A line that only raises the term below which appends are rejected. */
+function encodePromise (promised: CoordinatorTerm): string {
+  return JSON.stringify({ promised })
+}
+
 function loadLines (lines: string[]): LoadedJournal {
   const state = createJournalState()
-  const [first, ...rest] = lines
-  if (first === undefined) return { promised: NO_TERM, next: 0, state }
-  const header = headerSchema.parse(JSON.parse(first))
-  rest.forEach((line) => applyRecord(state, journalRecordSchema.parse(JSON.parse(line))))
-  return { promised: header.term, journalTerm: header.term, next: header.next + rest.length - header.records, state }
+  const values = lines.map((line): unknown => JSON.parse(line))
+  const promises = values.flatMap((value) => promiseSchema.safeParse(value).data?.promised ?? [])
+  const [first, ...rest] = values.filter((value) => !promiseSchema.safeParse(value).success)
+  if (first === undefined) return { promised: findHighest(promises), next: 0, state }
+  const header = headerSchema.parse(first)
+  rest.forEach((value) => applyRecord(state, journalRecordSchema.parse(value)))
+  return { promised: findHighest([header.term, ...promises]), journalTerm: header.term, next: header.next + rest.length - header.records, state }
+}
+
+function findHighest (terms: CoordinatorTerm[]): CoordinatorTerm {
+  return terms.reduce((highest, term) => compareTerms(term, highest) > 0 ? term : highest, NO_TERM)
 }
 
+const promiseSchema = z.strictObject({ promised: coordinatorTermSchema })
 const headerSchema = z.strictObject({ term: coordinatorTermSchema, next: z.number().int(), records: z.number().int() })
--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -41,8 +41,8 @@
   stepRuns: Map<string, number>
   /** The session host of the worker has too many unconfirmed starts, so the worker receives only interrupted long-running tasks. */
   isBusy?: boolean
-  /** Cores that long-running tasks request; the others become free once short tasks have ended. */
-  longRunningCores?: number
+  /** The capacity that is free once the short tasks have ended. */
+  freeWithoutShortTasks?: Pick<Candidate, 'freeCores' | 'freeMemoryMb' | 'freeAccelerators'>
 }
 
 /** Workers of one service that may receive tasks now. */
@@ -179,7 +179,7 @@
     slowness: 1,
     stepRuns: new Map(),
     isBusy: false,
-    longRunningCores: 0
+    freeWithoutShortTasks: { freeCores: life.cores, freeMemoryMb: life.memoryMb, freeAccelerators: life.accelerators }
   }
   const addTaskByName = (task: string): void => {
     const taskStep = findTaskStep(task)
@@ -200,7 +200,11 @@
 export function addRun (candidate: PlacementCandidate, step: Step, stepName: string, interferenceModel: Pick<InterferenceModel, 'estimateUtilization'>): void {
   addTask(candidate, step, stepName, interferenceModel.estimateUtilization(step.image ?? ''))
   if (step.maxPerWorker !== undefined) candidate.stepRuns.set(stepName, (candidate.stepRuns.get(stepName) ?? 0) + 1)
-  if (step.lasting && !step.fills) candidate.longRunningCores = (candidate.longRunningCores ?? 0) + step.cores
+  const { freeWithoutShortTasks } = candidate
+  if (!step.lasting || freeWithoutShortTasks === undefined) return
+  if (!step.fills) freeWithoutShortTasks.freeCores -= step.cores
+  freeWithoutShortTasks.freeMemoryMb -= step.memoryMb
+  freeWithoutShortTasks.freeAccelerators -= step.accelerators
 }
 
 /** Finds the step of a task by its name. Called for each run in each poll of a worker, so `parseTaskName`, which would take most of the time of a poll, is avoided. */
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -144,7 +144,7 @@
       const pool = availablePools.get(tracked.group.record.service)
       if (pool === undefined) return
       if (assignments.length < MAX_ASSIGNMENTS) assignments.push(...placeTracked(tracked, pool, pass))
-      else tracked.progress.isSchedulerLimited = true
+      else tracked.progress.isSchedulerLimited = hasCapacity(tracked, pool.workers)
     })
     trackedGroups.forEach(({ progress }) => { progress.isSchedulerLimited = false })
     const resumed = trackedGroups.filter(({ group }) => group.isResumed === true)
@@ -240,12 +240,16 @@
   }
 }
 
+/** True when one of the workers has the capacity for a task of the group. */
+function hasCapacity ({ group, progress }: TrackedGroup, workers: readonly PlacementCandidate[]): boolean {
+  const needs = { step: group.step, countStepRuns: () => 0, acceptsExcessLoad: progress.isStarved }
+  return workers.some((worker) => canHold(worker, needs))
+}
+
 /** True when a group may be placed: its retry time has come, or a worker whose free capacity has grown can hold a task of it. */
-function isRetryDue ({ group, progress }: TrackedGroup, pool: Pool | undefined, now: number): boolean {
+function isRetryDue (tracked: TrackedGroup, pool: Pool | undefined, now: number): boolean {
   if (pool === undefined) return false
-  if (progress.blockedUntil <= now) return true
-  const needs = { step: group.step, countStepRuns: () => 0, acceptsExcessLoad: progress.isStarved }
-  return pool.freed.some((worker) => canHold(worker, needs))
+  return tracked.progress.blockedUntil <= now || hasCapacity(tracked, pool.freed)
 }
 
 /** Returns the pools without the workers that are reserved for interrupted long-running tasks. */
@@ -268,9 +272,8 @@
 function updateSchedulerLimited (trackedGroups: TrackedGroup[], pools: Map<string, Pool>): void {
   const busy = new Map([...pools].filter(([, pool]) => pool.busy.length > 0).map(([service, pool]) => [service, pool.busy]))
   if (busy.size === 0) return
-  trackedGroups.filter(({ progress, group }) => progress.isBlocked && group.isResumed !== true).forEach(({ group, progress }) => {
-    const needs = { step: group.step, countStepRuns: () => 0, acceptsExcessLoad: progress.isStarved }
-    progress.isSchedulerLimited ||= busy.get(group.record.service)?.some((worker) => canHold(worker, needs)) === true
+  trackedGroups.filter(({ progress, group }) => progress.isBlocked && group.isResumed !== true).forEach((tracked) => {
+    tracked.progress.isSchedulerLimited ||= hasCapacity(tracked, busy.get(tracked.group.record.service) ?? [])
   })
 }
 
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -98,7 +98,7 @@
   const needs: Pick<PlacementNeeds, 'step' | 'countStepRuns'> = { step, countStepRuns: (_worker, { stepRuns }) => stepRuns?.get(stepName) ?? 0 }
   if (step.fills || pool.some((worker) => canHold(worker, needs))) return undefined
   return pool
-    .filter((worker) => !reserved.has(worker) && canHold({ ...worker, freeCores: worker.cores - (worker.longRunningCores ?? 0) }, needs))
+    .filter((worker) => !reserved.has(worker) && canHold({ ...worker, ...worker.freeWithoutShortTasks }, needs))
     .reduce<PlacementCandidate | undefined>((best, worker) => best === undefined || worker.freeCores > best.freeCores ? worker : best, undefined)
 }
 
@@ -132,7 +132,8 @@
 }
 
 function createCapacityCopy (worker: PlacementCandidate): PlacementCandidate {
-  return { ...worker, latencyCritical: [...worker.latencyCritical], bestEffort: [...worker.bestEffort], stepRuns: new Map(worker.stepRuns) }
+  const { freeWithoutShortTasks } = worker
+  return { ...worker, ...freeWithoutShortTasks !== undefined && { freeWithoutShortTasks: { ...freeWithoutShortTasks } }, latencyCritical: [...worker.latencyCritical], bestEffort: [...worker.bestEffort], stepRuns: new Map(worker.stepRuns) }
 }
 
 /** True when the workers can hold at least `count` tasks of the step now. */
@@ -141,8 +142,9 @@
   const capacity = workers.filter((worker) => canHold(worker, needs)).reduce((sum, worker) => {
     const byCores = step.cores > 0 ? Math.floor((step.fills ? worker.spareCores : worker.freeCores) / step.cores) : count
     const byMemory = step.memoryMb > 0 ? Math.floor(worker.freeMemoryMb / step.memoryMb) : count
+    const byAccelerators = step.accelerators > 0 ? Math.floor(worker.freeAccelerators / step.accelerators) : count
     const byStepLimit = step.maxPerWorker === undefined ? count : step.maxPerWorker - needs.countStepRuns(worker.id, worker)
-    return sum + Math.min(byCores, byMemory, byStepLimit)
+    return sum + Math.min(byCores, byMemory, byAccelerators, byStepLimit)
   }, 0)
   return capacity >= count
 }
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -38,6 +38,7 @@
   clock: ManualClock
   dispatcher: Dispatcher
   sessions: ReadonlyMap<string, Session>
+  submit (id: string, queue: string, steps: Array<Partial<Step>>): void
   /** Runs the load for this virtual time and measures the real time that the dispatcher blocks the thread. */
   run (ms: number): Promise<DispatchFigures>
   /** Ends this part of the running short tasks, chosen at random, so that much of the backlog can be placed at once. */
@@ -214,6 +215,7 @@
     clock,
     dispatcher,
     sessions,
+    submit,
     endShortTasks: (share) => {
       const count = Math.floor(shortTasks.length * share)
       for (let ended = 0; ended < count; ended += 1) endTask(random.below(shortTasks.length))
--- a/test/placement/interference.test.ts
+++ b/test/placement/interference.test.ts
@@ -178,3 +178,13 @@
   expect(explored).toBeGreaterThan(5)
   expect(explored).toBeLessThanOrEqual(20)
 })
+
+// Executors report p99. An objective for a higher quantile allows less p99, one for a lower quantile more.
+test('the quantile of an objective decides how much p99 a service tolerates before its neighbours are throttled', () => {
+  const countThrottles = (quantile: number): number => {
+    const scenario = createSharedWorker()
+    scenario.observe({ kind: 'service', service: 'desk', member: 'parish', latencyMs: OBJECTIVE_MS, quantile })
+    return runReports(scenario, 30, () => ({ p99Ms: 10 })).filter(({ kind }) => kind === 'throttle').length
+  }
+  expect([countThrottles(0.9), countThrottles(0.99), countThrottles(0.999) > 0]).toEqual([0, 0, true])
+})
--- a/test/placement/rules.test.ts
+++ b/test/placement/rules.test.ts
@@ -233,3 +233,50 @@
   expect(kept.reduce((sum, { repeated }) => sum + repeated, 0)).toBe(300)
   expect(kept.at(-1)?.task).toBe('t299-0')
 })
+
+/** A worker that holds a batch task and has refused one of 20 GB, which shows that at most 18 GB of its 60 GB are free. */
+function createRefusingWorker (): PlacementScenario {
+  const scenario = createScenario(1, 1, { cores: 8, memoryBytes: 60 * GB, accelerators: 0 })
+  scenario.setPolicy('ordinary', { safetyMargin: 0, batchShare: 1 })
+  scenario.queue(createTask('a-0', { size: { cores: 8, memoryBytes: 10 * GB, accelerators: 0 } }))
+  scenario.decide()
+  scenario.queue(createTask('b-0', { jobClass: 'b', size: { cores: 0, memoryBytes: 20 * GB, accelerators: 0 } }))
+  scenario.decide()
+  scenario.observe({ kind: 'task-ended', task: 'b-0', worker: 'w0', result: 'refused' })
+  scenario.decide(10_000)
+  return scenario
+}
+
+// Throttles free cores only, so the worker would refuse the urgent task as well.
+test('an urgent task does not start by throttles on a worker that has shown too little memory for it', () => {
+  const start = (memory: number): string[] => {
+    const scenario = createRefusingWorker()
+    scenario.queue(createTask('u-0', { jobClass: 'u', urgent: true, size: { cores: 2, memoryBytes: memory * GB, accelerators: 0 } }))
+    return scenario.decide(100).flatMap((decision) => decision.kind === 'start' || decision.kind === 'throttle' ? [`${decision.kind} ${decision.task}`] : [])
+  }
+  expect([start(10), start(30)]).toEqual([['throttle a-0', 'start u-0'], []])
+})
+
+// The reservation would keep other tasks off the worker although no eviction helps the waiting one.
+test('no worker is reserved for a waiting task that fits there and is rejected for another reason', () => {
+  const scenario = createScenario(1)
+  scenario.setPolicy('ordinary', { safetyMargin: 0, batchShare: 0.5 })
+  setQuota(scenario, 'hog', 1, 10)
+  setQuota(scenario, 'modest', 32, 125)
+  scenario.queue(createTask('h-0', { member: 'hog', jobClass: 'h', size: { cores: 14, memoryBytes: GB, accelerators: 0 } }))
+  scenario.decide()
+  scenario.queue(createTask('m-0', { member: 'modest', jobClass: 'm', size: { cores: 4, memoryBytes: GB, accelerators: 0 } }))
+  expect(scenario.decide(200_000)).toEqual([])
+  scenario.queue(createTask('s-0', { member: 'hog', jobClass: 's', size: { cores: 1, memoryBytes: GB, accelerators: 0 } }))
+  expect(scenario.decide().map((decision) => 'task' in decision ? decision.task : '')).toEqual(['s-0'])
+})
+
+test('the wait after a refusal is explained as such, and not as an active guard', () => {
+  const scenario = createScenario(1)
+  scenario.queue(createTask('a-0'))
+  scenario.decide()
+  scenario.observe({ kind: 'task-ended', task: 'a-0', worker: 'w0', result: 'refused' })
+  scenario.queue(createTask('b-0', { jobClass: 'b' }))
+  scenario.decide()
+  expect(scenario.placement.explain({ kind: 'task', id: 'b-0' }).at(-1)?.reason.summary).toBe('waits: its guard was active or it refused a task just before')
+})
--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -1,8 +1,10 @@
 import { execFileSync, spawn, type ChildProcess } from 'node:child_process'
-import { mkdtemp, rm, writeFile } from 'node:fs/promises'
+import { mkdtemp, readdir, rm, writeFile } from 'node:fs/promises'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { afterAll, beforeAll, expect, onTestFinished, test } from 'vitest'
+import { createSystemClock } from '../../src/common/index.js'
+import { openDisk, openLogStore } from '../../src/state/index.js'
 
 const TIMEOUT_MS = 60_000
 const HOST = '127.0.0.19'
@@ -42,6 +44,14 @@
   return path
 }
 
+/** Reads the data folder of a voter that has ended: files that were not completed, and whether the store opens without a repair. */
+async function checkStore (dataFolder: string): Promise<{ temporaryFiles: string[], isIntact: boolean }> {
+  const files = await readdir(dataFolder)
+  const opened = await openLogStore({ disk: (await openDisk(dataFolder)).unwrap(), deployment: 'platform', host: HOST, createIncarnation: () => 'new', clock: createSystemClock() })
+  if (opened.ok) await opened.val.store.close()
+  return { temporaryFiles: files.filter((file) => file.endsWith('.tmp')), isIntact: opened.ok && !opened.val.loaded.created }
+}
+
 interface Start { child: ChildProcess, ended: Promise<[number | null, string | null]> }
 
 async function startProgram (role: string, hook: string): Promise<Start> {
@@ -59,6 +69,7 @@
   child.stdout?.resume()
   child.kill('SIGTERM')
   expect(await ended).toEqual([0, null])
+  if (role === 'voter') expect(await checkStore(join(folder, role))).toEqual({ temporaryFiles: [], isIntact: true })
 })
 
 // If the program added its handler only once its start has finished, a SIGHUP before that would kill the process, or, with
--- a/test/soak/fakeWorker.ts
+++ b/test/soak/fakeWorker.ts
@@ -15,6 +15,10 @@
 const MAX_ORDER_DELAY_MS = 3000
 /** Time until a long-running run reports 100 percent. */
 const STARTUP_MS = 300
+/** Time after the first refusal of a token within which its holder may not know of the refusal yet. */
+const ORDER_LEASE_MS = 3000
+/** Orders with a refused token that may arrive after that, as some are on their way or were delayed. */
+const MAX_LATE_OUTDATED_ORDERS = 3
 const WORKER_PORT = 21_010
 const LINK_PORT = 21_011
 
@@ -41,6 +45,7 @@
   rate: number
   heartbeatSequence: number
   fence: number
+  refusedTokens: Map<number, { firstAt: number, late: number }>
   lastEnd: number
   leaseUntil: number
   leaseTimer: NodeJS.Timeout | undefined
@@ -80,6 +85,7 @@
     rate: 1 - random.next() * MAX_CLOCK_SLOWNESS,
     heartbeatSequence: 0,
     fence: 0,
+    refusedTokens: new Map(),
     lastEnd: 0,
     leaseUntil: 0,
     leaseTimer: undefined,
@@ -167,9 +173,19 @@
     }
   }
 
+  /** A host whose token was refused must learn that another leader gives the orders, and stop. */
+  const observeOutdatedOrder = (life: Incarnation, path: string, { task, fencingToken }: Order): void => {
+    const refused = life.refusedTokens.get(fencingToken) ?? { firstAt: performance.now(), late: 0 }
+    life.refusedTokens.set(fencingToken, refused)
+    if (performance.now() - refused.firstAt > ORDER_LEASE_MS) refused.late += 1
+    if (refused.late > MAX_LATE_OUTDATED_ORDERS) checker.report('ONE', `${life.record.name} still receives ${path} for ${task} with token ${fencingToken}, which it refused before since it has seen ${life.fence}`)
+  }
+
   const execute = async (life: Incarnation, path: string, order: Order): Promise<Reply> => {
-    if (order.fencingToken < life.fence) return [409, { reason: 'fence' }]
-    if (order.fencingToken < life.fence) checker.report('ONE', `${life.record.name} executes ${path} for ${order.task} with token ${order.fencingToken} after ${life.fence}`)
+    if (order.fencingToken < life.fence) {
+      observeOutdatedOrder(life, path, order)
+      return [409, { reason: 'fence' }]
+    }
     life.fence = Math.max(life.fence, order.fencingToken)
     return await handlers[path]?.(life, order) ?? [404, {}]
   }
--- a/test/soak/invariantChecker.ts
+++ b/test/soak/invariantChecker.ts
@@ -50,7 +50,7 @@
  * no client submitted, or after its cancel. REFUSED: a refused job ran. LOST: an accepted job, a long-running task or a request
  * was lost. ORDER: a task started before its dependencies ended. MIXED: a job was shown as completed too early.
  * LIMIT: a worker was overloaded. FINISH: a job did not complete in time. CONFIG: a configuration was lost or applied wrongly.
- * ONE: an order with an outdated fencing token was executed. `process` and `answer`: a process exited, or a request was
+ * ONE: orders with a fencing token went on after the worker had refused it. `process` and `answer`: a process exited, or a request was
  * answered, in a way that the contract doesn't allow.
  */
 export interface Violation { at: number, guarantee: string, message: string }
--- a/test/tasks/journalStore.test.ts
+++ b/test/tasks/journalStore.test.ts
@@ -63,3 +63,16 @@
   expect(await replica.append(snapshot)).toMatchObject({ kind: 'recorded', next: 2 })
   expect((await replica.read(term)).next).toBe(2)
 })
+
+// Guards against records of an earlier coordinator that are confirmed by a restarted host after a later one has read the journal.
+test('a journal replica that restarts with its file still rejects appends of terms below that of its last reader', async () => {
+  const path = await createPath()
+  const replica = await createJournalReplica(await openStore(path))
+  await replica.append({ term, sequence: 1, records: [], snapshot: true })
+  await replica.append({ term, sequence: 1, records: [outcome('a/0')], snapshot: false })
+  const higher = { epoch: 1, round: 1, host: 'h2' }
+  await replica.read(higher)
+  const again = await createJournalReplica(await openStore(path))
+  expect(await again.append({ term, sequence: 2, records: [outcome('a/1')], snapshot: false })).toEqual({ kind: 'higher-term', promised: higher })
+  expect([again.getPromised(), (await again.read(higher)).next]).toEqual([higher, 2])
+})
--- a/test/workflows/dispatcher.test.ts
+++ b/test/workflows/dispatcher.test.ts
@@ -25,3 +25,17 @@
   const { placed } = await load.run(200)
   expect([placedBusy, behind.pendingTasks > 100, behind.startsPerSecond, placed > 100, load.dispatcher.getLoad(2).pendingTasks]).toEqual([0, true, 0, true, 0])
 })
+
+// Work that fits on no worker would otherwise count as waiting for the scheduler, and requests would be refused because of it.
+test('groups that a full pass leaves out wait for the scheduler only if a worker has the capacity for them', async () => {
+  const countPending = async (hugeTasks: number): Promise<[boolean, number]> => {
+    const load = createDispatchLoad({ workers: 240, waitingTasks: 3000 + hugeTasks, seed: 1, endsPerSecond: 0 })
+    if (hugeTasks > 0) load.submit('huge', 'q2', [{ count: hugeTasks, cores: 1000 }])
+    await load.run(1000)
+    load.endShortTasks(0.6)
+    const { placed } = await load.run(16)
+    return [placed >= 400, load.dispatcher.getLoad(2).pendingTasks]
+  }
+  const [plain, withHuge] = [await countPending(0), await countPending(500)]
+  expect([withHuge, plain[0], plain[1] > 0]).toEqual([plain, true, true])
+})
--- a/test/workflows/groups.test.ts
+++ b/test/workflows/groups.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { createManualClock } from '../../src/common/index.js'
 import type { PlacementCandidate } from '../../src/coordination/workflows/candidates.js'
-import { placeGroup, type GroupOptions } from '../../src/coordination/workflows/groups.js'
+import { findWorkerToReserve, placeGroup, type GroupOptions } from '../../src/coordination/workflows/groups.js'
 import type { WaitingGroup } from '../../src/coordination/workflows/plan.js'
 import type { Step } from '../../src/state/index.js'
 import { STEP } from './support.js'
@@ -69,3 +69,19 @@
   place(createGroup({ count: 2, gang: true, fills: true }), [occupied])
   expect([occupied.spareCores, occupied.bestEffort.length, place(createGroup({ count: 1, cores: 4, fills: true }), [occupied])]).toEqual([5, 0, ['w1']])
 })
+
+// A gang of which a member has no accelerator would hold the others up until their time-out.
+test('a gang is not placed when the workers have too few accelerators for all members', () => {
+  const workers = (): PlacementCandidate[] => [createWorker('w1', { accelerators: 1, freeAccelerators: 1 }), createWorker('w2', { accelerators: 1, freeAccelerators: 1 })]
+  const rackSensitive = createGroup({ count: 2, accelerators: 1, rackSensitive: true })
+  const racks = [createWorker('w1', { rack: 'r1', accelerators: 1, freeAccelerators: 1 }), ...['w2', 'w3'].map((id) => createWorker(id, { rack: 'r2', accelerators: 1, freeAccelerators: 1 }))]
+  expect([place(createGroup({ count: 3, gang: true, accelerators: 1 }), workers()), place(createGroup({ count: 2, gang: true, accelerators: 1 }), workers()).sort(), place(rackSensitive, racks).sort()]).toEqual([[], ['w1', 'w2'], ['w2', 'w3']])
+})
+
+// Short tasks hold memory and accelerators as well as cores; all of it is free once they have ended.
+test('a worker is reserved for an interrupted long-running task if it can hold it once its short tasks have ended', () => {
+  const group = createGroup({ lasting: true, cores: 4, memoryMb: 60_000, accelerators: 1 })
+  const full = createWorker('w1', { freeCores: 1, freeMemoryMb: 10_000, freeAccelerators: 0, freeWithoutShortTasks: { freeCores: 32, freeMemoryMb: 100_000, freeAccelerators: 1 } })
+  const taken = { ...full, id: 'w2', freeWithoutShortTasks: { freeCores: 32, freeMemoryMb: 40_000, freeAccelerators: 1 } }
+  expect([findWorkerToReserve(group, [full], new Set())?.id, findWorkerToReserve(group, [taken], new Set())]).toEqual(['w1', undefined])
+})
