--- a/src/coordination/workflows/directory.ts
+++ b/src/coordination/workflows/directory.ts
@@ -1,13 +1,13 @@
 import { Err, Ok, type Clock, type Logger, type Result } from '../../common/index.js'
 import type { ReplicatedLog, LogFailure, WorkerIncarnation, WorkflowsState } from '../../state/index.js'
 
-/** Outcome of a report. `stale`: a later incarnation with the same id, or at the same address, is already recorded. */
+/** Outcome of a report. `stale`: its incarnation has left, or a later one with the same id or at the same address is already recorded. */
 export type ReportOutcome = 'unchanged' | 'recorded' | 'stale'
 
 export interface WorkerDirectory {
   /** Registers or updates a worker; resolves once the change is committed. */
   reportWorker (life: WorkerIncarnation, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
-  /** Removes a worker that has shut down by itself; `bornAt` is undefined if the message does not contain it. */
+  /** Removes a worker that has shut down by itself; `bornAt` is undefined if the message does not contain it, and it may then be of an earlier incarnation. */
   removeWorker (worker: string, bornAt: number | undefined, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
 }
 
@@ -31,7 +31,7 @@
     removeWorker: async (worker, bornAt, deadline) => {
       const known = getState().workers[worker]?.life
       if (known === undefined || (bornAt !== undefined && bornAt !== known.bornAt)) return Ok('stale')
-      const result = await log.propose({ kind: 'life.remove', worker, bornAt: known.bornAt, at: clock.wall() }, deadline)
+      const result = await log.propose({ kind: 'life.remove', worker, bornAt: known.bornAt, hasLeft: bornAt !== undefined, at: clock.wall() }, deadline)
       logger.info('worker.left', { worker, bornAt: known.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
       if (result.ok) return Ok('recorded')
       return result.val.kind === 'rejected' ? Ok('stale') : Err(result.val)
@@ -43,6 +43,7 @@
 function isStale (state: WorkflowsState, life: WorkerIncarnation): boolean {
   const known = state.workers[life.id]?.life
   if (known !== undefined) return life.bornAt < known.bornAt
+  if (life.bornAt <= (state.departed?.[life.id]?.bornAt ?? -Infinity)) return true
   return Object.values(state.workers).some((other) => other.life.address === life.address && other.life.bornAt > life.bornAt)
 }
 
--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -48,6 +48,8 @@
   replaceVoter (host: string, by: string, deadline: number): Promise<Result<Voter[], MembershipFailure>>
   /** Transfers leadership to another voter. Resolves with true if this host no longer leads. */
   transferLeadership (deadline: number): Promise<boolean>
+  /** Replaces the seed hosts, which are asked for the leader in addition to the known hosts. */
+  updateSeeds (seeds: string[]): void
   /** The failure that stopped the replica, if there was one. */
   failure (): ReplicaFailure | undefined
   /** Resolves when the replica has stopped, with the failure that stopped it, or undefined after `stop`. */
@@ -124,6 +126,7 @@
     removeVoter: (host, deadline) => updateMembership(context, { kind: 'remove', host }, deadline),
     replaceVoter: (host, by, deadline) => updateMembership(context, { kind: 'replace', host, by }, deadline),
     transferLeadership: (deadline) => releaseLeadership(context, deadline),
+    updateSeeds: (seeds) => { context.seeds = seeds },
     failure: () => context.failure,
     waitUntilStopped
   }
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -192,7 +192,8 @@
    */
   z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema, at: z.number() }),
   /** Removes a worker. Without `judge`, the worker itself has announced its shutdown. */
-  z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema.optional(), at: z.number() }),
+  // `hasLeft`: this incarnation has said that it ends, so it does not return.
+  z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema.optional(), hasLeft: z.boolean().optional(), at: z.number() }),
   z.strictObject({ kind: z.literal('wave.open'), wave: maintenanceWaveSchema }),
   /** Recorded before the order to start the maintenance of a host is sent. */
   z.strictObject({ kind: z.literal('wave.order'), wave: z.number().int(), host: z.string() }),
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -59,6 +59,8 @@
   /** Ids of ended workflows, oldest first. */
   ended: string[]
   workers: Record<string, WorkerRecord>
+  /** Workers that have left by themselves, with the start of the incarnation that left; absent in state of earlier builds. */
+  departed?: Record<string, { bornAt: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
   sessionHosts: SessionHost[]
   /** Number of the session assignment in force; each `sessions.divide` entry increments it. */
@@ -76,6 +78,14 @@
   return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [], division: 0 }
 }
 
+/** A report of a worker may be delayed by at most this long; departures are kept longer. */
+const DEPARTURE_KEPT_MS = 600_000
+
+function recordDeparture (state: WorkflowsState, worker: string, bornAt: number, at: number): void {
+  const kept = Object.entries(state.departed ?? {}).filter(([, departure]) => at - departure.at < DEPARTURE_KEPT_MS)
+  state.departed = { ...Object.fromEntries(kept), [worker]: { bornAt, at } }
+}
+
 export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
 
 export function formatTaskName ({ workflow, occurrence, step, index }: TaskName): string {
@@ -200,12 +210,14 @@
     return Ok({})
   },
 
-  'life.remove': (state: WorkflowsState, { worker, bornAt, judge }: { worker: string, bornAt: number, judge?: SessionOwner | undefined, at: number }): HandlerResult => {
+  'life.remove': (state: WorkflowsState, { worker, bornAt, judge, hasLeft, at }: { worker: string, bornAt: number, judge?: SessionOwner | undefined, hasLeft?: boolean | undefined, at: number }): HandlerResult => {
     const record = state.workers[worker]
     if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
     if (judge !== undefined && !isSessionOwner(state, record, judge)) return Err({ kind: 'stale-division', worker, ...judge })
     releaseTasks(state, record)
     delete state.workers[worker]
+    // A worker that was removed because nobody reached it may return.
+    if (hasLeft === true) recordDeparture(state, worker, bornAt, at)
     return Ok({})
   },
 
--- a/test/workflows/catalog.test.ts
+++ b/test/workflows/catalog.test.ts
@@ -51,3 +51,16 @@
   ]).toEqual(['recorded', 'unchanged', 'recorded', 'stale', 'unchanged', 'stale', 'recorded'])
   expect(log.state().workflows.workers.w1?.life).toMatchObject({ bornAt: 30, draining: false })
 })
+
+// Guards against orders for a worker that has left: its last report may be delayed until after its departure.
+test('a delayed report of a worker that has left does not bring it back, also after a restart; a later incarnation is recorded', async () => {
+  const log = createMemoryLog('h1')
+  const createDirectory = () => createWorkerDirectory({ clock: createManualClock(), logger: createSilentLogger(), log })
+  const report = async (life: Partial<WorkerIncarnation>): Promise<unknown> => (await createDirectory().reportWorker({ ...LIFE, ...life }, 1000)).val
+  const remove = async (bornAt: number | undefined): Promise<unknown> => (await createDirectory().removeWorker('w1', bornAt, 1000)).val
+  expect([
+    await report({}), await remove(10), await report({}), await report({ bornAt: 5 }), Object.keys(log.state().workflows.workers), await report({ bornAt: 20 }),
+    // Without a start time the message may be of an earlier incarnation, so the worker may report again.
+    await remove(undefined), await report({ bornAt: 20 })
+  ]).toEqual(['recorded', 'recorded', 'stale', 'stale', [], 'recorded', 'recorded', 'recorded'])
+})
