Refuse no job that an earlier try of the same request may still record

Cause, found by reading for "after an answer was lost, the caller was told that it hadn't run": an entry host that had no answer from the leader within 1.5 s tried again, and passed on a refusal of the second try as "overloaded" or "no such queue", though the first one might still be recorded. The leader refused a repeated submission by the backlog, the time-out or a failed proposal while the first one of the same job waited for its sync; the job then ran although its client had been told that it never would.

Change: after a try without an answer a refusal of a change is reported as an unknown outcome, which the client repeats. The leader counts the submissions of a job that wait for the log: it admits a repeated one, and says of no submission that it was not recorded while another may be, or after one was.

--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -16,6 +16,9 @@
 /** If the last answer of a leader is older than this, requests are refused without waiting; elections take less time. */
 const LEADER_LOST_MS = 3000
 
+/** Answers that say that the request changed nothing and will not take effect later. */
+const REFUSALS: ReadonlySet<WorkflowReply['kind']> = new Set(['not-run', 'overloaded', 'no-queue', 'no-workflow'])
+
 export interface WorkflowGatewayOptions {
   clock: Clock
   logger: Logger
@@ -133,8 +136,9 @@
       const tryUntil = Math.min(deadline, clock.now() + TRY_TIMEOUT_MS)
       const reply = await ask(host, { ...request, remainingMs: tryUntil - clock.now(), heldMs: clock.now() - receivedAt }, tryUntil)
       if (typeof reply === 'object' && reply.kind !== 'not-leader') {
-        // The new leader may answer that nothing was recorded while an earlier try of the same request is still in transit.
-        return mayHaveRun && reply.kind === 'not-run' ? { kind: 'unknown', reason: reply.reason } : checkOrder(reply, receivedAt)
+        // A leader may refuse the request while an earlier try of it is still in transit and may be recorded later.
+        const mayContradict = mayHaveRun && request.kind !== 'read' && REFUSALS.has(reply.kind)
+        return mayContradict ? { kind: 'unknown', reason: `${reply.kind} after a try without an answer` } : checkOrder(reply, receivedAt)
       }
       if (reply === 'no-answer') mayHaveRun = true
       await waitForLeader(host, deadline)
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -24,7 +24,11 @@
 /** Open workflows and their totals, cached for one term so that requests can be answered from them. */
 interface TermView { term: Term, open: OpenWorkflows, getTotals (): BacklogTotals }
 
-type RequestOptions = WorkflowServiceOptions & { getView (): TermView | undefined }
+type RequestOptions = WorkflowServiceOptions & {
+  getView (): TermView | undefined
+  /** By workflow: number of its submissions that wait for the log. */
+  proposed: Map<string, number>
+}
 
 export interface WorkflowService {
   handle (request: WorkflowRequest): Promise<WorkflowReply>
@@ -33,7 +37,7 @@
 /** Answers workflow requests on the leader; any other host replies with the name of the leader. */
 export function createWorkflowService (serviceOptions: WorkflowServiceOptions): WorkflowService {
   const { log } = serviceOptions
-  const options: RequestOptions = { ...serviceOptions, getView: createTermView(serviceOptions) }
+  const options: RequestOptions = { ...serviceOptions, getView: createTermView(serviceOptions), proposed: new Map() }
 
   const describeLeader = (): WorkflowReply => {
     const { leader, voters } = log.status()
@@ -112,8 +116,8 @@
   if (workflow === null) return { kind: 'invalid', message: 'the body is not a workflow' }
   const { queue } = found
   const deadline = computeDeadline(options, request, queue)
-  if (deadline <= clock.now()) return TIMED_OUT
-  const isKnown = getState(log).workflows[workflow.id] !== undefined
+  if (deadline <= clock.now()) return describeRefusal(options, workflow.id, TIMED_OUT)
+  const isKnown = getState(log).workflows[workflow.id] !== undefined || options.proposed.has(workflow.id)
   const view = options.getView()
   const load = view?.term.getSchedulerLoad(queue.priority)
   const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load })
@@ -123,10 +127,28 @@
     return { kind: 'overloaded', retryAfterMs: verdict.retryAfterMs }
   }
   const startedAt = clock.now()
-  const result = await log.propose({ kind: 'workflow.submit', queue: queue.name, workflow, at: clock.wall() }, deadline)
+  const result = await countProposal(options.proposed, workflow.id, () => log.propose({ kind: 'workflow.submit', queue: queue.name, workflow, at: clock.wall() }, deadline))
   options.metrics.timing('workflow.accept', clock.now() - startedAt)
   logger.info('workflow.submit', { workflow: workflow.id, queue: queue.name, steps: workflow.steps.length, tasks: workflow.steps.reduce((sum, step) => sum + step.count, 0), known: isKnown, backlogMs: Math.round(verdict.backlogMs), catalog: getState(log).catalog?.version, outcome: result.ok ? 'accepted' : result.val.kind, ms: Math.round(clock.now() - startedAt) })
-  return result.ok ? { kind: 'accepted' } : describeLogFailure(log, result.val)
+  return result.ok ? { kind: 'accepted' } : describeRefusal(options, workflow.id, describeLogFailure(log, result.val))
+}
+
+/** Counts a workflow in `proposed` while one of its submissions waits for the log. */
+async function countProposal<T> (proposed: RequestOptions['proposed'], workflow: string, propose: () => Promise<T>): Promise<T> {
+  proposed.set(workflow, (proposed.get(workflow) ?? 0) + 1)
+  try {
+    return await propose()
+  } finally {
+    const others = (proposed.get(workflow) ?? 1) - 1
+    if (others > 0) proposed.set(workflow, others)
+    else proposed.delete(workflow)
+  }
+}
+
+/** Says that a workflow was not recorded only if no other submission of it was or may be. */
+function describeRefusal ({ log, proposed }: RequestOptions, workflow: string, refusal: WorkflowReply): WorkflowReply {
+  if (getState(log).workflows[workflow] !== undefined) return { kind: 'accepted' }
+  return proposed.has(workflow) ? { kind: 'unknown', reason: 'another submission of the workflow waits for the log' } : refusal
 }
 
 async function handleCancel (options: RequestOptions, request: Extract<WorkflowRequest, { kind: 'cancel' }>): Promise<WorkflowReply> {
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -114,3 +114,14 @@
   const older = [1350, 1490, 1510].map((arrivedAt) => order.isKept(arrivedAt, 4))
   expect([newer, older, order.isKept(9000, 6)]).toEqual([[false, false, true, true], [true, true, false], true])
 })
+
+// Guards against a job that runs although its client was told that it never will: the try without an answer may still be recorded.
+test.each<[WorkflowReply['kind'], WorkflowReply]>([
+  ['overloaded', { kind: 'overloaded', retryAfterMs: 1000 }],
+  ['no-queue', { kind: 'no-queue', catalogVersion: 1 }],
+  ['not-run', { kind: 'not-run', retryAfterMs: 1000, reason: 'no-leader' }]
+])('a refusal as %s after a try without an answer leaves the outcome of a change open', async (_kind, refusal) => {
+  let tries = 0
+  const scene = await createScene({ a: (request) => request.kind === 'ping' ? PONG : (tries++ % 2 === 0 ? 'remote-failure' : refusal) }, ['a'])
+  expect([(await scene.send('submit', 4000)).reply.kind, (await scene.send('read', 4000)).reply]).toEqual(['unknown', refusal])
+})
--- a/test/workflows/queueTimeout.test.ts
+++ b/test/workflows/queueTimeout.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { createManualClock, createNoopMetrics, createSilentLogger, Err } from '../../src/common/index.js'
+import { createManualClock, createNoopMetrics, createSilentLogger, Err, Ok } from '../../src/common/index.js'
 import type { WorkflowReply, WorkflowRequest } from '../../src/coordination/workflows/index.js'
 import { createWorkflowService, type WorkflowServiceOptions } from '../../src/coordination/workflows/workflowService.js'
 import { createReplicatedState, workflowHandlers } from '../../src/state/index.js'
@@ -45,3 +45,32 @@
     reply: { kind: 'not-run', retryAfterMs: 1000, reason: 'queue-timeout' }, waitedMs: undefined
   })
 })
+
+/** A leader whose queue is overloaded and whose log answers when the test says so. */
+function createOverloadedLeader () {
+  const clock = createManualClock(1000)
+  const state = createReplicatedState()
+  const answers: Array<(result: unknown) => void> = []
+  let pendingTasks = 0
+  workflowHandlers['catalog.put'](state.workflows, { catalog: CATALOG })
+  const log = { state: () => state, status: () => ({ voters: [] }), subscribe: () => () => {}, propose: () => new Promise((resolve) => answers.push(resolve)), readBarrier: async () => Ok(1) }
+  const term = { isActive: () => true, getSchedulerLoad: () => ({ pendingTasks, startsPerSecond: 1 }) }
+  const service = createWorkflowService({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), log, getTerm: () => term } as unknown as WorkflowServiceOptions)
+  const submit = (heldMs = 0): Promise<WorkflowReply> => service.handle({ kind: 'submit', address: ADDRESS, workflow: WORKFLOW, remainingMs: 3000, heldMs })
+  return { submit, answers, state, overload: () => { pendingTasks = 1e6 } }
+}
+
+// Guards against a job that runs although its client was told that it never will: its first submission waits for the log.
+test('a repeated submission is not refused while the first one waits for the log', async () => {
+  const { submit, answers, overload } = createOverloadedLeader()
+  const first = submit()
+  overload()
+  const second = submit()
+  expect(await submit(1e6)).toMatchObject({ kind: 'unknown' })
+  expect(answers).toHaveLength(2)
+  answers[1]?.(Err({ kind: 'not-recorded', message: 'too many proposals are waiting' }))
+  expect(await second).toMatchObject({ kind: 'unknown' })
+  answers[0]?.(Ok({ index: 1, value: {} }))
+  expect(await first).toEqual({ kind: 'accepted' })
+  expect(await submit()).toMatchObject({ kind: 'overloaded' })
+})
