Do not stop runs on workers of which nothing was heard for some seconds

After a leader that was blocked or had no majority for some seconds, the first pass checks for stalled runs before any report is taken in, so it stopped every short run and paused its worker for 5 s. A report that came late also made the worker look slow.

Change: progress is judged up to the last reading of the worker. After a silence of more than 2 s between two reports the time counts anew.

--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -2,7 +2,7 @@
 import { getStepName, type EndCause, type Step } from '../../state/index.js'
 import type { PollReply } from './orders.js'
 import type { WorkerView } from './sessionState.js'
-import { NO_CAPACITY_PAUSE_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
+import { NO_CAPACITY_PAUSE_MS, POLL_WAIT_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
 
 /** A worker is paused after this many failures in a row; a tenth of the tasks may fail through their own fault. */
 const FAILURES_BEFORE_PAUSE = 3
@@ -100,7 +100,8 @@
       const statuses = [...reply.running, ...ended]
       statuses.forEach(({ task, attempt, percent }) => {
         const confirmedAt = session.runs.get(task)?.confirmedAt
-        const elapsedMs = confirmedAt === undefined ? 0 : clock.now() - confirmedAt
+        // Counts up to the reading: a report that comes late would otherwise make a sound worker look slow.
+        const elapsedMs = confirmedAt === undefined ? 0 : (percent === 100 ? clock.now() : session.readAt) - confirmedAt
         // The progress of a run that resumes from a checkpoint includes that of its earlier attempts.
         if (percent <= 0 || elapsedMs < MIN_ELAPSED_MS || attempt > 1) return
         const step = findStep(task)
@@ -116,10 +117,12 @@
     },
     listSlow: (session, findStep) => {
       if (getHealth(session.worker).slowness < MOVE_SLOWNESS) return []
+      // A reading covers the time until the next one is due; of a longer silence nothing is known.
+      const knownUntil = Math.min(clock.now(), session.readAt + POLL_WAIT_MS)
       return [...session.runs.values()].filter((run) => {
         const step = findStep(run.task)
         const averageRate = stepRates.get(getStepName(run.task))
-        const elapsedMs = run.confirmedAt === undefined ? 0 : clock.now() - run.confirmedAt
+        const elapsedMs = run.confirmedAt === undefined ? 0 : knownUntil - run.confirmedAt
         const percent = run.status?.percent ?? 0
         if (step === undefined || step.lasting || averageRate === undefined || run.stopReason !== undefined || elapsedMs < MIN_ELAPSED_MS) return false
         const remainingHereMs = percent > 0 ? elapsedMs * (100 - percent) / percent : Infinity
@@ -128,9 +131,9 @@
       }).map(({ task }) => task)
     },
     listStalled: (session, findStep) => {
-      const now = clock.now()
+      // Counts up to the last reading, as nothing is known of the time since then.
       const tasks = [...session.runs.values()]
-        .filter((run) => run.confirmedAt !== undefined && run.stopReason === undefined && run.status !== undefined && now - run.progressAt > STALL_TIMEOUT_MS)
+        .filter((run) => run.confirmedAt !== undefined && run.stopReason === undefined && run.status !== undefined && session.readAt - run.progressAt > STALL_TIMEOUT_MS)
         .filter((run) => run.status?.percent !== 100 && findStep(run.task)?.lasting !== true)
         .map((run) => run.task)
       if (tasks.length > 0) pause(session.worker, STALL_PAUSE_MS, 'standstill')
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -9,8 +9,12 @@
   host: string | undefined
   readonly runs: Map<string, RunView>
   strays: Map<string, number>
+  reportedAt: number
 }
 
+/** A longer time between two reports on a worker is a silence. Polls of workers with runs take up to 1.5 s. */
+const MAX_REPORT_GAP_MS = 2000
+
 /** Twice the time that a stop takes on the reference sites, including both directions of the exchange. */
 const RESEND_STOPS_MS = 1500
 
@@ -113,7 +117,7 @@
       new Set([...view.runs.keys(), ...Object.keys(record.assigned)]).forEach((task) => syncRun(worker, task))
       return
     }
-    const created: ReportedWorker = { worker, bornAt: record.life.bornAt, host: findHost(worker), runs: new Map(), strays: new Map(), hasOverdueService: false, readAt: -Infinity, reachable: false, ended: false }
+    const created: ReportedWorker = { worker, bornAt: record.life.bornAt, host: findHost(worker), runs: new Map(), strays: new Map(), hasOverdueService: false, readAt: -Infinity, reportedAt: -Infinity, reachable: false, ended: false }
     workers.set(worker, created)
     Object.keys(record.assigned).forEach((task) => addRun(created, task, false))
   }
@@ -158,9 +162,10 @@
     recordReport: (from, { worker, bornAt, reachable, hasOverdueService, readAgoMs, runs, strays }) => {
       const view = workers.get(worker)
       if (view === undefined || view.bornAt !== bornAt || view.host !== from) return undefined
-      // No progress could be reported while the worker was unreachable, so that time does not count as a stall.
-      if (reachable && !view.reachable) view.runs.forEach((run) => { run.progressAt = clock.now() })
-      Object.assign(view, { reachable, hasOverdueService })
+      // While the worker was unreachable or its session host was silent, no progress could be reported, so that time does not count as a stall.
+      const isAfterSilence = !view.reachable || clock.now() - view.reportedAt > MAX_REPORT_GAP_MS
+      if (reachable && isAfterSilence) view.runs.forEach((run) => { run.progressAt = clock.now() })
+      Object.assign(view, { reachable, hasOverdueService, reportedAt: clock.now() })
       if (readAgoMs !== null) view.readAt = clock.now() - readAgoMs
       view.strays = new Map(strays.map((key) => [key, clock.now()]))
       runs.forEach((run) => recordRun(view, run))
--- /dev/null
+++ b/test/workflows/workerHealth.test.ts
@@ -0,0 +1,76 @@
+import { expect, test } from 'vitest'
+import { createManualClock, createSilentLogger, type ManualClock } from '../../src/common/index.js'
+import type { WorkerReport } from '../../src/coordination/workflows/sessionMessages.js'
+import { createWorkerHealth, type WorkerHealth } from '../../src/coordination/workflows/workerHealth.js'
+import { createWorkerViews } from '../../src/coordination/workflows/workerViews.js'
+import { createWorkflowsState, workflowHandlers, type Step, type WorkerIncarnation } from '../../src/state/index.js'
+import { CATALOG, STEP } from './support.js'
+
+const LIFE: WorkerIncarnation = { id: 'w1', bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 8, memoryMb: 100_000, accelerators: 0, labels: [], draining: false }
+const REPORT_MS = 500
+
+interface Scene {
+  clock: ManualClock
+  health: WorkerHealth
+  /** Reports the progress of the run, as its session host read it `agoMs` ago. */
+  report (percent: number, agoMs?: number): void
+  listStopped (): string[]
+}
+
+/** The leader's view of one worker with one run. */
+function createScene (): Scene {
+  const clock = createManualClock(10_000)
+  const state = createWorkflowsState()
+  const steps: Step[] = [{ ...STEP, count: 1 }]
+  workflowHandlers['catalog.put'](state, { catalog: CATALOG })
+  workflowHandlers['life.report'](state, { life: LIFE })
+  workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 'x', command: '', steps }, at: 0 })
+  workflowHandlers['workflow.assign'](state, { assignments: [['x.0.0.0', 'w1', 1]] })
+  const health = createWorkerHealth({ clock, logger: createSilentLogger() })
+  const views = createWorkerViews({ clock, getState: () => state, findHost: () => 'h2' })
+  views.syncWorker('w1')
+  const findStep = (): Step => steps[0] as Step
+  return {
+    clock,
+    health,
+    report: (percent, agoMs = 20) => {
+      const report: WorkerReport = { worker: 'w1', bornAt: 1, reachable: true, hasOverdueService: false, readAgoMs: agoMs, runs: [['x.0.0.0', 1, percent, null, 0]], strays: [] }
+      const view = views.recordReport('h2', report)
+      if (view !== undefined) health.observeRuns(view, { running: [...view.runs.values()].flatMap(({ status }) => status ?? []), ends: [] }, findStep)
+    },
+    listStopped: () => {
+      const view = views.workers.get('w1')
+      return view === undefined ? [] : [...health.listStalled(view, findStep), ...health.listSlow(view, findStep)]
+    }
+  }
+}
+
+async function runReports ({ clock, report }: Scene, count: number, getPercent: (number: number) => number): Promise<void> {
+  for (let number = 0; number < count; number += 1) {
+    report(getPercent(number))
+    await clock.advance(REPORT_MS)
+  }
+}
+
+// Guards against sound runs that are started again elsewhere because their worker, its session host or the leader itself was
+// silent for some seconds: the leader then knows nothing of their progress.
+test('runs of a worker that nothing was heard of for some seconds are not taken for stalled or slow', async () => {
+  const scene = createScene()
+  await runReports(scene, 4, (number) => number * 5)
+  await scene.clock.advance(4000)
+  const whileSilent = scene.listStopped()
+  // A report from before the silence arrives first.
+  scene.report(15)
+  const afterOldReport = scene.listStopped()
+  await scene.clock.advance(50)
+  scene.report(60)
+  await runReports(scene, 4, (number) => 65 + number * 5)
+  expect([whileSilent, afterOldReport, scene.listStopped(), scene.health.isPaused('w1'), scene.health.getSlowness('w1') < 1.2]).toEqual([[], [], [], false, true])
+})
+
+test('a run without progress in the reports of 3 s is stalled, and its worker is paused', async () => {
+  const scene = createScene()
+  await runReports(scene, 3, (number) => number * 5)
+  await runReports(scene, 6, () => 10)
+  expect([scene.listStopped(), scene.health.isPaused('w1')]).toEqual([['x.0.0.0'], true])
+})
