Test seeds that are exchanged twice without a signal, with the real programs

The test starts a voter and an entry host whose seeds do not exist, and writes other seeds to the settings file twice, without a signal.

--- a/test/platform/start.test.ts
+++ b/test/platform/start.test.ts
@@ -8,6 +8,9 @@
 
 const TIMEOUT_MS = 60_000
 const HOST = '127.0.0.19'
+const OTHER_HOST = '127.0.0.20'
+/** No host of these tests has these addresses. */
+const ABSENT_SEEDS = ['127.0.0.21:21791', '127.0.0.22:21791']
 let folder = ''
 
 beforeAll(async () => {
@@ -21,21 +24,21 @@
 
 afterAll(() => rm(folder, { recursive: true }))
 
-async function writeSettings (role: string): Promise<string> {
+async function writeSettings (role: string, host = HOST, seeds = [`${HOST}:21791`]): Promise<string> {
   const path = join(folder, `${role}.toml`)
   await writeFile(path, `
 nodeName = "${role}"
 role = "${role}"
-ip = "${HOST}"
+ip = "${host}"
 zone = "a"
 internalPorts = [21_790, 21_799]
-seeds = ["${HOST}:21791"]
+seeds = ${JSON.stringify(seeds)}
 bootstrap = true
 dataDir = "${join(folder, role)}"
 [listenAddrs]
-control = "${HOST}:21791"
-frontend = "${HOST}:21792"
-readiness = "${HOST}:21793"
+control = "${host}:21791"
+frontend = "${host}:21792"
+readiness = "${host}:21793"
 [faultTolerance]
 machines = 0
 [bounds]
@@ -54,8 +57,8 @@
 
 interface Start { child: ChildProcess, ended: Promise<[number | null, string | null]> }
 
-async function startProgram (role: string, hook: string): Promise<Start> {
-  const settings = await writeSettings(role)
+async function startProgram (role: string, hook: string, host = HOST, seeds?: string[]): Promise<Start> {
+  const settings = await writeSettings(role, host, seeds)
   const child = spawn(process.execPath, ['--require', join(folder, hook), 'target/sequoiadrift.cjs', role], { env: { PATH: process.env.PATH, SEQUOIADRIFT_SETTINGS: settings }, stdio: ['ignore', 'pipe', 'inherit'] })
   onTestFinished(() => { child.kill('SIGKILL') })
   return { child, ended: new Promise((resolve) => child.once('exit', (code, signal) => resolve([code, signal]))) }
@@ -95,3 +98,26 @@
   child.stdout?.resume()
   expect(await ended).toEqual([0, null])
 })
+
+/** Resolves when the program prints the text. */
+function waitForLine ({ child }: Start, text: string): Promise<void> {
+  return new Promise((resolve) => child.stdout?.on('data', (data) => { if (String(data).includes(text)) resolve() }))
+}
+
+// The platform may name other seeds without a signal. Guards against an entry host that was away while all control machines were
+// exchanged, and asks the old ones for ever.
+test('an entry host that knows no leader finds it by seeds that were exchanged without a signal, also twice in a row', { timeout: TIMEOUT_MS }, async () => {
+  const voter = await startProgram('voter', 'hook.cjs')
+  voter.child.stdout?.resume()
+  const entry = await startProgram('entry', 'hook.cjs', OTHER_HOST, ABSENT_SEEDS.slice(0, 1))
+  const found = waitForLine(entry, `event=leader.found host=entry leader=${HOST}`)
+  const reloaded = waitForLine(entry, 'event=reload host=entry role=entry seeds=127.0.0.22')
+  await waitForLine(entry, 'event=start')
+  await writeSettings('entry', OTHER_HOST, ABSENT_SEEDS.slice(1))
+  await reloaded
+  await writeSettings('entry', OTHER_HOST)
+  await found
+  entry.child.kill('SIGTERM')
+  voter.child.kill('SIGTERM')
+  expect([await entry.ended, await voter.ended]).toEqual([[0, null], [0, null]])
+})
