--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -71,3 +71,12 @@
   const broken = parseSettings(SETTINGS.replace('graceS = 6', 'graceS = "six"'))
   expect(!broken.ok && broken.val.message).toContain('graceS')
 })
+
+// Guards against a sound worker that counts as silent, so that all its runs end, because of one row that cannot be read.
+test('rows of a poll reply that cannot be read are left out, and the others are decoded', () => {
+  const running = [['a.0.0.0', 2, '00ff', 41, 9], ['a.0.0.1', 'two', '', 10], null, ['a.0.0.2', 1, null, 100, 'x']]
+  const finished = [[58, 'a.0.0.3', 1, 'done', ''], { number: 59 }, [60, 'a.0.0.4']]
+  const { running: runs, ends } = decodePollReply({ clockMs: 5, running, finished }).unwrap()
+  expect([runs.map(({ task }) => task), ends.map(([number]) => number)]).toEqual([['a.0.0.0', 'a.0.0.2'], [58]])
+  expect(decodePollReply({ running: [], finished: [] }).ok).toBe(false)
+})
