Keep elections and requests to peers going after an unexpected error

A voter whose election loop failed never took part in an election again; a request that failed unexpectedly had no result, so the count of messages in flight to that peer was never taken back, and after four of them the leader sent it nothing any more.

Change: elections and the bootstrap run again; an error of the log writer stops the replica, as it is then unknown which entries are durable. A request to a peer returns unexpected errors as a failure with an unknown outcome.

--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -1,11 +1,11 @@
 import { randomUUID } from 'node:crypto'
-import { createNoopEventLoopMeter, Ok, type Clock, type Logger, type Network, type Random, type Result, type EventLoopMeter } from '../../common/index.js'
+import { createNoopEventLoopMeter, describeError, Ok, runSupervised, type Clock, type Logger, type Network, type Random, type Result, type EventLoopMeter } from '../../common/index.js'
 import type { ReplicatedLog, LogStatus } from '../replicatedLog.js'
 import { createReplicatedState, type ReplicatedState } from '../replicatedState.js'
 import type { Disk } from '../disk/index.js'
 import { openLogStore, type StoreFailure } from '../logStore/index.js'
 import { runLogWriter } from './apply.js'
-import { countMajority, createContext, getPeerKey, getVoters, isSelf, isVoter, stopContext, type Context, type ReplicaFailure } from './context.js'
+import { countMajority, createContext, getPeerKey, getVoters, isSelf, isVoter, stopContext, stopOnFailure, type Context, type ReplicaFailure } from './context.js'
 import { handleLeadershipTransfer, handleVote, releaseLeadership, runElections } from './election.js'
 import { handleAppend, handleSnapshot } from './follower.js'
 import { handleHello, handleJoin, handleLeaderAnnouncement, runBootstrap } from './joining.js'
@@ -88,7 +88,13 @@
     if (isFull) releaseLeadership(context, context.clock.now() + LEADERSHIP_TRANSFER_TIMEOUT_MS)
   }
   setHandlers(context)
-  const loops = [runLogWriter(context), runElections(context), runBootstrap(context)]
+  const isStopped = (): boolean => context.stopped
+  const loops = [
+    // After an unexpected error of the writer it is unknown which entries are durable.
+    runLogWriter(context).catch((error: unknown) => stopOnFailure(context, { kind: 'invariant-broken', message: describeError(error) })),
+    runSupervised({ clock: options.clock, logger: options.logger, event: 'log.elections-failed', isStopped }, () => runElections(context)),
+    runSupervised({ clock: options.clock, logger: options.logger, event: 'log.bootstrap-failed', isStopped }, () => runBootstrap(context))
+  ]
   return Ok(createHandle(context, loops))
 }
 
--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -1,7 +1,7 @@
 import { WebSocketServer, type WebSocket } from 'ws'
 import type { IncomingMessage } from 'node:http'
 import type { AddressInfo } from 'node:net'
-import type { Clock, Logger, Metrics, Network, RequestHandler, EventLoopMeter } from '../common/index.js'
+import { describeError, Err, type Clock, type Logger, type Metrics, type Network, type RequestHandler, type EventLoopMeter } from '../common/index.js'
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
 import { createCredentialVerifier, type PeerCredential } from './peerAuth.js'
 import { createPeerLink, type PeerLink } from './peerLink.js'
@@ -48,7 +48,11 @@
 
   return {
     self: options.self,
-    request: (to, kind, body, deadline) => getLink(to).request(kind, body, deadline),
+    // Callers count requests in flight, so an unexpected error has to reach them as a failure. Bytes may have been sent.
+    request: (to, kind, body, deadline) => getLink(to).request(kind, body, deadline).catch((error: unknown) => {
+      options.logger.error('peer-request-failed', { peer: to, kind, error: describeError(error) })
+      return Err({ kind: 'remote-failure', to, message: 'an unexpected error' })
+    }),
     handle: (kind, handler) => { handlers.set(kind, handler) },
     getPort: () => (server.address() as AddressInfo).port,
     getTraffic: traffic.getView,
--- a/test/state/failures.test.ts
+++ b/test/state/failures.test.ts
@@ -1,7 +1,11 @@
 import { expect, test } from 'vitest'
 import { createJobEntry as createJob, createMemberEntry as putMember } from '../../src/fakes/entries.js'
 import type { FakeHost } from '../../src/fakes/fakeCluster.js'
-import { MAX_ENTRY_BYTES } from '../../src/state/index.js'
+import { createManualClock, createRandom, createSilentLogger } from '../../src/common/index.js'
+import { createFakeDisk } from '../../src/fakes/fakeDisk.js'
+import { createHostProcess } from '../../src/fakes/hostProcess.js'
+import { createMemoryNetwork } from '../../src/fakes/memoryNetwork.js'
+import { createReplica, MAX_ENTRY_BYTES } from '../../src/state/index.js'
 import { getStatus, listFollowers, listMembers, startCluster } from './cluster.js'
 
 test('a leader that loses all connections silently steps down, and an entry that it could not commit is never applied', async () => {
@@ -260,3 +264,19 @@
   const rates = names.map((name, position) => (cluster.network.getTraffic(name).bytes - before[position]!) / 60)
   expect(Math.max(...rates)).toBeLessThan(2048)
 })
+
+// Guards against a voter that never takes part in an election again after one unexpected error.
+test('a voter whose elections have failed unexpectedly is elected later', async () => {
+  const clock = createManualClock()
+  const disk = createFakeDisk({ clock, random: createRandom(1) })
+  const random = createRandom(1)
+  let draws = 0
+  // The second number is drawn for the first election deadline.
+  const failing = { ...random, next: () => { draws += 1; if (draws === 2) throw new Error('unexpected'); return random.next() } }
+  const starting = createReplica({
+    deployment: 'test', self: 'a', availabilityZone: 'z', clock, random: failing, network: createMemoryNetwork({ clock, random: createRandom(1) }).connect('a', createHostProcess(clock)), logger: createSilentLogger(), disk: disk.open(), bootstrapVoters: ['a']
+  })
+  await clock.advance(5000)
+  const replica = (await starting).unwrap()
+  expect([draws > 2, replica.failure(), replica.status().role]).toEqual([true, undefined, 'leader'])
+})
--- a/test/transport/peerNetwork.test.ts
+++ b/test/transport/peerNetwork.test.ts
@@ -79,3 +79,14 @@
   expect([credential, credential, forOther, altered, old].map((each) => verifier.accept(each, 1_000_000))).toEqual([true, false, false, false, false])
   expect(verifier.accept(credential, 1_000_000 + 120_001)).toBe(false)
 })
+
+// Guards against counts of requests in flight that are never taken back, because a request has neither a reply nor a failure.
+test('an unexpected error of a request is returned as a failure with an unknown outcome, and later requests go on', async () => {
+  const addresses: Record<string, string> = {}
+  const [a, b] = [await open('a', addresses), await open('b', addresses)]
+  addresses.b = `127.0.0.1:${b.getPort()}`
+  b.handle('echo', async (_from, body) => body)
+  const unreadable = { get value () { throw new Error('unexpected') } }
+  expect((await a.request('b', 'echo', unreadable, soon())).val).toMatchObject({ kind: 'remote-failure' })
+  expect((await a.request('b', 'echo', { value: 1 }, soon())).val).toEqual({ value: 1 })
+})
