Find a leader that answers slowly

Cause, found by reading the change again: ended each question to a host after 0.25 s while a leader was searched, so an entry host never found a leader that needs longer for an answer, as on a loaded host or a lossy link.

Change: a search begins each 0.25 s and the questions of the earlier ones stay open for 0.7 s, as before.

Measured: the new test (a leader that answers after 0.5 s) fails before the change and passes with it.

--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -9,8 +9,8 @@
 const NO_LEADER_RETRY_MS = 1000
 const PING_INTERVAL_MS = 500
 const PING_TIMEOUT_MS = 700
-/** Time-out of the search for a leader, which begins again after it: a host that does not answer must not delay the others' news of an election. */
-const SEARCH_TIMEOUT_MS = 250
+/** Interval of the searches for a leader. A search does not wait for hosts that are silent; their answers count when they come. */
+const SEARCH_INTERVAL_MS = 250
 /** A request waits at most this long for a leader to become known; covers most of the time of an election. */
 const LEADER_WAIT_MS = 1200
 /** This host is not ready if the last answer of the leader is older than this. */
@@ -87,7 +87,7 @@
     return reply
   }
 
-  /** Asks the leader like `ask`; ends as without an answer when another host answers as the leader. */
+  /** Asks the leader like `ask`, and resolves with `no-answer` as soon as another host has answered as the leader. */
   const askLeader = async (host: string, request: WorkflowRequest, deadline: number): ReturnType<typeof ask> => {
     const current = { host, abandon: () => {} }
     const isSuperseded = new Promise<'no-answer'>((resolve) => { current.abandon = () => resolve('no-answer') })
@@ -97,16 +97,18 @@
     return reply
   }
 
-  /** Asks all known hosts for the leader. */
-  const findLeader = async (deadline: number): Promise<void> => {
-    await Promise.all(hosts.map((host) => ask(host, { kind: 'ping' }, deadline)))
+  /** Asks all known hosts for the leader, and waits for their answers for at most `SEARCH_INTERVAL_MS`. */
+  const findLeader = async (): Promise<void> => {
+    const deadline = clock.now() + PING_TIMEOUT_MS
+    const answers = Promise.all(hosts.map((host) => ask(host, { kind: 'ping' }, deadline)))
+    await Promise.race([answers, clock.sleep(SEARCH_INTERVAL_MS)])
   }
 
   const runPings = async (): Promise<void> => {
     while (!stopping.signal.aborted) {
       const deadline = clock.now() + PING_TIMEOUT_MS
       if (leader !== undefined) await ask(leader, { kind: 'ping' }, deadline)
-      if (leader === undefined) await findLeader(clock.now() + SEARCH_TIMEOUT_MS)
+      if (leader === undefined) await findLeader()
       if (isReady() !== wasReady) {
         wasReady = isReady()
         logger.info(wasReady ? 'leader.contact' : 'leader.contact-lost', { leader, silentMs: Math.round(clock.now() - answeredAt), catalog: hasCatalog })
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { createManualClock, createSilentLogger, Err, Ok, type ManualClock, type NetworkFailure, type Result } from '../../src/common/index.js'
+import { createManualClock, createSilentLogger, Err, Ok, type ManualClock, type Network, type NetworkFailure, type Result } from '../../src/common/index.js'
 import { createVersionOrder } from '../../src/coordination/workflows/versionOrder.js'
 import { createWorkflowGateway, type WorkflowGateway, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 
@@ -142,3 +142,30 @@
   const outcomes = await Promise.all([0, 200, 400, 600].map(measure))
   expect(outcomes).toEqual(outcomes.map(() => ['accepted', true]))
 })
+
+// On a loaded host or a lossy link an answer takes longer than the pause before the next search.
+test('a leader that answers slowly is found', async () => {
+  const clock = createManualClock(10_000)
+  const network = {
+    self: 'entry',
+    handle: () => {},
+    request: async () => {
+      await clock.sleep(500)
+      return Ok(PONG)
+    }
+  }
+  const gateway = createWorkflowGateway({ clock, logger: createSilentLogger(), network: withDeadlines(clock, network), seeds: ['a'], reorderMs: 250 })
+  for (let passed = 0; passed < 2000; passed += 10) await clock.advance(10)
+  expect(gateway.isReady()).toBe(true)
+})
+
+/** Ends each request at its deadline, as the network between hosts does. */
+function withDeadlines (clock: ManualClock, network: Network): Network {
+  return {
+    ...network,
+    request: (to, kind, body, deadline) => Promise.race([
+      network.request(to, kind, body, deadline),
+      clock.sleep(deadline - clock.now()).then(() => Err({ kind: 'deadline-exceeded' as const, to, message: 'late' }))
+    ])
+  }
+}
