Say in comments and names what a newcomer would ask

The time for which departures are kept, what `hasLeft` and `hasLeader` say, and how reports of a full disk are handled before and after the store is open. No change of behaviour; test/state and the test of the directory pass.

--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -60,10 +60,11 @@
 export async function createReplica (options: CreateReplicaOptions): Promise<Result<Replica, StoreFailure>> {
   const { disk, deployment, self, bootstrapVoters, repair } = options
   const createId = options.createId ?? (() => randomUUID().replaceAll('-', '').slice(0, ID_LENGTH))
-  const fullDisk = { observe: (isFull: boolean): void => reportFullDisk(options.logger, isFull) }
+  // While the store is opened there is no leadership to transfer.
+  let handleFullDisk = (isFull: boolean): void => reportFullDisk(options.logger, isFull)
   const opened = disk === undefined
     ? undefined
-    : await openLogStore({ disk, deployment, host: self, createIncarnation: createId, repair, clock: options.clock, onFullDisk: (isFull) => fullDisk.observe(isFull) })
+    : await openLogStore({ disk, deployment, host: self, createIncarnation: createId, repair, clock: options.clock, onFullDisk: (isFull) => handleFullDisk(isFull) })
   if (opened?.err) return opened
   const store = opened?.val.store
   const loaded = opened?.val.loaded
@@ -82,7 +83,7 @@
     createState: options.createState ?? createReplicatedState,
     limits: { ...DEFAULT_LOG_LIMITS, ...options.limits }
   }, store, loaded, createId())
-  fullDisk.observe = (isFull) => {
+  handleFullDisk = (isFull) => {
     reportFullDisk(options.logger, isFull)
     // The others hold what this host cannot store, so another one leads until there is space again.
     if (isFull) releaseLeadership(context, context.clock.now() + LEADERSHIP_TRANSFER_TIMEOUT_MS)
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -191,8 +191,7 @@
    * host can know, because it renews the leases.
    */
   z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema, at: z.number() }),
-  /** Removes a worker. Without `judge`, the worker itself has announced its shutdown. */
-  // `hasLeft`: this incarnation has said that it ends, so it does not return.
+  /** Removes a worker. Without `judge`, the worker itself has announced its shutdown. `hasLeft`: this incarnation has said that it ends, so it does not return. */
   z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema.optional(), hasLeft: z.boolean().optional(), at: z.number() }),
   z.strictObject({ kind: z.literal('wave.open'), wave: maintenanceWaveSchema }),
   /** Recorded before the order to start the maintenance of a host is sent. */
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -78,7 +78,7 @@
   return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [], division: 0 }
 }
 
-/** A report of a worker may be delayed by at most this long; departures are kept longer. */
+/** A departure is kept for this long; reports of a worker that are still on their way arrive within seconds. */
 const DEPARTURE_KEPT_MS = 600_000
 
 function recordDeparture (state: WorkflowsState, worker: string, bornAt: number, at: number): void {
