Log runs that cannot be read, and why a worker counts as unreachable

Cause, found by reading the change again: unreadable rows of a worker's runs were left out without a word, and an unexpected error of the worker client was logged as `no-answer` only.

Change: `worker.runs-unreadable` states their number, `worker.unreachable` the message of the failure.

Measured: the test of the decoder asks for the number and fails without the change; the tests of sessions and runs pass.

--- a/src/coordination/workflows/orders.ts
+++ b/src/coordination/workflows/orders.ts
@@ -37,7 +37,8 @@
 }
 
 /** `clock`: the worker's own clock. `ends`: ended runs that are not acknowledged yet. */
-export interface PollReply { clock: number, running: RunStatus[], ends: RunEnd[] }
+/** `unreadableRuns`: number of runs in the worker's list that could not be read and are left out. */
+export interface PollReply { clock: number, running: RunStatus[], ends: RunEnd[], unreadableRuns?: number }
 export interface OrderReply { clock: number }
 
 /**
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -44,6 +44,8 @@
   session.clockReading = { workerTime: reply.val.clock, receivedAt: clock.now() }
   session.readAt = clock.now()
   recordReachable(context, session)
+  const { unreadableRuns } = reply.val
+  if (unreadableRuns !== undefined) context.logger.warn('worker.runs-unreadable', { worker: session.worker, runs: unreadableRuns })
   await handleReply(context, session, reply.val, sentAt)
   if (session.runs.size === 0 && reply.val.ends.length > 0) session.lastPollAt = -Infinity
 }
@@ -71,7 +73,7 @@
     session.reachable = false
     session.unreachableSince = clock.now()
     context.onReachabilityChange(session)
-    logger.warn('worker.unreachable', { worker: session.worker, zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, runs: session.runs.size })
+    logger.warn('worker.unreachable', { worker: session.worker, zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, message: 'message' in failure ? failure.message : undefined, runs: session.runs.size })
   }
   session.retryMs = Math.min(MAX_RETRY_MS, session.retryMs * 2)
   const isReplaced = failure.kind === 'other-life'
--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -76,8 +76,8 @@
 test('running rows of a poll reply that cannot be read are left out, and the others are decoded', () => {
   const running = [['a.0.0.0', 2, '00ff', 41, 9], ['a.0.0.1', 'two', '', 10], null, ['a.0.0.2', 1, null, 100, 'x']]
   const finished = [[58, 'a.0.0.3', 1, 'done', '']]
-  const { running: runs, ends } = decodePollReply({ clockMs: 5, running, finished }).unwrap()
-  expect([runs.map(({ task }) => task), ends.map(([number]) => number)]).toEqual([['a.0.0.0', 'a.0.0.2'], [58]])
+  const { running: runs, ends, unreadableRuns } = decodePollReply({ clockMs: 5, running, finished }).unwrap()
+  expect([runs.map(({ task }) => task), ends.map(([number]) => number), unreadableRuns]).toEqual([['a.0.0.0', 'a.0.0.2'], [58], 2])
   expect(decodePollReply({ running: [], finished: [] }).ok).toBe(false)
 })
 
