Keep a leader that has answered when a follower names an earlier one

Cause, found by reading the change again: with answers to earlier searches that may come late, an entry host took the word of a follower that still named the leader before, and sent requests to a host that no longer answered.

Change: while the leader has answered itself, only its own answers and failures change it; a leader that was only named is replaced by any later word, as before.

Measured: the new test (a late answer of a follower) fails before the change and passes with it.

--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -47,6 +47,8 @@
   let { seeds } = options
   let hosts = [...seeds]
   let leader: string | undefined
+  /** True if `leader` has answered as the leader itself, and is not only named by another host. */
+  let isConfirmed = false
   let answeredAt = -Infinity
   let hasCatalog = false
   let wasReady = false
@@ -59,15 +61,22 @@
     if (voters.length > 0) hosts = [...new Set([...voters, ...seeds])]
   }
 
+  const setLeader = (host: string | undefined, confirmed: boolean): void => {
+    leader = host
+    isConfirmed = confirmed
+  }
+
   const recordReply = (from: string, reply: WorkflowReply): void => {
     if (reply.kind === 'not-leader') {
       recordVoters(reply.voters)
-      if (reply.leader !== undefined && reply.leader !== from) leader = reply.leader
-      else if (leader === from) leader = undefined
+      // Pings tell when a leader that has answered itself no longer does; the word of a follower may be older.
+      if (isConfirmed && leader !== from) return
+      if (reply.leader !== undefined && reply.leader !== from) setLeader(reply.leader, false)
+      else if (leader === from) setLeader(undefined, false)
       return
     }
     if (leader !== from) logger.info('leader.found', { leader: from })
-    leader = from
+    setLeader(from, true)
     tries.forEach((current) => { if (current.host !== from) current.abandon() })
     answeredAt = clock.now()
     if (reply.kind !== 'pong') return
@@ -79,7 +88,7 @@
   const ask = async (host: string, request: WorkflowRequest, deadline: number): Promise<WorkflowReply | 'not-sent' | 'no-answer'> => {
     const result = await network.request(host, WORKFLOW_MESSAGE, request, deadline)
     if (result.err) {
-      if (leader === host) leader = undefined
+      if (leader === host) setLeader(undefined, false)
       return result.val.kind === 'unreachable' ? 'not-sent' : 'no-answer'
     }
     const reply = result.val as WorkflowReply
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -169,3 +169,15 @@
     ])
   }
 }
+
+// The word of a follower may have been on its way since before the election.
+test('a late answer of a follower that names the earlier leader does not replace one that has answered itself', async () => {
+  const hosts: Record<string, Host> = { a: () => 'deadline-exceeded', b: LEADS }
+  const waits: Array<(reply: WorkflowReply) => void> = []
+  hosts.c = () => new Promise((resolve) => waits.push(resolve))
+  const scene = await createScene(hosts, ['b', 'c'], 100)
+  waits.forEach((answer) => answer({ kind: 'not-leader', leader: 'a', voters: ['a', 'b', 'c'] }))
+  await scene.clock.advance(5)
+  await scene.send('submit', 3000)
+  expect([waits.length > 0, scene.sent]).toEqual([true, ['b']])
+})
