--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,72 +1,85 @@
 import { fileURLToPath } from 'node:url'
-import { openDeployment, openRecord, runCase, sleep } from '../support/deployment.mjs'
-import { createConfiguration, createJobId, createRequester, prepare } from '../support/callers.mjs'
+import { findNetwork, openDeployment, openRecord, runCase, sleep } from '../support/deployment.mjs'
+import { createConfiguration, createJobId, createRequester, prepare, QUEUE } from '../support/callers.mjs'
+import { openAdvice } from '../support/advice.mjs'
 import { createJournal, openExecutor } from '../support/executor.mjs'
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
-/** One of these is cut off, 0.167 of them; the site cuts off up to 0.17. */
-const EXECUTORS = 6
-const SIZE = { cpu: 8, memMb: 8 }
-const LONG_TASKS = 60
-const SHORT_TASKS = 5000
-const LONG_MS = 11_800
-const SHORT_MS = 8000
-const SHORT_SPREAD_MS = 1000
-/** The cut lasts from shortly before the first end to shortly after the last one; the site cuts executors off for up to 5.5 s. */
-const CUT_AFTER_MS = 8000
-const CUT_MS = 4000
+const STEP = { cpu: 2000, memMb: 512, runMs: 6000 }
+const TASKS = 4
+/** One of these is lost, 0.125 of them; the site loses up to 0.14. */
+const EXECUTORS = 8
+const POLICY = { decisionMs: 100, perWorkerMs: 5, validityMs: 5000 }
+/** `finish_s`: jobs are asked for that long after the end of the traffic. */
+const FINISH_MS = 14_000
+/** A job may have nothing running for that long while a task's turn has come and there is capacity for it twice over. */
+const IDLE_MS = 3000
+/** `recoveryS`, the longest time that the pages give the system after a loss; the leases of the lost executor end within it. */
+const RECOVERY_MS = 12_000
 
 await runCase(async () => {
   const record = openRecord(fileURLToPath(new URL('.', import.meta.url)))
-  const deployment = await openDeployment({ record })
+  const place = await findNetwork()
+  const port = place.port + 200
+  // The policy: only executors of the kind `b` may run the steps of this queue.
+  const kinds = new Map()
+  const advice = await openAdvice({ ip: `${place.network}.200`, port, ...POLICY, mayRun: (_step, worker) => kinds.get(worker) === 'b', record })
+  const deployment = await openDeployment({ record, place, advice: advice.address })
   const journal = createJournal()
-  const jobs = { long: createJobId(), short: createJobId() }
-  const findTask = (task) => ({ ...SIZE, runMs: task.startsWith(jobs.long) ? LONG_MS : SHORT_MS + (Number(task.split('.').at(-1)) * 7919) % SHORT_SPREAD_MS })
   const executors = []
-  for (let number = 0; number < EXECUTORS; number += 1) {
-    executors.push(await openExecutor({
+  const addExecutor = async (number, kind) => {
+    kinds.set(`i-x${number}`, kind)
+    const executor = await openExecutor({
       name: `x${number}`,
-      ip: `${deployment.network}.${100 + number}`,
-      port: deployment.ports.peer + 200,
+      ip: `${place.network}.${100 + number}`,
+      port,
       zone: ['cerro-alegre', 'cerro-baron', 'almendral'][number % 3],
-      // Two executors are of the kind that the jobs require.
-      labels: [number < 2 ? 'b' : 'a', `r${number}`],
+      labels: [kind, `r${number}`],
       controls: deployment.controls,
       record,
       journal,
-      findTask
-    }))
+      findTask: () => STEP,
+      checkTicket: (ticket, task, id) => advice.isValid(ticket, task.slice(0, task.lastIndexOf('.')), id)
+    })
+    executors.push(executor)
+    return executor
   }
   try {
-    await prepare(deployment, record, createConfiguration(1))
+    const lost = await addExecutor(0, 'b')
+    for (let number = 1; number < EXECUTORS; number += 1) await addExecutor(number, 'a')
+    await prepare(deployment, record, createConfiguration(1, [{ ...QUEUE, advice: POLICY }]))
     await sleep(2000)
     const requester = createRequester(deployment, record)
-    for (const [id, count] of [[jobs.long, LONG_TASKS], [jobs.short, SHORT_TASKS]]) {
-      const { status } = await requester.submit(id, { spec: 'x', phases: [{ count, ...SIZE, estimateMs: SHORT_MS, requirements: 'b' }] })
-      if (status !== 200) throw new Error(`a job was not accepted: ${status}`)
-    }
-    const startedBy = performance.now() + 10_000
-    while (journal.runs.length < LONG_TASKS + SHORT_TASKS && performance.now() < startedBy) await sleep(20)
-    if (journal.runs.length < LONG_TASKS + SHORT_TASKS) throw new Error(`only ${journal.runs.length} tasks have started`)
-    await sleep(Math.max(0, journal.runs[0].at + CUT_AFTER_MS - performance.now()))
-    if (HAS_TROUBLE) executors[0].cut()
-    await sleep(CUT_MS)
-    if (HAS_TROUBLE) executors[0].heal()
-    const until = performance.now() + 20_000
-    const states = {}
-    while (performance.now() < until && (states.long !== 'completed' || states.short !== 'completed')) {
-      await sleep(500)
-      states.long = (await requester.read(jobs.long)).body?.state
-      states.short = (await requester.read(jobs.short)).body?.state
+    const submit = async () => {
+      const id = createJobId()
+      const { status } = await requester.submit(id, { spec: 'x', phases: [{ count: TASKS, cpu: STEP.cpu, memMb: STEP.memMb, estimateMs: STEP.runMs }] })
+      if (status !== 200) throw new Error(`the job was not accepted: ${status}`)
+      return id
     }
+    const listRuns = (id) => journal.runs.filter(({ task }) => task.startsWith(id))
+    const job = await submit()
+    const startedBy = performance.now() + 5000
+    while (listRuns(job).length < TASKS && performance.now() < startedBy) await sleep(50)
+    if (listRuns(job).length < TASKS) throw new Error('the job did not start')
+    await sleep(1000)
+    if (HAS_TROUBLE) lost.crash()
     await sleep(2000)
-    const lapsed = journal.runs.filter(({ how }) => how === 'lapsed').length
-    const broken = [...journal.problems, ...journal.listRepeated()]
-    record('verdict', { states, tasks: LONG_TASKS + SHORT_TASKS, starts: journal.runs.length, lapsed, broken: broken.length, examples: broken.slice(0, 5) })
-    console.log(`${LONG_TASKS + SHORT_TASKS} tasks, ${journal.runs.length} starts, ${lapsed} leases lapsed; TWICE broken for ${broken.length} tasks`, states, JSON.stringify(broken[0] ?? null))
-    return broken.length > 0
+    const added = await addExecutor(EXECUTORS, 'b')
+    await sleep(RECOVERY_MS)
+    // A second job of the same queue shows whether the new executor can be used.
+    const second = await submit()
+    await sleep(FINISH_MS)
+    const states = { job: (await requester.read(job)).body?.state, second: (await requester.read(second)).body?.state }
+    const isIdle = listRuns(job).every(({ isOpen }) => !isOpen)
+    const lastRunAt = Math.max(...listRuns(job).map(({ at, endedAt }) => endedAt ?? at))
+    const idleMs = Math.round(performance.now() - lastRunAt)
+    const secondRuns = listRuns(second).map(({ executor }) => executor)
+    record('verdict', { states, runs: listRuns(job).map(({ executor, how }) => `${executor} ${how}`), idleMs, secondRuns })
+    console.log(`the job is ${states.job}, nothing of it has run for ${idleMs} ms; the second job is ${states.second}, on ${[...new Set(secondRuns)].join()}; ${added.name} has ${added.life.running.size} runs`)
+    return states.job !== 'completed' && isIdle && idleMs > RECOVERY_MS + IDLE_MS
   } finally {
     executors.forEach((executor) => executor.close())
+    advice.close()
     await deployment.close()
   }
 })
--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -4,49 +4,67 @@
 import { createJournal, openExecutor } from '../support/executor.mjs'
 
 const HAS_TROUBLE = process.env.TROUBLE !== '0'
-/** Four on each of two racks. One of them is lost, 0.125; the site loses up to 0.14. */
-const EXECUTORS = 8
-const EXECUTORS_PER_RACK = 4
-/** The size of the site's tasks that last. */
-const STEP = { cpu: 6400, memMb: 13_000, lasts: true }
-const TASKS = 4
-/** A lasting task may be without a run for 3 s, from 6 s after its last run; `recoveryS` is left for the loss before that. */
-const RECOVERY_MS = 12_000
-const IDLE_MS = 6000 + 3000
+/** One of these is cut off, 0.167 of them; the site cuts off up to 0.17. */
+const EXECUTORS = 6
+const SIZE = { cpu: 8, memMb: 8 }
+const LONG_TASKS = 60
+const SHORT_TASKS = 5000
+const LONG_MS = 11_800
+const SHORT_MS = 8000
+const SHORT_SPREAD_MS = 1000
+/** The cut lasts from shortly before the first end to shortly after the last one; the site cuts executors off for up to 5.5 s. */
+const CUT_AFTER_MS = 8000
+const CUT_MS = 4000
 
 await runCase(async () => {
   const record = openRecord(fileURLToPath(new URL('.', import.meta.url)))
   const deployment = await openDeployment({ record })
   const journal = createJournal()
+  const jobs = { long: createJobId(), short: createJobId() }
+  const findTask = (task) => ({ ...SIZE, runMs: task.startsWith(jobs.long) ? LONG_MS : SHORT_MS + (Number(task.split('.').at(-1)) * 7919) % SHORT_SPREAD_MS })
   const executors = []
   for (let number = 0; number < EXECUTORS; number += 1) {
     executors.push(await openExecutor({
-      name: `x${number}`, ip: `${deployment.network}.${100 + number}`, port: deployment.ports.peer + 200, zone: ['cerro-alegre', 'cerro-baron', 'almendral'][number % 3], labels: ['a', `r${Math.floor(number / EXECUTORS_PER_RACK)}`], controls: deployment.controls, record, journal, findTask: () => STEP
+      name: `x${number}`,
+      ip: `${deployment.network}.${100 + number}`,
+      port: deployment.ports.peer + 200,
+      zone: ['cerro-alegre', 'cerro-baron', 'almendral'][number % 3],
+      // Two executors are of the kind that the jobs require.
+      labels: [number < 2 ? 'b' : 'a', `r${number}`],
+      controls: deployment.controls,
+      record,
+      journal,
+      findTask
     }))
   }
   try {
     await prepare(deployment, record, createConfiguration(1))
     await sleep(2000)
     const requester = createRequester(deployment, record)
-    const id = createJobId()
-    const { status } = await requester.submit(id, { spec: 'x', phases: [{ count: TASKS, cpu: STEP.cpu, memMb: STEP.memMb, estimateMs: 1000, longRunning: true, rackSensitive: true, antiAffinity: 1 }] })
-    if (status !== 200) throw new Error(`the job was not accepted: ${status}`)
-    await sleep(4000)
-    if (journal.runs.length < TASKS) throw new Error(`only ${journal.runs.length} tasks have started`)
-    const lost = executors.find(({ name }) => name === journal.runs[0].executor)
-    if (HAS_TROUBLE) lost.loseDark()
-    const lostAt = performance.now()
-    await sleep(RECOVERY_MS + IDLE_MS + 5000)
-    const state = (await requester.read(id)).body?.state
-    const running = journal.runs.filter(({ isOpen }) => isOpen)
-    const waiting = Array.from({ length: TASKS }, (_, index) => `${id}.0.0.${index}`).filter((task) => !running.some((run) => run.task === task))
-    const used = new Set(running.map(({ executor }) => executor))
-    const empty = executors.filter((executor) => executor !== lost && !used.has(executor.name)).map(({ name }) => name)
-    const waitedMs = Math.round(performance.now() - lostAt)
-    const usedCores = running.length * STEP.cpu / 1000
-    record('verdict', { state, running: running.map(({ task, executor }) => `${task} ${executor}`), waiting, waitedMs, empty, usedCores })
-    console.log(`the job is ${state}; ${waiting.length} of ${TASKS} tasks without a run for ${waitedMs} ms; empty executors: ${empty.join()}; ${usedCores} of ${(EXECUTORS - (HAS_TROUBLE ? 1 : 0)) * 32} cores in use`)
-    return waiting.length > 0 && empty.length >= 2
+    for (const [id, count] of [[jobs.long, LONG_TASKS], [jobs.short, SHORT_TASKS]]) {
+      const { status } = await requester.submit(id, { spec: 'x', phases: [{ count, ...SIZE, estimateMs: SHORT_MS, requirements: 'b' }] })
+      if (status !== 200) throw new Error(`a job was not accepted: ${status}`)
+    }
+    const startedBy = performance.now() + 10_000
+    while (journal.runs.length < LONG_TASKS + SHORT_TASKS && performance.now() < startedBy) await sleep(20)
+    if (journal.runs.length < LONG_TASKS + SHORT_TASKS) throw new Error(`only ${journal.runs.length} tasks have started`)
+    await sleep(Math.max(0, journal.runs[0].at + CUT_AFTER_MS - performance.now()))
+    if (HAS_TROUBLE) executors[0].cut()
+    await sleep(CUT_MS)
+    if (HAS_TROUBLE) executors[0].heal()
+    const until = performance.now() + 20_000
+    const states = {}
+    while (performance.now() < until && (states.long !== 'completed' || states.short !== 'completed')) {
+      await sleep(500)
+      states.long = (await requester.read(jobs.long)).body?.state
+      states.short = (await requester.read(jobs.short)).body?.state
+    }
+    await sleep(2000)
+    const lapsed = journal.runs.filter(({ how }) => how === 'lapsed').length
+    const broken = [...journal.problems, ...journal.listRepeated()]
+    record('verdict', { states, tasks: LONG_TASKS + SHORT_TASKS, starts: journal.runs.length, lapsed, broken: broken.length, examples: broken.slice(0, 5) })
+    console.log(`${LONG_TASKS + SHORT_TASKS} tasks, ${journal.runs.length} starts, ${lapsed} leases lapsed; TWICE broken for ${broken.length} tasks`, states, JSON.stringify(broken[0] ?? null))
+    return broken.length > 0
   } finally {
     executors.forEach((executor) => executor.close())
     await deployment.close()
