Ask for advice about the workers that could take a task now

Cause: once a worker had been permitted for a step, all later queries named permitted workers only, and an answer ended only when its worker refused a ticket. A lost worker refuses nothing.

Change: advice is requested after a group was tried, about the workers that have the capacity for a task and no ticket, or about all if none has. Answers are kept by step and worker; they end when the worker is removed or replaced, also while a query is in flight, and are bounded in number. A refused ticket makes the worker unknown again. A step that no worker may run is logged and asked about again after a second.

--- a/src/coordination/workflows/advice.ts
+++ b/src/coordination/workflows/advice.ts
@@ -7,10 +7,14 @@
 const ANSWER_SLACK_MS = 1000
 /** Delay after a failed query before the next one. */
 const RETRY_MS = 200
+/** A step that no worker may run is asked about again after this. */
+const ASK_AGAIN_MS = 1000
+/** A query that was not requested again for this long is dropped: the tasks of a waiting step are tried several times a second. */
+const QUERY_LIFETIME_MS = 2000
 /** A ticket that expires within this time is not used, because a start order takes a sync of the log and a round trip. */
 const TICKET_MARGIN_MS = 300
-/** Maximum number of steps with cached tickets; at more the cache is cleared. */
-const MAX_KNOWN_STEPS = 1000
+/** Maximum number of cached answers over all steps; beyond it, those about the steps asked about first are dropped. */
+const MAX_KNOWN_ANSWERS = 20_000
 
 /** Permission to run a step on a worker; `ticket` is the proof that accompanies each start order. */
 export interface Ticket { worker: string, ticket: string }
@@ -22,56 +26,92 @@
 }
 
 export interface Advisor {
-  /** Queues a query about a step unless it has valid tickets. The advice service answers one query at a time. */
+  /**
+   * Queues a query about a step unless one of the workers has a valid ticket for it. `workers` are those on which a task of the
+   * step could be placed, the preferred ones first. The advice service answers one query at a time.
+   */
   request (step: string, workers: readonly string[], policy: AdvicePolicy): void
   findTicket (step: string, worker: string): string | undefined
   /** Discards a ticket that the worker has refused. */
   dropTicket (step: string, worker: string): void
+  /** Discards all answers about a worker that has left or has been replaced by a new incarnation. */
+  removeWorker (worker: string): void
   stop (): void
 }
 
-interface Query { workers: readonly string[], policy: AdvicePolicy }
-interface KnownTicket { ticket: string, expiresAt: number }
+interface Query { workers: readonly string[], policy: AdvicePolicy, wantedUntil: number }
+/** `ticket`: undefined if the worker may not run the step. */
+interface Answer { ticket: string | undefined, expiresAt: number }
+/** `askAgainAt`: before this time no query is sent, because no worker may run the step. */
+interface StepAdvice { answers: Map<string, Answer>, askAgainAt: number }
 
 /** Obtains tickets for queues whose placement policy is known only to an external advice service. Queries are slow, so the answers are cached. */
 export function createAdvisor ({ clock, logger, client }: { clock: Clock, logger: Logger, client: AdviceClient }): Advisor {
   const stopping = new AbortController()
   const queries = new Map<string, Query>()
-  const tickets = new Map<string, Map<string, KnownTicket>>()
-  /** Workers that were already queried for a step; the answer does not change during a worker's incarnation. */
-  const queriedWorkers = new Map<string, Set<string>>()
+  const knownSteps = new Map<string, StepAdvice>()
+  /** Workers of the query that is in flight, without those that have been removed since it was sent. */
+  let asked = new Set<string>()
   let running: Promise<void> | undefined
 
-  const hasTickets = (step: string): boolean =>
-    [...tickets.get(step)?.values() ?? []].some(({ expiresAt }) => expiresAt > clock.now() + TICKET_MARGIN_MS)
+  const findTicket = (step: string, worker: string): string | undefined => {
+    const answer = knownSteps.get(step)?.answers.get(worker)
+    return answer !== undefined && answer.expiresAt > clock.now() + TICKET_MARGIN_MS ? answer.ticket : undefined
+  }
+
+  const getStepAdvice = (step: string): StepAdvice => {
+    const known = knownSteps.get(step)
+    if (known !== undefined) return known
+    const created: StepAdvice = { answers: new Map(), askAgainAt: -Infinity }
+    knownSteps.set(step, created)
+    return created
+  }
+
+  const pruneAnswers = (): void => {
+    let count = [...knownSteps.values()].reduce((sum, { answers }) => sum + answers.size, 0)
+    knownSteps.forEach(({ answers }, step) => {
+      if (count <= MAX_KNOWN_ANSWERS) return
+      count -= answers.size
+      knownSteps.delete(step)
+    })
+  }
+
+  /** Chooses the workers to ask about: those that may run the step but whose tickets have expired, or else those not asked about yet. */
+  const chooseWorkers = ({ answers }: StepAdvice, workers: readonly string[]): string[] => {
+    const expired = workers.filter((worker) => answers.get(worker)?.ticket !== undefined)
+    return (expired.length > 0 ? expired : workers.filter((worker) => !answers.has(worker))).slice(0, WORKERS_PER_QUERY)
+  }
 
   const sendQuery = async (step: string, { workers, policy }: Query): Promise<void> => {
-    const known = queriedWorkers.get(step) ?? new Set<string>()
-    const approved = [...tickets.get(step)?.keys() ?? []]
-    const queried = (approved.length > 0 ? approved : workers.filter((worker) => !known.has(worker))).slice(0, WORKERS_PER_QUERY)
-    if (queried.length === 0) {
+    const advice = getStepAdvice(step)
+    const chosen = chooseWorkers(advice, workers)
+    if (chosen.length === 0) {
       queries.delete(step)
-      queriedWorkers.delete(step)
+      if ([...advice.answers.values()].some(({ ticket }) => ticket !== undefined)) return
+      logger.warn('advice.none-permitted', { step, workers: advice.answers.size, askAgainMs: ASK_AGAIN_MS })
+      advice.answers.clear()
+      advice.askAgainAt = clock.now() + ASK_AGAIN_MS
       return
     }
     const sentAt = clock.now()
-    const answer = await client.ask(step, queried, sentAt + policy.decisionMs + policy.perWorkerMs * queried.length + ANSWER_SLACK_MS)
-    logger.info('advice.answer', { step, workers: queried.length, approved: answer.ok ? answer.val.length : undefined, outcome: answer.ok ? 'answered' : answer.val.kind, ms: Math.round(clock.now() - sentAt) })
+    asked = new Set(chosen)
+    const answer = await client.ask(step, chosen, sentAt + policy.decisionMs + policy.perWorkerMs * chosen.length + ANSWER_SLACK_MS)
+    logger.info('advice.answer', { step, workers: chosen.length, approved: answer.ok ? answer.val.length : undefined, outcome: answer.ok ? 'answered' : answer.val.kind, ms: Math.round(clock.now() - sentAt) })
     if (!answer.ok) return clock.sleep(RETRY_MS, stopping.signal)
-    queried.forEach((worker) => known.add(worker))
-    queriedWorkers.set(step, known)
+    const tickets = new Map(answer.val.map(({ worker, ticket }) => [worker, ticket]))
     // The validity counts from the sending of the query, the earliest time at which the answer can have been given.
     const expiresAt = sentAt + policy.validityMs
-    if (tickets.size >= MAX_KNOWN_STEPS) tickets.clear()
-    if (answer.val.length > 0) tickets.set(step, new Map(answer.val.map(({ worker, ticket }) => [worker, { ticket, expiresAt }])))
-    if (answer.val.length > 0) queries.delete(step)
+    asked.forEach((worker) => advice.answers.set(worker, { ticket: tickets.get(worker), expiresAt }))
+    if (tickets.size > 0) queries.delete(step)
+    pruneAnswers()
   }
 
   const runQueries = async (): Promise<void> => {
     while (queries.size > 0 && !stopping.signal.aborted) {
       const [step, query] = [...queries][0] as [string, Query]
-      // Moves the query to the end, so that it is repeated only after all other waiting ones.
       queries.delete(step)
+      if (query.wantedUntil <= clock.now()) continue
+      // Moves the query to the end, so that it is repeated only after all other waiting ones.
       queries.set(step, query)
       await sendQuery(step, query)
     }
@@ -80,15 +120,18 @@
 
   return {
     request: (step, workers, policy) => {
-      if (hasTickets(step) || queries.has(step) || workers.length === 0) return
-      queries.set(step, { workers: [...workers], policy })
+      const isAnswered = workers.length === 0 || workers.some((worker) => findTicket(step, worker) !== undefined)
+      if (isAnswered || clock.now() < (knownSteps.get(step)?.askAgainAt ?? -Infinity)) return
+      // A query that is already waiting names the workers that are suitable now.
+      queries.set(step, { workers: [...workers], policy, wantedUntil: clock.now() + QUERY_LIFETIME_MS })
       running ??= runSupervised({ clock, logger, event: 'advice.failed', isStopped: () => stopping.signal.aborted }, runQueries)
     },
-    findTicket: (step, worker) => {
-      const known = tickets.get(step)?.get(worker)
-      return known !== undefined && known.expiresAt > clock.now() + TICKET_MARGIN_MS ? known.ticket : undefined
+    findTicket,
+    dropTicket: (step, worker) => { knownSteps.get(step)?.answers.delete(worker) },
+    removeWorker: (worker) => {
+      asked.delete(worker)
+      knownSteps.forEach(({ answers }) => answers.delete(worker))
     },
-    dropTicket: (step, worker) => { tickets.get(step)?.delete(worker) },
     stop: () => stopping.abort()
   }
 }
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import { formatTaskName, formatTaskKey, type AdvicePolicy, type Assignment, type Step } from '../../state/index.js'
+import { formatTaskName, formatTaskKey, type Assignment, type Step } from '../../state/index.js'
 import type { Advisor } from './advice.js'
 import { addRun, formatStepName, type PlacementCandidate } from './candidates.js'
 import { canHold, chooseWorker, findBest, REMOTE_DATA_PENALTY, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
@@ -34,19 +34,23 @@
 }
 
 /** Places a group like `placeGroup`, but only on some workers of the pool. */
-export function placeOnWorkers (options: GroupOptions, group: WaitingGroup, { pool, workers, getCompetingDemand, isStarved, offset }: GroupSearch): Assignment[] {
+export function placeOnWorkers (options: GroupOptions, group: WaitingGroup, search: GroupSearch): Assignment[] {
+  const placed = placeTasks(options, group, search)
+  if (placed.length < group.indexes.length && search.workers === search.pool) sendAdviceRequest(options, group, search.pool)
+  return placed
+}
+
+function placeTasks (options: GroupOptions, group: WaitingGroup, { pool, workers, getCompetingDemand, isStarved, offset }: GroupSearch): Assignment[] {
   const { record, occurrence, stepNumber, step, indexes } = group
   const now = options.clock.now()
-  const stepName = formatStepName(record.workflow.id, occurrence, stepNumber)
+  const { stepName, ...capacityNeeds } = createCapacityNeeds(group)
   const needs: PlacementNeeds = {
-    step,
-    countStepRuns: (_worker, { stepRuns }) => stepRuns?.get(stepName) ?? 0,
+    ...capacityNeeds,
     estimateExcessLoad: (latencyCritical, bestEffort) => options.interferenceModel.estimateExcessLoad(latencyCritical, bestEffort, now),
     isTrialBlocked: ({ latencyCritical, bestEffort }, image) => options.interferenceModel.isTrialBlocked(latencyCritical, bestEffort, image, now),
     getCompetingDemand,
     acceptsExcessLoad: isStarved
   }
-  if (group.advice !== undefined && workers === pool) sendAdviceRequest(options, group.advice, stepName, pool)
   // Filtering once is enough, as capacity only shrinks while the group is placed.
   const eligible = listEligible(options, group, workers, stepName).filter((worker) => canHold(worker, needs))
   if (eligible.length === 0 || (step.gang && !canHoldTimes(eligible, needs, indexes.length))) return []
@@ -83,9 +87,22 @@
   return bestDataLocal !== undefined && bestDataLocal.cost < REMOTE_DATA_PENALTY ? bestDataLocal.candidate : chooseWorker(workers, needs, offset)
 }
 
-function sendAdviceRequest ({ advisor }: GroupOptions, policy: AdvicePolicy, name: string, pool: readonly PlacementCandidate[]): void {
-  const byFreeCores = pool.toSorted((a, b) => b.freeCores - a.freeCores)
-  advisor.request(name, byFreeCores.map(({ id }) => id), policy)
+/**
+ * Asks about the workers that could hold a task of the group but have no ticket for it. If none has the capacity, asks about all
+ * workers, so that a ticket is at hand when one has.
+ */
+function sendAdviceRequest ({ advisor }: GroupOptions, group: WaitingGroup, pool: readonly PlacementCandidate[]): void {
+  if (group.advice === undefined) return
+  const { stepName, ...needs } = createCapacityNeeds(group)
+  const able = pool.filter((worker) => canHold(worker, needs))
+  const asked = able.length > 0 ? able.filter(({ id }) => advisor.findTicket(stepName, id) === undefined) : pool
+  advisor.request(stepName, asked.toSorted((a, b) => b.freeCores - a.freeCores).map(({ id }) => id), group.advice)
+}
+
+/** The needs of a group that depend on the capacity of a worker alone. */
+function createCapacityNeeds ({ step, record, occurrence, stepNumber }: WaitingGroup): Pick<PlacementNeeds, 'step' | 'countStepRuns'> & { stepName: string } {
+  const stepName = formatStepName(record.workflow.id, occurrence, stepNumber)
+  return { step, stepName, countStepRuns: (_worker, { stepRuns }) => stepRuns?.get(stepName) ?? 0 }
 }
 
 /**
@@ -93,10 +110,9 @@
  * their short tasks have ended, the one with the most free cores. Without a reservation, short tasks that need fewer cores
  * take each core that becomes free, and a large task waits as long as there is a backlog.
  */
-export function findWorkerToReserve ({ step, record, occurrence, stepNumber }: WaitingGroup, pool: readonly PlacementCandidate[], reserved: ReadonlySet<PlacementCandidate>): PlacementCandidate | undefined {
-  const stepName = formatStepName(record.workflow.id, occurrence, stepNumber)
-  const needs: Pick<PlacementNeeds, 'step' | 'countStepRuns'> = { step, countStepRuns: (_worker, { stepRuns }) => stepRuns?.get(stepName) ?? 0 }
-  if (step.fills || pool.some((worker) => canHold(worker, needs))) return undefined
+export function findWorkerToReserve (group: WaitingGroup, pool: readonly PlacementCandidate[], reserved: ReadonlySet<PlacementCandidate>): PlacementCandidate | undefined {
+  const needs = createCapacityNeeds(group)
+  if (group.step.fills || pool.some((worker) => canHold(worker, needs))) return undefined
   return pool
     .filter((worker) => !reserved.has(worker) && canHold({ ...worker, ...worker.freeWithoutShortTasks }, needs))
     .reduce<PlacementCandidate | undefined>((best, worker) => best === undefined || worker.freeCores > best.freeCores ? worker : best, undefined)
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -126,6 +126,12 @@
     if (reason === 'no-ticket') advisor.dropTicket(getStepName(task), worker)
   }
 
+  /** Discards what was learnt about an earlier incarnation of a worker. */
+  const resetWorker = (worker: string): void => {
+    health.reset(worker)
+    advisor.removeWorker(worker)
+  }
+
   const exchange = (from: string, request: SessionsRequest): SessionsReply => {
     if (!isActive()) return { kind: 'not-leader' }
     const grantedAt = request.grantAgeMs === null || request.fence !== fence ? -Infinity : clock.now() - request.grantAgeMs
@@ -155,7 +161,7 @@
       const isNew = views.workers.get(life.id)?.bornAt !== life.bornAt
       dispatcher.markChanged()
       dispatcher.markWorkerChanged(life.id)
-      if (isNew) health.reset(life.id)
+      if (isNew) resetWorker(life.id)
       views.syncWorker(life.id)
       dispatcher.schedule()
     },
@@ -166,6 +172,7 @@
       dispatcher.schedule()
     },
     'life.remove': ({ worker }) => {
+      resetWorker(worker)
       dispatcher.markChanged()
       dispatcher.markWorkerChanged(worker)
       views.syncWorker(worker)
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -174,7 +174,7 @@
     sessions,
     health: createWorkerHealth({ clock, logger }),
     interferenceModel,
-    advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, stop: () => {} },
+    advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     getState: () => state,
     isActive: () => true,
     assign: async (assignments) => {
