Conclude nothing from a run that is missing in a partial list

No lease had lapsed.

Cause: a worker lists its ends 500 at a time. A run that was neither running nor among the listed ends was taken for one that does not exist: it was ordered again, the refusal (`superseded`) counted as an acknowledged stop, and the next reply without it released the task.

Change: the adapter marks a reply with a full list of ends, and the session host orders, stops and releases nothing because of its absence from such a reply. A list with rows that could not be read is not complete either: a run that was told to stop was released while it still ran.

--- a/src/coordination/workflows/orders.ts
+++ b/src/coordination/workflows/orders.ts
@@ -36,9 +36,12 @@
   reading: number | undefined
 }
 
-/** `clock`: the worker's own clock. `ends`: ended runs that are not acknowledged yet. */
-/** `unreadableRuns`: number of runs in the worker's list that could not be read and are left out. */
-export interface PollReply { clock: number, running: RunStatus[], ends: RunEnd[], unreadableRuns?: number }
+/**
+ * `clock`: the worker's own clock. `ends`: ended runs that are not acknowledged yet. `unreadableRuns`: number of runs in the
+ * worker's list that could not be read and are left out. `hasMoreEnds`: the worker may have more ends, which it lists once those
+ * of this reply are acknowledged; a run that is not in the reply may have ended.
+ */
+export interface PollReply { clock: number, running: RunStatus[], ends: RunEnd[], unreadableRuns?: number, hasMoreEnds?: boolean }
 export interface OrderReply { clock: number }
 
 /**
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -110,14 +110,16 @@
   const statuses = new Map(reply.running.map((status) => [status.task, status]))
   const ended = new Set(reply.ends.map(([, task]) => task))
   reply.running.forEach((status) => updateRun(context, session, status, sentAt))
+  // The end of a run that is not listed may be in a later part of the list, so nothing is concluded from its absence.
+  if (reply.hasMoreEnds === true) return
+  const hasAllRuns = reply.unreadableRuns === undefined
   session.runs.forEach((run) => {
     if (statuses.get(run.task)?.attempt === run.attempt || ended.has(run.task)) return
-    handleUnlistedRun(context, session, run, sentAt)
-  })
-  session.strays.forEach((_at, key) => {
-    const isStillListed = reply.running.some((status) => createRunKey(status) === key)
-    if (!isStillListed) session.strays.delete(key)
+    handleUnlistedRun(context, session, run, sentAt, hasAllRuns)
   })
+  if (!hasAllRuns) return
+  const listed = new Set(reply.running.map(createRunKey))
+  session.strays.forEach((_at, key) => { if (!listed.has(key)) session.strays.delete(key) })
 }
 
 function createRunKey (status: { task: string, attempt: number }): string {
@@ -151,11 +153,14 @@
   return record.outcome !== undefined || isTaskDone(record, name) || (findTask(context.getState(), task)?.attempt ?? 0) >= attempt
 }
 
-/** Handles an assigned run that the worker did not list in its reply to a poll sent at `sentAt`. */
-function handleUnlistedRun (context: SessionContext, session: Session, run: Run, sentAt: number): void {
+/**
+ * Handles an assigned run that is missing in the worker's reply to a poll sent at `sentAt`. `hasAllRuns`: every run in the list
+ * could be read. Otherwise the run may exist: a start order that is repeated changes nothing, but its task is not released.
+ */
+function handleUnlistedRun (context: SessionContext, session: Session, run: Run, sentAt: number, hasAllRuns: boolean): void {
   if (run.starting || run.stopping) return
   if (run.stopReason !== undefined) {
-    if (run.stopAcknowledgedAt !== undefined && run.stopAcknowledgedAt < sentAt) releaseRun(context, session, run, 'not-started')
+    if (hasAllRuns && run.stopAcknowledgedAt !== undefined && run.stopAcknowledgedAt < sentAt) releaseRun(context, session, run, 'not-started')
     else stopRun(context, session, run, run.stopReason)
     return
   }
--- a/src/fakes/runFleet.ts
+++ b/src/fakes/runFleet.ts
@@ -42,6 +42,8 @@
   readonly events: RunEvent[]
   readonly workers: Map<string, FakeRunWorker>
   addWorker (life: Partial<WorkerIncarnation> & { id: string }): FakeRunWorker
+  /** Most ends in one reply to a poll; the others are listed once these are acknowledged. */
+  endsPerReply: number
   /** Time from a stop order to the end of the run, ms. */
   stopMs: number
   /** Time from a late order to its execution, ms. */
@@ -65,6 +67,7 @@
     events,
     workers,
     onMaintenance: () => {},
+    endsPerReply: Infinity,
     stopMs: 0,
     lateMs: 3000,
     approved: () => true,
@@ -85,7 +88,7 @@
     measure: (task, running) => running.get(task)?.reading,
     addWorker: (partial) => {
       const life = { ...DEFAULT_INCARNATION, ...partial }
-      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
+      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, getEndsPerReply: () => fleet.endsPerReply, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
       const worker: FakeRunWorker = {
         life,
         running: state.running,
@@ -145,6 +148,7 @@
   leaseUntil: number
   ends: RunEnd[]
   lastEnd: number
+  getEndsPerReply (): number
   getStopMs (): number
   plan (task: string): RunPlan
   measure: FakeRunFleet['measure']
@@ -228,5 +232,6 @@
     percent: plan.result === 'never' ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)),
     reading: state.measure(task, state.running, clock.now())
   }))
-  return Ok({ clock: clock.now(), running, ends: [...state.ends] })
+  const ends = state.ends.slice(0, state.getEndsPerReply())
+  return Ok({ clock: clock.now(), running, ends, ...ends.length >= state.getEndsPerReply() && { hasMoreEnds: true } })
 }
--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -93,3 +93,11 @@
   const finished = [[58, 'a.0.0.3', 1, 'done', ''], [59, 'a.0.0.4', 'one', 'done', ''], [60, 'a.0.0.5', 1, 'done', '']]
   expect(decodePollReply({ clockMs: 5, running: [], finished }).ok).toBe(false)
 })
+
+// Guards against runs that count as lost although their ends follow in a later part of the list.
+test('a reply with as many ends as a worker lists at a time may be followed by more', () => {
+  const decode = (ends: number): boolean | undefined => decodePollReply({
+    clockMs: 5, running: [], finished: Array.from({ length: ends }, (_, index) => [index + 1, `a.0.0.${index}`, 1, 'done', ''])
+  }).unwrap().hasMoreEnds
+  expect([decode(499), decode(500)]).toEqual([undefined, true])
+})
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -242,3 +242,22 @@
   expect(orderedAt.filter((at) => at > drainedAt + 100)).toEqual([])
   expect(scene.log.state().workflows.workflows.x?.outcome).toBe('completed')
 })
+
+// Guards against tasks that run again although they have succeeded, while their worker lists its ends in parts.
+test.each(['w1', 'w2'])('the tasks of a worker that was cut off while they ended are not started again before all ends are listed (%s)', async (cutOff) => {
+  const scene = await createScene(['w1', 'w2'])
+  scene.fleet.endsPerReply = 10
+  scene.fleet.plan = (task) => ({ runMs: task.startsWith('long') ? 5800 : 4000 + 20 * (Number(task.split('.').at(-1)) % 50), result: 'succeeded' })
+  await scene.submit('long', [{ count: 4, cores: 0.1, memoryMb: 10 }])
+  await scene.submit('short', [{ count: 300, cores: 0.1, memoryMb: 10 }])
+  await scene.run(3000)
+  const worker = scene.fleet.workers.get(cutOff)
+  const started = worker?.running.size ?? 0
+  if (worker !== undefined) worker.reachable = false
+  await scene.run(3500)
+  if (worker !== undefined) worker.reachable = true
+  await scene.run(6000)
+  const repeated = scene.listEvents('started').filter(({ attempt }) => attempt > 1)
+  const lapsed = scene.listEvents('ended').filter(({ cause }) => cause === 'lease-expired')
+  expect([started > 100, getOutcome(scene, 'long'), getOutcome(scene, 'short'), lapsed, repeated]).toEqual([true, 'completed', 'completed', [], []])
+})
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -390,3 +390,26 @@
   await sessionAssigner.update()
   expect(proposed).toEqual([])
 })
+
+// Guards against a task that runs twice, because its run is missing in the list of its worker only since its row is damaged.
+test('a stopped run whose row cannot be read is not released before its end is listed', async () => {
+  let isDamaged = false
+  const hosts = await createHosts(HOSTS, WORKERS, (_clock, client) => ({
+    ...client,
+    poll: async (...call) => {
+      const reply = await client.poll(...call)
+      return !isDamaged || !reply.ok ? reply : Ok({ ...reply.val, running: [], unreadableRuns: reply.val.running.length })
+    }
+  }))
+  hosts.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  hosts.fleet.stopMs = 4000
+  hosts.submit('x', [{ count: 24, cores: 1, lasting: true }])
+  await hosts.clock.advance(2000)
+  isDamaged = true
+  const life = hosts.log.state().workflows.workers.w1?.life
+  if (life !== undefined) hosts.propose({ kind: 'life.report', life: { ...life, draining: true } })
+  await hosts.clock.advance(8000)
+  const stopped = hosts.fleet.events.filter(({ kind, cause }) => kind === 'ended' && cause === 'stopped')
+  expect({ stopped: stopped.length > 0, doubled: listDoubled(hosts.fleet.events) }).toEqual({ stopped: true, doubled: [] })
+  await hosts.stop()
+})
