Attribute failures to the work or to the worker before a worker is paused

Six of six accepted jobs had no run 14 s later, while no core was in use.

Cause: each failed run counted against its worker, whatever the work. Nine tasks of one job paused each worker for 30 s.

Change: a failure counts in full only if the step has succeeded on some worker. Work that never succeeded counts once for each workflow, while it has failed on one worker only. A step that has failed on a worker is placed on others first, so that a faulty worker does not use up the attempts of a task.

Evidence: two tests of runs.test.ts fail on: the other workflow is not completed, and workflows fail on one faulty worker of three. All pass now, with four tests of the attribution.

--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -5,6 +5,7 @@
 import { canHold, chooseWorker, findBest, REMOTE_DATA_PENALTY, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import type { WaitingGroup } from './plan.js'
 import type { InterferenceModel } from './interferenceModel.js'
+import type { WorkerHealth } from './workerHealth.js'
 
 /**
  * Share of a pool's cores that new long-running tasks leave free for short urgent tasks, unless the group is starved and
@@ -14,7 +15,7 @@
 /** Distance between the samples of two consecutive tasks, so that the tasks of a group are spread over all workers. */
 const SAMPLE_STRIDE = SAMPLE_SIZE + 5
 
-export interface GroupOptions { clock: Clock, interferenceModel: InterferenceModel, advisor: Advisor }
+export interface GroupOptions { clock: Clock, interferenceModel: InterferenceModel, advisor: Advisor, health: WorkerHealth }
 
 export interface GroupSearch {
   /** All workers of the service. */
@@ -52,7 +53,7 @@
     acceptsExcessLoad: isStarved
   }
   // Filtering once is enough, as capacity only shrinks while the group is placed.
-  const eligible = listEligible(options, group, workers, stepName).filter((worker) => canHold(worker, needs))
+  const eligible = selectUntried(options, group, listEligible(options, group, workers, stepName).filter((worker) => canHold(worker, needs)), needs)
   if (eligible.length === 0 || (step.gang && !canHoldTimes(eligible, needs, indexes.length))) return []
   const gangAttempt = step.gang ? 1 + indexes.reduce((latest, index) => Math.max(latest, findAttempt(group, index)), 0) : 1
   const dataLocal = step.dataRack === undefined ? [] : eligible.filter(({ labels }) => labels.includes(step.dataRack as string))
@@ -136,6 +137,17 @@
   return [...racks.values()].find((rackWorkers) => canHoldTimes(rackWorkers, { step, countStepRuns: () => 0 }, indexes.length)) ?? allowed
 }
 
+/**
+ * Leaves out the workers on which tasks of the step have failed, if others have capacity: the worker may be the cause, and a task
+ * fails its workflow after some attempts. Long-running tasks are restarted any number of times.
+ */
+function selectUntried ({ health }: GroupOptions, { record, stepNumber, step, indexes }: WaitingGroup, workers: readonly PlacementCandidate[], needs: Pick<PlacementNeeds, 'step' | 'countStepRuns'>): readonly PlacementCandidate[] {
+  const failedOn = health.listFailedOn(record.workflow.id, stepNumber)
+  if (step.lasting || failedOn.size === 0) return workers
+  const untried = workers.filter(({ id }) => !failedOn.has(id))
+  return untried.length > 0 && (!step.gang || canHoldTimes(untried, needs, indexes.length)) ? untried : workers
+}
+
 /** True when the pool keeps the reserve for short tasks after one more task of the step. */
 function canKeepReserve (workers: readonly PlacementCandidate[], step: Step): boolean {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -94,7 +94,7 @@
     if (views.findRun(worker, task, attempt) === undefined || number === 0) return
     metrics.count('run.ended', 1, { cause })
     logger.info('run.end', { task, attempt, worker, number, cause })
-    health.recordEnd(worker, cause)
+    health.recordEnd(worker, task, cause)
   }
 
   const recordEnds = ({ worker, bornAt, ends }: WorkerRunEnds): void => {
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -1,10 +1,11 @@
 import type { Clock, Logger } from '../../common/index.js'
 import { getStepName, type EndCause, type Step } from '../../state/index.js'
+import { createFailureAttribution } from './failureAttribution.js'
 import type { PollReply } from './orders.js'
 import type { WorkerView } from './sessionState.js'
 import { NO_CAPACITY_PAUSE_MS, POLL_WAIT_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
 
-/** A worker is paused after this many failures in a row; a tenth of the tasks may fail through their own fault. */
+/** A worker is paused after this many failures in a row that count against it. */
 const FAILURES_BEFORE_PAUSE = 3
 const FIRST_PAUSE_MS = 2000
 const MAX_PAUSE_MS = 30_000
@@ -27,8 +28,6 @@
 const MAX_KNOWN_STEPS = 2000
 
 interface Health {
-  /** Failures in a row. */
-  failures: number
   /** Length of the next pause after failures; doubles each time. */
   pauseMs: number
   pausedUntil: number
@@ -41,7 +40,9 @@
   /** True while the worker gets no new tasks. */
   isPaused (worker: string): boolean
   getSlowness (worker: string): number
-  recordEnd (worker: string, cause: EndCause): void
+  recordEnd (worker: string, task: string, cause: EndCause): void
+  /** Workers on which tasks of a step have failed. */
+  listFailedOn (workflow: string, step: number): ReadonlySet<string>
   recordRefusal (worker: string, reason: string): void
   observeRuns (session: WorkerView, reply: Pick<PollReply, 'running' | 'ends'>, findStep: (task: string) => Step | undefined): void
   /** Stalled tasks on a worker; pauses the worker if there are any. */
@@ -55,13 +56,14 @@
 
 export function createWorkerHealth ({ clock, logger }: { clock: Clock, logger: Logger }): WorkerHealth {
   const known = new Map<string, Health>()
+  const failures = createFailureAttribution()
   /** Average progress of the tasks of a step over all workers, in percent per millisecond. */
   const stepRates = new Map<string, number>()
 
   const getHealth = (worker: string): Health => {
     const existing = known.get(worker)
     if (existing !== undefined) return existing
-    const created: Health = { failures: 0, pauseMs: FIRST_PAUSE_MS, pausedUntil: -Infinity, slowness: 1 }
+    const created: Health = { pauseMs: FIRST_PAUSE_MS, pausedUntil: -Infinity, slowness: 1 }
     known.set(worker, created)
     return created
   }
@@ -71,24 +73,28 @@
     const until = clock.now() + ms
     if (until <= health.pausedUntil) return
     health.pausedUntil = until
-    logger.info('worker.paused', { worker, reason, ms, failures: health.failures })
+    logger.info('worker.paused', { worker, reason, ms, failures: failures.countFailures(worker) })
   }
 
   return {
     isPaused: (worker) => (known.get(worker)?.pausedUntil ?? -Infinity) > clock.now(),
     getSlowness: (worker) => known.get(worker)?.slowness ?? 1,
-    recordEnd: (worker, cause) => {
+    recordEnd: (worker, task, cause) => {
       const health = getHealth(worker)
       if (cause === 'succeeded') {
-        health.failures = 0
+        failures.recordSuccess(worker, task)
         health.pauseMs = FIRST_PAUSE_MS
       }
       if (cause !== 'failed') return
-      health.failures += 1
-      if (health.failures < FAILURES_BEFORE_PAUSE) return
+      const before = failures.countFailures(worker)
+      failures.recordFailure(worker, task)
+      const counted = failures.countFailures(worker)
+      // A failure that does not count against the worker does not pause it, whatever has failed there before.
+      if (counted <= before || counted < FAILURES_BEFORE_PAUSE) return
       pause(worker, health.pauseMs, 'failures')
       health.pauseMs = Math.min(MAX_PAUSE_MS, health.pauseMs * 2)
     },
+    listFailedOn: failures.listFailedOn,
     recordRefusal: (worker, reason) => {
       const ms = REFUSAL_PAUSE_MS[reason]
       if (ms !== undefined) pause(worker, ms, reason)
@@ -139,6 +145,9 @@
       if (tasks.length > 0) pause(session.worker, STALL_PAUSE_MS, 'standstill')
       return tasks
     },
-    reset: (worker) => { known.delete(worker) }
+    reset: (worker) => {
+      known.delete(worker)
+      failures.reset(worker)
+    }
   }
 }
--- a/test/workflows/groups.test.ts
+++ b/test/workflows/groups.test.ts
@@ -31,7 +31,8 @@
 const OPTIONS = {
   clock: createManualClock(0),
   interferenceModel: { estimateExcessLoad: (_latencyCritical: unknown, bestEffort: unknown[]) => bestEffort.length > 1 ? 1 : -1, isTrialBlocked: () => false, recordTrialStart: () => {}, estimateUtilization: () => 0.5 },
-  advisor: { request: () => {}, findTicket: () => undefined }
+  advisor: { request: () => {}, findTicket: () => undefined },
+  health: { listFailedOn: () => new Set() }
 } as unknown as GroupOptions
 
 function place (group: WaitingGroup, workers: PlacementCandidate[], isStarved = false): string[] {
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -261,3 +261,26 @@
   const lapsed = scene.listEvents('ended').filter(({ cause }) => cause === 'lease-expired')
   expect([started > 100, getOutcome(scene, 'long'), getOutcome(scene, 'short'), lapsed, repeated]).toEqual([true, 'completed', 'completed', [], []])
 })
+
+// Guards against a workflow that cannot be done and stops the starts of all others.
+test('other workflows start while one that cannot be done fails on all workers', async () => {
+  const scene = await createScene(['w1', 'w2', 'w3', 'w4'])
+  scene.fleet.plan = (task) => ({ runMs: 1000, result: task.startsWith('poison') ? 'failed' : 'succeeded' })
+  await scene.submit('poison', [{ count: 36 }])
+  await scene.run(1500)
+  await scene.submit('a1', [{ count: 6 }])
+  await scene.run(3000)
+  expect([getOutcome(scene, 'poison'), getOutcome(scene, 'a1')]).toEqual(['failed', 'completed'])
+})
+
+// Guards against a task that uses up its attempts on one faulty worker although others are free.
+test('a task that has failed on a worker is tried on another one', async () => {
+  const scene = await createScene(['w1', 'w2', 'w3'])
+  scene.fleet.plan = (_task, worker) => ({ runMs: 200, result: worker === 'w1' ? 'failed' : 'succeeded' })
+  for (let number = 0; number < 20; number += 1) {
+    await scene.submit(`a${number}`, [{ count: 3 }])
+    await scene.run(300)
+  }
+  await scene.run(2000)
+  expect(Array.from({ length: 20 }, (_, number) => getOutcome(scene, `a${number}`)).filter((outcome) => outcome !== 'completed')).toEqual([])
+})
--- a/test/workflows/workerHealth.test.ts
+++ b/test/workflows/workerHealth.test.ts
@@ -74,3 +74,40 @@
   await runReports(scene, 6, () => 10)
   expect([scene.listStopped(), scene.health.isPaused('w1')]).toEqual([['x.0.0.0'], true])
 })
+
+/** Pauses of workers after the given ends of runs. */
+function listPaused (workers: string[], ends: Array<[worker: string, task: string, cause: 'succeeded' | 'failed']>): string[] {
+  const health = createWorkerHealth({ clock: createManualClock(0), logger: createSilentLogger() })
+  ends.forEach(([worker, task, cause]) => health.recordEnd(worker, task, cause))
+  return workers.filter((worker) => health.isPaused(worker))
+}
+
+function createFailures (worker: string, workflow: string, count: number): Array<[string, string, 'failed']> {
+  return Array.from({ length: count }, (_, index) => [worker, `${workflow}.0.0.${index}`, 'failed'])
+}
+
+// Guards against a workflow that cannot be done and stops the starts of all others, because every worker on which it fails is
+// paused.
+test('the failures of one workflow pause no worker, one after the other or on all workers at once', () => {
+  const workers = ['w1', 'w2', 'w3', 'w4']
+  const spread = workers.flatMap((worker) => createFailures(worker, 'poison', 9))
+  const alone = createFailures('w1', 'poison', 40)
+  const steps = Array.from({ length: 6 }, (_, step): [string, string, 'failed'] => ['w1', `poison.0.${step}.0`, 'failed'])
+  expect([listPaused(workers, spread), listPaused(workers, alone), listPaused(workers, steps)]).toEqual([[], [], []])
+})
+
+test('workflows that fail on several workers do not add up to a pause', () => {
+  const workers = ['w1', 'w2']
+  expect(listPaused(workers, ['a', 'b', 'c', 'd', 'e'].flatMap((workflow) => [...createFailures('w1', workflow, 3), ...createFailures('w2', workflow, 3)]).sort(([, a], [, b]) => a < b ? -1 : 1))).toEqual([])
+})
+
+// Guards against a worker on which everything fails and that goes on receiving tasks, which fail their workflows.
+test('a worker on which several workflows fail, or work that succeeds elsewhere, is paused', () => {
+  const several = ['a', 'b', 'c'].flatMap((workflow) => createFailures('w1', workflow, 1))
+  const sound: Array<[string, string, 'succeeded']> = [['w2', 'a.0.0.9', 'succeeded']]
+  expect([listPaused(['w1', 'w2'], several), listPaused(['w1', 'w2'], [...sound, ...createFailures('w1', 'a', 3)])]).toEqual([['w1'], ['w1']])
+})
+
+test('failures before a success of the worker do not count', () => {
+  expect(listPaused(['w1'], [...createFailures('w1', 'a', 1), ...createFailures('w1', 'b', 1), ['w1', 'c.0.0.0', 'succeeded'], ...createFailures('w1', 'd', 1), ...createFailures('w1', 'e', 1)])).toEqual([])
+})
