Delay a step whose starts are refused, and charge the refusal to the work

Cause: a start that a worker refuses as invalid paused the worker, whatever the work, and the step was ordered again at once. One job that no worker accepts kept pausing all of them.

Change: the refusal is attributed like a failed run. Steps whose starts are refused because of the order wait from 0.1 s to 2 s, doubled with each round, until a start is accepted.

Evidence: the test in sessionFaults.test.ts fails on (more than 96 orders for eight tasks in 15 s) and passes now.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -5,10 +5,11 @@
 import { findWorkerToReserve, placeOnWorkers, type GroupOptions } from './groups.js'
 import { drainWorkers, observeInterference, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
-import { compareGroups, getLateness } from './plan.js'
+import { compareGroups, getLateness, type WaitingGroup } from './plan.js'
 import { createCompetingDemand } from './competingDemand.js'
 import type { WorkerView } from './sessionState.js'
 import type { Signal } from './signal.js'
+import type { StartBackoff } from './startBackoff.js'
 import { createWaitingIndex, type TrackedGroup } from './waiting.js'
 
 /** Minimum pause between scheduling passes, so that a burst of changes is handled by one pass. */
@@ -45,6 +46,7 @@
   logger: Logger
   metrics: Metrics
   work: EventLoopMeter
+  startBackoff: StartBackoff
   isActive (): boolean
   /** Resolves when the assignments are committed or rejected, or when the attempt has timed out with an unknown outcome. */
   assign (assignments: Assignment[]): Promise<void>
@@ -165,24 +167,32 @@
     return Math.max(progress.blockedUntil, exhaustedUntil.get(equivalenceClass ?? '') ?? -Infinity)
   }
 
+  const isExhausted = (equivalenceClass: string | undefined, exhausted: ReadonlySet<string>): boolean => equivalenceClass !== undefined && exhausted.has(equivalenceClass)
+  const recordPlaced = (tracked: TrackedGroup): void => {
+    const { group, progress } = tracked
+    options.startBackoff.recordPlacement(getName(group))
+    if (progress.isStarved) recordStarved(tracked)
+    // One task started despite excess load is enough for the workflow to progress.
+    if (!group.step.lasting) progress.isStarved = false
+  }
+  const getName = ({ record, occurrence, stepNumber }: WaitingGroup): string => formatStepName(record.workflow.id, occurrence, stepNumber)
+
   const placeTracked = (tracked: TrackedGroup, pool: Pool, { now, getCompetingDemand, exhausted }: Pass): Assignment[] => {
     const { group, progress, hasWorkerLimit } = tracked
     const { isStarved } = progress
     // A starved group accepts workers that the other groups of its equivalence class do not.
     const equivalenceClass = isStarved ? undefined : tracked.equivalenceClass
     progress.isBlocked = true
-    if (equivalenceClass !== undefined && exhausted.has(equivalenceClass)) return []
+    if (isExhausted(equivalenceClass, exhausted) || options.startBackoff.isDelayed(getName(group))) return []
     const triesOnlyFreed = getRetryAt(tracked, equivalenceClass) > now
     offset += SAMPLE_SIZE
     const placed = placeOnWorkers(options, group, { pool: pool.workers, workers: triesOnlyFreed ? pool.freed : pool.workers, getCompetingDemand, isStarved, offset })
-    if (isStarved && placed.length > 0) recordStarved(tracked)
-    // One task started despite excess load is enough for the workflow to progress.
-    if (placed.length > 0 && !group.step.lasting) progress.isStarved = false
+    if (placed.length > 0) recordPlaced(tracked)
     progress.isBlocked = placed.length < group.indexes.length
-    const isExhausted = progress.isBlocked && !triesOnlyFreed
-    if (isExhausted) progress.blockedUntil = now + BLOCKED_RETRY_MS
+    const hasTriedAll = progress.isBlocked && !triesOnlyFreed
+    if (hasTriedAll) progress.blockedUntil = now + BLOCKED_RETRY_MS
     if (equivalenceClass === undefined || hasWorkerLimit) return placed
-    if (isExhausted) exhaustedUntil.set(equivalenceClass, progress.blockedUntil)
+    if (hasTriedAll) exhaustedUntil.set(equivalenceClass, progress.blockedUntil)
     if (progress.isBlocked) exhausted.add(equivalenceClass)
     else exhaustedUntil.delete(equivalenceClass)
     return placed
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -10,11 +10,15 @@
 import type { RunView, WorkerView } from './sessionState.js'
 import type { InterferenceModel } from './interferenceModel.js'
 import { createSignal } from './signal.js'
+import { createStartBackoff } from './startBackoff.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, MAX_AUTHORITY_AGE_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startMaintenance, type HostClient } from './hostMaintenance.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
 
+/** Reasons for which workers refuse a start because of the order, not of their own state. */
+const REFUSALS_OF_WORK: ReadonlySet<string> = new Set(['invalid', 'no-ticket'])
+
 export interface TermOptions {
   clock: Clock
   logger: Logger
@@ -51,6 +55,7 @@
 export function startTerm (options: TermOptions): Term {
   const { clock, logger, log, fence, metrics } = options
   const health = createWorkerHealth({ clock, logger })
+  const startBackoff = createStartBackoff({ clock })
   const stopping = new AbortController()
   let authorityAt = clock.now()
   const jumpDetector = createClockJumpDetector(clock)
@@ -122,7 +127,8 @@
   }
 
   const observeRefusal = ([worker, task, , reason]: ReportedRefusal): void => {
-    health.recordRefusal(worker, reason)
+    health.recordRefusal(worker, task, reason)
+    if (REFUSALS_OF_WORK.has(reason)) startBackoff.recordRefusal(task)
     if (reason === 'no-ticket') advisor.dropTicket(getStepName(task), worker)
   }
 
@@ -139,7 +145,10 @@
     if (request.isLeaving) sessionAssigner.update()
     options.work.measure('term.reports', () => {
       request.reports.forEach((report) => observeReport(from, report))
-      request.started.forEach(([worker, task, attempt]) => views.recordStart(worker, task, attempt))
+      request.started.forEach(([worker, task, attempt]) => {
+        startBackoff.recordStart(task)
+        views.recordStart(worker, task, attempt)
+      })
       request.refused.forEach(observeRefusal)
     })
     if (request.appliedIndex < replicaLag.getRequiredIndex(from, request.process)) return { kind: 'behind' }
@@ -245,6 +254,7 @@
     health,
     interferenceModel: options.interferenceModel,
     advisor,
+    startBackoff,
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -30,7 +30,7 @@
 export const PROPOSE_TIMEOUT_MS = 3000
 /** A worker that refused a start for lack of capacity is paused for this long. */
 export const NO_CAPACITY_PAUSE_MS = 500
-/** A worker that refused a start as unhealthy or invalid, or answered none of the tries, is paused for this long. */
+/** A worker that refused a start as unhealthy, or answered none of the tries, is paused for this long. */
 export const UNHEALTHY_PAUSE_MS = 2000
 /** Time for which a worker gets no polls before another session host takes it over: the leader changes the session assignment after 1.4 s, and the log entry has to be committed. */
 export const WORKER_HANDOVER_MS = 1500
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -43,7 +43,7 @@
   recordEnd (worker: string, task: string, cause: EndCause): void
   /** Workers on which tasks of a step have failed. */
   listFailedOn (workflow: string, step: number): ReadonlySet<string>
-  recordRefusal (worker: string, reason: string): void
+  recordRefusal (worker: string, task: string, reason: string): void
   observeRuns (session: WorkerView, reply: Pick<PollReply, 'running' | 'ends'>, findStep: (task: string) => Step | undefined): void
   /** Stalled tasks on a worker; pauses the worker if there are any. */
   listStalled (session: WorkerView, findStep: (task: string) => Step | undefined): string[]
@@ -52,7 +52,7 @@
   reset (worker: string): void
 }
 
-const REFUSAL_PAUSE_MS: Record<string, number> = { 'no-room': NO_CAPACITY_PAUSE_MS, unhealthy: UNHEALTHY_PAUSE_MS, invalid: UNHEALTHY_PAUSE_MS, 'no-answer': UNHEALTHY_PAUSE_MS }
+const REFUSAL_PAUSE_MS: Record<string, number> = { 'no-room': NO_CAPACITY_PAUSE_MS, unhealthy: UNHEALTHY_PAUSE_MS, 'no-answer': UNHEALTHY_PAUSE_MS }
 
 export function createWorkerHealth ({ clock, logger }: { clock: Clock, logger: Logger }): WorkerHealth {
   const known = new Map<string, Health>()
@@ -76,26 +76,30 @@
     logger.info('worker.paused', { worker, reason, ms, failures: failures.countFailures(worker) })
   }
 
+  const recordFailure = (worker: string, task: string, reason: string): void => {
+    const health = getHealth(worker)
+    const before = failures.countFailures(worker)
+    failures.recordFailure(worker, task)
+    const counted = failures.countFailures(worker)
+    // A failure that does not count against the worker does not pause it, whatever has failed there before.
+    if (counted <= before || counted < FAILURES_BEFORE_PAUSE) return
+    pause(worker, health.pauseMs, reason)
+    health.pauseMs = Math.min(MAX_PAUSE_MS, health.pauseMs * 2)
+  }
+
   return {
     isPaused: (worker) => (known.get(worker)?.pausedUntil ?? -Infinity) > clock.now(),
     getSlowness: (worker) => known.get(worker)?.slowness ?? 1,
     recordEnd: (worker, task, cause) => {
-      const health = getHealth(worker)
-      if (cause === 'succeeded') {
-        failures.recordSuccess(worker, task)
-        health.pauseMs = FIRST_PAUSE_MS
-      }
-      if (cause !== 'failed') return
-      const before = failures.countFailures(worker)
-      failures.recordFailure(worker, task)
-      const counted = failures.countFailures(worker)
-      // A failure that does not count against the worker does not pause it, whatever has failed there before.
-      if (counted <= before || counted < FAILURES_BEFORE_PAUSE) return
-      pause(worker, health.pauseMs, 'failures')
-      health.pauseMs = Math.min(MAX_PAUSE_MS, health.pauseMs * 2)
+      if (cause === 'failed') recordFailure(worker, task, 'failures')
+      if (cause !== 'succeeded') return
+      failures.recordSuccess(worker, task)
+      getHealth(worker).pauseMs = FIRST_PAUSE_MS
     },
     listFailedOn: failures.listFailedOn,
-    recordRefusal: (worker, reason) => {
+    recordRefusal: (worker, task, reason) => {
+      // The order may be invalid because of the work, and is then refused by every worker.
+      if (reason === 'invalid') return recordFailure(worker, task, reason)
       const ms = REFUSAL_PAUSE_MS[reason]
       if (ms !== undefined) pause(worker, ms, reason)
     },
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -3,6 +3,7 @@
 import { createRun, createSession, type Session, type SessionContext } from '../coordination/workflows/sessionState.js'
 import { createInterferenceModel } from '../coordination/workflows/interferenceModel.js'
 import { createSignal } from '../coordination/workflows/signal.js'
+import { createStartBackoff } from '../coordination/workflows/startBackoff.js'
 import { createWorkerHealth } from '../coordination/workflows/workerHealth.js'
 import { createWorkflowsState, getStepName, parseTaskName, workflowHandlers, type Assignment, type Step, type WorkflowsState } from '../state/index.js'
 
@@ -175,6 +176,7 @@
     health: createWorkerHealth({ clock, logger }),
     interferenceModel,
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
+    startBackoff: createStartBackoff({ clock }),
     getState: () => state,
     isActive: () => true,
     assign: async (assignments) => {
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -413,3 +413,27 @@
   expect({ stopped: stopped.length > 0, doubled: listDoubled(hosts.fleet.events) }).toEqual({ stopped: true, doubled: [] })
   await hosts.stop()
 })
+
+// Guards against one workflow whose start orders no worker accepts: each refusal paused the worker, so that nothing else started,
+// and the orders were repeated as fast as they were refused.
+test('a workflow that every worker refuses as invalid delays itself and no other', async () => {
+  let refused = 0
+  const hosts = await createHosts(HOSTS, 4, (clock, client) => ({
+    ...client,
+    start: async (life, order, deadline) => {
+      if (!order.task.startsWith('poison')) return client.start(life, order, deadline)
+      refused += 1
+      await clock.sleep(1)
+      return Err({ kind: 'refused', reason: 'invalid', clock: clock.now() })
+    }
+  }))
+  hosts.submit('poison', [{ count: 8, cores: 1 }])
+  await hosts.clock.advance(1000)
+  hosts.submit('x', [{ count: 8, cores: 1 }])
+  await hosts.clock.advance(3000)
+  const outcome = hosts.log.state().workflows.workflows.x?.outcome
+  await hosts.clock.advance(11_000)
+  // Two rounds of eight orders before the leader knows of the refusals, and one after each delay of 0.1 s to 2 s: ten in 15 s.
+  expect([outcome, refused > 0, refused <= 12 * 8]).toEqual(['completed', true, true])
+  await hosts.stop()
+})
