Judge by the known progress of its work whether a run stands still

Cause: a run counted as stalled after 2.5 s without a change of its percent, whatever its duration, and paused its worker.

Change: the allowed time follows from the progress seen of the same step, or from the estimate with a wide margin, or there is none if nothing is known. A worker is paused only if none of its runs makes progress.

--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -3,15 +3,14 @@
 import { createFailureAttribution } from './failureAttribution.js'
 import type { PollReply } from './orders.js'
 import type { WorkerView } from './sessionState.js'
+import { createStallDetector } from './stallDetector.js'
 import { NO_CAPACITY_PAUSE_MS, POLL_WAIT_MS, UNHEALTHY_PAUSE_MS } from './timing.js'
 
 /** A worker is paused after this many failures in a row that count against it. */
 const FAILURES_BEFORE_PAUSE = 3
 const FIRST_PAUSE_MS = 2000
 const MAX_PAUSE_MS = 30_000
-/** A run counts as stalled after this time without progress; the longest step of the reference loads reports progress well within it. */
-const STALL_TIMEOUT_MS = 2500
-/** A worker with a stalled run is paused for this long. */
+/** A worker whose runs stand still is paused for this long. */
 const STALL_PAUSE_MS = 5000
 /** Weight of a new reading in the moving averages of progress rates and slowness. */
 const SPEED_WEIGHT = 0.3
@@ -45,7 +44,7 @@
   listFailedOn (workflow: string, step: number): ReadonlySet<string>
   recordRefusal (worker: string, task: string, reason: string): void
   observeRuns (session: WorkerView, reply: Pick<PollReply, 'running' | 'ends'>, findStep: (task: string) => Step | undefined): void
-  /** Stalled tasks on a worker; pauses the worker if there are any. */
+  /** Stalled tasks on a worker; pauses the worker if none of its tasks makes progress. */
   listStalled (session: WorkerView, findStep: (task: string) => Step | undefined): string[]
   /** Tasks on a slow worker that would end sooner if they were restarted, or resumed from a checkpoint, on a worker of average speed. */
   listSlow (session: WorkerView, findStep: (task: string) => Step | undefined): string[]
@@ -57,6 +56,7 @@
 export function createWorkerHealth ({ clock, logger }: { clock: Clock, logger: Logger }): WorkerHealth {
   const known = new Map<string, Health>()
   const failures = createFailureAttribution()
+  const stallDetector = createStallDetector()
   /** Average progress of the tasks of a step over all workers, in percent per millisecond. */
   const stepRates = new Map<string, number>()
 
@@ -109,7 +109,9 @@
       const ended = reply.ends.filter(([, , , cause]) => cause === 'succeeded').map(([, task, attempt]) => ({ task, attempt, percent: 100 }))
       const statuses = [...reply.running, ...ended]
       statuses.forEach(({ task, attempt, percent }) => {
-        const confirmedAt = session.runs.get(task)?.confirmedAt
+        const run = session.runs.get(task)
+        if (run?.attempt === attempt) stallDetector.observeProgress(run, percent, session.readAt)
+        const confirmedAt = run?.confirmedAt
         // Counts up to the reading: a report that comes late would otherwise make a sound worker look slow.
         const elapsedMs = confirmedAt === undefined ? 0 : (percent === 100 ? clock.now() : session.readAt) - confirmedAt
         // The progress of a run that resumes from a checkpoint includes that of its earlier attempts.
@@ -141,12 +143,8 @@
       }).map(({ task }) => task)
     },
     listStalled: (session, findStep) => {
-      // Counts up to the last reading, as nothing is known of the time since then.
-      const tasks = [...session.runs.values()]
-        .filter((run) => run.confirmedAt !== undefined && run.stopReason === undefined && run.status !== undefined && session.readAt - run.progressAt > STALL_TIMEOUT_MS)
-        .filter((run) => run.status?.percent !== 100 && findStep(run.task)?.lasting !== true)
-        .map((run) => run.task)
-      if (tasks.length > 0) pause(session.worker, STALL_PAUSE_MS, 'standstill')
+      const { tasks, isWorkerStill } = stallDetector.findStall(session, findStep)
+      if (isWorkerStill) pause(session.worker, STALL_PAUSE_MS, 'standstill')
       return tasks
     },
     reset: (worker) => {
