--- a/test/platform/standIn.ts
+++ b/test/platform/standIn.ts
@@ -68,8 +68,12 @@
   })
 }
 
-export async function post (url: string, body: object, headers: Record<string, string> = {}): Promise<number> {
-  const reply = await request(url, { method: 'POST', headers: { 'content-type': 'application/json', ...headers }, body: JSON.stringify(body), signal: AbortSignal.timeout(5000) })
+export function post (url: string, body: object, headers: Record<string, string> = {}): Promise<number> {
+  return postText(url, JSON.stringify(body), headers)
+}
+
+export async function postText (url: string, body: string, headers: Record<string, string> = {}): Promise<number> {
+  const reply = await request(url, { method: 'POST', headers: { 'content-type': 'application/json', ...headers }, body, signal: AbortSignal.timeout(5000) })
   await reply.body.dump()
   return reply.statusCode
 }
--- a/test/platform/wholePath.test.ts
+++ b/test/platform/wholePath.test.ts
@@ -5,7 +5,7 @@
 import { request } from 'undici'
 import { startEntry, startVoter, type RunningProcess } from '../../platform/programs.js'
 import type { ProcessSettings } from '../../platform/settings.js'
-import { get, openStandInWorker, post, sendHeartbeat, type StandInWorker } from './standIn.js'
+import { get, openStandInWorker, post, postText, sendHeartbeat, type StandInWorker } from './standIn.js'
 
 const VOTERS = ['127.0.0.11', '127.0.0.12', '127.0.0.13']
 const ENTRY = '127.0.0.14'
@@ -78,6 +78,29 @@
   expect((await get(`http://${ENTRY}:${METRICS_PORT}/metrics`)).text).toContain('sequoiadrift_http_request_ms_bucket')
 })
 
+// Guards against an odd entry of another writer that ends the processes that read it, or hides the workers.
+test('odd entries among those of the workers change nothing', async () => {
+  const { address = '', born = 0, started = [] } = worker.current ?? {}
+  const entry = { service: 'desk', address, zone: 'a', state: 'ready', born: born + 1, capacity: { cpu: 16000, memMb: 32768 }, labels: ['a', 'r1'] }
+  const before = started.length
+  const nested = `${'['.repeat(500_000)}${']'.repeat(500_000)}`
+  const statuses = []
+  for (const text of [
+    nested,
+    JSON.stringify({ ...entry, labels: 0 }).replace('"labels":0', `"labels":${nested}`),
+    JSON.stringify({ ...entry, born: 0 }).replace('"born":0', '"born":1e999'),
+    JSON.stringify({ ...entry, born: Number.MAX_SAFE_INTEGER }),
+    JSON.stringify({ ...entry, address: `${WORKER_HOST}:99999` }),
+    JSON.stringify({ ...entry, capacity: { cpu: 1e308, memMb: 1e308 } })
+  ]) {
+    for (const id of ['i-1', 'i-odd']) statuses.push(await postText(`http://${VOTERS[0]}:${CONTROL_PORT}/instances/${id}/heartbeat`, text))
+  }
+  expect(statuses.filter((status) => status !== 400)).toEqual([])
+  expect(await post(`${CLIENTS}/quotes/00000000000000e1`, { spec: 'x', phases: [{ count: 2, cpu: 500, memMb: 256, estimateMs: 200 }] }, HOST)).toBe(200)
+  await waitFor('the end', async () => await getState('00000000000000e1') === '{"state":"completed"}')
+  expect(started.length - before).toBe(2)
+})
+
 test('a cancelled job is reported as cancelled', async () => {
   await post(`${CLIENTS}/quotes/00000000000000b1`, { spec: 'x', phases: [{ count: 1, cpu: 500, longRunning: true }] }, HOST)
   await waitFor('the start', async () => worker.current?.started.includes('00000000000000b1.0.0.0') === true)
--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -47,6 +47,18 @@
   expect(broken.map((body) => decodeHeartbeat('i-1', body, 0).ok)).toEqual([false, false, false, false])
 })
 
+// Guards against an odd entry among those of the workers that replaces a real worker, whose tasks would then run twice, or that
+// counts with a capacity that no worker has.
+test('a heartbeat with values that no worker has is refused', () => {
+  const report = { service: 's', address: '10.0.0.1:80', zone: 'a', state: 'ready', born: 5, capacity: { cpu: 1000, memMb: 10 } }
+  const odd = [
+    { born: Number.MAX_SAFE_INTEGER }, { born: Infinity }, { capacity: { cpu: 1e308, memMb: 10 } }, { capacity: { cpu: 1000, memMb: 1e300 } },
+    { address: '10.0.0.1:65536' }, { address: '10.0.0.1:0' }, { address: '10.0.0.1:-1' }, { labels: Array.from({ length: 1000 }, () => 'a') }, { zone: 'z'.repeat(1000) }
+  ]
+  expect(odd.filter((fields) => decodeHeartbeat('i-1', { ...report, ...fields }, 1000).ok)).toEqual([])
+  expect(decodeHeartbeat('i-1', { ...report, born: 1000 + 60_000 }, 1000).ok).toBe(true)
+})
+
 test('the reply to a poll is decoded with end causes and readings', () => {
   expect(decodePollReply({ clockMs: 5, born: 1, running: [['a.0.0.0', 2, '00ff', 41, 9]], finished: [[58, 'a.0.0.1', 1, 'done', ''], [59, 'a.0.0.2', 1, 'lapsed', '01']] }).val).toMatchSnapshot()
 })
