Count the running tasks of a step when a rack is chosen for it

Cause: the check whether a rack can hold the waiting tasks assumed that none of the step run there.

Change: it counts them, like the placement.

Evidence: the new test of groups.test.ts fails before the change and passes after it.

--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -53,7 +53,7 @@
     acceptsExcessLoad: isStarved
   }
   // Filtering once is enough, as capacity only shrinks while the group is placed.
-  const eligible = selectUntried(options, group, listEligible(options, group, workers, stepName).filter((worker) => canHold(worker, needs)), needs)
+  const eligible = selectUntried(options, group, listEligible(options, group, workers, capacityNeeds, stepName).filter((worker) => canHold(worker, needs)), needs)
   if (eligible.length === 0 || (step.gang && !canHoldTimes(eligible, needs, indexes.length))) return []
   const gangAttempt = step.gang ? 1 + indexes.reduce((latest, index) => Math.max(latest, findAttempt(group, index)), 0) : 1
   const dataLocal = step.dataRack === undefined ? [] : eligible.filter(({ labels }) => labels.includes(step.dataRack as string))
@@ -122,9 +122,9 @@
 /**
  * Workers on which the group may be placed now: those that are not busy, unless the group is resumed, and that have a ticket
  * if the queue's policy requires tickets. A rack-sensitive step runs more slowly across racks, so it gets the workers of one
- * rack if that rack has enough capacity.
+ * rack if that rack has enough capacity beside the tasks of the step that run there already.
  */
-function listEligible ({ advisor }: GroupOptions, { step, indexes, advice, isResumed }: WaitingGroup, workers: readonly PlacementCandidate[], name: string): readonly PlacementCandidate[] {
+function listEligible ({ advisor }: GroupOptions, { step, indexes, advice, isResumed }: WaitingGroup, workers: readonly PlacementCandidate[], needs: Pick<PlacementNeeds, 'step' | 'countStepRuns'>, name: string): readonly PlacementCandidate[] {
   const notBusy = isResumed === true ? workers : workers.filter(({ isBusy }) => isBusy !== true)
   const allowed = advice === undefined ? notBusy : notBusy.filter(({ id }) => advisor.findTicket(name, id) !== undefined)
   if (!step.rackSensitive) return allowed
@@ -134,7 +134,7 @@
     if (rackWorkers === undefined) racks.set(worker.rack, [worker])
     else rackWorkers.push(worker)
   })
-  return [...racks.values()].find((rackWorkers) => canHoldTimes(rackWorkers, { step, countStepRuns: () => 0 }, indexes.length)) ?? allowed
+  return [...racks.values()].find((rackWorkers) => canHoldTimes(rackWorkers, needs, indexes.length)) ?? allowed
 }
 
 /**
--- a/test/workflows/groups.test.ts
+++ b/test/workflows/groups.test.ts
@@ -49,6 +49,14 @@
   expect(new Set(place(createGroup({ count: 8, cores: 4, rackSensitive: true }), workers))).toEqual(new Set(['w2', 'w3']))
 })
 
+// Guards against a task that waits for ever for the rack of its step, whose workers hold as many tasks of it as they may.
+test('a rack-sensitive task is placed on another rack when the workers of the first one hold the most tasks of the step', () => {
+  const full = ['w1', 'w2'].map((id) => createWorker(id, { rack: 'r1', stepRuns: new Map([['a1.0.0', 1]]) }))
+  const workers = [...full, createWorker('w3', { rack: 'r2' })]
+  const group = { ...createGroup({ count: 3, rackSensitive: true, lasting: true, maxPerWorker: 1 }), indexes: [0], isResumed: true }
+  expect(place(group, workers)).toEqual(['w3'])
+})
+
 test('only one task of a starved workflow is placed despite excess load', () => {
   const occupied = createWorker('w1', { latencyCritical: [{ step: undefined, image: 'desk', targetMs: 18 }], bestEffort: [{ image: 'x', coreShare: 0.1 }] })
   expect([place(createGroup({ count: 3, fills: true }), [occupied]), place(createGroup({ count: 3, fills: true }), [{ ...occupied }], true)]).toEqual([[], ['w1']])
