Count a workflow as started when a worker has started a task of it

Cause: the assignment of a task marked the workflow as started.

Change: the recorded end of a run does, and the leader's knowledge of started runs from the session hosts.

--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -48,6 +48,8 @@
   exchange (from: string, request: SessionsRequest): SessionsReply
   /** Tasks of a priority or a more urgent one that wait for the scheduler although workers have free capacity. */
   getSchedulerLoad: Dispatcher['getLoad']
+  /** True if a worker is known to have started a task of an open workflow during this term. */
+  hasStarted (workflow: string): boolean
   stop (): void
 }
 
@@ -65,9 +67,12 @@
   const replicaLag = createReplicaLagTracker(clock, () => log.status().appliedIndex)
   const getState = (): WorkflowsState => log.state().workflows
   const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < MAX_AUTHORITY_AGE_MS && !jumpDetector.hasJumped(clockMark)
+  /** Open workflows of which a worker has started a task. */
+  const startedWorkflows = new Set<string>()
   const views = createWorkerViews({
     clock,
     getState,
+    onStarted: (task) => startedWorkflows.add(parseTaskName(task)?.workflow ?? ''),
     findHost: (worker) => {
       const record = getState().workers[worker]
       return record === undefined ? undefined : findSessionHost(getState().sessionHosts, record.life)
@@ -132,6 +137,10 @@
     if (reason === 'no-ticket') advisor.dropTicket(getStepName(task), worker)
   }
 
+  const pruneStarted = (workflow: string): void => {
+    if (getState().workflows[workflow]?.outcome !== undefined) startedWorkflows.delete(workflow)
+  }
+
   /** Discards what was learnt about an earlier incarnation of a worker. */
   const resetWorker = (worker: string): void => {
     health.reset(worker)
@@ -163,9 +172,13 @@
     }),
     'workflow.end': ({ lives }) => {
       lives.forEach(recordEnds)
+      lives.forEach(({ ends }) => ends.forEach(([, task]) => pruneStarted(parseTaskName(task)?.workflow ?? '')))
       dispatcher.schedule()
     },
-    'workflow.cancel': ({ id }) => dispatcher.markChanged(id),
+    'workflow.cancel': ({ id }) => {
+      dispatcher.markChanged(id)
+      pruneStarted(id)
+    },
     'life.report': ({ life }) => {
       const isNew = views.workers.get(life.id)?.bornAt !== life.bornAt
       dispatcher.markChanged()
@@ -279,7 +292,7 @@
   Object.keys(state.workers).forEach(views.syncWorker)
   runSupervised({ clock, logger, event: 'term.failed', isStopped: () => stopping.signal.aborted }, runAuthority)
   dispatcher.schedule()
-  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, exchange, stop }
+  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, hasStarted: (workflow) => startedWorkflows.has(workflow), exchange, stop }
 }
 
 /** Age of the last contact with a majority of the voters, which includes this host: the oldest contact in the most recent majority. */
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -25,6 +25,8 @@
   clock: Clock
   getState (): WorkflowsState
   findHost (worker: string): string | undefined
+  /** A worker has started a run, or is known to have started it in an earlier term. */
+  onStarted (task: string): void
 }
 
 /** The leader's view of the runs on all workers, and the stop orders for them. */
@@ -48,7 +50,7 @@
   takeStops (from: string, request: Pick<SessionsRequest, 'process' | 'lastStop' | 'fence'>, fence: number): StopOrder[]
 }
 
-export function createWorkerViews ({ clock, getState, findHost }: WorkerViewsOptions): WorkerViews {
+export function createWorkerViews ({ clock, getState, findHost, onStarted }: WorkerViewsOptions): WorkerViews {
   const workers = new Map<string, ReportedWorker>()
   const orders = new Map<string, HostOrders>()
   const unconfirmedCounts = new Map<string, number>()
@@ -87,6 +89,7 @@
 
   const confirm = (view: ReportedWorker, run: RunView, at: number): void => {
     if (run.confirmedAt === undefined) addUnconfirmed(view.host, -1)
+    if (run.startedAt === undefined) onStarted(run.task)
     run.confirmedAt = at
     run.startedAt ??= at
   }
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -176,12 +176,14 @@
   const found = findQueue(getState(log).catalog, request.address)
   const deadline = computeDeadline(options, request, found?.queue)
   if (found === undefined) return confirmAbsence(options, createNoQueue(log), deadline)
-  if (found.rest === '') return { kind: 'queue', pending: countPending(options.getView()?.open.list() ?? Object.values(getState(log).workflows), found.queue.name), catalogVersion: getCatalogVersion(log) }
+  const view = options.getView()
+  const hasStarted = (record: WorkflowRecord): boolean => record.started || view?.term.hasStarted(record.workflow.id) === true
+  if (found.rest === '') return { kind: 'queue', pending: countPending(view?.open.list() ?? Object.values(getState(log).workflows), found.queue.name, hasStarted), catalogVersion: getCatalogVersion(log) }
   const record = getState(log).workflows[found.rest]
-  if (record !== undefined) return { kind: 'status', status: getStatus(record) }
+  if (record !== undefined) return { kind: 'status', status: getStatus(record, hasStarted(record)) }
   const absence = await confirmAbsence(options, { kind: 'no-workflow' }, deadline)
   const later = getState(log).workflows[found.rest]
-  return later === undefined ? absence : { kind: 'status', status: getStatus(later) }
+  return later === undefined ? absence : { kind: 'status', status: getStatus(later, hasStarted(later)) }
 }
 
 /** Confirms with a majority that a queue or workflow does not exist before that is reported: a host that was suspended may miss entries that others have recorded. */
@@ -206,11 +208,11 @@
   return { kind: 'not-run', retryAfterMs: NO_LEADER_RETRY_MS, reason: failure.kind }
 }
 
-export function getStatus (record: WorkflowRecord): WorkflowStatus {
-  return record.outcome ?? (record.started ? 'running' : 'queued')
+function getStatus ({ outcome }: WorkflowRecord, hasStarted: boolean): WorkflowStatus {
+  return outcome ?? (hasStarted ? 'running' : 'queued')
 }
 
-/** Number of accepted workflows of a queue that have not ended and have not started a task. */
-export function countPending (records: readonly WorkflowRecord[], queue: string): number {
-  return records.filter((record) => record.queue === queue && record.outcome === undefined && !record.started).length
+/** Number of accepted workflows of a queue that have not ended and of which no worker has started a task. */
+export function countPending (records: readonly WorkflowRecord[], queue: string, hasStarted: (record: WorkflowRecord) => boolean): number {
+  return records.filter((record) => record.queue === queue && record.outcome === undefined && !hasStarted(record)).length
 }
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -28,7 +28,7 @@
   service: string
   maxAttempts: number
   submittedAt: number
-  /** True once any task has been assigned. */
+  /** True once the end of a run is recorded. Runs that have started and not ended are known from their workers. */
   started: boolean
   /** Tasks that are assigned, or were before and have not succeeded, by occurrence, step and index. */
   tasks: Record<string, TaskRecord>
@@ -196,7 +196,10 @@
       // An end that the worker reported counts whoever proposes it. An end with number 0 is a conclusion of the session host, so
       // it counts only from the host that owns the session at present.
       const isOwner = isSessionOwner(state, record, judge)
-      ends.filter(([number]) => number > 0 || isOwner).forEach((end) => applyEnd(state, record, end, at))
+      ends.filter(([number]) => number > 0 || isOwner).forEach((end) => {
+        recordStarted(state, end)
+        applyEnd(state, record, end, at)
+      })
     })
     return Ok({})
   },
@@ -291,7 +294,6 @@
     checkpoint: known?.checkpoint ?? '',
     worker
   }
-  record.started = true
   workerRecord.assigned[task] = true
   workerRecord.expired = false
 }
@@ -304,6 +306,12 @@
   return state.division === division && findSessionHost(state.sessionHosts, life) === host
 }
 
+/** A run that a worker has listed as ended shows that its workflow has started. */
+function recordStarted (state: WorkflowsState, [number, task]: RunEnd): void {
+  const record = state.workflows[parseTaskName(task)?.workflow ?? '']
+  if (record !== undefined && number > 0) record.started = true
+}
+
 const FAILURE_CAUSES: ReadonlySet<EndCause> = new Set(['failed'])
 
 function applyEnd (state: WorkflowsState, worker: WorkerRecord, [number, task, attempt, cause, checkpoint]: RunEnd, at: number): void {
--- a/test/workflows/admission.test.ts
+++ b/test/workflows/admission.test.ts
@@ -66,7 +66,8 @@
   state = createState(['d'])
   seen.push(listIds())
   expect(seen).toEqual([['a', 'b'], ['b', 'c'], ['d']])
-  expect([countPending(open.list(), QUEUE.name), countPending(open.list(), 'other')]).toEqual([1, 0])
+  const isStarted = (): boolean => false
+  expect([countPending(open.list(), QUEUE.name, isStarted), countPending(open.list(), 'other', isStarted)]).toEqual([1, 0])
 })
 
 test('a request selects the queue of its host name with the longest matching path prefix', () => {
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -284,3 +284,32 @@
   await scene.run(2000)
   expect(Array.from({ length: 20 }, (_, number) => getOutcome(scene, `a${number}`)).filter((outcome) => outcome !== 'completed')).toEqual([])
 })
+
+// Guards against jobs that count as begun although they were only assigned, for example to a worker that was lost before it
+// received the order.
+test('a workflow is queued until a worker has started a task of it, and running from then on', async () => {
+  const scene = await createScene(['w1'])
+  scene.fleet.plan = () => ({ runMs: 60_000, result: 'succeeded' })
+  const read = async (): Promise<unknown[]> => {
+    const timing = { remainingMs: 1000, heldMs: 0 }
+    const queue = await scene.send({ kind: 'read', address: { hostName: 'desk.example', path: '/quotes/' }, ...timing })
+    const status = await scene.send({ kind: 'read', address: { hostName: 'desk.example', path: '/quotes/a1' }, ...timing })
+    return ['pending' in queue && queue.pending, 'status' in status && status.status]
+  }
+  const worker = scene.fleet.workers.get('w1')
+  if (worker !== undefined) worker.fault = (kind) => kind === 'start' ? 'lost-order' : 'none'
+  await scene.submit('a1', [{ count: 2 }])
+  await scene.run(500)
+  const assigned = Object.keys(scene.log.state().workflows.workers.w1?.assigned ?? {}).length
+  const beforeLoss = await read()
+  worker?.crash()
+  await scene.run(10_000)
+  const afterLoss = await read()
+  const { life } = scene.fleet.addWorker({ id: 'w2', address: '127.0.0.1:9' })
+  scene.log.propose({ kind: 'life.report', life }, Infinity)
+  await scene.run(1000)
+  const started = await read()
+  scene.fleet.workers.get('w2')?.crash()
+  await scene.run(10_000)
+  expect([assigned, beforeLoss, afterLoss, started, await read()]).toEqual([2, [1, 'queued'], [1, 'queued'], [0, 'running'], [0, 'running']])
+})
--- a/test/workflows/workerHealth.test.ts
+++ b/test/workflows/workerHealth.test.ts
@@ -27,7 +27,7 @@
   workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 'x', command: '', steps }, at: 0 })
   workflowHandlers['workflow.assign'](state, { assignments: [['x.0.0.0', 'w1', 1]] })
   const health = createWorkerHealth({ clock, logger: createSilentLogger() })
-  const views = createWorkerViews({ clock, getState: () => state, findHost: () => 'h2' })
+  const views = createWorkerViews({ clock, getState: () => state, findHost: () => 'h2', onStarted: () => {} })
   views.syncWorker('w1')
   const findStep = (): Step => steps[0] as Step
   return {
