Keep the advice policy of a queue with its workflows

Cause: the policy was read from the queue in force.

Change: a workflow keeps the policy from its submission and follows it when the queue is gone.

--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -83,7 +83,7 @@
       isResumed,
       priority: queue?.priority ?? 0,
       dueAt: getOccurrenceStart(record, occurrence) + objectiveMs,
-      advice: queue?.advice
+      advice: queue === undefined ? record.advice : queue.advice
     }))
     return listed + waiting.length
   }, 0)
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from '../../common/index.js'
 import { addIndex, countIndexes, hasIndex, type IndexRanges } from './indexRanges.js'
 import { findSessionHost } from './sessionHosts.js'
-import type { Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
+import type { AdvicePolicy, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
  * An ended workflow stays in the state for this long, so that clients can still query it. Beyond `MAX_ENDED_WORKFLOWS` the
@@ -27,6 +27,8 @@
   queue: string
   service: string
   maxAttempts: number
+  /** Advice policy of the queue at the submission; holds if the queue is removed. */
+  advice?: AdvicePolicy
   submittedAt: number
   /** True once the end of a run is recorded. Runs that have started and not ended are known from their workers. */
   started: boolean
@@ -164,6 +166,7 @@
       queue,
       service: definition.service,
       maxAttempts: definition.maxAttempts,
+      ...definition.advice !== undefined && { advice: definition.advice },
       submittedAt: at,
       started: false,
       tasks: {},
--- a/test/workflows/advice.test.ts
+++ b/test/workflows/advice.test.ts
@@ -52,6 +52,18 @@
   expect(scene.listEvents('started').map(({ worker }) => worker).sort()).toEqual(['w0', 'w39'])
 })
 
+// Guards against orders without a ticket, which are refused and repeated, when an operator removes the queue of a waiting job.
+test('the tasks of a queue that was removed still need tickets', async () => {
+  const scene = await createScene(['w1', 'w2'], ADVISED)
+  scene.fleet.approved = (_step, worker) => worker === 'w2'
+  scene.fleet.plan = () => ({ runMs: 2000, result: 'succeeded' })
+  await scene.submit('a1', [{ count: 1 }, { count: 4, dependsOn: [0] }])
+  await scene.run(500)
+  scene.log.propose({ kind: 'catalog.put', catalog: { ...ADVISED, version: 2, queues: [] } }, Infinity)
+  await scene.run(8000)
+  expect([scene.log.state().workflows.workflows.a1?.outcome, [...new Set(scene.listEvents('started').map(({ worker }) => worker))]]).toEqual(['completed', ['w2']])
+})
+
 const POLICY = { decisionMs: 40, perWorkerMs: 1, validityMs: 3000 }
 
 /** An advisor whose service permits every worker, and the workers that it was asked about. */
