Ask about as many workers as leave time to use their tickets

Cause: the validity counts from the sending of the query, which took longer than the validity less the margin of a start order.

Change: the number of workers in a query follows from the validity. If one is too many, the validity counts from the answer. Tickets that arrive too late are logged.

When the service issues a ticket is an assumption.

--- a/src/coordination/workflows/advice.ts
+++ b/src/coordination/workflows/advice.ts
@@ -13,6 +13,8 @@
 const QUERY_LIFETIME_MS = 2000
 /** A ticket that expires within this time is not used, because a start order takes a sync of the log and a round trip. */
 const TICKET_MARGIN_MS = 300
+/** Time from an answer to the start orders that use it; covers a scheduling pass and the retry of a group that could not be placed. */
+const PLACEMENT_MS = 200
 /** Maximum number of cached answers over all steps; beyond it, those about the steps asked about first are dropped. */
 const MAX_KNOWN_ANSWERS = 20_000
 
@@ -77,14 +79,15 @@
   }
 
   /** Chooses the workers to ask about: those that may run the step but whose tickets have expired, or else those not asked about yet. */
-  const chooseWorkers = ({ answers }: StepAdvice, workers: readonly string[]): string[] => {
+  const chooseWorkers = ({ answers }: StepAdvice, { workers, policy }: Query): string[] => {
     const expired = workers.filter((worker) => answers.get(worker)?.ticket !== undefined)
-    return (expired.length > 0 ? expired : workers.filter((worker) => !answers.has(worker))).slice(0, WORKERS_PER_QUERY)
+    return (expired.length > 0 ? expired : workers.filter((worker) => !answers.has(worker))).slice(0, countAskable(policy))
   }
 
-  const sendQuery = async (step: string, { workers, policy }: Query): Promise<void> => {
+  const sendQuery = async (step: string, query: Query): Promise<void> => {
+    const { policy } = query
     const advice = getStepAdvice(step)
-    const chosen = chooseWorkers(advice, workers)
+    const chosen = chooseWorkers(advice, query)
     if (chosen.length === 0) {
       queries.delete(step)
       if ([...advice.answers.values()].some(({ ticket }) => ticket !== undefined)) return
@@ -99,8 +102,8 @@
     logger.info('advice.answer', { step, workers: chosen.length, approved: answer.ok ? answer.val.length : undefined, outcome: answer.ok ? 'answered' : answer.val.kind, ms: Math.round(clock.now() - sentAt) })
     if (!answer.ok) return clock.sleep(RETRY_MS, stopping.signal)
     const tickets = new Map(answer.val.map(({ worker, ticket }) => [worker, ticket]))
-    // The validity counts from the sending of the query, the earliest time at which the answer can have been given.
-    const expiresAt = sentAt + policy.validityMs
+    const expiresAt = sentAt + policy.validityMs + computeIssueDelayMs(policy, chosen.length)
+    if (tickets.size > 0 && clock.now() + TICKET_MARGIN_MS >= expiresAt) logger.warn('advice.late', { step, ms: Math.round(clock.now() - sentAt), validityMs: policy.validityMs, marginMs: TICKET_MARGIN_MS })
     asked.forEach((worker) => advice.answers.set(worker, { ticket: tickets.get(worker), expiresAt }))
     if (tickets.size > 0) queries.delete(step)
     pruneAnswers()
@@ -135,3 +138,28 @@
     stop: () => stopping.abort()
   }
 }
+
+/** Time that the service takes for an answer, by the policy. */
+function computeAnswerMs ({ decisionMs, perWorkerMs }: AdvicePolicy, workers: number): number {
+  return decisionMs + perWorkerMs * workers
+}
+
+/** True if the tickets of an answer can be used although their validity counts from the sending of the query. */
+function isUsableFromQuery (policy: AdvicePolicy, workers: number): boolean {
+  return computeAnswerMs(policy, workers) + PLACEMENT_MS + TICKET_MARGIN_MS < policy.validityMs
+}
+
+/** Number of workers to ask about at once: as many as leave time to use the tickets. */
+function countAskable (policy: AdvicePolicy): number {
+  if (!isUsableFromQuery(policy, 1)) return WORKERS_PER_QUERY
+  const spareMs = policy.validityMs - TICKET_MARGIN_MS - PLACEMENT_MS - policy.decisionMs
+  return policy.perWorkerMs > 0 ? Math.max(1, Math.min(WORKERS_PER_QUERY, Math.ceil(spareMs / policy.perWorkerMs) - 1)) : WORKERS_PER_QUERY
+}
+
+/**
+ * Time from the sending of a query after which its validity counts. A ticket may be issued as soon as the query is received. If
+ * no ticket could be used then, it is assumed to be issued with the answer.
+ */
+function computeIssueDelayMs (policy: AdvicePolicy, workers: number): number {
+  return isUsableFromQuery(policy, 1) ? 0 : computeAnswerMs(policy, workers)
+}
--- a/test/workflows/advice.test.ts
+++ b/test/workflows/advice.test.ts
@@ -64,6 +64,17 @@
   expect([scene.log.state().workflows.workflows.a1?.outcome, [...new Set(scene.listEvents('started').map(({ worker }) => worker))]]).toEqual(['completed', ['w2']])
 })
 
+// Guards against a queue of which no job ever starts, because its tickets count as expired when they arrive.
+test.each([[1000, 500, 50], [700, 500, 50], [900, 100, 70]])('the tickets of a policy with a validity of %d ms and a decision time of %d ms are used', async (validityMs, decisionMs, perWorkerMs) => {
+  const workers = Array.from({ length: 8 }, (_, number) => `w${number}`)
+  const scene = await createScene(workers, { ...ADVISED, queues: [{ ...ADVISED.queues[0]!, advice: { decisionMs, perWorkerMs, validityMs } }] })
+  scene.fleet.computeAdviceMs = (count) => decisionMs + perWorkerMs * count
+  scene.fleet.approved = (_step, worker) => worker !== 'w5'
+  await scene.submit('a1', [{ count: 4 }])
+  await scene.run(8000)
+  expect(scene.log.state().workflows.workflows.a1?.outcome).toBe('completed')
+})
+
 const POLICY = { decisionMs: 40, perWorkerMs: 1, validityMs: 3000 }
 
 /** An advisor whose service permits every worker, and the workers that it was asked about. */
