Count the failures and keep the checkpoint of a gang as a whole

Seen by the review: a gang that fails by a different member each time never reaches the attempts of its queue, and its members start again from different checkpoints.

Cause: both were recorded by task.

Change: a record for the gang, with failed attempts counted once, and one checkpoint for all members of an attempt.

--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -8,6 +8,6 @@
 export { findSessionHost } from './sessionHosts.js'
 export {
   countOccurrences, createWorkflowsState, findTask, formatStepKey, formatTaskName, formatTaskKey, getStepName, isStepDone, isStepReady, isTaskDone, parseTaskName, workflowHandlers,
-  type TaskName, type TaskRecord, type MaintenanceWaveRecord, type WorkerRecord, type WorkflowOutcome, type WorkflowRecord,
+  type GangRecord, type TaskName, type TaskRecord, type MaintenanceWaveRecord, type WorkerRecord, type WorkflowOutcome, type WorkflowRecord,
   type WorkflowRejection, type WorkflowsState
 } from './state.js'
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -20,6 +20,18 @@
   worker: string | undefined
 }
 
+/** State of a gang as a whole; its members share attempts, checkpoints and failures. */
+export interface GangRecord {
+  /** The latest attempt, and the checkpoint that all its members start from. */
+  attempt: number
+  startCheckpoint: string
+  /** The checkpoint that was recorded last, of any member; the next attempt starts from it. */
+  checkpoint: string
+  /** Number of attempts in which a member has failed, and the last of them. */
+  failures: number
+  failedAttempt: number
+}
+
 export type WorkflowOutcome = 'completed' | 'failed' | 'cancelled'
 
 export interface WorkflowRecord {
@@ -38,6 +50,8 @@
   succeeded: Record<string, number>
   /** Indexes of the tasks that have succeeded, by occurrence and step, of steps that are not done; absent in state of earlier builds. */
   succeededIndexes?: Record<string, IndexRanges>
+  /** Gangs that were started and are not done, by occurrence and step; absent in state of earlier builds. */
+  gangs?: Record<string, GangRecord>
   /** Occurrences of which all steps are done; absent in state of earlier builds. */
   doneOccurrences?: IndexRanges
   outcome: WorkflowOutcome | undefined
@@ -284,23 +298,42 @@
   const name = parseTaskName(task)
   const record = name === undefined ? undefined : state.workflows[name.workflow]
   const workerRecord = state.workers[worker]
-  if (name === undefined || record === undefined || workerRecord === undefined || record.outcome !== undefined) return
-  const taskKey = formatTaskKey(name)
-  const known = record.tasks[taskKey]
-  // Two leaders can assign the same task only around a change of leadership; the first assignment stands.
-  if (known !== undefined && (known.worker !== undefined || known.attempt >= attempt)) return
-  if (isTaskDone(record, name)) return
-  record.tasks[taskKey] = {
+  if (name === undefined || record === undefined || workerRecord === undefined || !canAssign(record, name, attempt)) return
+  const known = record.tasks[formatTaskKey(name)]
+  record.tasks[formatTaskKey(name)] = {
     attempt,
     failures: known?.failures ?? 0,
     succeeded: false,
-    checkpoint: known?.checkpoint ?? '',
+    checkpoint: record.workflow.steps[name.step]?.gang === true ? startGangAttempt(record, name, attempt).startCheckpoint : known?.checkpoint ?? '',
     worker
   }
   workerRecord.assigned[task] = true
   workerRecord.expired = false
 }
 
+/** Two leaders can assign the same task only around a change of leadership; the first assignment stands. */
+function canAssign (record: WorkflowRecord, name: TaskName, attempt: number): boolean {
+  const known = record.tasks[formatTaskKey(name)]
+  const isNewer = known === undefined || (known.worker === undefined && known.attempt < attempt)
+  return isNewer && record.outcome === undefined && !isTaskDone(record, name)
+}
+
+function getGang (record: WorkflowRecord, { occurrence, step }: TaskName): GangRecord {
+  const key = formatStepKey(occurrence, step)
+  const known = record.gangs?.[key]
+  if (known !== undefined) return known
+  const created: GangRecord = { attempt: 0, startCheckpoint: '', checkpoint: '', failures: 0, failedAttempt: 0 }
+  record.gangs = { ...record.gangs, [key]: created }
+  return created
+}
+
+/** Starts an attempt of a gang with the assignment of its first member. The ends of earlier attempts that come later do not change its checkpoint. */
+function startGangAttempt (record: WorkflowRecord, name: TaskName, attempt: number): GangRecord {
+  const gang = getGang(record, name)
+  if (attempt > gang.attempt) Object.assign(gang, { attempt, startCheckpoint: gang.checkpoint })
+  return gang
+}
+
 /**
  * Whether the host is the worker's session host under the present session assignment. A former session host must not
  * decide about the worker, because its successor may have renewed leases and repeated orders.
@@ -328,15 +361,20 @@
   // A worker may report the end of an attempt that is not recorded in this state.
   known.attempt = Math.max(known.attempt, attempt)
   if (isCurrent) releaseTask(state, task, known)
-  if (checkpoint !== '') known.checkpoint = checkpoint
+  if (checkpoint !== '') recordCheckpoint(record, name, known, checkpoint)
   if (cause === 'succeeded') {
     applySuccess(state, record, name, known, at)
   } else if (FAILURE_CAUSES.has(cause)) {
-    applyFailure(state, record, name, known, at)
+    applyFailure(state, record, name, known, attempt, at)
   }
   pruneTask(record, name)
 }
 
+function recordCheckpoint (record: WorkflowRecord, name: TaskName, known: TaskRecord, checkpoint: string): void {
+  if (record.workflow.steps[name.step]?.gang !== true) known.checkpoint = checkpoint
+  else if (!isTaskDone(record, name)) getGang(record, name).checkpoint = checkpoint
+}
+
 /** Deletes the record of a task that is not assigned and will not run again, because task records take up most of the state. */
 function pruneTask (record: WorkflowRecord, name: Omit<TaskName, 'workflow'>): void {
   const taskKey = formatTaskKey(name)
@@ -365,6 +403,7 @@
 function closeStep (state: WorkflowsState, record: WorkflowRecord, { occurrence, step: number }: TaskName, { gang, count }: Step, at: number): void {
   const { workflow } = record
   delete record.succeededIndexes?.[formatStepKey(occurrence, number)]
+  delete record.gangs?.[formatStepKey(occurrence, number)]
   // The members of a gang that ended before the successful one have not succeeded by themselves.
   if (gang) Array.from({ length: count }).forEach((_, index) => pruneTask(record, { occurrence, step: number, index }))
   if (!workflow.steps.every((_step, other) => isStepDone(record, occurrence, other))) return
@@ -382,11 +421,18 @@
   return ranges
 }
 
-function applyFailure (state: WorkflowsState, record: WorkflowRecord, name: TaskName, known: TaskRecord, at: number): void {
-  known.failures += 1
+function applyFailure (state: WorkflowsState, record: WorkflowRecord, name: TaskName, known: TaskRecord, attempt: number, at: number): void {
   const step = record.workflow.steps[name.step]
-  const isExhausted = known.failures >= record.maxAttempts && step?.lasting !== true
-  if (isExhausted && !known.succeeded && !isStepDone(record, name.occurrence, name.step)) closeWorkflow(state, record, 'failed', at)
+  if (step === undefined || isTaskDone(record, name)) return
+  known.failures += 1
+  const failures = step.gang ? countGangFailure(getGang(record, name), attempt) : known.failures
+  if (failures >= record.maxAttempts && !step.lasting) closeWorkflow(state, record, 'failed', at)
+}
+
+/** Several members may fail in one attempt of a gang, and another one in the next. */
+function countGangFailure (gang: GangRecord, attempt: number): number {
+  if (attempt > gang.failedAttempt) Object.assign(gang, { failures: gang.failures + 1, failedAttempt: attempt })
+  return gang.failures
 }
 
 /** Ends a workflow. Tasks that are still assigned keep their assignment until their workers have stopped them. */
