Name the incarnation of the worker in an assignment

Seen by the review in the source: a worker that restarts as another kind or service under its id, while an assignment to its earlier incarnation is committed, gets the start.

Change: an assignment carries the start time of the incarnation and has no effect on another one.

Evidence: the new test of runs.test.ts fails on (the replacement starts the task) and passes now.

--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -271,10 +271,8 @@
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
-      const withTickets = assignments.map(([task, worker, attempt]): Assignment => {
-        const ticket = advisor.findTicket(getStepName(task), worker)
-        return ticket === undefined ? [task, worker, attempt] : [task, worker, attempt, ticket]
-      })
+      const withTickets = assignments.map(([task, worker, attempt]): Assignment =>
+        [task, worker, attempt, advisor.findTicket(getStepName(task), worker), views.workers.get(worker)?.bornAt])
       const result = await log.propose({ kind: 'workflow.assign', assignments: withTickets }, clock.now() + PROPOSE_TIMEOUT_MS)
       if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length, reason: result.val.kind })
     },
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -143,8 +143,11 @@
 export const runEndSchema = z.tuple([z.number().int().nonnegative(), z.string(), z.number().int(), endCauseSchema, z.string()])
 export type RunEnd = z.infer<typeof runEndSchema>
 
-/** Task, worker and attempt of a run that is to be started, and the ticket of the advice service if the queue has an advice policy. */
-export const assignmentSchema = z.tuple([z.string(), z.string(), z.number().int().positive(), z.string().optional()])
+/**
+ * Task, worker and attempt of a run that is to be started, the ticket of the advice service if the queue has an advice policy, and
+ * the start time of the worker's incarnation, which is absent in entries of earlier builds.
+ */
+export const assignmentSchema = z.tuple([z.string(), z.string(), z.number().int().positive(), z.string().optional(), z.number().optional()])
 export type Assignment = z.infer<typeof assignmentSchema>
 
 /** Ends of runs on one incarnation of a worker. */
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,7 +1,7 @@
 import { Err, Ok, type Result } from '../../common/index.js'
 import { addIndex, countIndexes, hasIndex, type IndexRanges } from './indexRanges.js'
 import { findSessionHost } from './sessionHosts.js'
-import type { AdvicePolicy, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
+import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
  * An ended workflow stays in the state for this long, so that clients can still query it. Beyond `MAX_ENDED_WORKFLOWS` the
@@ -200,8 +200,10 @@
     return Ok({})
   },
 
-  'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Array<[task: string, worker: string, attempt: number, ticket?: string | undefined]> }): HandlerResult => {
-    assignments.forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
+  'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Assignment[] }): HandlerResult => {
+    // A worker that has been replaced meanwhile may be of another service or kind.
+    assignments.filter(([, worker, , , bornAt]) => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt)
+      .forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
     return Ok({})
   },
 
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -313,3 +313,23 @@
   await scene.run(10_000)
   expect([assigned, beforeLoss, afterLoss, started, await read()]).toEqual([2, [1, 'queued'], [1, 'queued'], [0, 'running'], [0, 'running']])
 })
+
+// Guards against a start on a worker that was replaced under its id by one of another service while the assignment was committed.
+test('an assignment to an earlier incarnation of a worker has no effect', async () => {
+  const scene = await createScene(['w1'])
+  const { life } = scene.fleet.workers.get('w1') ?? {}
+  const submitted = scene.submit('a1', [{ count: 1 }])
+  // The report of the replacement is committed after the task was placed, and before its assignment.
+  const { propose } = scene.log
+  scene.log.propose = (entry, deadline) => {
+    if (entry.kind === 'workflow.assign') {
+      scene.log.propose = propose
+      scene.fleet.addWorker({ ...life, id: 'w1', bornAt: 2, service: 'other' })
+      propose({ kind: 'life.report', life: { ...life!, bornAt: 2, service: 'other' } }, Infinity)
+    }
+    return propose(entry, deadline)
+  }
+  await submitted
+  await scene.run(2000)
+  expect([scene.log.state().workflows.workers.w1?.life.service, scene.listEvents('started')]).toEqual(['other', []])
+})
