--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -3,6 +3,7 @@
 import { runPlacementCost } from './placementCost.js'
 import { runProcessBench } from './processes.js'
 import { runRoutingBench } from './routing.js'
+import { measureScale } from './scale.js'
 import * as tasks from './tasks.js'
 
 const PLACEMENT_SECONDS = 300
@@ -27,6 +28,7 @@
     ...listFigures('tasks.cost', await tasks.measureCost()),
     ...listFigures('tasks.memory', await tasks.measureMemory())
   ],
+  scale: async () => listFigures('scale', measureScale()),
   placement: async () => runPlacementBench({ seed: 1, durationMs: PLACEMENT_SECONDS * 1000 }),
   cost: async () => runPlacementCost({ seed: 1, workers: [73, 146, 365, 730], measuredMs: COST_SECONDS * 1000 })
 }
