--- a/src/coordination/workflows/advice.ts
+++ b/src/coordination/workflows/advice.ts
@@ -70,10 +70,12 @@
   }
 
   const pruneAnswers = (): void => {
-    let count = [...knownSteps.values()].reduce((sum, { answers }) => sum + answers.size, 0)
-    knownSteps.forEach(({ answers }, step) => {
+    // A step without an answer takes the space of one.
+    const countSpace = ({ answers }: StepAdvice): number => Math.max(1, answers.size)
+    let count = [...knownSteps.values()].reduce((sum, advice) => sum + countSpace(advice), 0)
+    knownSteps.forEach((advice, step) => {
       if (count <= MAX_KNOWN_ANSWERS) return
-      count -= answers.size
+      count -= countSpace(advice)
       knownSteps.delete(step)
     })
   }
