Find the work of a run once, and count failures as soon as their work has succeeded elsewhere

The stall detector parsed the name of each task in each reading and check, which findStep avoids for its cost. One cause is suspected, not shown: work that fails on several faulty workers at once counted against none of them before its first success, and then only with their next failure.

With the first success of some work, the workers on which it has failed are judged again.

Evidence: the new test of workerHealth.test.ts; the other tests of workflows pass.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -5,7 +5,7 @@
 import { findWorkerToReserve, placeOnWorkers, type GroupOptions } from './groups.js'
 import { drainWorkers, observeInterference, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
-import { compareGroups, getLateness, type WaitingGroup } from './plan.js'
+import { compareGroups, getLateness } from './plan.js'
 import { createCompetingDemand } from './competingDemand.js'
 import type { WorkerView } from './sessionState.js'
 import type { Signal } from './signal.js'
@@ -169,13 +169,12 @@
 
   const isExhausted = (equivalenceClass: string | undefined, exhausted: ReadonlySet<string>): boolean => equivalenceClass !== undefined && exhausted.has(equivalenceClass)
   const recordPlaced = (tracked: TrackedGroup): void => {
-    const { group, progress } = tracked
-    options.startBackoff.recordPlacement(getName(group))
+    const { stepName, group, progress } = tracked
+    options.startBackoff.recordPlacement(stepName)
     if (progress.isStarved) recordStarved(tracked)
     // One task started despite excess load is enough for the workflow to progress.
     if (!group.step.lasting) progress.isStarved = false
   }
-  const getName = ({ record, occurrence, stepNumber }: WaitingGroup): string => formatStepName(record.workflow.id, occurrence, stepNumber)
 
   const placeTracked = (tracked: TrackedGroup, pool: Pool, { now, getCompetingDemand, exhausted }: Pass): Assignment[] => {
     const { group, progress, hasWorkerLimit } = tracked
@@ -183,7 +182,7 @@
     // A starved group accepts workers that the other groups of its equivalence class do not.
     const equivalenceClass = isStarved ? undefined : tracked.equivalenceClass
     progress.isBlocked = true
-    if (isExhausted(equivalenceClass, exhausted) || options.startBackoff.isDelayed(getName(group))) return []
+    if (isExhausted(equivalenceClass, exhausted) || options.startBackoff.isDelayed(tracked.stepName)) return []
     const triesOnlyFreed = getRetryAt(tracked, equivalenceClass) > now
     offset += SAMPLE_SIZE
     const placed = placeOnWorkers(options, group, { pool: pool.workers, workers: triesOnlyFreed ? pool.freed : pool.workers, getCompetingDemand, isStarved, offset })
--- a/src/coordination/workflows/failureAttribution.ts
+++ b/src/coordination/workflows/failureAttribution.ts
@@ -13,7 +13,8 @@
 
 /** Decides from the ends of runs on all workers whether failures are due to a worker or to the work. */
 export interface FailureAttribution {
-  recordSuccess (worker: string, task: string): void
+  /** Returns the workers on which the same work has failed, if this is its first success: its failures there count from now on. */
+  recordSuccess (worker: string, task: string): string[]
   recordFailure (worker: string, task: string): void
   /**
    * Number of failures in a row that count against a worker. A failure of work that has succeeded elsewhere counts. Work that has
@@ -57,9 +58,11 @@
     recordSuccess: (worker, task) => {
       reset(worker)
       const work = getWork(task)
-      if (work === undefined) return
+      if (work === undefined) return []
+      const isFirst = !work.hasSucceeded
       work.hasSucceeded = true
       work.failedOn.delete(worker)
+      return isFirst ? [...work.failedOn.keys()] : []
     },
     recordFailure: (worker, task) => {
       const work = getWork(task)
--- a/src/coordination/workflows/stallDetector.ts
+++ b/src/coordination/workflows/stallDetector.ts
@@ -22,8 +22,8 @@
   stoodStillOn: Set<string>
 }
 
-/** Progress of a run at its last reading. `stillMs`: time without progress up to that reading. */
-interface Progress { percent: number, stillMs: number }
+/** Progress of a run at its last reading. `stillMs`: time without progress up to that reading. `work`: kept, as it takes long to find by the name of the task. */
+interface Progress { percent: number, stillMs: number, work: Work }
 
 /** `isWorkerStill`: no run of the worker makes progress, so the worker is the likely cause. */
 export interface Stall { tasks: string[], isWorkerStill: boolean }
@@ -39,13 +39,9 @@
   const works = new Map<string, Work>()
   const progressByRun = new WeakMap<RunView, Progress>()
 
-  const formatWorkKey = (task: string): string => {
-    const name = parseTaskName(task)
-    return `${name?.workflow}.${name?.step}`
-  }
-
   const getWork = (task: string): Work => {
-    const key = formatWorkKey(task)
+    const name = parseTaskName(task)
+    const key = `${name?.workflow}.${name?.step}`
     const known = works.get(key)
     if (known !== undefined) return known
     const oldest = works.size >= MAX_KNOWN_STEPS ? works.keys().next().value : undefined
@@ -55,11 +51,13 @@
     return created
   }
 
+  const findWork = (run: RunView): Work => progressByRun.get(run)?.work ?? getWork(run.task)
+
   /** How long a run may go without progress. */
   const computeAllowedMs = (run: RunView, { expectedRunMs }: Step): number => {
-    const work = works.get(formatWorkKey(run.task))
+    const work = findWork(run)
     const byEstimate = expectedRunMs > 0 ? ESTIMATE_FACTOR * expectedRunMs : Infinity
-    if (work?.longestStillMs === undefined || work.stoodStillOn.size >= UNEVEN_WORKERS) return Math.max(MIN_STALL_MS, byEstimate)
+    if (work.longestStillMs === undefined || work.stoodStillOn.size >= UNEVEN_WORKERS) return Math.max(MIN_STALL_MS, byEstimate)
     const progressedMs = run.progressAt - (run.confirmedAt ?? run.progressAt)
     return Math.max(MIN_STALL_MS, STILL_FACTOR * work.longestStillMs, UNEVEN_SHARE * Math.max(progressedMs, expectedRunMs))
   }
@@ -71,10 +69,10 @@
         known.stillMs = Math.max(0, readAt - run.progressAt)
         return
       }
-      progressByRun.set(run, { percent, stillMs: 0 })
+      const work = known?.work ?? getWork(run.task)
+      progressByRun.set(run, { percent, stillMs: 0, work })
       // The first reading shows no progress, unless the run has ended before it.
       if (known === undefined && percent !== 100) return
-      const work = getWork(run.task)
       work.longestStillMs = Math.max(work.longestStillMs ?? 0, known?.stillMs ?? 0)
     },
     findStall: (session, findStep) => {
@@ -85,11 +83,11 @@
         const isObserved = run.confirmedAt !== undefined && run.stopReason === undefined && run.status !== undefined && run.status.percent !== 100
         return step === undefined || step.lasting || !isObserved ? [] : [{ run, step }]
       })
-      const stalled = runs.filter(({ run, step }) => getStillMs(run) > computeAllowedMs(run, step))
+      const stalled = runs.filter(({ run, step }) => getStillMs(run) > MIN_STALL_MS && getStillMs(run) > computeAllowedMs(run, step))
       if (stalled.length === 0) return { tasks: [], isWorkerStill: false }
       const isWorkerStill = runs.every(({ run }) => getStillMs(run) > MIN_STALL_MS)
-      const stalledWorks = new Set(stalled.map(({ run }) => formatWorkKey(run.task)))
-      if (stalledWorks.size === 1) getWork(stalled[0]?.run.task ?? '').stoodStillOn.add(session.worker)
+      const stalledWorks = new Set(stalled.map(({ run }) => findWork(run)))
+      if (stalledWorks.size === 1) stalledWorks.forEach(({ stoodStillOn }) => stoodStillOn.add(session.worker))
       // Runs of which less is known stand still as well if several others do, and none makes progress.
       const isProven = isWorkerStill && stalledWorks.size > 1
       return { tasks: (isProven ? runs : stalled).map(({ run }) => run.task), isWorkerStill }
--- a/src/coordination/workflows/waiting.ts
+++ b/src/coordination/workflows/waiting.ts
@@ -17,6 +17,7 @@
 }
 
 export interface TrackedGroup {
+  stepName: string
   /** The step name, with a suffix for the group of interrupted tasks. */
   key: string
   /** Groups of one class fit on the same workers, apart from the limits of groups with `hasWorkerLimit`. Undefined for a group that is never skipped because another one did not fit, for example a gang. */
@@ -53,9 +54,10 @@
     openWorkflows.add(id)
     const previous = new Map(groupsByWorkflow.get(id)?.tracked.map(({ key, progress }) => [key, progress]))
     const tracked = listWaiting(record, queue, wallTime).map((group): TrackedGroup => {
-      const key = getGroupKey(group)
+      const stepName = formatStepName(group.record.workflow.id, group.occurrence, group.stepNumber)
+      const key = getGroupKey(stepName, group)
       const progress = previous.get(key)
-      return { key, equivalenceClass: getEquivalenceClass(group), hasWorkerLimit: group.step.maxPerWorker !== undefined, group, progress: progress ?? { idleSince: undefined, isStarved: false, blockedUntil: -Infinity, isBlocked: false, isSchedulerLimited: false } }
+      return { stepName, key, equivalenceClass: getEquivalenceClass(group), hasWorkerLimit: group.step.maxPerWorker !== undefined, group, progress: progress ?? { idleSince: undefined, isStarved: false, blockedUntil: -Infinity, isBlocked: false, isSchedulerLimited: false } }
     })
     const nextStartAt = findNextStart(record, wallTime)
     if (tracked.length > 0 || nextStartAt < Infinity) groupsByWorkflow.set(id, { tracked, nextStartAt })
@@ -124,6 +126,6 @@
   return [record.service, step.image, step.cores, step.memoryMb, step.accelerators, step.requiredLabel, step.tailTargetMs, step.fills, isResumed].join()
 }
 
-function getGroupKey ({ record, occurrence, stepNumber, isResumed }: WaitingGroup): string {
-  return `${formatStepName(record.workflow.id, occurrence, stepNumber)}${isResumed === true ? '#resumed' : ''}`
+function getGroupKey (stepName: string, { isResumed }: WaitingGroup): string {
+  return `${stepName}${isResumed === true ? '#resumed' : ''}`
 }
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -76,15 +76,18 @@
     logger.info('worker.paused', { worker, reason, ms, failures: failures.countFailures(worker) })
   }
 
-  const recordFailure = (worker: string, task: string, reason: string): void => {
+  const pauseAfterFailures = (worker: string, reason: string): void => {
+    if (failures.countFailures(worker) < FAILURES_BEFORE_PAUSE) return
     const health = getHealth(worker)
+    pause(worker, health.pauseMs, reason)
+    health.pauseMs = Math.min(MAX_PAUSE_MS, health.pauseMs * 2)
+  }
+
+  const recordFailure = (worker: string, task: string, reason: string): void => {
     const before = failures.countFailures(worker)
     failures.recordFailure(worker, task)
-    const counted = failures.countFailures(worker)
     // A failure that does not count against the worker does not pause it, whatever has failed there before.
-    if (counted <= before || counted < FAILURES_BEFORE_PAUSE) return
-    pause(worker, health.pauseMs, reason)
-    health.pauseMs = Math.min(MAX_PAUSE_MS, health.pauseMs * 2)
+    if (failures.countFailures(worker) > before) pauseAfterFailures(worker, reason)
   }
 
   return {
@@ -93,8 +96,8 @@
     recordEnd: (worker, task, cause) => {
       if (cause === 'failed') recordFailure(worker, task, 'failures')
       if (cause !== 'succeeded') return
-      failures.recordSuccess(worker, task)
       getHealth(worker).pauseMs = FIRST_PAUSE_MS
+      failures.recordSuccess(worker, task).forEach((other) => pauseAfterFailures(other, 'failures'))
     },
     listFailedOn: failures.listFailedOn,
     recordRefusal: (worker, task, reason) => {
--- a/test/workflows/workerHealth.test.ts
+++ b/test/workflows/workerHealth.test.ts
@@ -108,6 +108,13 @@
   expect([listPaused(['w1', 'w2'], several), listPaused(['w1', 'w2'], [...sound, ...createFailures('w1', 'a', 3)])]).toEqual([['w1'], ['w1']])
 })
 
+// Guards against faulty workers that go on receiving tasks, because several of them have failed the same work before it succeeded.
+test('failures on several faulty workers count as soon as the work has succeeded elsewhere', () => {
+  const failed = [...createFailures('w1', 'a', 3), ...createFailures('w2', 'a', 3)]
+  const workers = ['w1', 'w2', 'w3']
+  expect([listPaused(workers, failed), listPaused(workers, [...failed, ['w3', 'a.0.0.9', 'succeeded']])]).toEqual([[], ['w1', 'w2']])
+})
+
 test('failures before a success of the worker do not count', () => {
   expect(listPaused(['w1'], [...createFailures('w1', 'a', 1), ...createFailures('w1', 'b', 1), ['w1', 'c.0.0.0', 'succeeded'], ...createFailures('w1', 'd', 1), ...createFailures('w1', 'e', 1)])).toEqual([])
 })
