Pause faulty workers although none of their work has succeeded yet

Cause: work that had failed on two workers counted against neither. A faulty worker is free again at once, so several of them take the tasks of one workflow, which fails before any task of it has succeeded, and none of them was paused.

Change: work that never succeeded counts unless it has failed on a worker that completed other work afterwards. At most half of the workers are paused, so that work which fails everywhere cannot pause the service.

--- a/src/coordination/workflows/failureAttribution.ts
+++ b/src/coordination/workflows/failureAttribution.ts
@@ -7,6 +7,8 @@
 interface Work {
   workflow: string
   hasSucceeded: boolean
+  /** It has failed on a worker that completed other work afterwards. */
+  hasFailedOnSoundWorker: boolean
   /** Workers on which a task has failed, with the number of failures since the worker last completed any task. */
   failedOn: Map<string, number>
 }
@@ -18,7 +20,7 @@
   recordFailure (worker: string, task: string): void
   /**
    * Number of failures in a row that count against a worker. A failure of work that has succeeded elsewhere counts. Work that has
-   * never succeeded counts once for each workflow while it has failed on this worker only: its own fault shows on the next one.
+   * never succeeded counts once for each workflow, unless it has failed on a sound worker as well.
    */
   countFailures (worker: string): number
   /** Workers on which tasks of a step have failed. */
@@ -44,7 +46,7 @@
     if (known !== undefined) return known
     const oldest = works.size >= MAX_KNOWN_STEPS ? works.keys().next().value : undefined
     if (oldest !== undefined) works.delete(oldest)
-    const created: Work = { workflow: name.workflow, hasSucceeded: false, failedOn: new Map() }
+    const created: Work = { workflow: name.workflow, hasSucceeded: false, hasFailedOnSoundWorker: false, failedOn: new Map() }
     works.set(key, created)
     return created
   }
@@ -56,6 +58,7 @@
 
   return {
     recordSuccess: (worker, task) => {
+      failedByWorker.get(worker)?.forEach((failed) => { failed.hasFailedOnSoundWorker = true })
       reset(worker)
       const work = getWork(task)
       if (work === undefined) return []
@@ -74,7 +77,7 @@
     countFailures: (worker) => {
       const failed = [...failedByWorker.get(worker) ?? []]
       const sound = failed.filter(({ hasSucceeded }) => hasSucceeded)
-      const untested = failed.filter(({ hasSucceeded, failedOn }) => !hasSucceeded && failedOn.size === 1)
+      const untested = failed.filter(({ hasSucceeded, hasFailedOnSoundWorker }) => !hasSucceeded && !hasFailedOnSoundWorker)
       return sound.reduce((sum, { failedOn }) => sum + (failedOn.get(worker) ?? 0), 0) + new Set(untested.map(({ workflow }) => workflow)).size
     },
     listFailedOn: (workflow, step) => {
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -9,6 +9,8 @@
 /** A worker is paused after this many failures in a row that count against it. */
 const FAILURES_BEFORE_PAUSE = 3
 const FIRST_PAUSE_MS = 2000
+/** At most this share of the workers is paused at the same time: if more of them fail, the work is the likely cause. */
+const MAX_PAUSED_SHARE = 0.5
 const MAX_PAUSE_MS = 30_000
 /** A worker whose runs stand still is paused for this long. */
 const STALL_PAUSE_MS = 5000
@@ -79,6 +81,9 @@
   const pauseAfterFailures = (worker: string, reason: string): void => {
     if (failures.countFailures(worker) < FAILURES_BEFORE_PAUSE) return
     const health = getHealth(worker)
+    const others = [...known.values()].filter((other) => other !== health)
+    const paused = others.filter(({ pausedUntil }) => pausedUntil > clock.now()).length
+    if (others.length > 0 && paused + 1 > MAX_PAUSED_SHARE * known.size) return
     pause(worker, health.pauseMs, reason)
     health.pauseMs = Math.min(MAX_PAUSE_MS, health.pauseMs * 2)
   }
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -273,6 +273,22 @@
   expect([getOutcome(scene, 'poison'), getOutcome(scene, 'a1')]).toEqual(['failed', 'completed'])
 })
 
+// Guards against faulty workers that fail at once, are free again at once, and so take task after task until the workflows have
+// failed: no task of such a workflow has succeeded by then.
+test('five of sixty workers that fail everything at once are paused after a few failures', async () => {
+  const scene = await createScene(Array.from({ length: 60 }, (_, number) => `w${number}`))
+  scene.fleet.plan = (_task, worker) => Number(worker.slice(1)) < 5 ? { runMs: 20, result: 'failed' } : { runMs: 1000, result: 'succeeded' }
+  for (let number = 0; number < 60; number += 1) {
+    await scene.submit(`a${number}`, [{ count: 9, cores: 6.4 }])
+    await scene.run(100)
+  }
+  await scene.run(4000)
+  const failedRuns = scene.listEvents('ended').filter(({ cause }) => cause === 'failed').length
+  const failed = Array.from({ length: 60 }, (_, number) => getOutcome(scene, `a${number}`)).filter((outcome) => outcome !== 'completed').length
+  // Three failures before the first pause of 2 s, and one after each of the pauses of 2, 4 and 8 s that end meanwhile.
+  expect([failedRuns <= 5 * 6, failed <= 3]).toEqual([true, true])
+})
+
 // Guards against a task that uses up its attempts on one faulty worker although others are free.
 test('a task that has failed on a worker is tried on another one', async () => {
   const scene = await createScene(['w1', 'w2', 'w3'])
