Read the longest lease of the workers and the time of a stop from the settings

Leases of 6 s and a margin of 0.5 s for a stop were constants that happened to fit all deployments. A worker that grants shorter leases ends its runs earlier, and their tasks waited for the rest of the 6 s; a worker that takes longer to stop a run left before the run had written its checkpoint.

--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -27,6 +27,8 @@
   log: ReplicatedLog
   availabilityZone: string
   serviceBound: ServiceBound
+  /** The longest lease that the workers grant; absent: no limit. */
+  maxLeaseMs?: number | undefined
   /** Identifies this process; a restarted host has a new one. */
   process: string
   client: WorkerClient
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -4,6 +4,7 @@
 import { listEvacuated, DEFAULT_NOTICE_MS } from './evacuation.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { BestEffortRun, LatencyCriticalRun, InterferenceModel } from './interferenceModel.js'
+import type { ServiceBound } from './serviceWatch.js'
 import type { WorkerHealth } from './workerHealth.js'
 
 /** Minimum interval, per worker, of the log line about a service that is over its target although no neighbour is stopped. */
@@ -15,6 +16,7 @@
   sessions: ReadonlyMap<string, WorkerView>
   health: WorkerHealth
   interferenceModel: InterferenceModel
+  serviceBound: Pick<ServiceBound, 'stopMs'>
   getState (): WorkflowsState
   stopRun (session: WorkerView, run: RunView, reason: string): void
 }
@@ -98,7 +100,7 @@
       const step = findStep(getState(), run.task)
       return step === undefined ? [] : [{ task: run.task, step, elapsedMs: run.confirmedAt === undefined ? undefined : now - run.confirmedAt, percent: run.status?.percent ?? 0 }]
     })
-    listEvacuated(runs, life.leavesAt === undefined ? DEFAULT_NOTICE_MS : life.leavesAt - clock.wall()).forEach((task) => {
+    listEvacuated(runs, life.leavesAt === undefined ? DEFAULT_NOTICE_MS : life.leavesAt - clock.wall(), options.serviceBound.stopMs).forEach((task) => {
       const run = session.runs.get(task)
       if (run !== undefined) stopRun(session, run, 'draining')
     })
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -9,7 +9,7 @@
 import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
 import type { ServiceBound } from './serviceWatch.js'
 import { createStartQueue } from './startQueue.js'
-import { AUTHORITY_CHECK_INTERVAL_MS, EXCHANGE_INTERVAL_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
+import { AUTHORITY_CHECK_INTERVAL_MS, EXCHANGE_INTERVAL_MS, LEASE_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
 
 export interface SessionHostOptions {
   clock: Clock
@@ -21,6 +21,8 @@
   client: WorkerClient
   availabilityZone: string
   serviceBound: ServiceBound
+  /** The longest lease that the workers grant; absent: no limit. */
+  maxLeaseMs?: number | undefined
   /** Identifies this process; a restarted host has a new one. */
   process: string
   /** Handles the exchange in this process, without the network, while this host is the leader. */
@@ -64,6 +66,7 @@
     client: options.client,
     starts,
     serviceBound: options.serviceBound,
+    leaseMs: Math.min(LEASE_MS, options.maxLeaseMs ?? Infinity),
     get fence () { return exchange.getFence() },
     getState,
     isActive: exchange.isActive,
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -4,7 +4,7 @@
 import { createServiceWatch, type ServiceBound, type ServiceWatch } from './serviceWatch.js'
 import { createSignal, type Signal } from './signal.js'
 import type { StartQueue } from './startQueue.js'
-import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, WORKER_HANDOVER_MS, LEASE_MS } from './timing.js'
+import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, WORKER_HANDOVER_MS } from './timing.js'
 import { computeWorkerTime, type ClockReading } from './workerClock.js'
 
 /** The part of the state of an assigned run that scheduling decisions use. */
@@ -84,6 +84,8 @@
   /** Fencing token of the orders: the term of the leader on whose behalf this host gives them. */
   readonly fence: number
   readonly serviceBound: ServiceBound
+  /** Length of the leases of workers. */
+  readonly leaseMs: number
   getState (): WorkflowsState
   /** False while this host has no current authority from a leader; it gives no orders then. */
   isActive (): boolean
@@ -118,7 +120,7 @@
     reachable: false,
     unreachableSince: now,
     // The previous session host of the worker may have extended the lease until this moment.
-    leaseEndsAt: now + LEASE_MS + EXPIRY_MARGIN_MS,
+    leaseEndsAt: now + context.leaseMs + EXPIRY_MARGIN_MS,
     clockReading: undefined,
     services: createServiceWatch(now - WORKER_HANDOVER_MS, context.serviceBound),
     loggedServices: new Set(),
@@ -159,7 +161,7 @@
 /** Extends the lease of a worker as far as this host's authority allows. Returns the end of the lease on the worker's clock, or undefined before the first reading of that clock. */
 export function renewLease (context: SessionContext, session: Session): number | undefined {
   if (session.clockReading === undefined) return undefined
-  const until = context.getAuthorityAt() + LEASE_MS
+  const until = context.getAuthorityAt() + context.leaseMs
   session.leaseEndsAt = Math.max(session.leaseEndsAt, until + EXPIRY_MARGIN_MS)
   return computeWorkerTime(session.clockReading, until)
 }
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -13,6 +13,7 @@
 import { createStartBackoff } from './startBackoff.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, MAX_AUTHORITY_AGE_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
 import { startMaintenance, type HostClient } from './hostMaintenance.js'
+import type { ServiceBound } from './serviceWatch.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
 
@@ -33,6 +34,7 @@
   advice: AdviceClient
   /** Model of the interference between images that share workers; kept across terms. */
   interferenceModel: InterferenceModel
+  serviceBound: ServiceBound
   /** Term of the log, used as fencing token: workers refuse orders of earlier terms. */
   fence: number
 }
@@ -266,6 +268,7 @@
     sessions: views.workers,
     health,
     interferenceModel: options.interferenceModel,
+    serviceBound: options.serviceBound,
     advisor,
     startBackoff,
     getState,
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -1,5 +1,5 @@
 /**
- * Length of the leases of workers. Longer than a change of the leader (docs/design.md: under 2 s) plus the first polls of
+ * Length of the leases of workers; shorter where the workers allow less. Longer than a change of the leader (docs/design.md: under 2 s) plus the first polls of
  * the new one, so that no run stops because of it; short, because the tasks of an unreachable worker wait for its end.
  */
 export const LEASE_MS = 6000
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -175,6 +175,7 @@
     sessions,
     health: createWorkerHealth({ clock, logger }),
     interferenceModel,
+    serviceBound: { stopMs: 400 },
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
     getState: () => state,
--- a/test/workflows/hostMaintenance.test.ts
+++ b/test/workflows/hostMaintenance.test.ts
@@ -39,7 +39,13 @@
     { task: 'just begun', step: STEP, elapsedMs: 1000, percent: 10 },
     { task: 'too far to lose', step: STEP, elapsedMs: 5000, percent: 50 }
   ]
-  expect(listEvacuated(runs, 2000)).toEqual(['lasting', 'saved', 'just begun'])
+  expect(listEvacuated(runs, 2000, 400)).toEqual(['lasting', 'saved', 'just begun'])
+})
+
+// Guards against a stop that is ordered too late, so that the worker leaves before the run has written its checkpoint.
+test('a run that would end within the time that its worker takes for a stop is moved', () => {
+  const runs = [{ task: 'saved', step: { ...STEP, checkpoints: true }, elapsedMs: 1000, percent: 40 }]
+  expect([200, 400, 900].map((stopMs) => listEvacuated(runs, 2100, stopMs).length)).toEqual([0, 0, 1])
 })
 
 interface Owner {
--- a/test/workflows/runs.test.ts
+++ b/test/workflows/runs.test.ts
@@ -61,6 +61,21 @@
   expect(findOverlaps(scene.fleet.events)).toEqual([])
 })
 
+// Guards against waiting for a lease that the worker has shortened by itself.
+test('the tasks of an unreachable worker are assigned to others sooner where workers grant shorter leases', async () => {
+  const scene = await createScene(['w1', 'w2'], undefined, { maxLeaseMs: 2500 })
+  scene.fleet.plan = () => ({ runMs: 5000, result: 'succeeded' })
+  await scene.submit('a1', [{ count: 1, expectedRunMs: 5000 }])
+  await scene.run(500)
+  const first = scene.fleet.workers.get(scene.listEvents('started')[0]?.worker ?? '')
+  if (first !== undefined) first.reachable = false
+  await scene.run(5000)
+  // The worker reports the end of the lease when it can be reached again.
+  if (first !== undefined) first.reachable = true
+  await scene.run(2000)
+  expect([scene.listEvents('started').length, findOverlaps(scene.fleet.events)]).toEqual([2, []])
+})
+
 test('a start that is executed late does not make a task run twice', async () => {
   const scene = await createScene(['w1', 'w2'])
   scene.fleet.plan = () => ({ runMs: 4000, result: 'succeeded' })
--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -64,6 +64,7 @@
     metrics: createNoopMetrics(),
     work: createNoopEventLoopMeter(),
     serviceBound: SERVICE_BOUND,
+    leaseMs: 6000,
     fence: 1,
     client: { poll: async () => Ok(reply) },
     getState: () => state,
