--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -58,7 +58,7 @@
 /** Starts a term as leader: assigns the workers to session hosts and dispatches tasks. */
 export function startTerm (options: TermOptions): Term {
   const { clock, logger, log, fence, metrics } = options
-  const health = createWorkerHealth({ clock, logger })
+  const health = createWorkerHealth({ clock, logger, metrics })
   const startBackoff = createStartBackoff({ clock })
   const stopping = new AbortController()
   let authorityAt = clock.now()
@@ -127,6 +127,7 @@
     if (known !== undefined) dispatcher.observeReport(known)
     const view = views.recordReport(from, report)
     if (view === undefined) return
+    if (!view.reachable && wasReachable === true) health.recordConnectionLoss(view.worker, views.workers.size)
     dispatcher.stopInterfering(view)
     const running = [...view.runs.values()].flatMap(({ status }) => status ?? [])
     health.observeRuns(view, { running, ends: [] }, findTaskStep)
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -1,6 +1,7 @@
-import type { Clock, Logger } from '../../common/index.js'
+import { createNoopMetrics, type Clock, type Logger, type Metrics } from '../../common/index.js'
 import { getStepName, type EndCause, type Step } from '../../state/index.js'
 import { createFailureAttribution } from './failureAttribution.js'
+import { createFlapDetector } from './flapDetector.js'
 import type { PollReply } from './orders.js'
 import type { WorkerView } from './sessionState.js'
 import { createStallDetector } from './stallDetector.js'
@@ -45,6 +46,8 @@
   /** Workers on which tasks of a step have failed. */
   listFailedOn (workflow: string, step: number): ReadonlySet<string>
   recordRefusal (worker: string, task: string, reason: string): void
+  /** Records that the session host of a worker has lost the connection to it. */
+  recordConnectionLoss (worker: string, knownWorkers: number): void
   observeRuns (session: WorkerView, reply: Pick<PollReply, 'running' | 'ends'>, findStep: (task: string) => Step | undefined): void
   /** Stalled tasks on a worker; pauses the worker if none of its tasks makes progress. */
   listStalled (session: WorkerView, findStep: (task: string) => Step | undefined): string[]
@@ -55,10 +58,11 @@
 
 const REFUSAL_PAUSE_MS: Record<string, number> = { 'no-room': NO_CAPACITY_PAUSE_MS, unhealthy: UNHEALTHY_PAUSE_MS, 'no-answer': UNHEALTHY_PAUSE_MS }
 
-export function createWorkerHealth ({ clock, logger }: { clock: Clock, logger: Logger }): WorkerHealth {
+export function createWorkerHealth ({ clock, logger, metrics = createNoopMetrics() }: { clock: Clock, logger: Logger, metrics?: Metrics }): WorkerHealth {
   const known = new Map<string, Health>()
   const failures = createFailureAttribution()
   const stallDetector = createStallDetector()
+  const flapDetector = createFlapDetector(clock)
   /** Average progress of the tasks of a step over all workers, in percent per millisecond. */
   const stepRates = new Map<string, number>()
 
@@ -96,7 +100,7 @@
   }
 
   return {
-    isPaused: (worker) => (known.get(worker)?.pausedUntil ?? -Infinity) > clock.now(),
+    isPaused: (worker) => (known.get(worker)?.pausedUntil ?? -Infinity) > clock.now() || flapDetector.isSuspended(worker),
     getSlowness: (worker) => known.get(worker)?.slowness ?? 1,
     recordEnd: (worker, task, cause) => {
       if (cause === 'failed') recordFailure(worker, task, 'failures')
@@ -111,6 +115,12 @@
       const ms = REFUSAL_PAUSE_MS[reason]
       if (ms !== undefined) pause(worker, ms, reason)
     },
+    recordConnectionLoss: (worker, knownWorkers) => {
+      const ms = flapDetector.recordLoss(worker, knownWorkers)
+      if (ms === undefined) return
+      metrics.count('worker.flapping', 1)
+      logger.info('worker.flapping', { worker, suspendedMs: ms })
+    },
     observeRuns: (session, reply, findStep) => {
       const health = getHealth(session.worker)
       if (stepRates.size > MAX_KNOWN_STEPS) stepRates.clear()
@@ -158,6 +168,7 @@
     reset: (worker) => {
       known.delete(worker)
       failures.reset(worker)
+      flapDetector.reset(worker)
     }
   }
 }
