Reserve workers for groups that fit on none now

Cause: small tasks take each piece of capacity as it becomes free, so a large task or a gang waits as long as there is a backlog. Only interrupted long-running tasks got a reservation.

Change: a group that has fitted on no worker for 200 ms gets the workers that can hold it soonest by the expected ends of their runs, with a stored deadline. Work that ends before may use them, and so may more urgent work. At most a tenth of a pool is reserved, two searches are made in a pass, each over at most 32 workers. Reservations for interrupted long-running tasks use the same module: they are exclusive as before, at most 5% of a pool.

The test that named `findWorkerToReserve` asks the same of `findForInterrupted`, which replaces it.

--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -2,11 +2,14 @@
 import type { Assignment, WorkflowsState } from '../../state/index.js'
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskStepIndex, formatStepName, type CandidateOptions, type PlacementCandidate, type Pool } from './candidates.js'
-import { findWorkerToReserve, placeOnWorkers, type GroupOptions } from './groups.js'
+import { placeOnWorkers, type GroupOptions } from './groups.js'
 import { drainWorkers, observeInterference, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import { compareGroups, getLateness } from './plan.js'
 import { createCompetingDemand } from './competingDemand.js'
+import { createReservations, type SelectedPool } from './reservations.js'
+import { createReservationSearch } from './reservationSearch.js'
+import type { RunDurations } from './runDurations.js'
 import type { WorkerView } from './sessionState.js'
 import type { Signal } from './signal.js'
 import type { StartBackoff } from './startBackoff.js'
@@ -23,8 +26,6 @@
 const STARVED_CHECK_MS = 50
 /** The competing demand is cached this long: it changes slowly, with the backlog, and needs an estimate for each image on each worker. */
 const COMPETING_DEMAND_CACHE_MS = 200
-/** Largest share of a pool's workers that may be reserved for interrupted long-running tasks, which are a small share of the load. */
-const MAX_RESERVED_SHARE = 0.05
 /** Interval of the check for tasks to move off draining workers; the shortest notice period is a few seconds. */
 const DRAIN_CHECK_MS = 100
 /** Interval of the check for stalled runs; a tenth of the time without progress after which a run is stalled. */
@@ -47,6 +48,9 @@
   metrics: Metrics
   work: EventLoopMeter
   startBackoff: StartBackoff
+  runDurations: RunDurations
+  /** Whether workers are reserved for groups that fit on none now; interrupted long-running tasks get reservations in any case. Absent: yes. */
+  looksAhead?: boolean | undefined
   isActive (): boolean
   /** Resolves when the assignments are committed or rejected, or when the attempt has timed out with an unknown outcome. */
   assign (assignments: Assignment[]): Promise<void>
@@ -73,7 +77,9 @@
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { clock, logger, getState, wake, work } = options
   const waiting = createWaitingIndex(getState)
-  const candidates = createCandidates(options, createTaskStepIndex(getState))
+  const findTaskStep = createTaskStepIndex(getState)
+  const candidates = createCandidates(options, findTaskStep)
+  const reservations = createReservations({ ...options, looksAhead: options.looksAhead ?? true, search: createReservationSearch({ ...options, findTaskStep }) })
   const getCompetingDemand = createCompetingDemandCache(options)
   /** Open workflows of which a task was placed because they were starved. */
   const starvedWorkflows = new Set<string>()
@@ -138,20 +144,23 @@
 
   const placeAll = (trackedGroups: TrackedGroup[], pools: Map<string, Pool>, now: number, wallTime: number): Assignment[] => {
     exhaustedUntil.forEach((until, equivalenceClass) => { if (until <= now) exhaustedUntil.delete(equivalenceClass) })
-    const pass: Pass = { now, getCompetingDemand: getCompetingDemand(trackedGroups, pools, now), exhausted: new Set() }
+    const pass: Pass = { now, wallTime, getCompetingDemand: getCompetingDemand(trackedGroups, pools, now), exhausted: new Set() }
     const assignments: Assignment[] = []
     const compare = compareGroups(wallTime)
     const dueGroups = trackedGroups.filter((tracked) => isRetryDue(tracked, pools.get(tracked.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
-    const placeEach = (groupsToPlace: TrackedGroup[], availablePools: Map<string, Pool>): void => groupsToPlace.forEach((tracked) => {
-      const pool = availablePools.get(tracked.group.record.service)
+    const placeEach = (groupsToPlace: TrackedGroup[]): void => groupsToPlace.forEach((tracked) => {
+      const pool = pools.get(tracked.group.record.service)
       if (pool === undefined) return
-      if (assignments.length < MAX_ASSIGNMENTS) placeTracked(tracked, pool, pass).forEach((assignment) => assignments.push(assignment))
-      else tracked.progress.isSchedulerLimited = hasCapacity(tracked, pool.workers)
+      const selected = reservations.selectPool(tracked, pool, now, wallTime)
+      if (assignments.length < MAX_ASSIGNMENTS) placeTracked(tracked, selected, pass).forEach((assignment) => assignments.push(assignment))
+      else tracked.progress.isSchedulerLimited = hasCapacity(tracked, selected.pool.workers)
     })
     trackedGroups.forEach(({ progress }) => { progress.isSchedulerLimited = false })
-    const resumed = trackedGroups.filter(({ group }) => group.isResumed === true)
-    placeEach(dueGroups.filter(({ group }) => group.isResumed === true), pools)
-    placeEach(dueGroups.filter(({ group }) => group.isResumed !== true), removeReserved(pools, resumed))
+    reservations.update(trackedGroups, pools, now, wallTime)
+    placeEach(dueGroups.filter(({ group }) => group.isResumed === true))
+    reservations.openInterrupted(trackedGroups.filter(({ group }) => group.isResumed === true), pools, now)
+    placeEach(dueGroups.filter(({ group }) => group.isResumed !== true))
+    work.measure('dispatch.reserve', () => reservations.openBlocked(pools, now, wallTime))
     updateSchedulerLimited(trackedGroups, pools)
     lastTracked = trackedGroups
     startRate.record(now, assignments.length, trackedGroups.some(({ progress }) => progress.isSchedulerLimited))
@@ -176,20 +185,24 @@
     if (!group.step.lasting) progress.isStarved = false
   }
 
-  const placeTracked = (tracked: TrackedGroup, pool: Pool, { now, getCompetingDemand, exhausted }: Pass): Assignment[] => {
+  const placeTracked = (tracked: TrackedGroup, { pool, excluded }: SelectedPool, { now, wallTime, getCompetingDemand, exhausted }: Pass): Assignment[] => {
     const { group, progress, hasWorkerLimit } = tracked
     const { isStarved } = progress
     // A starved group accepts workers that the other groups of its equivalence class do not.
-    const equivalenceClass = isStarved ? undefined : tracked.equivalenceClass
+    const equivalenceClass = isStarved || tracked.equivalenceClass === undefined ? undefined : `${tracked.equivalenceClass}${excluded}`
     progress.isBlocked = true
     if (isExhausted(equivalenceClass, exhausted) || options.startBackoff.isDelayed(tracked.stepName)) return []
     const triesOnlyFreed = getRetryAt(tracked, equivalenceClass) > now
     offset += SAMPLE_SIZE
     const placed = placeOnWorkers(options, group, { pool: pool.workers, workers: triesOnlyFreed ? pool.freed : pool.workers, getCompetingDemand, isStarved, offset })
-    if (placed.length > 0) recordPlaced(tracked)
     progress.isBlocked = placed.length < group.indexes.length
+    if (placed.length > 0) recordPlaced(tracked)
+    if (placed.length > 0) reservations.recordPlaced(tracked, placed.map(([, worker]) => worker), now, wallTime)
     const hasTriedAll = progress.isBlocked && !triesOnlyFreed
-    if (hasTriedAll) progress.blockedUntil = now + BLOCKED_RETRY_MS
+    if (hasTriedAll) {
+      progress.blockedUntil = now + BLOCKED_RETRY_MS
+      reservations.recordBlocked(tracked, now)
+    }
     if (equivalenceClass === undefined || hasWorkerLimit) return placed
     if (hasTriedAll) exhaustedUntil.set(equivalenceClass, progress.blockedUntil)
     if (progress.isBlocked) exhausted.add(equivalenceClass)
@@ -261,22 +274,6 @@
   return tracked.progress.blockedUntil <= now || hasCapacity(tracked, pool.freed)
 }
 
-/** Returns the pools without the workers that are reserved for interrupted long-running tasks. */
-function removeReserved (pools: Map<string, Pool>, resumed: TrackedGroup[]): Map<string, Pool> {
-  const blocked = resumed.filter(({ progress }) => progress.isBlocked)
-  if (blocked.length === 0) return pools
-  return new Map([...pools].map(([service, { workers, freed, busy }]) => {
-    const maxReserved = Math.max(1, Math.floor(MAX_RESERVED_SHARE * workers.length))
-    const reserved = new Set<PlacementCandidate>()
-    blocked.filter(({ group }) => group.record.service === service).forEach(({ group }) => group.indexes.forEach(() => {
-      const worker = reserved.size < maxReserved ? findWorkerToReserve(group, workers, reserved) : undefined
-      if (worker !== undefined) reserved.add(worker)
-    }))
-    const isUnreserved = (worker: PlacementCandidate): boolean => !reserved.has(worker)
-    return [service, reserved.size === 0 ? { workers, freed, busy } : { workers: workers.filter(isUnreserved), freed: freed.filter(isUnreserved), busy }]
-  }))
-}
-
 /** Marks blocked groups that would fit on busy workers: they wait for the scheduler, not for capacity. */
 function updateSchedulerLimited (trackedGroups: TrackedGroup[], pools: Map<string, Pool>): void {
   const busy = new Map([...pools].filter(([, pool]) => pool.busy.length > 0).map(([service, pool]) => [service, pool.busy]))
@@ -287,7 +284,7 @@
 }
 
 /** State of one scheduling pass. `exhausted` holds the equivalence classes that no longer fit anywhere; capacity only shrinks during a pass. */
-interface Pass { now: number, getCompetingDemand: GetCompetingDemand, exhausted: Set<string> }
+interface Pass { now: number, wallTime: number, getCompetingDemand: GetCompetingDemand, exhausted: Set<string> }
 
 type GetCompetingDemand = PlacementNeeds['getCompetingDemand']
 
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -101,24 +101,11 @@
 }
 
 /** The needs of a group that depend on the capacity of a worker alone. */
-function createCapacityNeeds ({ step, record, occurrence, stepNumber }: WaitingGroup): Pick<PlacementNeeds, 'step' | 'countStepRuns'> & { stepName: string } {
+export function createCapacityNeeds ({ step, record, occurrence, stepNumber }: WaitingGroup): Pick<PlacementNeeds, 'step' | 'countStepRuns'> & { stepName: string } {
   const stepName = formatStepName(record.workflow.id, occurrence, stepNumber)
   return { step, stepName, countStepRuns: (_worker, { stepRuns }) => stepRuns?.get(stepName) ?? 0 }
 }
 
-/**
- * Finds the worker to reserve for an interrupted long-running task that fits on none now: of the workers that can hold it once
- * their short tasks have ended, the one with the most free cores. Without a reservation, short tasks that need fewer cores
- * take each core that becomes free, and a large task waits as long as there is a backlog.
- */
-export function findWorkerToReserve (group: WaitingGroup, pool: readonly PlacementCandidate[], reserved: ReadonlySet<PlacementCandidate>): PlacementCandidate | undefined {
-  const needs = createCapacityNeeds(group)
-  if (group.step.fills || pool.some((worker) => canHold(worker, needs))) return undefined
-  return pool
-    .filter((worker) => !reserved.has(worker) && canHold({ ...worker, ...worker.freeWithoutShortTasks }, needs))
-    .reduce<PlacementCandidate | undefined>((best, worker) => best === undefined || worker.freeCores > best.freeCores ? worker : best, undefined)
-}
-
 /**
  * Workers on which the group may be placed now: those that are not busy, unless the group is resumed, and that have a ticket
  * if the queue's policy requires tickets. A rack-sensitive step runs more slowly across racks, so it gets the workers of one
@@ -149,7 +136,7 @@
 }
 
 /** True when the pool keeps the reserve for short tasks after one more task of the step. */
-function canKeepReserve (workers: readonly PlacementCandidate[], step: Step): boolean {
+export function canKeepReserve (workers: readonly PlacementCandidate[], step: Step): boolean {
   const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
   const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
   return free - step.cores >= SHORT_TASK_RESERVE_SHARE * cores
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -156,11 +156,15 @@
  * 5. The earlier `dueAt`.
  */
 export function compareGroups (wallTime: number): (a: WaitingGroup, b: WaitingGroup) => number {
-  return (a, b) => Number(b.isResumed === true) - Number(a.isResumed === true) ||
+  return (a, b) => compareUrgencyClasses(a, b, wallTime) || a.dueAt - b.dueAt
+}
+
+/** Compares groups by the first four rules of `compareGroups`; groups of one urgency class differ only in `dueAt`. */
+export function compareUrgencyClasses (a: WaitingGroup, b: WaitingGroup, wallTime: number): number {
+  return Number(b.isResumed === true) - Number(a.isResumed === true) ||
     a.priority - b.priority ||
     Number(a.step.lasting) - Number(b.step.lasting) ||
-    getLateness(a, wallTime) - getLateness(b, wallTime) ||
-    a.dueAt - b.dueAt
+    getLateness(a, wallTime) - getLateness(b, wallTime)
 }
 
 /** 0 when the group can meet its objective, 1 when it will be late, 2 when it will end without value; 0 for long-running tasks. */
--- /dev/null
+++ b/src/coordination/workflows/reservations.ts
@@ -0,0 +1,299 @@
+import type { Logger, Metrics } from '../../common/index.js'
+import type { PlacementCandidate, Pool } from './candidates.js'
+import { addCapacity, hasCapacityFor, type Capacity } from './capacityForecast.js'
+import { canKeepReserve } from './groups.js'
+import { compareUrgencyClasses, getLateness, type WaitingGroup } from './plan.js'
+import type { ReservationSearch } from './reservationSearch.js'
+import type { RunDurations } from './runDurations.js'
+import type { TrackedGroup } from './waiting.js'
+
+/** A group that fits on no worker gets a reservation after this wait. Two tries on all workers; short work has about 600 ms of slack. */
+const RESERVE_AFTER_MS = 200
+/** Searches in one pass, and the interval between the searches for one class of groups: each looks at up to 32 workers with their runs. */
+const MAX_SEARCHES_PER_PASS = 2
+const SEARCH_INTERVAL_MS = 200
+/** Largest share of a pool's workers that may be reserved. */
+const MAX_RESERVED_SHARE = 0.1
+/** Largest share that may be reserved for interrupted long-running tasks, which are a small share of the load. */
+const MAX_INTERRUPTED_SHARE = 0.05
+/** Workers reserved for one group of tasks that start independently. */
+const MAX_RESERVED_PER_GROUP = 4
+/** Time after `readyAt` that a reservation lasts at least: the end of a run reaches the leader after a report and a commit, and the group is tried in the next pass. */
+const MIN_SPREAD_MS = 150
+/** Delay before the next reservation of a group after one that was dropped because the forecast was wrong; doubles each time. */
+const FIRST_RETRY_MS = 500
+const MAX_RETRY_MS = 8000
+/** Interval at which the worker for an interrupted long-running task is chosen again. */
+const INTERRUPTED_REVIEW_MS = 1000
+/** Interval at which data about groups that no longer wait is deleted. */
+const PRUNE_MS = 1000
+/** Groups that will end without value get no reservation; see `getLateness`. */
+const WORTHLESS = 2
+
+export interface Reservation {
+  /** Key of the group, see `TrackedGroup`. */
+  group: string
+  workers: readonly string[]
+  /** Time at which the workers are expected to have the capacity for the group. */
+  readyAt: number
+  expiresAt: number
+}
+
+interface StoredReservation extends Reservation {
+  waiting: WaitingGroup
+  service: string
+  waitingSince: number
+  /** Held for an interrupted long-running task: no other work may use the workers meanwhile. */
+  isExclusive: boolean
+  /** What the workers are expected to have free at `readyAt` beside the tasks of the group. */
+  spare: Map<string, Capacity>
+  /** A more urgent group has taken capacity of the workers. */
+  isOvertaken: boolean
+  idleCoreMs: number
+}
+
+type DropReason = 'late' | 'overtaken' | 'worker-unavailable' | 'not-waiting' | 'placed-elsewhere' | 'displaced' | 'review'
+
+interface BlockedGroup { since: number, searchAt: number, retryMs: number }
+
+export interface ReservationsOptions {
+  logger: Logger
+  metrics: Metrics
+  runDurations: RunDurations
+  search: ReservationSearch
+  /** False: only interrupted long-running tasks get reservations. */
+  looksAhead: boolean
+}
+
+/** The part of a pool that a group may use; `excluded` names the workers that are reserved for others. */
+export interface SelectedPool { pool: Pool, excluded: string }
+
+export interface Reservations {
+  /** Drops reservations that have expired or lost their group or a worker; called at the start of each pass. */
+  update (trackedGroups: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, now: number, wallTime: number): void
+  /** Returns the pool without the workers that are reserved for other groups and that the group may not use meanwhile. */
+  selectPool (tracked: TrackedGroup, pool: Pool, now: number, wallTime: number): SelectedPool
+  /** Records that the group was tried on all workers and some of its tasks fit on none. */
+  recordBlocked (tracked: TrackedGroup, now: number): void
+  recordPlaced (tracked: TrackedGroup, workers: readonly string[], now: number, wallTime: number): void
+  /** Reserves workers for the blocked groups of interrupted long-running tasks. */
+  openInterrupted (resumed: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, now: number): void
+  /** Reserves workers for the groups that were blocked in this pass. */
+  openBlocked (pools: ReadonlyMap<string, Pool>, now: number, wallTime: number): void
+  list (): readonly Reservation[]
+}
+
+/**
+ * Holds workers for groups that fit on none now, until the runs there have ended. Handles a backlog of small tasks that
+ * would take each piece of capacity as it becomes free, so that a large task or a gang would wait as long as it lasts.
+ * Without blocked groups a call costs nothing; with them, the cost is bounded by the constants above.
+ */
+export function createReservations (options: ReservationsOptions): Reservations {
+  const { logger, metrics, runDurations, search } = options
+  let reservations: StoredReservation[] = []
+  /** Groups that have fitted on no worker, by key. */
+  const blockedGroups = new Map<string, BlockedGroup>()
+  /** By equivalence class or group: time of the next search. */
+  const searchAt = new Map<string, number>()
+  let blockedInPass: TrackedGroup[] = []
+  const selectedPools = new Map<string, Pool>()
+  let updatedAt = 0
+  let prunedAt = 0
+
+  const remove = (reservation: StoredReservation): void => {
+    reservations = reservations.filter((other) => other !== reservation)
+    selectedPools.clear()
+    metrics.count('reservation.idle_core_ms', Math.round(reservation.idleCoreMs))
+  }
+
+  const drop = (reservation: StoredReservation, reason: DropReason, now: number): void => {
+    remove(reservation)
+    metrics.count('reservation.dropped', 1, { reason })
+    logger.info('reservation.dropped', { group: reservation.group, workers: reservation.workers.join(), reason, lateMs: Math.round(now - reservation.readyAt), idleCoreMs: Math.round(reservation.idleCoreMs) })
+    const blocked = blockedGroups.get(reservation.group)
+    if (blocked === undefined || reservation.isExclusive || (reason !== 'late' && reason !== 'overtaken')) return
+    blocked.searchAt = now + blocked.retryMs
+    blocked.retryMs = Math.min(MAX_RETRY_MS, blocked.retryMs * 2)
+  }
+
+  const addReservation = (reservation: StoredReservation, now: number): void => {
+    reservations.push(reservation)
+    selectedPools.clear()
+    const { group, workers, readyAt, expiresAt, waitingSince } = reservation
+    logger.info('reservation.open', { group, workers: workers.join(), waitedMs: Math.round(now - waitingSince), readyInMs: Math.round(readyAt - now), expiresInMs: Math.round(expiresAt - now) })
+  }
+
+  const prune = (trackedGroups: readonly TrackedGroup[], now: number): void => {
+    if (now - prunedAt < PRUNE_MS) return
+    prunedAt = now
+    const waiting = new Set(trackedGroups.map(({ key }) => key))
+    blockedGroups.forEach((_blocked, key) => { if (!waiting.has(key)) blockedGroups.delete(key) })
+    searchAt.forEach((at, key) => { if (at <= now) searchAt.delete(key) })
+  }
+
+  /** True if a group may use a worker that is reserved for another one. */
+  const canUse = (reservation: StoredReservation, tracked: TrackedGroup, worker: string, getEndAt: () => number, wallTime: number): boolean => {
+    const { group: { step, indexes }, group, progress } = tracked
+    if (reservation.isExclusive) return false
+    if (compareUrgencyClasses(group, reservation.waiting, wallTime) < 0 || progress.isStarved) return true
+    const spare = reservation.spare.get(worker)
+    const needed = addCapacity({ cores: 0, memoryMb: 0, accelerators: 0 }, step.fills ? { ...step, cores: 0 } : step, indexes.length)
+    return (spare !== undefined && hasCapacityFor(spare, needed)) || getEndAt() <= reservation.readyAt
+  }
+
+  const listExcluded = (tracked: TrackedGroup, now: number, wallTime: number): string[] => {
+    const { group, key } = tracked
+    let endAt: number | undefined
+    const getEndAt = (): number => {
+      endAt ??= estimateEndAt(runDurations, group, now)
+      return endAt
+    }
+    return reservations.filter((reservation) => reservation.service === group.record.service && reservation.group !== key)
+      .flatMap((reservation) => reservation.workers.filter((worker) => !canUse(reservation, tracked, worker, getEndAt, wallTime)))
+  }
+
+  const countReserved = (service: string, isCounted: (reservation: StoredReservation) => boolean): number =>
+    reservations.filter((reservation) => reservation.service === service && isCounted(reservation)).reduce((sum, { workers }) => sum + workers.length, 0)
+
+  /** Opens a reservation if one is possible and pays; returns false if the group needs none now. */
+  const openFor = ({ group, key }: TrackedGroup, since: number, { workers: pool }: Pool, now: number, wallTime: number): boolean => {
+    const { service } = group.record
+    const isLessUrgent = ({ waiting, isExclusive }: StoredReservation): boolean => !isExclusive && compareUrgencyClasses(group, waiting, wallTime) < 0
+    const held = new Set(reservations.filter((reservation) => !isLessUrgent(reservation)).flatMap(({ workers }) => workers))
+    const set = search.find(group, pool.filter(({ id }) => !held.has(id)), now)
+    // How long the group would wait without a reservation is not known; at least as long again as it has waited is assumed.
+    const waitedMs = now - since
+    if (set === undefined || set.readyAt - now > waitedMs) return false
+    const workers = [...set.spare.keys()]
+    const maxReserved = Math.max(1, Math.floor(MAX_RESERVED_SHARE * pool.length))
+    if (countReserved(service, (reservation) => !isLessUrgent(reservation)) + workers.length > maxReserved) return false
+    reservations.filter((reservation) => isLessUrgent(reservation) && reservation.workers.some((worker) => set.spare.has(worker))).forEach((reservation) => drop(reservation, 'displaced', now))
+    while (countReserved(service, () => true) + workers.length > maxReserved) drop(reservations.findLast((reservation) => reservation.service === service && isLessUrgent(reservation)) as StoredReservation, 'displaced', now)
+    const expiresAt = Math.max(set.readyAt + MIN_SPREAD_MS, Math.min(set.lateAt, now + waitedMs))
+    addReservation({ group: key, workers, readyAt: set.readyAt, expiresAt, waiting: group, service, waitingSince: since, isExclusive: false, spare: new Map(set.spare), isOvertaken: false, idleCoreMs: 0 }, now)
+    return true
+  }
+
+  const isSearchDue = ({ key, equivalenceClass }: TrackedGroup, now: number): boolean => {
+    const blocked = blockedGroups.get(key)
+    return blocked !== undefined && now - blocked.since >= RESERVE_AFTER_MS && blocked.searchAt <= now && (searchAt.get(equivalenceClass ?? key) ?? -Infinity) <= now
+  }
+
+  const isEligible = ({ group, key }: TrackedGroup, pool: Pool, wallTime: number): boolean => {
+    const { step, advice, indexes } = group
+    const wanted = step.gang ? 1 : Math.min(MAX_RESERVED_PER_GROUP, indexes.length)
+    return !step.fills && advice === undefined && getLateness(group, wallTime) < WORTHLESS &&
+      reservations.filter((reservation) => reservation.group === key).length < wanted &&
+      (!step.lasting || canKeepReserve(pool.workers, step))
+  }
+
+  const findDropReason = (reservation: StoredReservation, tracked: TrackedGroup | undefined, candidates: ReadonlyMap<string, PlacementCandidate>, now: number): DropReason | undefined => {
+    if (tracked === undefined) return 'not-waiting'
+    if (!reservation.workers.every((worker) => candidates.has(worker))) return 'worker-unavailable'
+    if (now < reservation.expiresAt) return undefined
+    if (reservation.isExclusive) return 'review'
+    return reservation.isOvertaken ? 'overtaken' : 'late'
+  }
+
+  return {
+    update: (trackedGroups, pools, now, wallTime) => {
+      const passedMs = now - updatedAt
+      updatedAt = now
+      blockedInPass = []
+      selectedPools.clear()
+      prune(trackedGroups, now)
+      if (reservations.length === 0) return
+      const groups = new Map(trackedGroups.map((tracked) => [tracked.key, tracked]))
+      const reserved = new Set(reservations.flatMap(({ workers }) => workers))
+      const candidates = new Map([...pools.values()].flatMap(({ workers }) => workers.filter(({ id }) => reserved.has(id)).map((worker) => [worker.id, worker])))
+      reservations.forEach((reservation) => {
+        const tracked = groups.get(reservation.group)
+        reservation.waiting = tracked?.group ?? reservation.waiting
+        reservation.idleCoreMs += measureIdleCores(reservation, candidates) * passedMs
+        const reason = findDropReason(reservation, tracked, candidates, now)
+        if (reason !== undefined) drop(reservation, reason, now)
+      })
+    },
+    selectPool: (tracked, pool, now, wallTime) => {
+      if (reservations.length === 0 || tracked.group.isResumed === true) return { pool, excluded: '' }
+      const ids = listExcluded(tracked, now, wallTime)
+      if (ids.length === 0) return { pool, excluded: '' }
+      const excluded = ids.join()
+      const selected = selectedPools.get(excluded) ?? removeWorkers(pool, new Set(ids))
+      selectedPools.set(excluded, selected)
+      return { pool: selected, excluded }
+    },
+    recordBlocked: (tracked, now) => {
+      if (!options.looksAhead || tracked.group.isResumed === true) return
+      if (!blockedGroups.has(tracked.key)) blockedGroups.set(tracked.key, { since: now, searchAt: -Infinity, retryMs: FIRST_RETRY_MS })
+      if (isSearchDue(tracked, now)) blockedInPass.push(tracked)
+    },
+    recordPlaced: ({ key, group, progress }, workers, now, wallTime) => {
+      reservations.filter((reservation) => reservation.workers.some((worker) => workers.includes(worker))).forEach((reservation) => {
+        if (reservation.group !== key) return recordOthers(reservation, group, workers, wallTime)
+        remove(reservation)
+        const waitedMs = Math.round(now - reservation.waitingSince)
+        metrics.timing('reservation.wait', waitedMs)
+        logger.info('reservation.used', { group: key, workers: reservation.workers.join(), waitedMs, lateMs: Math.round(now - reservation.readyAt), idleCoreMs: Math.round(reservation.idleCoreMs) })
+      })
+      if (progress.isBlocked) return
+      blockedGroups.delete(key)
+      reservations.filter((reservation) => reservation.group === key).forEach((reservation) => drop(reservation, 'placed-elsewhere', now))
+    },
+    openInterrupted: (resumed, pools, now) => resumed.filter(({ progress }) => progress.isBlocked).forEach(({ group, key }) => {
+      const pool = pools.get(group.record.service)
+      if (pool === undefined || (searchAt.get(key) ?? -Infinity) > now) return
+      const maxReserved = Math.max(1, Math.floor(MAX_INTERRUPTED_SHARE * pool.workers.length))
+      const wanted = group.indexes.length - reservations.filter((reservation) => reservation.group === key).length
+      const limit = Math.min(wanted, maxReserved - countReserved(group.record.service, ({ isExclusive }) => isExclusive))
+      const isOpened = Array.from({ length: Math.max(0, limit) }).every(() => {
+        const held = new Set(reservations.filter(({ isExclusive }) => isExclusive).flatMap(({ workers }) => workers))
+        const set = search.findForInterrupted(group, pool.workers, pool.workers.filter(({ id }) => !held.has(id)), now)
+        if (set === undefined) return false
+        reservations.filter(({ workers }) => workers.some((worker) => set.spare.has(worker))).forEach((reservation) => drop(reservation, 'displaced', now))
+        addReservation({ group: key, workers: [...set.spare.keys()], readyAt: Math.min(set.readyAt, now + INTERRUPTED_REVIEW_MS), expiresAt: now + INTERRUPTED_REVIEW_MS, waiting: group, service: group.record.service, waitingSince: now, isExclusive: true, spare: new Map(), isOvertaken: false, idleCoreMs: 0 }, now)
+        return true
+      })
+      if (!isOpened) searchAt.set(key, now + SEARCH_INTERVAL_MS)
+    }),
+    openBlocked: (pools, now, wallTime) => {
+      let searches = 0
+      blockedInPass.forEach((tracked) => {
+        const pool = pools.get(tracked.group.record.service)
+        // A group of the same class may have been searched for in this pass.
+        if (pool === undefined || searches >= MAX_SEARCHES_PER_PASS || !isSearchDue(tracked, now)) return
+        const isSearched = isEligible(tracked, pool, wallTime)
+        if (isSearched) searches += 1
+        const isOpened = isSearched && openFor(tracked, blockedGroups.get(tracked.key)?.since ?? now, pool, now, wallTime)
+        if (!isOpened) searchAt.set(tracked.equivalenceClass ?? tracked.key, now + SEARCH_INTERVAL_MS)
+      })
+    },
+    list: () => reservations
+  }
+}
+
+/** Records that a group took capacity of workers that are reserved for another one. */
+function recordOthers (reservation: StoredReservation, group: WaitingGroup, workers: readonly string[], wallTime: number): void {
+  if (compareUrgencyClasses(group, reservation.waiting, wallTime) < 0) reservation.isOvertaken = true
+  const { step } = group
+  workers.forEach((worker) => {
+    const spare = reservation.spare.get(worker)
+    if (spare !== undefined) reservation.spare.set(worker, addCapacity(spare, step.fills ? { ...step, cores: 0 } : step, -1))
+  })
+}
+
+/** Steady-clock time at which a task of the group ends in nine of ten cases if it starts now; infinite for long-running tasks. */
+function estimateEndAt (runDurations: RunDurations, { record, stepNumber, step }: WaitingGroup, now: number): number {
+  if (step.lasting) return Infinity
+  return now + runDurations.forecast({ queue: record.queue, image: step.image, step: stepNumber }, step.expectedRunMs).lateMs
+}
+
+/** Cores that are idle on the workers because of a reservation: the free ones that the group will use. */
+function measureIdleCores ({ workers, waiting: { step } }: StoredReservation, candidates: ReadonlyMap<string, PlacementCandidate>): number {
+  return workers.reduce((sum, worker) => sum + Math.max(0, Math.min(step.cores, candidates.get(worker)?.freeCores ?? 0)), 0)
+}
+
+function removeWorkers ({ workers, freed, busy }: Pool, excluded: ReadonlySet<string>): Pool {
+  const isAllowed = ({ id }: PlacementCandidate): boolean => !excluded.has(id)
+  return { workers: workers.filter(isAllowed), freed: freed.filter(isAllowed), busy }
+}
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -34,6 +34,7 @@
   advice: AdviceClient
   /** Model of the interference between images that share workers; kept across terms. */
   interferenceModel: InterferenceModel
+  looksAhead?: boolean | undefined
   /** Term of the log, used as fencing token: workers refuse orders of earlier terms. */
   fence: number
 }
@@ -273,6 +274,8 @@
     interferenceModel: options.interferenceModel,
     advisor,
     startBackoff,
+    runDurations,
+    looksAhead: options.looksAhead,
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -2,6 +2,7 @@
 import { createDispatcher, type Dispatcher } from '../coordination/workflows/dispatcher.js'
 import { createRun, createSession, type Session, type SessionContext } from '../coordination/workflows/sessionState.js'
 import { createInterferenceModel } from '../coordination/workflows/interferenceModel.js'
+import { createRunDurations } from '../coordination/workflows/runDurations.js'
 import { createSignal } from '../coordination/workflows/signal.js'
 import { createStartBackoff } from '../coordination/workflows/startBackoff.js'
 import { createWorkerHealth } from '../coordination/workflows/workerHealth.js'
@@ -177,6 +178,7 @@
     interferenceModel,
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
+    runDurations: createRunDurations(),
     getState: () => state,
     isActive: () => true,
     assign: async (assignments) => {
--- a/test/workflows/groups.test.ts
+++ b/test/workflows/groups.test.ts
@@ -1,9 +1,11 @@
 import { expect, test } from 'vitest'
 import { createManualClock } from '../../src/common/index.js'
 import type { PlacementCandidate } from '../../src/coordination/workflows/candidates.js'
-import { findWorkerToReserve, placeGroup, type GroupOptions } from '../../src/coordination/workflows/groups.js'
+import { placeGroup, type GroupOptions } from '../../src/coordination/workflows/groups.js'
 import type { WaitingGroup } from '../../src/coordination/workflows/plan.js'
-import type { Step } from '../../src/state/index.js'
+import { createReservationSearch } from '../../src/coordination/workflows/reservationSearch.js'
+import { createRunDurations } from '../../src/coordination/workflows/runDurations.js'
+import { createWorkflowsState, type Step } from '../../src/state/index.js'
 import { STEP } from './support.js'
 
 function createWorker (id: string, more: Partial<PlacementCandidate> = {}): PlacementCandidate {
@@ -93,5 +95,7 @@
   const group = createGroup({ lasting: true, cores: 4, memoryMb: 60_000, accelerators: 1 })
   const full = createWorker('w1', { freeCores: 1, freeMemoryMb: 10_000, freeAccelerators: 0, freeWithoutShortTasks: { freeCores: 32, freeMemoryMb: 100_000, freeAccelerators: 1 } })
   const taken = { ...full, id: 'w2', freeWithoutShortTasks: { freeCores: 32, freeMemoryMb: 40_000, freeAccelerators: 1 } }
-  expect([findWorkerToReserve(group, [full], new Set())?.id, findWorkerToReserve(group, [taken], new Set())]).toEqual(['w1', undefined])
+  const search = createReservationSearch({ sessions: new Map(), runDurations: createRunDurations(), getState: createWorkflowsState, findTaskStep: () => undefined })
+  const findWorkers = (worker: PlacementCandidate): string[] => [...search.findForInterrupted(group, [worker], [worker], 0)?.spare.keys() ?? []]
+  expect([findWorkers(full), findWorkers(taken)]).toEqual([['w1'], []])
 })
