Run work that keeps failing one task at a time, and count the remaining chain as lateness

Cause: work that fails wherever it runs took the capacity of all its tasks until its attempts were used up. A first step counted as on time although the steps that depend on it could no longer end in time, so under overload its work was done and then lost.

Change: after two failed tasks of a step, its tasks are listed one at a time, those that failed first, until one has succeeded. This is decided from the replicated state, so it survives a change of leader. Lateness counts the critical path from the waiting step on. compareGroups takes a rank of the queue's share, which nothing sets yet.

--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -9,6 +9,9 @@
 /** A workflow that takes this many times its objective has no value any more. */
 export const ZERO_VALUE_FACTOR = 3
 
+/** After the failure of this many tasks of a step, its tasks run one at a time until one has succeeded. */
+const SUSPECT_FAILED_TASKS = 2
+
 /** Waiting tasks of one occurrence and step that may be assigned now. */
 export interface WaitingGroup {
   record: WorkflowRecord
@@ -36,6 +39,24 @@
   return ends.reduce((latest, end) => Math.max(latest, end), 0)
 }
 
+const tailsBySteps = new WeakMap<readonly Step[], number[]>()
+
+/** Estimated duration in ms of the longest chain of dependent steps that begins with this step. Cached by the steps, which never change. */
+export function estimateTailMs (steps: readonly Step[], stepNumber: number): number {
+  const tails = tailsBySteps.get(steps) ?? computeTails(steps)
+  tailsBySteps.set(steps, tails)
+  return tails[stepNumber] ?? 0
+}
+
+/** Steps depend only on earlier ones. */
+function computeTails (steps: readonly Step[]): number[] {
+  const tails = steps.map(({ expectedRunMs }) => expectedRunMs)
+  for (let number = steps.length - 1; number >= 0; number -= 1) {
+    steps[number]?.dependsOn.forEach((earlier) => { tails[earlier] = Math.max(tails[earlier] ?? 0, (steps[earlier]?.expectedRunMs ?? 0) + (tails[number] ?? 0)) })
+  }
+  return tails
+}
+
 export function getOccurrenceStart (record: WorkflowRecord, occurrence: number): number {
   const { recurrence } = record.workflow
   return recurrence === undefined ? record.submittedAt : recurrence.firstAt + occurrence * recurrence.intervalMs
@@ -57,7 +78,7 @@
 }
 
 /** Tasks of one occurrence and step that were assigned at least once and are not done. */
-interface KnownTasks { occurrence: number, running: number, interrupted: number[] }
+interface KnownTasks { occurrence: number, running: number, interrupted: number[], failed: number[] }
 
 /**
  * Lists the tasks of a workflow that are not assigned to a worker and may start at `wallTime`: all that were interrupted, and of
@@ -103,11 +124,12 @@
 /** Groups the task records by occurrence and step. Their number depends on the tasks that run or were interrupted. */
 function listKnownTasks (record: WorkflowRecord): Map<string, KnownTasks> {
   const known = new Map<string, KnownTasks>()
-  Object.entries(record.tasks).filter(([, { succeeded }]) => !succeeded).forEach(([taskKey, { worker }]) => {
+  Object.entries(record.tasks).filter(([, { succeeded }]) => !succeeded).forEach(([taskKey, { worker, failures }]) => {
     const end = taskKey.lastIndexOf('.')
     const stepKey = taskKey.slice(0, end)
-    const tasks = known.get(stepKey) ?? { occurrence: Number(stepKey.slice(0, stepKey.indexOf('.'))), running: 0, interrupted: [] }
+    const tasks = known.get(stepKey) ?? { occurrence: Number(stepKey.slice(0, stepKey.indexOf('.'))), running: 0, interrupted: [], failed: [] }
     known.set(stepKey, tasks)
+    if (failures > 0) tasks.failed.push(Number(taskKey.slice(end + 1)))
     if (worker === undefined) tasks.interrupted.push(Number(taskKey.slice(end + 1)))
     else tasks.running += 1
   })
@@ -128,11 +150,30 @@
   const step = record.workflow.steps[stepNumber] as Step
   const interrupted = known?.interrupted ?? []
   if ((limit <= 0 && interrupted.length === 0) || isStepDone(record, occurrence, stepNumber) || !isStepReady(record, occurrence, step)) return []
-  if (!step.gang) return [...interrupted, ...listNeverAssigned(record, occurrence, stepNumber, limit)].sort((a, b) => a - b)
+  if (!step.gang) {
+    const indexes = [...interrupted, ...listNeverAssigned(record, occurrence, stepNumber, limit)].sort((a, b) => a - b)
+    return isSuspect(record, occurrence, stepNumber, known) ? listOneAtATime(indexes, known) : indexes
+  }
   // Members of a gang start together, so none may start while a member of the previous attempt is still assigned.
   return (known?.running ?? 0) > 0 ? [] : Array.from({ length: step.count }, (_, index) => index)
 }
 
+/**
+ * True when several tasks of a step have failed and none has succeeded: the step may fail wherever it runs. Decided from the
+ * replicated state, so a new leader knows it.
+ */
+function isSuspect (record: WorkflowRecord, occurrence: number, stepNumber: number, known: KnownTasks | undefined): boolean {
+  const hasSucceeded = (record.succeeded[formatStepKey(occurrence, stepNumber)] ?? 0) > 0 || findMissingIndex(record.doneOccurrences, 0) > 0
+  return record.workflow.steps[stepNumber]?.lasting === false && !hasSucceeded && (known?.failed.length ?? 0) >= SUSPECT_FAILED_TASKS
+}
+
+/** One task while none runs; one that has failed before, because its next failure may end the workflow. */
+function listOneAtATime (indexes: readonly number[], known: KnownTasks | undefined): number[] {
+  if ((known?.running ?? 0) > 0) return []
+  const failed = new Set(known?.failed)
+  return [indexes.find((index) => failed.has(index)) ?? indexes[0]].flatMap((index) => index ?? [])
+}
+
 function listNeverAssigned (record: WorkflowRecord, occurrence: number, step: number, limit: number): number[] {
   const count = record.workflow.steps[step]?.count ?? 0
   const succeeded = record.succeededIndexes?.[formatStepKey(occurrence, step)]
@@ -153,20 +194,25 @@
  * 3. Short tasks before long-running ones: when long-running tasks take all cores, short tasks yield more value per core.
  * 4. Groups that can meet their objective before late ones: in a burst of large jobs, a late workflow has lost most of its
  *    value whenever it ends, so it waits until the workflows that can be on time have capacity.
- * 5. The earlier `dueAt`.
+ * 5. The lower share rank: queues that hold more than their share of the pool wait for the others.
+ * 6. The earlier `dueAt`.
  */
-export function compareGroups (wallTime: number): (a: WaitingGroup, b: WaitingGroup) => number {
+export function compareGroups (wallTime: number, getShareRank: (group: WaitingGroup) => number = () => 0): (a: WaitingGroup, b: WaitingGroup) => number {
   return (a, b) => Number(b.isResumed === true) - Number(a.isResumed === true) ||
     a.priority - b.priority ||
     Number(a.step.lasting) - Number(b.step.lasting) ||
     getLateness(a, wallTime) - getLateness(b, wallTime) ||
+    getShareRank(a) - getShareRank(b) ||
     a.dueAt - b.dueAt
 }
 
-/** 0 when the group can meet its objective, 1 when it will be late, 2 when it will end without value; 0 for long-running tasks. */
+/**
+ * 0 when the workflow can meet its objective by the group's step and those that depend on it, 1 when it will be late, 2 when it
+ * will end without value; 0 for long-running tasks.
+ */
 export function getLateness (group: WaitingGroup, wallTime: number): number {
   if (group.step.lasting) return 0
   const start = getOccurrenceStart(group.record, group.occurrence)
-  const endsAt = wallTime + group.step.expectedRunMs
+  const endsAt = wallTime + estimateTailMs(group.record.workflow.steps, group.stepNumber)
   return Number(endsAt > group.dueAt) + Number(endsAt > start + ZERO_VALUE_FACTOR * (group.dueAt - start))
 }
--- a/test/workflows/plan.test.ts
+++ b/test/workflows/plan.test.ts
@@ -1,9 +1,9 @@
 import { expect, test } from 'vitest'
 import { admitWorkflow } from '../../src/coordination/workflows/admission.js'
-import { compareGroups, estimateChainMs, listWaiting } from '../../src/coordination/workflows/plan.js'
+import { compareGroups, estimateChainMs, estimateTailMs, getLateness, listWaiting } from '../../src/coordination/workflows/plan.js'
 import { computeMajorityAge } from '../../src/coordination/workflows/term.js'
 import { computeWorkerTime } from '../../src/coordination/workflows/workerClock.js'
-import { createWorkflowsState, workflowHandlers, type Step, type WorkflowsState } from '../../src/state/index.js'
+import { createWorkflowsState, workflowHandlers, type EndCause, type Step, type WorkflowsState } from '../../src/state/index.js'
 import { CATALOG, STEP } from './support.js'
 
 const QUEUE = CATALOG.queues[0]!
@@ -73,3 +73,36 @@
   const slowClockAtEnd = 500_000 + (until - 10_000) * 0.98
   expect(end).toBeLessThanOrEqual(slowClockAtEnd)
 })
+
+// Guards against work on first steps that is lost because their workflows have no time left for the steps that follow.
+test('a workflow whose remaining steps take it beyond its objective is late, whichever of them waits', () => {
+  const steps = [{ expectedRunMs: 1000 }, { expectedRunMs: 1000, dependsOn: [0] }]
+  const [group] = Object.values(createState([{ id: 'two-steps', steps }]).workflows).flatMap((record) => listWaiting(record, QUEUE, 0))
+  // The objective is 4,500 ms, and there is no value after 13,500 ms.
+  expect([2500, 2600, 11_500, 11_600].map((at) => getLateness(group!, at))).toEqual([0, 1, 1, 2])
+  expect([0, 1, 2].map((number) => estimateTailMs([{ expectedRunMs: 100 }, { expectedRunMs: 300 }, { expectedRunMs: 50, dependsOn: [0, 1] }].map((step) => ({ ...STEP, ...step })), number))).toEqual([150, 350, 50])
+})
+
+// Guards against work that fails wherever it runs and takes the capacity of many tasks until its attempts are used up.
+test('after two tasks of a step have failed, its tasks run one at a time, those that failed first, until one has succeeded', () => {
+  const state = createState([{ id: 'w', steps: [{ count: 6 }] }])
+  let ends = 0
+  const assign = (index: number, attempt = 1): void => { workflowHandlers['workflow.assign'](state, { assignments: [[`w.0.0.${index}`, 'w1', attempt]] }) }
+  const end = (index: number, cause: EndCause, attempt = 1): void => {
+    ends += 1
+    workflowHandlers['workflow.end'](state, { lives: [{ worker: 'w1', bornAt: 1, ends: [[ends, `w.0.0.${index}`, attempt, cause, '']] }], judge: { host: '', division: 0 }, at: 0 })
+  }
+  const listIndexes = (): number[] => Object.values(state.workflows).flatMap((record) => listWaiting(record, QUEUE, 0)).flatMap(({ indexes }) => indexes)
+  const seen: number[][] = []
+  ;[1, 2, 3].forEach((index) => assign(index))
+  end(1, 'stopped')
+  end(2, 'failed')
+  seen.push(listIndexes())
+  end(3, 'failed')
+  seen.push(listIndexes())
+  assign(0)
+  seen.push(listIndexes())
+  end(0, 'succeeded')
+  seen.push(listIndexes())
+  expect(seen).toEqual([[0, 1, 2, 4, 5], [2], [], [1, 2, 3, 4, 5]])
+})
