Admit workflows by a forecast of the room for their kind of work, and preempt best-effort runs

Nothing was refused as too large. A waiting urgent task never displaced running work.

Retries are spread by workflow id, urgent queues first. Work without value does not start while work of its kind that has value is blocked. preemption.ts chooses best-effort runs to stop for blocked groups of priority 0; preemptor.ts stops them. Fair shares rank the queues of one priority. The settings table competition turns preemption and fair shares off.

--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,14 +1,19 @@
 import type { Clock } from '../../common/index.js'
-import type { Queue, Step, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
-import { estimateChainMs, ZERO_VALUE_FACTOR } from './plan.js'
+import type { Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
+import { ZERO_VALUE_FACTOR } from './plan.js'
+import { computeObjectiveMs, computeOpenWork, findTooLargeStep, estimateEnd, type OpenWork, type RoomForecastInput, type WorkerSize } from './roomForecast.js'
 
 /** Share of their requested cores that long-running tasks are assumed to use. */
 const LONG_RUNNING_UTILIZATION = 0.5
 const MIN_RETRY_AFTER_MS = 1000
 const MAX_RETRY_AFTER_MS = 30_000
+/** An unbounded forecast is logged as this. */
+const MAX_LOGGED_BACKLOG_MS = 3_600_000
 
 /** Admission uses cached totals for up to this long; the work that arrives meanwhile delays a workflow by less than it may wait. */
 const TOTALS_CACHE_MS = 50
+/** A worker that was removed still counts as known for this long, as most return. */
+const REMOVED_SIZE_RETENTION_MS = 600_000
 /** Window for the rate of starts: shorter than most objectives, longer than the interval between commits, each of which records many starts. */
 const RATE_WINDOW_MS = 3000
 /** Tasks have to wait for the scheduler at least this long before the rate of starts is used. */
@@ -26,6 +31,10 @@
   totals?: BacklogTotals
   /** Tasks that wait for the scheduler, of the queue's priority and more urgent ones. */
   load?: SchedulerLoad
+  /** Sizes of the known workers of the pool; absent: nothing is refused as too large. */
+  sizes?: readonly WorkerSize[]
+  /** Measured rates of the pool, see `estimateEnd`. */
+  rates?: RoomForecastInput['rates']
 }
 
 /**
@@ -37,22 +46,42 @@
 
 export type Admission =
   | { kind: 'admitted', backlogMs: number }
-  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog', backlogMs: number, retryAfterMs: number }
+  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog' | 'no-value' | 'too-large', backlogMs: number, retryAfterMs: number }
 
 /**
  * Refuses a workflow when the backlog of its queue would take longer than the workflow may last, for example after a burst
  * of large jobs: admitting it would make earlier workflows late as well. The backlog is that of the workers or that of the
- * scheduler, whichever takes longer. Workflows with long-running steps and recurring workflows are always admitted.
+ * scheduler, whichever takes longer. Also refuses a workflow that even by an optimistic forecast would end without value, and
+ * one with a step that is larger than any known worker. Workflows with long-running steps are refused only as too large, and
+ * recurring workflows never, because workers may change before they start.
  */
-export function admitWorkflow ({ state, queue, workflow, isKnown, totals, load }: AdmissionInput): Admission {
-  const workersMs = estimateBacklogMs(totals ?? computeTotals(state, Object.values(state.workflows)), queue)
+export function admitWorkflow ({ state, queue, workflow, isKnown, totals: cachedTotals, load, sizes, rates, now }: AdmissionInput): Admission {
+  const totals = cachedTotals ?? computeTotals(state, Object.values(state.workflows), now)
+  const workersMs = estimateBacklogMs(totals, queue)
   const schedulerMs = load === undefined ? 0 : estimateSchedulerBacklogMs(load)
   const backlogMs = Math.max(workersMs, schedulerMs)
   const isExempt = workflow.recurrence !== undefined || workflow.steps.some(({ lasting }) => lasting)
-  const allowedMs = ZERO_VALUE_FACTOR * (queue.slackFactor * estimateChainMs(workflow.steps) + queue.objectiveMs)
-  if (isKnown || isExempt || backlogMs <= allowedMs) return { kind: 'admitted', backlogMs }
-  const retryAfterMs = Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, backlogMs - allowedMs))
-  return { kind: 'refused', reason: schedulerMs > workersMs ? 'scheduler-backlog' : 'backlog', backlogMs, retryAfterMs }
+  if (!isKnown && workflow.recurrence === undefined && isTooLarge(state, queue, workflow, sizes)) {
+    return { kind: 'refused', reason: 'too-large', backlogMs, retryAfterMs: MAX_RETRY_AFTER_MS }
+  }
+  if (isKnown || isExempt) return { kind: 'admitted', backlogMs }
+  const allowedMs = ZERO_VALUE_FACTOR * computeObjectiveMs(queue, workflow.steps)
+  if (backlogMs > allowedMs) return { kind: 'refused', reason: schedulerMs > workersMs ? 'scheduler-backlog' : 'backlog', backlogMs, retryAfterMs: computeRetryDelayMs(backlogMs - allowedMs) }
+  const serviceTotals = totals.get(queue.service)
+  const forecast = rates === undefined || serviceTotals === undefined
+    ? undefined
+    : estimateEnd({ queue, workflow, open: serviceTotals.open, rates, freeableCores: computeFreeableCores(serviceTotals), now })
+  if (forecast === undefined || forecast.endsInMs <= forecast.allowedMs) return { kind: 'admitted', backlogMs }
+  return { kind: 'refused', reason: 'no-value', backlogMs: Math.max(backlogMs, Math.min(forecast.endsInMs, MAX_LOGGED_BACKLOG_MS)), retryAfterMs: computeRetryDelayMs(forecast.readyInMs) }
+}
+
+function isTooLarge ({ catalog }: WorkflowsState, { service }: Queue, workflow: Workflow, sizes: readonly WorkerSize[] | undefined): boolean {
+  const rejectsOverload = catalog?.pools.find((pool) => pool.service === service)?.rejectsOverload === true
+  return sizes !== undefined && findTooLargeStep(workflow, sizes, rejectsOverload) !== undefined
+}
+
+function computeRetryDelayMs (ms: number): number {
+  return Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, ms))
 }
 
 function estimateSchedulerBacklogMs ({ pendingTasks, startsPerSecond }: SchedulerLoad): number {
@@ -65,16 +94,19 @@
   longRunningCores: number
   /** Open work in core-milliseconds, by the priority of its queue. */
   work: Map<number, number>
+  /** Open work that still has value, by workflow. */
+  open: OpenWork[]
 }
 
 /** Cores and open work, by service. */
 export type BacklogTotals = ReadonlyMap<string, ServiceTotals>
 
-export function computeTotals (state: WorkflowsState, records: readonly WorkflowRecord[]): BacklogTotals {
-  const priorities = new Map(state.catalog?.queues.map(({ name, priority }) => [name, priority]) ?? [])
+/** `now`: wall-clock time in ms. */
+export function computeTotals (state: WorkflowsState, records: readonly WorkflowRecord[], now: number): BacklogTotals {
+  const queues = new Map(state.catalog?.queues.map((queue) => [queue.name, queue]) ?? [])
   const totals = new Map<string, ServiceTotals>()
   const getTotals = (service: string): ServiceTotals => {
-    const serviceTotals = totals.get(service) ?? { cores: 0, longRunningCores: 0, work: new Map<number, number>() }
+    const serviceTotals = totals.get(service) ?? { cores: 0, longRunningCores: 0, work: new Map<number, number>(), open: [] }
     totals.set(service, serviceTotals)
     return serviceTotals
   }
@@ -83,9 +115,14 @@
     .forEach(({ life }) => { getTotals(life.service).cores += life.cores })
   records.filter(({ outcome }) => outcome === undefined).forEach((record) => {
     const serviceTotals = getTotals(record.service)
-    const priority = priorities.get(record.queue) ?? 0
+    const queue = queues.get(record.queue)
+    const openWork = computeOpenWork(record, queue, now)
     serviceTotals.longRunningCores += LONG_RUNNING_UTILIZATION * record.workflow.steps.filter(({ lasting }) => lasting).reduce((sum, step) => sum + step.cores * step.count, 0)
-    serviceTotals.work.set(priority, (serviceTotals.work.get(priority) ?? 0) + estimateOpenWork(record))
+    // Work without value waits for all other work, so nothing waits for it.
+    if (openWork === undefined) return
+    const priority = queue?.priority ?? 0
+    serviceTotals.work.set(priority, (serviceTotals.work.get(priority) ?? 0) + openWork.work.ordinary + openWork.work.bestEffort)
+    serviceTotals.open.push(openWork)
   })
   return totals
 }
@@ -95,8 +132,34 @@
   const serviceTotals = totals.get(queue.service)
   if (serviceTotals === undefined || serviceTotals.cores === 0) return 0
   const work = [...serviceTotals.work].filter(([priority]) => priority <= queue.priority).reduce((sum, [, ms]) => sum + ms, 0)
-  // Even if long-running tasks take all cores, a tenth of the cores is assumed to become free as some of these tasks end.
-  return work / Math.max(serviceTotals.cores - serviceTotals.longRunningCores, serviceTotals.cores / 10)
+  return work / computeFreeableCores(serviceTotals)
+}
+
+/** Cores for work with an end. Even if long-running tasks take all cores, a tenth of the cores is assumed to become free as some of these tasks end. */
+function computeFreeableCores ({ cores, longRunningCores }: ServiceTotals): number {
+  return Math.max(cores - longRunningCores, cores / 10)
+}
+
+export interface KnownSizes {
+  /** Sizes of the workers of a service that are recorded, whether reachable or not, or were removed a short time ago. */
+  list (state: WorkflowsState, service: string): WorkerSize[]
+}
+
+/** Remembers the sizes of workers that were removed. A new leader does not know those that were removed before its term. */
+export function createKnownSizes (clock: Pick<Clock, 'now'>): KnownSizes {
+  const known = new Map<string, { service: string, size: WorkerSize, seenAt: number }>()
+  let updatedAt = -Infinity
+  return {
+    list: (state, service) => {
+      const now = clock.now()
+      if (now - updatedAt >= TOTALS_CACHE_MS) {
+        updatedAt = now
+        Object.values(state.workers).forEach(({ life }) => known.set(life.id, { service: life.service, size: life, seenAt: now }))
+        known.forEach(({ seenAt }, id) => { if (now - seenAt >= REMOVED_SIZE_RETENTION_MS) known.delete(id) })
+      }
+      return [...known.values()].filter((worker) => worker.service === service).map(({ size }) => size)
+    }
+  }
 }
 
 /** Caches the totals briefly, as requests arrive faster than the totals change. */
@@ -134,14 +197,3 @@
     }
   }
 }
-
-/** Remaining work of a workflow in core-milliseconds, without its long-running steps. */
-function estimateOpenWork (record: WorkflowRecord): number {
-  const { steps, recurrence } = record.workflow
-  if (recurrence !== undefined) return 0
-  return steps.reduce((sum, step, number) => sum + estimateStepWork(step, record.succeeded[`0.${number}`] ?? 0), 0)
-}
-
-function estimateStepWork (step: Step, succeeded: number): number {
-  return step.lasting ? 0 : Math.max(0, step.count - succeeded) * step.cores * step.expectedRunMs
-}
--- /dev/null
+++ b/src/coordination/workflows/competition.ts
@@ -0,0 +1,125 @@
+import { type Queue, type Workflow, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
+import { createTaskStepIndex, type Pool } from './candidates.js'
+import { formatUse, listOverShare, type QueueUse } from './fairShares.js'
+import { getLateness, type WaitingGroup } from './plan.js'
+import { createPreemptor, type PreemptorOptions } from './preemptor.js'
+import { getWorkKind, type RoomForecastInput, type WorkKind } from './roomForecast.js'
+import type { TrackedGroup } from './waiting.js'
+import { createWorkRates } from './workRates.js'
+import { selectWorthy } from './worthlessWork.js'
+
+/** The shares are computed again after this long; a pass starts at most a few hundred tasks. */
+const SHARES_CACHE_MS = 100
+/** Interval at which it is recorded whether work waits; several times within one bucket of the rates. */
+const WAITING_CHECK_MS = 100
+const KINDS: readonly WorkKind[] = ['ordinary', 'bestEffort']
+
+export interface CompetitionSettings {
+  preemption: boolean
+  fairShares: boolean
+  /** Work in ms between two checkpoints of a task, and the time that a restore takes. */
+  checkpointMs: number
+  restoreMs: number
+}
+
+/** Defaults: the interval and restore time of the reference sites with the rarest checkpoints. */
+export const DEFAULT_COMPETITION: CompetitionSettings = { preemption: true, fairShares: true, checkpointMs: 1000, restoreMs: 250 }
+
+export interface CompetitionOptions extends PreemptorOptions { settings: CompetitionSettings }
+
+/** What the leader learns and decides about work that competes for capacity. It is lost with the term and learned again. */
+export interface Competition {
+  recordAccepted (queue: Queue, workflow: Workflow): void
+  recordSucceeded (task: string): void
+  getRates (queue: Queue): RoomForecastInput['rates']
+  /** The groups that may be placed now. */
+  selectStartable (trackedGroups: TrackedGroup[], wallTime: number): TrackedGroup[]
+  /** 1 for a group whose queue holds more than its share of the pool, otherwise 0. */
+  getShareRank (group: WaitingGroup): number
+  /** Takes in the result of a pass, and stops best-effort runs for urgent groups that are blocked. */
+  observePass (trackedGroups: TrackedGroup[], pools: ReadonlyMap<string, Pool>, wallTime: number): void
+}
+
+export function createCompetition (options: CompetitionOptions): Competition {
+  const { clock, settings, getState } = options
+  const rates = createWorkRates()
+  const findTaskStep = createTaskStepIndex(getState)
+  const preemptor = createPreemptor(options)
+  let overShare: ReadonlySet<string> = new Set()
+  let sharesUntil = -Infinity
+  let waitingCheckedAt = -Infinity
+
+  const updateShares = (trackedGroups: readonly TrackedGroup[]): void => {
+    if (!settings.fairShares || clock.now() < sharesUntil) return
+    sharesUntil = clock.now() + SHARES_CACHE_MS
+    const uses = listWaitingQueues(trackedGroups)
+    overShare = new Set()
+    if (!hasRivals([...uses.values()])) return
+    Object.values(getState().workers).forEach(({ assigned }) => Object.keys(assigned).forEach((task) => {
+      const taskStep = findTaskStep(task)
+      if (taskStep === undefined || taskStep.step.lasting) return
+      const use = uses.get(formatUse(findRecord(getState(), taskStep.stepName)?.queue ?? '', getWorkKind(taskStep.step)))
+      if (use !== undefined) use.heldCores += taskStep.step.cores
+    }))
+    overShare = listOverShare([...uses.values()])
+  }
+
+  const recordWaiting = (trackedGroups: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, wallTime: number): void => {
+    if (clock.now() - waitingCheckedAt < WAITING_CHECK_MS) return
+    waitingCheckedAt = clock.now()
+    const blocked = trackedGroups.filter(({ group, progress }) => progress.isBlocked && !progress.isSchedulerLimited && !group.step.lasting && getLateness(group, wallTime) < 2)
+    pools.forEach(({ workers }, service) => KINDS.forEach((kind) => {
+      const waitingCores = blocked.filter(({ group }) => group.record.service === service && getWorkKind(group.step) === kind).reduce((sum, { group }) => sum + group.indexes.length * group.step.cores, 0)
+      // With less waiting work the rate may be limited by what arrives, for example if only one image has no room.
+      rates.recordWaiting(service, kind, waitingCores > 0 && waitingCores >= countRunningCores(workers, kind), clock.now())
+    }))
+  }
+
+  return {
+    recordAccepted: ({ service, priority }, { steps, recurrence }) => steps.filter(({ lasting }) => !lasting && recurrence === undefined).forEach((step) => {
+      rates.recordAccepted(service, getWorkKind(step), priority, step.count * step.cores * step.expectedRunMs, clock.now())
+    }),
+    recordSucceeded: (task) => {
+      const taskStep = findTaskStep(task)
+      const record = taskStep === undefined ? undefined : findRecord(getState(), taskStep.stepName)
+      if (taskStep === undefined || record === undefined || taskStep.step.lasting) return
+      rates.recordCompleted(record.service, getWorkKind(taskStep.step), taskStep.step.cores * taskStep.step.expectedRunMs, clock.now())
+    },
+    getRates: ({ service, priority }) => {
+      const now = clock.now()
+      return Object.fromEntries(KINDS.map((kind) => [kind, rates.get(service, kind, priority, now)]).filter(([, measured]) => measured !== undefined))
+    },
+    selectStartable: (trackedGroups, wallTime) => {
+      updateShares(trackedGroups)
+      return selectWorthy(trackedGroups, wallTime)
+    },
+    getShareRank: ({ record, step }) => overShare.size > 0 && !step.lasting && overShare.has(formatUse(record.queue, getWorkKind(step))) ? 1 : 0,
+    observePass: (trackedGroups, pools, wallTime) => {
+      recordWaiting(trackedGroups, pools, wallTime)
+      if (settings.preemption) preemptor.run(trackedGroups, pools, wallTime)
+    }
+  }
+}
+
+/** Queues with waiting short tasks, by `formatUse`. */
+function listWaitingQueues (trackedGroups: readonly TrackedGroup[]): Map<string, QueueUse> {
+  const uses = trackedGroups.filter(({ group: { step } }) => !step.lasting).map(({ group: { record, step, priority } }): QueueUse =>
+    ({ queue: record.queue, service: record.service, priority, kind: getWorkKind(step), heldCores: 0, isWaiting: true }))
+  return new Map(uses.map((use) => [formatUse(use.queue, use.kind), use]))
+}
+
+function hasRivals (uses: readonly QueueUse[]): boolean {
+  return new Set(uses.map(({ service, priority, kind }) => `${service} ${priority} ${kind}`)).size < uses.length
+}
+
+/** Cores that the running short tasks of a kind hold. */
+function countRunningCores (workers: Pool['workers'], kind: WorkKind): number {
+  return workers.reduce((sum, { cores, freeCores, freeWithoutShortTasks, bestEffort }) => sum + (kind === 'bestEffort'
+    ? bestEffort.reduce((held, { coreShare }) => held + coreShare * cores, 0)
+    : (freeWithoutShortTasks?.freeCores ?? freeCores) - freeCores), 0)
+}
+
+/** Finds the workflow of a step by its name, `WORKFLOW.OCCURRENCE.STEP`. */
+function findRecord ({ workflows }: WorkflowsState, stepName: string): WorkflowRecord | undefined {
+  return workflows[stepName.slice(0, stepName.lastIndexOf('.', stepName.lastIndexOf('.') - 1))]
+}
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -3,6 +3,7 @@
 import type { AdviceClient } from './advice.js'
 import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
 import type { WorkerClient } from './orders.js'
+import { DEFAULT_COMPETITION, type CompetitionSettings } from './competition.js'
 import { createWorkflowService } from './workflowService.js'
 import type { ServiceBound } from './serviceWatch.js'
 import { createInterferenceModel, type InterferenceEstimates } from './interferenceModel.js'
@@ -34,6 +35,8 @@
   /** Length of the order lease on a host: for this long after an order only the process that gave it may give further orders for that host. */
   hostLeaseMs: number
   advice: AdviceClient
+  /** Absent: `DEFAULT_COMPETITION`. */
+  competition?: CompetitionSettings
 }
 
 export interface WorkflowCoordinator {
@@ -96,7 +99,7 @@
     const current = await log.readBarrier(clock.now() + BARRIER_TIMEOUT_MS)
     const status = log.status()
     if (stopping.signal.aborted || !current.ok || status.role !== 'leader' || status.term !== fence) return
-    term = startTerm({ ...options, self: network.self, interferenceModel, fence })
+    term = startTerm({ ...options, competition: options.competition ?? DEFAULT_COMPETITION, self: network.self, interferenceModel, fence })
   }
 
   const loop = runSupervised({ clock, logger, event: 'workflow.coordinator-failed', isStopped: () => stopping.signal.aborted }, runTerms)
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -1,5 +1,6 @@
 import { runSupervised, type Clock, type Logger, type Metrics, type EventLoopMeter } from '../../common/index.js'
 import type { Assignment, WorkflowsState } from '../../state/index.js'
+import type { Competition } from './competition.js'
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskStepIndex, formatStepName, type CandidateOptions, type PlacementCandidate, type Pool } from './candidates.js'
 import { findWorkerToReserve, placeOnWorkers, type GroupOptions } from './groups.js'
@@ -47,6 +48,7 @@
   metrics: Metrics
   work: EventLoopMeter
   startBackoff: StartBackoff
+  competition: Competition
   isActive (): boolean
   /** Resolves when the assignments are committed or rejected, or when the attempt has timed out with an unknown outcome. */
   assign (assignments: Assignment[]): Promise<void>
@@ -140,8 +142,8 @@
     exhaustedUntil.forEach((until, equivalenceClass) => { if (until <= now) exhaustedUntil.delete(equivalenceClass) })
     const pass: Pass = { now, getCompetingDemand: getCompetingDemand(trackedGroups, pools, now), exhausted: new Set() }
     const assignments: Assignment[] = []
-    const compare = compareGroups(wallTime)
-    const dueGroups = trackedGroups.filter((tracked) => isRetryDue(tracked, pools.get(tracked.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
+    const compare = compareGroups(wallTime, options.competition.getShareRank)
+    const dueGroups = options.competition.selectStartable(trackedGroups, wallTime).filter((tracked) => isRetryDue(tracked, pools.get(tracked.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
     const placeEach = (groupsToPlace: TrackedGroup[], availablePools: Map<string, Pool>): void => groupsToPlace.forEach((tracked) => {
       const pool = availablePools.get(tracked.group.record.service)
       if (pool === undefined) return
@@ -153,6 +155,7 @@
     placeEach(dueGroups.filter(({ group }) => group.isResumed === true), pools)
     placeEach(dueGroups.filter(({ group }) => group.isResumed !== true), removeReserved(pools, resumed))
     updateSchedulerLimited(trackedGroups, pools)
+    options.competition.observePass(trackedGroups, pools, wallTime)
     lastTracked = trackedGroups
     startRate.record(now, assignments.length, trackedGroups.some(({ progress }) => progress.isSchedulerLimited))
     // Assignments take up capacity at once; the state shows later whether they were committed.
--- a/src/coordination/workflows/evacuation.ts
+++ b/src/coordination/workflows/evacuation.ts
@@ -1,7 +1,7 @@
 import type { Step } from '../../state/index.js'
 
 /** Time reserved for a stop and for writing a checkpoint; a stop takes 200 to 400 ms on the reference sites. */
-const STOP_MARGIN_MS = 500
+export const STOP_MARGIN_MS = 500
 /** Assumed notice period of a worker that does not announce when it leaves. */
 export const DEFAULT_NOTICE_MS = 2000
 
--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -2,7 +2,7 @@
 import { formatTaskName, formatTaskKey, type Assignment, type Step } from '../../state/index.js'
 import type { Advisor } from './advice.js'
 import { addRun, formatStepName, type PlacementCandidate } from './candidates.js'
-import { canHold, chooseWorker, findBest, REMOTE_DATA_PENALTY, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
+import { canHold, chooseWorker, countHeld, findBest, REMOTE_DATA_PENALTY, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import type { WaitingGroup } from './plan.js'
 import type { InterferenceModel } from './interferenceModel.js'
 import type { WorkerHealth } from './workerHealth.js'
@@ -166,13 +166,5 @@
 
 /** True when the workers can hold at least `count` tasks of the step now. */
 function canHoldTimes (workers: readonly PlacementCandidate[], needs: Pick<PlacementNeeds, 'step' | 'countStepRuns'>, count: number): boolean {
-  const { step } = needs
-  const capacity = workers.filter((worker) => canHold(worker, needs)).reduce((sum, worker) => {
-    const byCores = step.cores > 0 ? Math.floor((step.fills ? worker.spareCores : worker.freeCores) / step.cores) : count
-    const byMemory = step.memoryMb > 0 ? Math.floor(worker.freeMemoryMb / step.memoryMb) : count
-    const byAccelerators = step.accelerators > 0 ? Math.floor(worker.freeAccelerators / step.accelerators) : count
-    const byStepLimit = step.maxPerWorker === undefined ? count : step.maxPerWorker - needs.countStepRuns(worker.id, worker)
-    return sum + Math.min(byCores, byMemory, byAccelerators, byStepLimit)
-  }, 0)
-  return capacity >= count
+  return workers.reduce((sum, worker) => sum + countHeld(worker, needs, count), 0) >= count
 }
--- a/src/coordination/workflows/index.ts
+++ b/src/coordination/workflows/index.ts
@@ -10,3 +10,4 @@
 export { createWorkerDirectory, type ReportOutcome, type WorkerDirectory } from './directory.js'
 export { type ServiceBound } from './serviceWatch.js'
 export { isWaveDone, type HostClient, type HostOrderFailure } from './hostMaintenance.js'
+export { DEFAULT_COMPETITION, type CompetitionSettings } from './competition.js'
--- a/src/coordination/workflows/placement.ts
+++ b/src/coordination/workflows/placement.ts
@@ -84,6 +84,20 @@
     (step.maxPerWorker === undefined || countStepRuns(candidate.id, candidate) < step.maxPerWorker)
 }
 
+/** How many tasks of the step fit into this capacity, at most `limit`. */
+export function countFitting ({ cores, memoryMb, accelerators }: Pick<Candidate, 'cores' | 'memoryMb' | 'accelerators'>, step: Pick<Step, 'cores' | 'memoryMb' | 'accelerators'>, limit: number): number {
+  const countTimes = (available: number, needed: number): number => needed > 0 ? Math.floor(available / needed) : limit
+  return Math.min(limit, countTimes(cores, step.cores), countTimes(memoryMb, step.memoryMb), countTimes(accelerators, step.accelerators))
+}
+
+/** How many tasks of a step the candidate can hold now beside its own, at most `limit`. */
+export function countHeld (candidate: Candidate, needs: Pick<PlacementNeeds, 'step' | 'countStepRuns'>, limit: number): number {
+  const { step, countStepRuns } = needs
+  if (!canHold(candidate, needs)) return 0
+  const room = { cores: step.fills ? candidate.spareCores : candidate.freeCores, memoryMb: candidate.freeMemoryMb, accelerators: candidate.freeAccelerators }
+  return countFitting(room, step, step.maxPerWorker === undefined ? limit : Math.min(limit, step.maxPerWorker - countStepRuns(candidate.id, candidate)))
+}
+
 /**
  * Deducts the capacity of a task from a candidate and lists the task there; `utilization` is the share of its requested
  * cores that a latency-critical task uses on average.
--- /dev/null
+++ b/src/coordination/workflows/preemption.ts
@@ -0,0 +1,95 @@
+import type { Step } from '../../state/index.js'
+import { canHold, countHeld, type Candidate } from './placement.js'
+
+/** A late workflow keeps about this share of its value on the reference sites, so work that is late anyway gains little. */
+const LATE_VALUE_SHARE = 0.15
+/** A long-running task counts as this much work, as it has no end of its own. */
+const LONG_RUNNING_GAIN_MS = 10_000
+
+/** A best-effort run of a less urgent queue. */
+export interface PreemptibleRun {
+  task: string
+  worker: string
+  step: Step
+  /** Work in ms that a stop would lose. */
+  unsavedMs: number
+  /** Expected time in ms until the run ends by itself. */
+  endsInMs: number
+  /** Its workflow has no value any more. */
+  isWorthless: boolean
+}
+
+export interface PreemptionWorker {
+  candidate: Candidate
+  runs: readonly PreemptibleRun[]
+  /** Runs that are being stopped; their capacity becomes free. */
+  stopping: readonly Step[]
+}
+
+export interface PreemptionNeed {
+  step: Step
+  /** Number of waiting tasks. */
+  count: number
+  /** Time in ms within which the tasks have to start. */
+  startWithinMs: number
+  countStepRuns (worker: string, candidate: Candidate): number
+}
+
+interface Choice { runs: PreemptibleRun[], cost: number }
+
+/**
+ * Chooses the best-effort runs to stop so that the tasks of an urgent group can start in time, for loads in which best-effort
+ * work holds the memory, accelerators or idle cores that the group needs. Work that is lost and the restore are compared with
+ * the work of the group that would otherwise be late. Capacity that is free, is becoming free by stops, or becomes free in
+ * time because runs end is used first. A gang is served whole or not at all.
+ */
+export function choosePreempted (need: PreemptionNeed, workers: readonly PreemptionWorker[], restoreMs: number): PreemptibleRun[] {
+  const { step } = need
+  const able = workers.filter(({ candidate }) => canHold(createEmpty(candidate), need))
+  const choices: Choice[] = []
+  let missing = need.count
+  able.forEach(({ candidate, runs, stopping }) => {
+    const room = stopping.reduce(addRoom, { ...candidate })
+    const ending = runs.filter(({ endsInMs }) => endsInMs <= need.startWithinMs).reduce((freed, run) => addRoom(freed, run.step), room)
+    const held = countHeld(ending, need, need.count)
+    missing -= held
+    if (held === 0) choices.push(...listChoices(need, room, runs, restoreMs))
+  })
+  const gain = step.cores * (step.lasting ? LONG_RUNNING_GAIN_MS : step.expectedRunMs) * (1 - LATE_VALUE_SHARE)
+  const chosen = choices.filter(({ cost }) => cost < gain).sort((a, b) => a.cost - b.cost).slice(0, Math.max(0, missing))
+  return step.gang && chosen.length < missing ? [] : chosen.flatMap(({ runs }) => runs)
+}
+
+/** True when best-effort runs may be what keeps a task of the group off a worker. */
+export function canHelp (need: Pick<PreemptionNeed, 'step' | 'countStepRuns'>, candidate: Candidate): boolean {
+  return !canHold(candidate, need) && canHold(createEmpty(candidate), need)
+}
+
+/** Chooses the runs on one worker that make room for one task, if that is possible. */
+function listChoices (need: PreemptionNeed, room: Candidate, runs: readonly PreemptibleRun[], restoreMs: number): Choice[] {
+  const getCost = ({ isWorthless, unsavedMs, step }: PreemptibleRun): number => isWorthless ? 0 : step.cores * (unsavedMs + restoreMs)
+  const ordered = runs.toSorted((a, b) => getCost(a) - getCost(b) || a.endsInMs - b.endsInMs)
+  const isEnough = (stopped: readonly PreemptibleRun[]): boolean => canHold(stopped.reduce((freed, run) => addRoom(freed, run.step), room), need)
+  const count = ordered.findIndex((_run, index) => isEnough(ordered.slice(0, index + 1))) + 1
+  if (count === 0) return []
+  // A cheap run that was added first may no longer be needed; the dearest one that can stay is left running.
+  const needed = ordered.slice(0, count).toReversed().reduce((kept, run) => {
+    const others = kept.filter((other) => other !== run)
+    return isEnough(others) ? others : kept
+  }, ordered.slice(0, count))
+  return [{ runs: needed, cost: needed.reduce((sum, run) => sum + getCost(run), 0) }]
+}
+
+function addRoom (candidate: Candidate, step: Step): Candidate {
+  return {
+    ...candidate,
+    spareCores: candidate.spareCores + step.cores,
+    freeMemoryMb: candidate.freeMemoryMb + step.memoryMb,
+    freeAccelerators: candidate.freeAccelerators + step.accelerators
+  }
+}
+
+/** The worker without tasks that preemption could stop: only its size, labels and ordinary cores can rule a task out. */
+function createEmpty (candidate: Candidate): Candidate {
+  return { ...candidate, spareCores: candidate.cores, freeMemoryMb: candidate.memoryMb, freeAccelerators: candidate.accelerators }
+}
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -2,6 +2,7 @@
 import { findSessionHost, getStepName, parseTaskName, type ReplicatedLog, type Assignment, type Entry, type WorkerRunEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
+import { createCompetition, type Competition, type CompetitionSettings } from './competition.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
 import { createClockJumpDetector } from './clockJumpDetector.js'
 import { createSessionAssigner } from './sessionAssignment.js'
@@ -31,6 +32,7 @@
   /** Length of the order lease on a host, see `MaintenanceOptions`. */
   hostLeaseMs: number
   advice: AdviceClient
+  competition: CompetitionSettings
   /** Model of the interference between images that share workers; kept across terms. */
   interferenceModel: InterferenceModel
   /** Term of the log, used as fencing token: workers refuse orders of earlier terms. */
@@ -48,6 +50,8 @@
   exchange (from: string, request: SessionsRequest): SessionsReply
   /** Tasks of a priority or a more urgent one that wait for the scheduler although workers have free capacity. */
   getSchedulerLoad: Dispatcher['getLoad']
+  getWorkRates: Competition['getRates']
+  recordAccepted: Competition['recordAccepted']
   /** True if a worker is known to have started a task of an open workflow during this term. */
   hasStarted (workflow: string): boolean
   stop (): void
@@ -105,6 +109,7 @@
     metrics.count('run.ended', 1, { cause })
     logger.info('run.end', { task, attempt, worker, number, cause })
     health.recordEnd(worker, task, cause)
+    if (cause === 'succeeded') competition.recordSucceeded(task)
   }
 
   const recordEnds = ({ worker, bornAt, ends }: WorkerRunEnds): void => {
@@ -258,6 +263,7 @@
     findStep: findTaskStep,
     stopRun
   })
+  const competition = createCompetition({ clock, logger, metrics, settings: options.competition, sessions: views.workers, getState, stopRun })
   const dispatcher: Dispatcher = createDispatcher({
     clock,
     logger,
@@ -268,6 +274,7 @@
     interferenceModel: options.interferenceModel,
     advisor,
     startBackoff,
+    competition,
     getState,
     isActive,
     assign: async (assignments: Assignment[]) => {
@@ -290,7 +297,7 @@
   Object.keys(state.workers).forEach(views.syncWorker)
   runSupervised({ clock, logger, event: 'term.failed', isStopped: () => stopping.signal.aborted }, runAuthority)
   dispatcher.schedule()
-  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, hasStarted: (workflow) => startedWorkflows.has(workflow), exchange, stop }
+  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, getWorkRates: competition.getRates, recordAccepted: competition.recordAccepted, hasStarted: (workflow) => startedWorkflows.has(workflow), exchange, stop }
 }
 
 /** Age of the last contact with a majority of the voters, which includes this host: the oldest contact in the most recent majority. */
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -1,7 +1,8 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
-import type { ReplicatedLog, Catalog, LogFailure, Queue, WorkflowRecord, WorkflowsState } from '../../state/index.js'
-import { admitWorkflow, computeTotals, createTotalsCache, type BacklogTotals } from './admission.js'
+import type { ReplicatedLog, Catalog, LogFailure, Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
+import { admitWorkflow, computeTotals, createKnownSizes, createTotalsCache, type Admission, type BacklogTotals, type KnownSizes } from './admission.js'
 import type { QueueAddress, WorkflowReply, WorkflowRequest, WorkflowStatus } from './messages.js'
+import { computeRetryAfterMs } from './roomForecast.js'
 import type { Term } from './term.js'
 import { createOpenWorkflows, type OpenWorkflows } from './waiting.js'
 
@@ -22,7 +23,7 @@
 }
 
 /** Open workflows and their totals, cached for one term so that requests can be answered from them. */
-interface TermView { term: Term, open: OpenWorkflows, getTotals (): BacklogTotals }
+interface TermView { term: Term, open: OpenWorkflows, sizes: KnownSizes, getTotals (): BacklogTotals }
 
 type RequestOptions = WorkflowServiceOptions & {
   getView (): TermView | undefined
@@ -72,7 +73,7 @@
     const term = getTerm()
     if (term === undefined || term === view?.term) return view
     const open = createOpenWorkflows(() => getState(log))
-    view = { term, open, getTotals: createTotalsCache(clock, () => computeTotals(getState(log), open.list())) }
+    view = { term, open, sizes: createKnownSizes(clock), getTotals: createTotalsCache(clock, () => computeTotals(getState(log), open.list(), clock.wall())) }
     return view
   }
 }
@@ -123,20 +124,28 @@
   if (deadline <= clock.now()) return describeRefusal(options, workflow.id, TIMED_OUT)
   const isKnown = getState(log).workflows[workflow.id] !== undefined || options.proposed.has(workflow.id)
   const view = options.getView()
-  const load = view?.term.getSchedulerLoad(queue.priority)
-  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load })
-  if (verdict.kind === 'refused') {
-    options.metrics.count('workflow.refused', 1, { queue: queue.name, reason: verdict.reason })
-    logger.info('workflow.refused', { workflow: workflow.id, queue: queue.name, reason: verdict.reason, backlogMs: Math.round(verdict.backlogMs), ahead: load?.pendingTasks, startsPerSecond: load?.startsPerSecond?.toFixed(0), retryAfterMs: verdict.retryAfterMs })
-    return { kind: 'overloaded', retryAfterMs: verdict.retryAfterMs }
-  }
+  const { verdict, refusal } = checkAdmission(options, view, queue, workflow, isKnown)
+  if (refusal !== undefined) return refusal
   const startedAt = clock.now()
   const result = await countProposal(options.proposed, workflow.id, () => log.propose({ kind: 'workflow.submit', queue: queue.name, workflow, at: clock.wall() }, deadline))
   options.metrics.timing('workflow.accept', clock.now() - startedAt)
+  if (result.ok && !isKnown) view?.term.recordAccepted(queue, workflow)
   logger.info('workflow.submit', { workflow: workflow.id, queue: queue.name, steps: workflow.steps.length, tasks: workflow.steps.reduce((sum, step) => sum + step.count, 0), known: isKnown, backlogMs: Math.round(verdict.backlogMs), catalog: getState(log).catalog?.version, outcome: result.ok ? 'accepted' : result.val.kind, ms: Math.round(clock.now() - startedAt) })
   return result.ok ? { kind: 'accepted' } : describeRefusal(options, workflow.id, describeLogFailure(log, result.val))
 }
 
+/** Decides whether to admit a workflow, and reports a refusal. */
+function checkAdmission ({ log, clock, logger, metrics }: RequestOptions, view: TermView | undefined, queue: Queue, workflow: Workflow, isKnown: boolean): { verdict: Admission, refusal?: WorkflowReply } {
+  const load = view?.term.getSchedulerLoad(queue.priority)
+  const sizes = view?.sizes.list(getState(log), queue.service)
+  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load, sizes, rates: view?.term.getWorkRates(queue) })
+  if (verdict.kind === 'admitted') return { verdict }
+  const retryAfterMs = computeRetryAfterMs(verdict.retryAfterMs, queue.priority, workflow.id)
+  metrics.count('workflow.refused', 1, { queue: queue.name, reason: verdict.reason })
+  logger.info('workflow.refused', { workflow: workflow.id, queue: queue.name, reason: verdict.reason, backlogMs: Math.round(verdict.backlogMs), ahead: load?.pendingTasks, startsPerSecond: load?.startsPerSecond?.toFixed(0), retryAfterMs })
+  return { verdict, refusal: { kind: 'overloaded', retryAfterMs } }
+}
+
 /** Counts a workflow in `proposed` while one of its submissions waits for the log. */
 async function countProposal<T> (proposed: RequestOptions['proposed'], workflow: string, propose: () => Promise<T>): Promise<T> {
   proposed.set(workflow, (proposed.get(workflow) ?? 0) + 1)
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -1,4 +1,5 @@
 import { createManualClock, createNoopMetrics, createRandom, createSilentLogger, type ManualClock, type EventLoopMeter } from '../common/index.js'
+import { createCompetition, DEFAULT_COMPETITION } from '../coordination/workflows/competition.js'
 import { createDispatcher, type Dispatcher } from '../coordination/workflows/dispatcher.js'
 import { createRun, createSession, type Session, type SessionContext } from '../coordination/workflows/sessionState.js'
 import { createInterferenceModel } from '../coordination/workflows/interferenceModel.js'
@@ -177,6 +178,7 @@
     interferenceModel,
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
+    competition: createCompetition({ clock, logger, metrics: createNoopMetrics(), settings: DEFAULT_COMPETITION, sessions, getState: () => state, stopRun: () => {} }),
     getState: () => state,
     isActive: () => true,
     assign: async (assignments) => {
