--- a/src/coordination/workflows/preemptor.ts
+++ b/src/coordination/workflows/preemptor.ts
@@ -1,11 +1,12 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
 import { parseTaskName, type Queue, type Step, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
 import { findStep, type Pool } from './candidates.js'
-import { estimateRemainingMs, STOP_MARGIN_MS } from './evacuation.js'
+import { STOP_MARGIN_MS } from './evacuation.js'
 import { estimateTailMs, getLateness } from './plan.js'
 import type { Candidate } from './placement.js'
 import { canHelp, choosePreempted, type PreemptibleRun, type PreemptionNeed } from './preemption.js'
 import { computeOpenWork } from './roomForecast.js'
+import { findWorkKey, getRunProgress, type RunDurations } from './runDurations.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { TrackedGroup } from './waiting.js'
 
@@ -24,6 +25,7 @@
   metrics: Metrics
   settings: { checkpointMs: number, restoreMs: number }
   sessions: ReadonlyMap<string, WorkerView>
+  runDurations: Pick<RunDurations, 'forecastEnd'>
   getState (): WorkflowsState
   stopRun (session: WorkerView, run: RunView, reason: string): void
 }
@@ -48,7 +50,7 @@
       const record = getState().workflows[parseTaskName(run.task)?.workflow ?? '']
       if (step?.fills !== true || record === undefined) return
       if (run.stopReason !== undefined) stopping.push(step)
-      else if (isPreemptible(record, step) && !pausedUntil.has(run.task)) runs.push({ task: run.task, worker, step, isWorthless: isWorthless(record), ...estimateLoss(run, step, settings.checkpointMs, clock.now()) })
+      else if (isPreemptible(record, step) && !pausedUntil.has(run.task)) runs.push({ task: run.task, worker, step, isWorthless: isWorthless(record), ...estimateLoss(options, run, step) })
     })
     return { runs, stopping }
   }
@@ -91,11 +93,13 @@
   return { step, count: indexes.length, startWithinMs: step.lasting ? 0 : slackMs, countStepRuns: (_worker: string, { stepRuns }: Candidate) => stepRuns?.get(stepName) ?? 0 }
 }
 
-function estimateLoss ({ task, confirmedAt, status }: RunView, step: Step, checkpointMs: number, now: number): Pick<PreemptibleRun, 'unsavedMs' | 'endsInMs'> {
-  const elapsedMs = confirmedAt === undefined ? 0 : now - confirmedAt
+function estimateLoss ({ clock, settings, runDurations, getState }: PreemptorOptions, run: RunView, step: Step): Pick<PreemptibleRun, 'unsavedMs' | 'endsInMs'> {
+  const now = clock.now()
+  const elapsedMs = run.confirmedAt === undefined ? 0 : now - run.confirmedAt
+  const work = findWorkKey(getState(), run.task)
   return {
-    unsavedMs: step.checkpoints ? elapsedMs % checkpointMs : elapsedMs,
-    endsInMs: estimateRemainingMs({ task, step, elapsedMs, percent: status?.percent ?? 0 })
+    unsavedMs: step.checkpoints ? elapsedMs % settings.checkpointMs : elapsedMs,
+    endsInMs: work === undefined ? Infinity : runDurations.forecastEnd(work, step.expectedRunMs, getRunProgress(run), now).expectedAt - now
   }
 }
 
--- a/src/coordination/workflows/roomForecast.ts
+++ b/src/coordination/workflows/roomForecast.ts
@@ -1,11 +1,16 @@
 import type { Queue, Step, Workflow, WorkflowRecord } from '../../state/index.js'
 import { countFitting } from './placement.js'
 import { estimateChainMs, ZERO_VALUE_FACTOR } from './plan.js'
+import type { RunDurations } from './runDurations.js'
 
 /** The measured rate of a pool is multiplied by this for an optimistic forecast: demand and service loads of the reference loads vary by 15 to 55%. */
 const RATE_OPTIMISM = 1.25
 /** Share of the estimated run times that an optimistic forecast expects; the estimates of the reference loads are off by a fifth or more. */
 const RUN_TIME_OPTIMISM = 0.8
+/** Estimates of a queue that are off by more than this factor are not used for a refusal. */
+const WRONG_ESTIMATE_FACTOR = 2
+/** Ended runs from which on an estimate can be called wrong. */
+const MIN_DURATION_SAMPLES = 16
 /** Retry delays are spread over this share of the time until capacity is expected. */
 const RETRY_SPREAD_SHARE = 1
 /** The spread of less urgent queues begins at this share of the time until capacity is expected, so that urgent callers return first. */
@@ -89,6 +94,15 @@
   return { endsInMs: computeWaitMs(measureWork(valued, kind), rate - measured.arrival) + runMs, allowedMs, readyInMs }
 }
 
+/** True when runs of one of the steps are known to take a multiple or a fraction of the estimate. */
+export function hasWrongEstimates (durations: Pick<RunDurations, 'forecast'>, { name }: Queue, { steps }: Workflow): boolean {
+  return steps.some(({ image, expectedRunMs, lasting }, step) => {
+    const { expectedMs, samples } = durations.forecast({ queue: name, image, step }, expectedRunMs)
+    const isWrong = expectedMs > expectedRunMs * WRONG_ESTIMATE_FACTOR || expectedMs * WRONG_ESTIMATE_FACTOR < expectedRunMs
+    return !lasting && samples >= MIN_DURATION_SAMPLES && isWrong
+  })
+}
+
 function measureWork (open: readonly OpenWork[], kind: WorkKind): number {
   return open.reduce((sum, { work }) => sum + work[kind], 0)
 }
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -268,7 +268,7 @@
     findStep: findTaskStep,
     stopRun
   })
-  const competition = createCompetition({ clock, logger, metrics, settings: options.competition, sessions: views.workers, getState, stopRun })
+  const competition = createCompetition({ clock, logger, metrics, settings: options.competition, sessions: views.workers, runDurations, getState, stopRun })
   const dispatcher: Dispatcher = createDispatcher({
     clock,
     logger,
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -2,6 +2,7 @@
 import { createCompetition, DEFAULT_COMPETITION } from '../coordination/workflows/competition.js'
 import { createDispatcher, type Dispatcher } from '../coordination/workflows/dispatcher.js'
 import { createRun, createSession, type Session, type SessionContext } from '../coordination/workflows/sessionState.js'
+import { createRunDurations } from '../coordination/workflows/runDurations.js'
 import { createInterferenceModel } from '../coordination/workflows/interferenceModel.js'
 import { createSignal } from '../coordination/workflows/signal.js'
 import { createStartBackoff } from '../coordination/workflows/startBackoff.js'
@@ -178,7 +179,7 @@
     interferenceModel,
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
-    competition: createCompetition({ clock, logger, metrics: createNoopMetrics(), settings: DEFAULT_COMPETITION, sessions, getState: () => state, stopRun: () => {} }),
+    competition: createCompetition({ clock, logger, metrics: createNoopMetrics(), settings: DEFAULT_COMPETITION, sessions, runDurations: createRunDurations(), getState: () => state, stopRun: () => {} }),
     getState: () => state,
     isActive: () => true,
     assign: async (assignments) => {
--- a/test/workflows/preemption.test.ts
+++ b/test/workflows/preemption.test.ts
@@ -3,6 +3,7 @@
 import type { PlacementCandidate } from '../../src/coordination/workflows/candidates.js'
 import { choosePreempted, type PreemptibleRun, type PreemptionNeed, type PreemptionWorker } from '../../src/coordination/workflows/preemption.js'
 import { createPreemptor } from '../../src/coordination/workflows/preemptor.js'
+import { createRunDurations } from '../../src/coordination/workflows/runDurations.js'
 import { createRun, createSession, type Run, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
 import { createWaitingIndex } from '../../src/coordination/workflows/waiting.js'
 import { createWorkflowsState, workflowHandlers, type Step } from '../../src/state/index.js'
@@ -67,7 +68,7 @@
   workflowHandlers['workflow.submit'](state, { queue: 'batch', workflow: { id: 'batch', command: '', steps: steps.map((step) => ({ ...step, count: 2, expectedRunMs: 1e6 })) }, at: clock.wall() })
   const session = Object.assign(createSession({ clock } as unknown as SessionContext, life), { reachable: true })
   const stopped: Array<[string, string]> = []
-  const preemptor = createPreemptor({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), settings: { checkpointMs: 1000, restoreMs: RESTORE_MS }, sessions: new Map([['w1', session]]), getState: () => state, stopRun: (_session, run, reason) => { Object.assign(run, { stopReason: reason }); stopped.push([run.task, reason]) } })
+  const preemptor = createPreemptor({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), settings: { checkpointMs: 1000, restoreMs: RESTORE_MS }, sessions: new Map([['w1', session]]), runDurations: createRunDurations(), getState: () => state, stopRun: (_session, run, reason) => { Object.assign(run, { stopReason: reason }); stopped.push([run.task, reason]) } })
   const candidate: PlacementCandidate = { ...createCandidate('w1', { memoryMb: 40_000, freeMemoryMb: 0 }), stepRuns: new Map() }
   const tracked = createWaitingIndex(() => state)
   tracked.markChanged('urgent')
--- a/test/workflows/roomForecast.test.ts
+++ b/test/workflows/roomForecast.test.ts
@@ -1,7 +1,8 @@
 import { expect, test } from 'vitest'
 import { createManualClock } from '../../src/common/index.js'
 import { admitWorkflow, createKnownSizes } from '../../src/coordination/workflows/admission.js'
-import { computeOpenWork, computeRetryAfterMs, estimateEnd, findTooLargeStep, type OpenWork, type RoomForecastInput, type WorkerSize } from '../../src/coordination/workflows/roomForecast.js'
+import { computeOpenWork, computeRetryAfterMs, estimateEnd, findTooLargeStep, hasWrongEstimates, type OpenWork, type RoomForecastInput, type WorkerSize } from '../../src/coordination/workflows/roomForecast.js'
+import { createRunDurations } from '../../src/coordination/workflows/runDurations.js'
 import { createWorkRates } from '../../src/coordination/workflows/workRates.js'
 import { createWorkflowsState, workflowHandlers, type Step } from '../../src/state/index.js'
 import { CATALOG, createScene, STEP } from './support.js'
@@ -65,6 +66,13 @@
   expect([290_000, 400_000].map((work) => forecast([createOpen(work * factor)], { workflow: { ...WORKFLOW, steps }, rates: scale })?.readyInMs)).toEqual([0, 1100])
 })
 
+// Guards against refusals by estimates that ended runs have shown to be wrong, and against calling them wrong too early.
+test.each([[100, 0, false], [100, 50, true], [1000, 50, false], [1900, 50, false], [7000, 15, false], [7000, 50, true]])('runs of %d ms, estimated at 1,000 ms, %d of which have ended: the estimate is wrong: %s', (ranMs, count, isWrong) => {
+  const durations = createRunDurations()
+  for (let ended = 0; ended < count; ended += 1) durations.recordEnd({ queue: QUEUE.name, image: undefined, step: 1 }, 1000, ranMs)
+  expect(hasWrongEstimates(durations, QUEUE, WORKFLOW)).toBe(isWrong)
+})
+
 test('a workflow without value is refused, unless it is known, recurs or has no end, and worthless work does not count', () => {
   const state = createWorkflowsState()
   workflowHandlers['catalog.put'](state, { catalog: { ...CATALOG, queues: [QUEUE] } })
