--- a/src/coordination/workflows/evacuation.ts
+++ b/src/coordination/workflows/evacuation.ts
@@ -1,7 +1,7 @@
 import type { Step } from '../../state/index.js'
 
 /** Least time reserved for a stop and for writing a checkpoint. */
-const MIN_STOP_MARGIN_MS = 500
+export const MIN_STOP_MARGIN_MS = 500
 /** Time for a stop order to reach the worker, reserved in addition to the time that the worker takes to stop a run. */
 const STOP_DELIVERY_MS = 100
 /** Assumed notice period of a worker that does not announce when it leaves. */
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -1,4 +1,5 @@
 import { createManualClock, createNoopMetrics, createRandom, createSilentLogger, type ManualClock, type EventLoopMeter } from '../common/index.js'
+import { createCompetition, DEFAULT_COMPETITION } from '../coordination/workflows/competition.js'
 import { createDispatcher, type Dispatcher } from '../coordination/workflows/dispatcher.js'
 import { createRun, createSession, type Session, type SessionContext } from '../coordination/workflows/sessionState.js'
 import { createInterferenceModel } from '../coordination/workflows/interferenceModel.js'
@@ -168,6 +169,7 @@
   })
   observeReadings()
 
+  const runDurations = createRunDurations()
   const dispatcher = createDispatcher({
     clock,
     logger,
@@ -179,7 +181,8 @@
     serviceBound: { stopMs: 400 },
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
-    runDurations: createRunDurations(),
+    runDurations,
+    competition: createCompetition({ clock, logger, metrics: createNoopMetrics(), settings: DEFAULT_COMPETITION, sessions, runDurations, getState: () => state, stopRun: () => {} }),
     getState: () => state,
     isActive: () => true,
     assign: async (assignments) => {
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -23,7 +23,7 @@
   coordinator: WorkflowCoordinator
   send (request: WorkflowRequest): Promise<WorkflowReply>
   /** Submits a workflow and advances the clock until the reply. */
-  submit (id: string, steps: Array<Partial<Step>>, more?: Partial<Workflow>): Promise<WorkflowReply>
+  submit (id: string, steps: Array<Partial<Step>>, more?: Partial<Workflow>, queue?: string): Promise<WorkflowReply>
   /** Advances the clock in steps of 10 ms, so that orders and answers interleave as in real time. */
   run (ms: number): Promise<void>
   listEvents (kind: RunEvent['kind']): RunEvent[]
@@ -63,8 +63,8 @@
     coordinator,
     send,
     run,
-    submit: (id, steps, more = {}) => send({
-      kind: 'submit', address: { hostName: 'desk.example', path: `/quotes/${id}` }, remainingMs: 1000, heldMs: 0, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })), ...more }
+    submit: (id, steps, more = {}, queue = 'quotes') => send({
+      kind: 'submit', address: { hostName: 'desk.example', path: `/${queue}/${id}` }, remainingMs: 1000, heldMs: 0, workflow: { id, command: 'run', steps: steps.map((step) => ({ ...PLAIN_STEP, ...step })), ...more }
     }),
     listEvents: (kind) => fleet.events.filter((event) => event.kind === kind)
   }
