--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -34,8 +34,8 @@
   /** Sizes of the known workers of the pool; absent: nothing is refused as too large. */
   sizes?: readonly WorkerSize[]
   /** Measured rates of the pool, see `estimateEnd`. */
-  rates?: RoomForecastInput['rates']
-  hasFairShares?: boolean
+  rates?: RoomForecastInput['rates'] | undefined
+  hasFairShares?: boolean | undefined
 }
 
 /**
--- a/src/coordination/workflows/competition.ts
+++ b/src/coordination/workflows/competition.ts
@@ -1,9 +1,10 @@
-import { type Queue, type Workflow, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
+import type { Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
 import { createTaskStepIndex, type Pool } from './candidates.js'
 import { formatUse, listOverShare, type QueueUse } from './fairShares.js'
 import { getLateness, type WaitingGroup } from './plan.js'
 import { createPreemptor, type PreemptorOptions } from './preemptor.js'
-import { getWorkKind, type RoomForecastInput, type WorkKind } from './roomForecast.js'
+import { getWorkKind, hasWrongEstimates, type RoomForecastInput, type WorkKind } from './roomForecast.js'
+import type { RunDurations } from './runDurations.js'
 import type { TrackedGroup } from './waiting.js'
 import { createWorkRates } from './workRates.js'
 import { selectWorthy } from './worthlessWork.js'
@@ -25,13 +26,14 @@
 /** Defaults: the interval and restore time of the reference sites with the rarest checkpoints. */
 export const DEFAULT_COMPETITION: CompetitionSettings = { preemption: true, fairShares: true, checkpointMs: 1000, restoreMs: 250 }
 
-export interface CompetitionOptions extends PreemptorOptions { settings: CompetitionSettings }
+export interface CompetitionOptions extends PreemptorOptions { settings: CompetitionSettings, runDurations: Pick<RunDurations, 'forecast' | 'forecastEnd'> }
 
 /** What the leader learns and decides about work that competes for capacity. It is lost with the term and learned again. */
 export interface Competition {
   recordAccepted (queue: Queue, workflow: Workflow): void
   recordSucceeded (task: string): void
-  getRates (queue: Queue): RoomForecastInput['rates']
+  /** Measured rates for the forecast of a workflow; none when its estimates are known to be wrong. */
+  getRates (queue: Queue, workflow: Workflow): RoomForecastInput['rates']
   readonly hasFairShares: boolean
   /** The groups that may be placed now. */
   selectStartable (trackedGroups: TrackedGroup[], wallTime: number): TrackedGroup[]
@@ -87,7 +89,7 @@
       rates.recordCompleted(record.service, getWorkKind(taskStep.step), taskStep.step.cores * taskStep.step.expectedRunMs, clock.now())
     },
     hasFairShares: settings.fairShares,
-    getRates: (queue) => Object.fromEntries(KINDS.map((kind) => [kind, rates.get(queue, kind, clock.now())]).filter(([, measured]) => measured !== undefined)),
+    getRates: (queue, workflow) => hasWrongEstimates(options.runDurations, queue, workflow) ? {} : Object.fromEntries(KINDS.map((kind) => [kind, rates.get(queue, kind, clock.now())]).filter(([, measured]) => measured !== undefined)),
     selectStartable: (trackedGroups, wallTime) => {
       updateShares(trackedGroups)
       return selectWorthy(trackedGroups, wallTime)
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -2,7 +2,7 @@
 import type { ReplicatedLog, Catalog, LogFailure, Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
 import { admitWorkflow, computeTotals, createKnownSizes, createTotalsCache, type Admission, type BacklogTotals, type KnownSizes } from './admission.js'
 import type { QueueAddress, WorkflowReply, WorkflowRequest, WorkflowStatus } from './messages.js'
-import { computeRetryAfterMs, hasWrongEstimates } from './roomForecast.js'
+import { computeRetryAfterMs } from './roomForecast.js'
 import type { Term } from './term.js'
 import { createOpenWorkflows, type OpenWorkflows } from './waiting.js'
 
@@ -138,8 +138,7 @@
 function checkAdmission ({ log, clock, logger, metrics }: RequestOptions, view: TermView | undefined, queue: Queue, workflow: Workflow, isKnown: boolean): { verdict: Admission, refusal?: WorkflowReply } {
   const load = view?.term.getSchedulerLoad(queue.priority)
   const sizes = view?.sizes.list(getState(log), queue.service)
-  const rates = view === undefined || hasWrongEstimates(view.term.runDurations, queue, workflow) ? undefined : view.term.competition.getRates(queue)
-  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load, sizes, rates, hasFairShares: view?.term.competition.hasFairShares === true })
+  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load, sizes, rates: view?.term.competition.getRates(queue, workflow), hasFairShares: view?.term.competition.hasFairShares })
   if (verdict.kind === 'admitted') return { verdict }
   const retryAfterMs = computeRetryAfterMs(verdict.retryAfterMs, queue.priority, workflow.id)
   metrics.count('workflow.refused', 1, { queue: queue.name, reason: verdict.reason })
--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -86,6 +86,8 @@
 
 test('settings are validated, and the failure names the invalid field', () => {
   expect(parseSettings(SETTINGS).val).toMatchSnapshot()
+  const withTable = parseSettings(`${SETTINGS}[competition]\npreemption = false\n`)
+  expect(withTable.ok && withTable.val.competition).toEqual({ preemption: false, fairShares: true, checkpointMs: 1000, restoreMs: 250 })
   const broken = parseSettings(SETTINGS.replace('graceS = 6', 'graceS = "six"'))
   expect(!broken.ok && broken.val.message).toContain('graceS')
 })
--- a/test/workflows/fairShares.test.ts
+++ b/test/workflows/fairShares.test.ts
@@ -43,5 +43,6 @@
   const both = ['worthless', 'valued']
   expect([select({}), select({ isBlocked: true }), select({ isBlocked: true, isStarved: true })]).toEqual([both, ['valued'], both])
   submit('later', 65_000)
+  index.markChanged('later')
   expect([67_400, 67_600].map((at) => select({ isBlocked: true }, at).includes('worthless'))).toEqual([false, true])
 })
--- a/test/workflows/queueTimeout.test.ts
+++ b/test/workflows/queueTimeout.test.ts
@@ -5,6 +5,9 @@
 import { createReplicatedState, workflowHandlers } from '../../src/state/index.js'
 import { CATALOG, STEP } from './support.js'
 
+/** Nothing has been learned about the pool. */
+const COMPETITION = { hasFairShares: true, getRates: () => ({}), recordAccepted: () => {} }
+
 const TIMEOUT_MS = 500
 const ADDRESS = { hostName: 'desk.example', path: '/quotes/a1' }
 const WORKFLOW = { id: 'a1', command: 'run', steps: [STEP] }
@@ -22,7 +25,7 @@
     return Err({ kind: 'outcome-unknown', message: 'no answer in time' })
   }
   const log = { state: () => state, status: () => ({ voters: [] }), subscribe: () => () => {}, propose: (_entry: unknown, deadline: number) => wait(deadline), readBarrier: wait }
-  const term = { isActive: () => true, getSchedulerLoad: () => ({ pendingTasks: 0, startsPerSecond: undefined }) }
+  const term = { isActive: () => true, getSchedulerLoad: () => ({ pendingTasks: 0, startsPerSecond: undefined }), competition: COMPETITION }
   const service = createWorkflowService({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), log, getTerm: () => term } as unknown as WorkflowServiceOptions)
   const reply = await service.handle({ ...request, ...timing })
   return { reply, waitedMs }
@@ -54,7 +57,7 @@
   let pendingTasks = 0
   workflowHandlers['catalog.put'](state.workflows, { catalog: CATALOG })
   const log = { state: () => state, status: () => ({ voters: [] }), subscribe: () => () => {}, propose: () => new Promise((resolve) => answers.push(resolve)), readBarrier: async () => Ok(1) }
-  const term = { isActive: () => true, getSchedulerLoad: () => ({ pendingTasks, startsPerSecond: 1 }) }
+  const term = { isActive: () => true, getSchedulerLoad: () => ({ pendingTasks, startsPerSecond: 1 }), competition: COMPETITION }
   const service = createWorkflowService({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), log, getTerm: () => term } as unknown as WorkflowServiceOptions)
   const submit = (heldMs = 0): Promise<WorkflowReply> => service.handle({ kind: 'submit', address: ADDRESS, workflow: WORKFLOW, remainingMs: 3000, heldMs })
   return { submit, answers, state, overload: () => { pendingTasks = 1e6 } }
