--- a/src/coordination/workflows/capacityForecast.ts
+++ b/src/coordination/workflows/capacityForecast.ts
@@ -8,8 +8,15 @@
 /** What is free on a worker now, and what its running short tasks will release. */
 export interface WorkerForecast { worker: string, rack: string | undefined, free: Capacity, releases: readonly Release[] }
 
-/** A group of `count` tasks that have to start at the same time; `countLimit` is how many of them a worker may take beside its runs. */
-export interface TaskNeeds { step: Pick<Step, 'cores' | 'memoryMb' | 'accelerators'>, count: number, countLimit (worker: string): number }
+/** A group of `count` tasks that have to start at the same time. */
+export interface TaskNeeds {
+  step: Pick<Step, 'cores' | 'memoryMb' | 'accelerators'>
+  count: number
+  /** Most workers that may hold the tasks. */
+  maxWorkers: number
+  /** How many of the tasks a worker may take beside its runs. */
+  countLimit (worker: string): number
+}
 
 export interface WorkerSet {
   /** The chosen workers, and what each is expected to have free at `readyAt` beside the tasks of the group. */
@@ -68,7 +75,15 @@
 
 function estimateReadyAt (forecasts: readonly WorkerForecast[], needs: TaskNeeds, endTime: EndTime, now: number): number | undefined {
   const gains = forecasts.flatMap((worker) => listGains(worker, needs, endTime, now)).sort((a, b) => a.at - b.at)
-  return gains[needs.count - 1]?.at
+  const held = new Map<string, number>()
+  return gains.find(({ worker: { worker } }, position) => {
+    held.set(worker, (held.get(worker) ?? 0) + 1)
+    return position + 1 >= needs.count && countLargest([...held.values()], needs.maxWorkers) >= needs.count
+  })?.at
+}
+
+function countLargest (values: number[], count: number): number {
+  return values.sort((a, b) => b - a).slice(0, count).reduce((sum, value) => sum + value, 0)
 }
 
 function listGains (worker: WorkerForecast, needs: TaskNeeds, endTime: EndTime, now: number): Gain[] {
--- a/src/coordination/workflows/reservationSearch.ts
+++ b/src/coordination/workflows/reservationSearch.ts
@@ -26,9 +26,9 @@
 export interface ReservationSearch {
   /**
    * Finds the workers among `available` that can hold a group which fits on none of them now: one worker for a task
-   * of an ordinary group, and a set for a gang. Undefined if the group needs no reservation or no worker can hold it.
+   * of an ordinary group, and a set of at most `maxWorkers` for a gang. Undefined if the group needs no reservation or no worker can hold it.
    */
-  find (group: WaitingGroup, available: readonly PlacementCandidate[], now: number): WorkerSet | undefined
+  find (group: WaitingGroup, available: readonly PlacementCandidate[], maxWorkers: number, now: number): WorkerSet | undefined
   /** Finds the worker for an interrupted long-running task like `find`, but also one whose runs are not all known. */
   findForInterrupted (group: WaitingGroup, pool: readonly PlacementCandidate[], available: readonly PlacementCandidate[], now: number): WorkerSet | undefined
 }
@@ -64,8 +64,8 @@
   }
 
   return {
-    find: (group, available, now) => {
-      const needs = createTaskNeeds(group, available)
+    find: (group, available, maxWorkers, now) => {
+      const needs = createTaskNeeds(group, available, maxWorkers)
       if (group.step.gang) return findGangSet(group, available, needs, now)
       const capacityNeeds = createCapacityNeeds(group)
       if (available.some((worker) => canHold(worker, capacityNeeds))) return undefined
@@ -76,7 +76,7 @@
       const capacityNeeds = createCapacityNeeds(group)
       if (group.step.fills || pool.some((worker) => canHold(worker, capacityNeeds))) return undefined
       const holding = listHolding(group, available)
-      const needs = { ...createTaskNeeds(group, available), count: 1 }
+      const needs = { ...createTaskNeeds(group, available, 1), count: 1 }
       const set = findWorkerSet(holding.slice(0, MAX_WORKERS_LOOKED_AT).map((worker) => createForecast(worker, now)), needs, now)
       const first = holding[0]
       if (set !== undefined || first === undefined) return set
@@ -85,7 +85,7 @@
   }
 }
 
-function createTaskNeeds (group: WaitingGroup, available: readonly PlacementCandidate[]): TaskNeeds {
+function createTaskNeeds (group: WaitingGroup, available: readonly PlacementCandidate[], maxWorkers: number): TaskNeeds {
   const { step, indexes } = group
   const { maxPerWorker } = step
   const { countStepRuns } = createCapacityNeeds(group)
@@ -94,7 +94,7 @@
     const worker = workers.get(id)
     return maxPerWorker === undefined || worker === undefined ? Infinity : maxPerWorker - countStepRuns(id, worker)
   }
-  return { step, count: step.gang ? indexes.length : 1, countLimit }
+  return { step, count: step.gang ? indexes.length : 1, maxWorkers, countLimit }
 }
 
 /** Groups workers by rack; the rack with the most free cores comes first. */
--- a/src/coordination/workflows/reservations.ts
+++ b/src/coordination/workflows/reservations.ts
@@ -160,16 +160,15 @@
     const { service } = group.record
     const isLessUrgent = ({ waiting, isExclusive }: StoredReservation): boolean => !isExclusive && compareUrgencyClasses(group, waiting, wallTime) < 0
     const held = new Set(reservations.filter((reservation) => !isLessUrgent(reservation)).flatMap(({ workers }) => workers))
-    const set = search.find(group, pool.filter(({ id }) => !held.has(id)), now)
-    // How long the group would wait without a reservation is not known; at least as long again as it has waited is assumed.
-    const waitedMs = now - since
-    if (set === undefined || set.readyAt - now > waitedMs) return false
-    const workers = [...set.spare.keys()]
     const maxReserved = Math.max(1, Math.floor(MAX_RESERVED_SHARE * pool.length))
-    if (countReserved(service, (reservation) => !isLessUrgent(reservation)) + workers.length > maxReserved) return false
+    const maxWorkers = maxReserved - countReserved(service, (reservation) => !isLessUrgent(reservation))
+    const set = maxWorkers < 1 ? undefined : search.find(group, pool.filter(({ id }) => !held.has(id)), maxWorkers, now)
+    const savedMs = estimateSavedMs(group, now - since, wallTime)
+    if (set === undefined || set.readyAt - now > savedMs) return false
+    const workers = [...set.spare.keys()]
     reservations.filter((reservation) => isLessUrgent(reservation) && reservation.workers.some((worker) => set.spare.has(worker))).forEach((reservation) => drop(reservation, 'displaced', now))
     while (countReserved(service, () => true) + workers.length > maxReserved) drop(reservations.findLast((reservation) => reservation.service === service && isLessUrgent(reservation)) as StoredReservation, 'displaced', now)
-    const expiresAt = Math.max(set.readyAt + MIN_SPREAD_MS, Math.min(set.lateAt, now + waitedMs))
+    const expiresAt = Math.max(set.readyAt + MIN_SPREAD_MS, Math.min(set.lateAt, now + savedMs))
     addReservation({ group: key, workers, readyAt: set.readyAt, expiresAt, waiting: group, service, waitingSince: since, isExclusive: false, spare: new Map(set.spare), isOvertaken: false, idleCoreMs: 0 }, now)
     return true
   }
@@ -225,7 +224,8 @@
     },
     recordBlocked: (tracked, now) => {
       if (!options.looksAhead || tracked.group.isResumed === true) return
-      if (!blockedGroups.has(tracked.key)) blockedGroups.set(tracked.key, { since: now, searchAt: -Infinity, retryMs: FIRST_RETRY_MS })
+      // Of a class, only the first group is tried, so most groups have waited for longer than since their first try.
+      if (!blockedGroups.has(tracked.key)) blockedGroups.set(tracked.key, { since: tracked.progress.idleSince ?? now, searchAt: -Infinity, retryMs: FIRST_RETRY_MS })
       if (isSearchDue(tracked, now)) blockedInPass.push(tracked)
     },
     recordPlaced: ({ key, group, progress }, workers, now, wallTime) => {
@@ -288,6 +288,15 @@
   return now + runDurations.forecast({ queue: record.queue, image: step.image, step: stepNumber }, step.expectedRunMs).lateMs
 }
 
+/**
+ * Wait that a reservation saves. How long the group would wait without one is not known; at least as long again as it has
+ * waited is assumed, and if it can still be on time, until it cannot, but no longer than it will run.
+ */
+function estimateSavedMs (group: WaitingGroup, waitedMs: number, wallTime: number): number {
+  const slackMs = group.dueAt - wallTime - group.step.expectedRunMs
+  return Math.max(waitedMs, group.step.lasting ? 0 : Math.min(slackMs, group.step.expectedRunMs))
+}
+
 /** Cores that are idle on the workers because of a reservation: the free ones that the group will use. */
 function measureIdleCores ({ workers, waiting: { step } }: StoredReservation, candidates: ReadonlyMap<string, PlacementCandidate>): number {
   return workers.reduce((sum, worker) => sum + Math.max(0, Math.min(step.cores, candidates.get(worker)?.freeCores ?? 0)), 0)
