Let a task of a speculative step have a copy in the replicated state

Cause: a task had one worker and one attempt in every reader of the state. Views, sessions, start orders and checks of attempts look up the attempt on their own worker. A run whose task has succeeded elsewhere is stopped, and is not started.

--- a/src/coordination/workflows/groups.ts
+++ b/src/coordination/workflows/groups.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import { formatTaskName, formatTaskKey, type Assignment, type Step } from '../../state/index.js'
+import { formatTaskName, formatTaskKey, getLastAttempt, type Assignment, type Step } from '../../state/index.js'
 import type { Advisor } from './advice.js'
 import { addRun, formatStepName, type PlacementCandidate } from './candidates.js'
 import { canHold, chooseWorker, findBest, REMOTE_DATA_PENALTY, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
@@ -156,7 +156,8 @@
 }
 
 function findAttempt ({ record, occurrence, stepNumber }: WaitingGroup, index: number): number {
-  return record.tasks[formatTaskKey({ occurrence, step: stepNumber, index })]?.attempt ?? 0
+  const known = record.tasks[formatTaskKey({ occurrence, step: stepNumber, index })]
+  return known === undefined ? 0 : getLastAttempt(known)
 }
 
 function createCapacityCopy (worker: PlacementCandidate): PlacementCandidate {
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -7,6 +7,9 @@
 /** Reason for stopping best-effort runs on a worker whose latency-critical task is about to exceed the bound on its time over target. */
 export const SERVICE_BOUND_REASON = 'service-bound'
 
+/** Reason for stopping a run, or not starting it, because another run of its task has succeeded. */
+export const OTHER_RUN_SUCCEEDED = 'other-run-succeeded'
+
 /** Sends start orders for a run until the worker confirms or refuses it, or the tries are used up. */
 export async function startRun (context: SessionContext, session: Session, run: Run): Promise<void> {
   if (run.starting || run.stopReason !== undefined) return
@@ -94,6 +97,7 @@
 
 /** Returns the reason why an assigned run may no longer start on its worker, if there is one. */
 function findStartBlocker (context: SessionContext, session: Session, { task }: Run): string | undefined {
+  if (findTask(context.getState(), task)?.succeeded === true) return OTHER_RUN_SUCCEEDED
   if (getRecord(context, session)?.life.draining === true) return 'draining'
   const step = findStep(context.getState(), task)
   // A member of a gang starts nevertheless: the others would wait for it in vain.
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -1,4 +1,4 @@
-import { findTask, isTaskDone, parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { findTask, getLastAttempt, isTaskDone, parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import type { PollReply, RunStatus, WorkerFailure } from './orders.js'
 import { releaseRun, startRun, stopRun, stopUnassignedRun } from './runOrders.js'
@@ -150,7 +150,8 @@
   const name = parseTaskName(task)
   const record = context.getState().workflows[name?.workflow ?? '']
   if (name === undefined || record === undefined) return false
-  return record.outcome !== undefined || isTaskDone(record, name) || (findTask(context.getState(), task)?.attempt ?? 0) >= attempt
+  const known = findTask(context.getState(), task)
+  return record.outcome !== undefined || isTaskDone(record, name) || (known !== undefined && getLastAttempt(known) >= attempt)
 }
 
 /**
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -1,9 +1,9 @@
 import { runSupervised, type Clock, type Logger, type Metrics, type Network, type EventLoopMeter } from '../../common/index.js'
-import { findSessionHost, findTask, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkflowsState } from '../../state/index.js'
+import { findAttemptOn, findSessionHost, findTask, listRunWorkers, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkflowsState } from '../../state/index.js'
 import { createEndRecorder } from './endRecorder.js'
 import { createLeaderExchange } from './leaderExchange.js'
 import type { WorkerClient } from './orders.js'
-import { startRun, stopRun } from './runOrders.js'
+import { OTHER_RUN_SUCCEEDED, startRun, stopRun } from './runOrders.js'
 import { runSession } from './session.js'
 import type { SessionsReply, SessionsRequest } from './sessionMessages.js'
 import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
@@ -105,7 +105,7 @@
   const addRun = (session: Session, task: string, isNew: boolean, ticket: string | undefined): Run => {
     // An earlier process of this host may already have ordered the tasks that were assigned before the first grant of this process.
     const isFirstOrder = isNew && log.status().appliedIndex > exchange.getFirstGrantIndex()
-    const run = createRun(task, findTask(getState(), task)?.attempt ?? 1, clock.now(), isFirstOrder)
+    const run = createRun(task, findAttemptOn(getState(), task, session.worker) ?? 1, clock.now(), isFirstOrder)
     run.ticket = ticket
     session.runs.set(task, run)
     return run
@@ -115,7 +115,7 @@
   const syncRun = (session: Session, task: string, ticket?: string): void => {
     const isAssigned = getState().workers[session.worker]?.assigned[task] !== undefined
     const run = session.runs.get(task)
-    const isCurrent = isAssigned && run?.attempt === findTask(getState(), task)?.attempt
+    const isCurrent = isAssigned && run?.attempt === findAttemptOn(getState(), task, session.worker)
     if (isCurrent) return
     if (run !== undefined) session.runs.delete(task)
     if (!isAssigned) return
@@ -144,25 +144,41 @@
   const stopOrphanedRuns = (): void => sessions.forEach((session) => session.runs.forEach((run) => {
     const outcome = getState().workflows[parseTaskName(run.task)?.workflow ?? '']?.outcome
     if (outcome !== undefined && run.stopReason === undefined) stopRun(context, session, run, outcome)
+    else stopLosingRun(session, run)
   }))
 
+  /** Stops a run whose task has succeeded in its other run. */
+  const stopLosingRun = (session: Session, run: Run): void => {
+    if (run.stopReason === undefined && findTask(getState(), run.task)?.succeeded === true) stopRun(context, session, run, OTHER_RUN_SUCCEEDED)
+  }
+
+  const stopLosingRuns = (task: string): void => {
+    const known = findTask(getState(), task)
+    if (known?.succeeded !== true) return
+    listRunWorkers(known).forEach((worker) => {
+      const session = sessions.get(worker)
+      const run = session?.runs.get(task)
+      if (session !== undefined && run !== undefined) stopLosingRun(session, run)
+    })
+  }
+
   /** Stops the remaining runs of a workflow that has ended, for example because it was cancelled or another task failed. */
   const stopWorkflowRuns = (workflow: string | undefined): void => {
     const record = workflow === undefined ? undefined : getState().workflows[workflow]
     const outcome = record?.outcome
     if (record === undefined || outcome === undefined) return
-    Object.entries(record.tasks).forEach(([taskKey, { worker }]) => {
-      const session = worker === undefined ? undefined : sessions.get(worker)
+    Object.entries(record.tasks).forEach(([taskKey, task]) => listRunWorkers(task).forEach((worker) => {
+      const session = sessions.get(worker)
       const run = session?.runs.get(`${workflow}.${taskKey}`)
       if (session !== undefined && run !== undefined) stopRun(context, session, run, run.stopReason ?? outcome)
-    })
+    }))
   }
 
   const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>) => void }> = {
     'sessions.divide': syncSessions,
-    'workflow.assign': ({ assignments }) => {
+    'workflow.assign': ({ assignments, copies = [] }) => {
       const changedSessions = new Set<Session>()
-      assignments.forEach(([task, worker, , ticket]) => {
+      assignments.concat(copies).forEach(([task, worker, , ticket]) => {
         const session = sessions.get(worker)
         if (session === undefined) return
         syncRun(session, task, ticket)
@@ -175,6 +191,7 @@
       lives.forEach(({ worker, ends }) => ends.forEach(([, task]) => {
         const session = sessions.get(worker)
         if (session !== undefined) syncRun(session, task)
+        stopLosingRuns(task)
         workflows.add(parseTaskName(task)?.workflow)
       }))
       workflows.forEach(stopWorkflowRuns)
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -11,6 +11,8 @@
 export interface RunView {
   task: string
   attempt: number
+  /** The run was assigned as a copy beside an earlier attempt, which may have ended since. Known to the leader only. */
+  isCopy?: boolean
   /** When the worker confirmed the latest start order for the run, or first listed it; undefined before. */
   confirmedAt: number | undefined
   /** When the worker first confirmed the run. */
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -165,7 +165,7 @@
   }
 
   const handlers: Partial<{ [K in Entry['kind']]: (entry: Extract<Entry, { kind: K }>, index: number) => void }> = {
-    'workflow.assign': ({ assignments }) => assignments.forEach(([task, worker]) => {
+    'workflow.assign': ({ assignments, copies = [] }) => assignments.concat(copies).forEach(([task, worker]) => {
       dispatcher.markChanged(parseTaskName(task)?.workflow)
       dispatcher.markWorkerChanged(worker)
       views.syncRun(worker, task)
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import { findTask, type WorkflowsState } from '../../state/index.js'
+import { findAttemptOn, findTask, type WorkflowsState } from '../../state/index.js'
 import type { ReportedRun, SessionsRequest, StopOrder, WorkerReport } from './sessionMessages.js'
 import type { RunView, WorkerView } from './sessionState.js'
 
@@ -70,7 +70,8 @@
   const addRun = (view: ReportedWorker, task: string, isNew: boolean): void => {
     view.runs.set(task, {
       task,
-      attempt: findTask(getState(), task)?.attempt ?? 1,
+      attempt: findAttemptOn(getState(), task, view.worker) ?? 1,
+      isCopy: findTask(getState(), task)?.copy?.worker === view.worker,
       // Runs that were assigned in an earlier term count as confirmed.
       confirmedAt: isNew ? undefined : clock.now(),
       startedAt: undefined,
@@ -105,7 +106,7 @@
     if (view === undefined) return
     const isAssigned = getState().workers[worker]?.assigned[task] !== undefined
     const run = view.runs.get(task)
-    if (isAssigned && run?.attempt === findTask(getState(), task)?.attempt) return
+    if (isAssigned && run?.attempt === findAttemptOn(getState(), task, worker)) return
     if (run !== undefined) removeRun(view, run)
     if (isAssigned) addRun(view, task, true)
   }
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -6,8 +6,9 @@
 } from './schemas.js'
 export { findMissingIndex } from './indexRanges.js'
 export { findSessionHost } from './sessionHosts.js'
+export { canRunCopies, getLastAttempt, listRunWorkers } from './taskCopies.js'
 export {
-  countOccurrences, createWorkflowsState, findTask, formatStepKey, formatTaskName, formatTaskKey, getStepName, isStepDone, isStepReady, isTaskDone, parseTaskName, workflowHandlers,
+  countOccurrences, createWorkflowsState, findAttemptOn, findTask, formatStepKey, formatTaskName, formatTaskKey, getStepName, isStepDone, isStepReady, isTaskDone, parseTaskName, workflowHandlers,
   type GangRecord, type TaskName, type TaskRecord, type MaintenanceWaveRecord, type WorkerRecord, type WorkflowOutcome, type WorkflowRecord,
   type WorkflowRejection, type WorkflowsState
 } from './state.js'
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from '../../common/index.js'
 import { addIndex, countIndexes, hasIndex, type IndexRanges } from './indexRanges.js'
 import { findSessionHost } from './sessionHosts.js'
+import { addCopy, getAttemptOn, getLastAttempt, isRunAssigned, listRunWorkers, recordAttempt, removeRun, type TaskRuns } from './taskCopies.js'
 import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
@@ -10,14 +11,11 @@
 const ENDED_RETENTION_MS = 600_000
 const MAX_ENDED_WORKFLOWS = 20_000
 
-export interface TaskRecord {
-  /** The highest attempt number that was assigned or that a worker has reported. */
-  attempt: number
+/** `attempt` and `worker`: the current attempt and the worker that it is assigned to; `copy` is a second run beside it. */
+export interface TaskRecord extends TaskRuns {
   failures: number
   succeeded: boolean
   checkpoint: string
-  /** Id of the worker that the current attempt is assigned to. */
-  worker: string | undefined
 }
 
 /** State of a gang as a whole; its members share attempts, checkpoints and failures. */
@@ -132,6 +130,12 @@
   return name === undefined ? undefined : state.workflows[name.workflow]?.tasks[formatTaskKey(name)]
 }
 
+/** The attempt of a task that is assigned to a worker; undefined if the task has no record. */
+export function findAttemptOn (state: WorkflowsState, task: string, worker: string): number | undefined {
+  const known = findTask(state, task)
+  return known === undefined ? undefined : getAttemptOn(known, worker)
+}
+
 export function formatTaskKey ({ occurrence, step, index }: Omit<TaskName, 'workflow'>): string {
   return `${occurrence}.${step}.${index}`
 }
@@ -200,10 +204,11 @@
     return Ok({})
   },
 
-  'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Assignment[] }): HandlerResult => {
+  'workflow.assign': (state: WorkflowsState, { assignments, copies = [] }: { assignments: Assignment[], copies?: Assignment[] | undefined }): HandlerResult => {
     // A worker that has been replaced meanwhile may be of another service or kind.
-    assignments.filter(([, worker, , , bornAt]) => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt)
-      .forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
+    const isCurrent = ([, worker, , , bornAt]: Assignment): boolean => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt
+    assignments.filter(isCurrent).forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
+    copies.filter(isCurrent).forEach(([task, worker, attempt]) => applyCopy(state, task, worker, attempt))
     return Ok({})
   },
 
@@ -313,10 +318,21 @@
   workerRecord.expired = false
 }
 
+/** Assigns a second run of a task. The entry may be older than the end of the first run or of the task; it has no effect then. */
+function applyCopy (state: WorkflowsState, task: string, worker: string, attempt: number): void {
+  const name = parseTaskName(task)
+  const record = name === undefined ? undefined : state.workflows[name.workflow]
+  const workerRecord = state.workers[worker]
+  if (name === undefined || record === undefined || workerRecord === undefined || record.outcome !== undefined || isTaskDone(record, name)) return
+  if (!addCopy(record.tasks[formatTaskKey(name)], record.workflow.steps[name.step], { attempt, worker })) return
+  workerRecord.assigned[task] = true
+  workerRecord.expired = false
+}
+
 /** Two leaders can assign the same task only around a change of leadership; the first assignment stands. */
 function canAssign (record: WorkflowRecord, name: TaskName, attempt: number): boolean {
   const known = record.tasks[formatTaskKey(name)]
-  const isNewer = known === undefined || (known.worker === undefined && known.attempt < attempt)
+  const isNewer = known === undefined || (known.worker === undefined && getLastAttempt(known) < attempt)
   return isNewer && record.outcome === undefined && !isTaskDone(record, name)
 }
 
@@ -359,10 +375,10 @@
   const record = name === undefined ? undefined : state.workflows[name.workflow]
   const known = name === undefined ? undefined : record?.tasks[formatTaskKey(name)]
   if (name === undefined || record === undefined || known === undefined) return
-  const isCurrent = known.worker === worker.life.id && known.attempt === attempt
   // A worker may report the end of an attempt that is not recorded in this state.
-  known.attempt = Math.max(known.attempt, attempt)
-  if (isCurrent) releaseTask(state, task, known)
+  const isAssigned = isRunAssigned(known, worker.life.id, attempt)
+  recordAttempt(known, attempt)
+  if (isAssigned) releaseRun(worker, task, known)
   if (checkpoint !== '') recordCheckpoint(record, name, known, checkpoint)
   if (cause === 'succeeded') {
     applySuccess(state, record, name, known, at)
@@ -462,13 +478,12 @@
 function releaseTasks (state: WorkflowsState, worker: WorkerRecord): void {
   Object.keys(worker.assigned).forEach((task) => {
     const known = findTask(state, task)
-    if (known !== undefined && known.worker === worker.life.id) releaseTask(state, task, known)
+    if (known !== undefined && listRunWorkers(known).includes(worker.life.id)) releaseRun(worker, task, known)
   })
   worker.assigned = {}
 }
 
-function releaseTask (state: WorkflowsState, task: string, known: TaskRecord): void {
-  const worker = known.worker === undefined ? undefined : state.workers[known.worker]
-  if (worker !== undefined) delete worker.assigned[task]
-  known.worker = undefined
+function releaseRun (worker: WorkerRecord, task: string, known: TaskRecord): void {
+  delete worker.assigned[task]
+  removeRun(known, worker.life.id)
 }
