Learn how long runs take compared with their estimates

Cause: placement, copies of stragglers and admission need to know when running work will end. Estimates of callers are wrong by up to nine tenths, and 3 runs in 100 take several times as long.

Only first attempts that succeeded and started in this term teach durations. The term exposes the data as `runDurations`.

--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -23,6 +23,8 @@
   status: RunStatus | undefined
   /** When `status.percent` last changed. */
   progressAt: number
+  /** The run was assigned in an earlier term, so that its start is not known exactly. */
+  isInherited?: boolean
 }
 
 /** The part of the state of a worker that scheduling decisions use. */
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -9,6 +9,7 @@
 import type { ReportedRefusal, SessionsReply, SessionsRequest, WorkerReport } from './sessionMessages.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { InterferenceModel } from './interferenceModel.js'
+import { createRunDurations, recordRunEnd, type RunDurations } from './runDurations.js'
 import { createSignal } from './signal.js'
 import { createStartBackoff } from './startBackoff.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, MAX_AUTHORITY_AGE_MS, MAX_UNCONFIRMED_STARTS, PROPOSE_TIMEOUT_MS } from './timing.js'
@@ -42,6 +43,7 @@
   readonly fence: number
   readonly workers: ReadonlyMap<string, WorkerView>
   readonly health: WorkerHealth
+  readonly runDurations: RunDurations
   isActive (): boolean
   getAuthorityAt (): number
   /** Processes the reports of a session host and returns its authority and the runs to stop. */
@@ -58,6 +60,7 @@
   const { clock, logger, log, fence, metrics } = options
   const health = createWorkerHealth({ clock, logger })
   const startBackoff = createStartBackoff({ clock })
+  const runDurations = createRunDurations()
   const stopping = new AbortController()
   let authorityAt = clock.now()
   const jumpDetector = createClockJumpDetector(clock)
@@ -101,10 +104,12 @@
 
   const recordEnd = (worker: string, [number, task, attempt, cause]: RunEnd): void => {
     // A worker lists an ended run until it is acknowledged, so several entries may contain the same end; only the first one releases the task.
-    if (views.findRun(worker, task, attempt) === undefined || number === 0) return
+    const run = views.findRun(worker, task, attempt)
+    if (run === undefined || number === 0) return
     metrics.count('run.ended', 1, { cause })
     logger.info('run.end', { task, attempt, worker, number, cause })
     health.recordEnd(worker, task, cause)
+    recordRunEnd(runDurations, getState(), findTaskStep(task), run, cause, clock.now())
   }
 
   const recordEnds = ({ worker, bornAt, ends }: WorkerRunEnds): void => {
@@ -290,7 +295,7 @@
   Object.keys(state.workers).forEach(views.syncWorker)
   runSupervised({ clock, logger, event: 'term.failed', isStopped: () => stopping.signal.aborted }, runAuthority)
   dispatcher.schedule()
-  return { fence, workers: views.workers, health, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, hasStarted: (workflow) => startedWorkflows.has(workflow), exchange, stop }
+  return { fence, workers: views.workers, health, runDurations, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, hasStarted: (workflow) => startedWorkflows.has(workflow), exchange, stop }
 }
 
 /** Age of the last contact with a majority of the voters, which includes this host: the oldest contact in the most recent majority. */
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -78,7 +78,8 @@
       assignedAt: clock.now(),
       stopReason: undefined,
       status: undefined,
-      progressAt: clock.now()
+      progressAt: clock.now(),
+      isInherited: !isNew
     })
     if (isNew) addUnconfirmed(view.host, 1)
   }
