Copy stragglers of speculative steps

Cause: a workflow waits for its last task; 3 in 100 take 7 times as long. The leader copies only while every host with a replica says that it knows copies. The progress of a copied long task no longer makes its worker look slow.

--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -34,6 +34,8 @@
   /** Length of the order lease on a host: for this long after an order only the process that gave it may give further orders for that host. */
   hostLeaseMs: number
   advice: AdviceClient
+  /** False turns copies of stragglers off while this host is the leader; absent: true. */
+  allowsCopies?: boolean
 }
 
 export interface WorkflowCoordinator {
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -7,6 +7,7 @@
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import { compareGroups, getLateness } from './plan.js'
 import { createCompetingDemand } from './competingDemand.js'
+import type { RunCopies } from './runCopies.js'
 import type { WorkerView } from './sessionState.js'
 import type { Signal } from './signal.js'
 import type { StartBackoff } from './startBackoff.js'
@@ -48,8 +49,10 @@
   work: EventLoopMeter
   startBackoff: StartBackoff
   isActive (): boolean
-  /** Resolves when the assignments are committed or rejected, or when the attempt has timed out with an unknown outcome. */
-  assign (assignments: Assignment[]): Promise<void>
+  /** Resolves when the assignments are committed or rejected, or when the attempt has timed out with an unknown outcome. `copies`: second runs of tasks that are running. */
+  assign (assignments: Assignment[], copies: Assignment[]): Promise<void>
+  /** Copies of stragglers; absent: none. */
+  copies?: RunCopies
   wake: Signal
 }
 
@@ -73,7 +76,8 @@
 export function createDispatcher (options: DispatcherOptions): Dispatcher {
   const { clock, logger, getState, wake, work } = options
   const waiting = createWaitingIndex(getState)
-  const candidates = createCandidates(options, createTaskStepIndex(getState))
+  const findTaskStep = createTaskStepIndex(getState)
+  const candidates = createCandidates(options, findTaskStep)
   const getCompetingDemand = createCompetingDemandCache(options)
   /** Open workflows of which a task was placed because they were starved. */
   const starvedWorkflows = new Set<string>()
@@ -82,6 +86,7 @@
   const stopping = new AbortController()
   /** Waiting groups of the last pass. */
   let lastTracked: TrackedGroup[] = []
+  let lastPools = new Map<string, Pool>()
   let loadLoggedAt = -Infinity
   let starvedCheckedAt = -Infinity
   let drainCheckedAt = -Infinity
@@ -127,6 +132,7 @@
     const wallTime = clock.wall()
     const pools = work.measure('dispatch.candidates', () => candidates.update(now))
     const trackedGroups = work.measure('dispatch.waiting', () => waiting.list(wallTime))
+    lastPools = pools
     logLoad(trackedGroups, pools)
     if (now - starvedCheckedAt >= STARVED_CHECK_MS) {
       starvedCheckedAt = now
@@ -211,12 +217,14 @@
   const runPass = async (): Promise<number> => {
     const startedAt = clock.now()
     const assignments = placeWaiting()
+    const copies = options.copies === undefined ? [] : work.measure('dispatch.copies', () => options.copies?.place({ pools: lastPools, waiting: lastTracked, findTaskStep }) ?? [])
+    copies.forEach(([task, worker]) => candidates.recordPlaced(worker, task))
     work.measure('dispatch.move', () => moveRuns(startedAt))
     const tookMs = clock.now() - startedAt
-    if (assignments.length === 0) return tookMs
+    if (assignments.length + copies.length === 0) return tookMs
     assignments.forEach(([task, worker, attempt]) => logger.info('run.assign', { task, attempt, worker }))
     options.metrics.count('run.assigned', assignments.length)
-    await options.assign(assignments)
+    await options.assign(assignments, copies)
     return tookMs
   }
 
--- a/src/coordination/workflows/leaderExchange.ts
+++ b/src/coordination/workflows/leaderExchange.ts
@@ -112,6 +112,7 @@
       appliedIndex: log.status().appliedIndex,
       lastStop: grant.lastStop,
       isLeaving,
+      knowsCopies: true,
       grantAgeMs: leader === grant.leader ? sentAt - grant.receivedAt : null,
       ...taken
     }
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -1,5 +1,5 @@
 import type { Clock, Logger } from '../../common/index.js'
-import { getStepName, type Step, type WorkflowsState } from '../../state/index.js'
+import { findTask, getStepName, type Step, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import { listEvacuated, DEFAULT_NOTICE_MS } from './evacuation.js'
 import type { RunView, WorkerView } from './sessionState.js'
@@ -115,6 +115,7 @@
       if (run !== undefined) stopRun(session, run, reason)
     })
     stopAll(health.listStalled(session, find), 'standstill')
-    stopAll(health.listSlow(session, find), 'slow-worker')
+    // The copy of a slow run decides when to stop it.
+    stopAll(health.listSlow(session, find).filter((task) => findTask(getState(), task)?.copy === undefined), 'slow-worker')
   })
 }
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -36,6 +36,11 @@
   return ends.reduce((latest, end) => Math.max(latest, end), 0)
 }
 
+/** Time in ms that an occurrence may take to meet the objective of its queue. */
+export function computeObjectiveMs ({ workflow }: WorkflowRecord, queue: Queue | undefined): number {
+  return (queue?.slackFactor ?? 1) * estimateChainMs(workflow.steps) + (queue?.objectiveMs ?? 0)
+}
+
 export function getOccurrenceStart (record: WorkflowRecord, occurrence: number): number {
   const { recurrence } = record.workflow
   return recurrence === undefined ? record.submittedAt : recurrence.firstAt + occurrence * recurrence.intervalMs
@@ -66,7 +71,7 @@
 export function listWaiting (record: WorkflowRecord, queue: Queue | undefined, wallTime: number): WaitingGroup[] {
   if (record.outcome !== undefined) return []
   const { workflow } = record
-  const objectiveMs = (queue?.slackFactor ?? 1) * estimateChainMs(workflow.steps) + (queue?.objectiveMs ?? 0)
+  const objectiveMs = computeObjectiveMs(record, queue)
   const knownTasks = listKnownTasks(record)
   const groups: WaitingGroup[] = []
   /** Adds the groups of one occurrence; returns the number of tasks in them. `limit`: most tasks that never ran. */
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -1,10 +1,10 @@
-import { findTask, getLastAttempt, isTaskDone, parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { canRunCopies, findTask, getLastAttempt, isTaskDone, parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import type { PollReply, RunStatus, WorkerFailure } from './orders.js'
 import { releaseRun, startRun, stopRun, stopUnassignedRun } from './runOrders.js'
 import { observeServices } from './serviceBound.js'
 import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
-import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, REMOVE_WORKER_AFTER_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
+import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, REMOVE_WORKER_AFTER_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, SPECULATIVE_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
 
 /** Polls one worker until its session ends: renews its lease, records its ended runs, and starts or stops runs to match its assignments. */
 export async function runSession (context: SessionContext, session: Session): Promise<void> {
@@ -51,7 +51,9 @@
 }
 
 function getPollWaitMs (session: Session, state: WorkflowsState): number {
-  const hasLatencyTarget = [...session.runs.values()].some(({ task }) => findStep(state, task)?.tailTargetMs !== undefined)
+  const steps = [...session.runs.values()].map(({ task }) => findStep(state, task))
+  if (steps.some((step) => step !== undefined && canRunCopies(step))) return SPECULATIVE_POLL_WAIT_MS
+  const hasLatencyTarget = steps.some((step) => step?.tailTargetMs !== undefined)
   const needsStops = session.strays.size > 0 || [...session.runs.values()].some((run) => run.stopReason !== undefined)
   return hasLatencyTarget || needsStops ? SHORT_POLL_WAIT_MS : POLL_WAIT_MS
 }
--- a/src/coordination/workflows/sessionMessages.ts
+++ b/src/coordination/workflows/sessionMessages.ts
@@ -34,6 +34,8 @@
   lastStop: number
   /** The host is shutting down, so its workers have to be assigned to others. */
   isLeaving: boolean
+  /** The host applies entries with copies of runs; absent from hosts of earlier builds. */
+  knowsCopies?: boolean
   /** How long ago the host received its last grant from this leader; null if it has none. */
   grantAgeMs: number | null
   reports: WorkerReport[]
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -13,6 +13,8 @@
   attempt: number
   /** The run was assigned as a copy beside an earlier attempt, which may have ended since. Known to the leader only. */
   isCopy?: boolean
+  /** The run got a copy because its task is long, on a worker of usual speed: its progress says nothing about the worker. Known to the leader only. */
+  isLongTask?: boolean
   /** When the worker confirmed the latest start order for the run, or first listed it; undefined before. */
   confirmedAt: number | undefined
   /** When the worker first confirmed the run. */
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -2,6 +2,7 @@
 import { findSessionHost, getStepName, parseTaskName, type ReplicatedLog, type Assignment, type Entry, type WorkerRunEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
+import { createCopySupport } from './copySupport.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
 import { createClockJumpDetector } from './clockJumpDetector.js'
 import { createSessionAssigner } from './sessionAssignment.js'
@@ -9,6 +10,7 @@
 import type { ReportedRefusal, SessionsReply, SessionsRequest, WorkerReport } from './sessionMessages.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { InterferenceModel } from './interferenceModel.js'
+import { createRunCopies } from './runCopies.js'
 import { createRunDurations, recordRunEnd, type RunDurations } from './runDurations.js'
 import { createSignal } from './signal.js'
 import { createStartBackoff } from './startBackoff.js'
@@ -34,6 +36,8 @@
   advice: AdviceClient
   /** Model of the interference between images that share workers; kept across terms. */
   interferenceModel: InterferenceModel
+  /** False turns copies of stragglers off; absent: true. */
+  allowsCopies?: boolean
   /** Term of the log, used as fencing token: workers refuse orders of earlier terms. */
   fence: number
 }
@@ -105,6 +109,7 @@
   const recordEnd = (worker: string, [number, task, attempt, cause]: RunEnd): void => {
     // A worker lists an ended run until it is acknowledged, so several entries may contain the same end; only the first one releases the task.
     const run = views.findRun(worker, task, attempt)
+    if (run !== undefined) copies.recordEnd(worker, run, cause)
     if (run === undefined || number === 0) return
     metrics.count('run.ended', 1, { cause })
     logger.info('run.end', { task, attempt, worker, number, cause })
@@ -156,6 +161,7 @@
     if (!isActive()) return { kind: 'not-leader' }
     const grantedAt = request.grantAgeMs === null || request.fence !== fence ? -Infinity : clock.now() - request.grantAgeMs
     sessionAssigner.recordPresence(from, request.availabilityZone, from === options.self ? clock.now() : grantedAt, request.isLeaving)
+    copySupport.recordHost(from, request.knowsCopies === true)
     if (request.isLeaving) sessionAssigner.update()
     options.work.measure('term.reports', () => {
       request.reports.forEach((report) => observeReport(from, report))
@@ -263,6 +269,20 @@
     findStep: findTaskStep,
     stopRun
   })
+  const copySupport = createCopySupport()
+  const listReplicas = (): string[] => [...log.status().voters, ...log.status().learners, ...getState().sessionHosts.map(({ host }) => host)]
+  const copies = createRunCopies({
+    clock,
+    logger,
+    metrics,
+    sessions: views.workers,
+    health,
+    interferenceModel: options.interferenceModel,
+    advisor,
+    durations: runDurations,
+    getState,
+    isEnabled: () => options.allowsCopies !== false && copySupport.isComplete(listReplicas())
+  })
   const dispatcher: Dispatcher = createDispatcher({
     clock,
     logger,
@@ -275,11 +295,12 @@
     startBackoff,
     getState,
     isActive,
-    assign: async (assignments: Assignment[]) => {
-      const withTickets = assignments.map(([task, worker, attempt]): Assignment =>
-        [task, worker, attempt, advisor.findTicket(getStepName(task), worker), views.workers.get(worker)?.bornAt])
-      const result = await log.propose({ kind: 'workflow.assign', assignments: withTickets }, clock.now() + PROPOSE_TIMEOUT_MS)
-      if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length, reason: result.val.kind })
+    copies,
+    assign: async (assignments: Assignment[], copied: Assignment[]) => {
+      const addTicket = ([task, worker, attempt]: Assignment): Assignment =>
+        [task, worker, attempt, advisor.findTicket(getStepName(task), worker), views.workers.get(worker)?.bornAt]
+      const result = await log.propose({ kind: 'workflow.assign', assignments: assignments.map(addTicket), ...copied.length > 0 && { copies: copied.map(addTicket) } }, clock.now() + PROPOSE_TIMEOUT_MS)
+      if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length + copied.length, reason: result.val.kind })
     },
     stopRun,
     isCordoned: (worker) => maintenance.isCordoned(worker),
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -9,6 +9,8 @@
 export const POLL_WAIT_MS = 1500
 /** Wait of a poll on workers with latency-critical tasks, whose readings decide about the best-effort runs beside them, or with runs that are to stop; readings cover half a second. */
 export const SHORT_POLL_WAIT_MS = 500
+/** Wait of a poll on workers with runs that may be copied: a straggler shows by its progress within a fraction of its usual duration, 540 ms on the reference sites. */
+export const SPECULATIVE_POLL_WAIT_MS = 250
 /** Interval of the polls of a worker without runs; keeps the reading of its clock up to date. */
 export const IDLE_POLL_INTERVAL_MS = 20_000
 /** A poll without an answer this long after the end of its wait has failed; some hundred times a round trip. */
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -123,7 +123,7 @@
         // Counts up to the reading: a report that comes late would otherwise make a sound worker look slow.
         const elapsedMs = confirmedAt === undefined ? 0 : (percent === 100 ? clock.now() : session.readAt) - confirmedAt
         // The progress of a run that resumes from a checkpoint includes that of its earlier attempts.
-        if (percent <= 0 || elapsedMs < MIN_ELAPSED_MS || attempt > 1) return
+        if (percent <= 0 || elapsedMs < MIN_ELAPSED_MS || attempt > 1 || run?.isLongTask === true) return
         const step = findStep(task)
         if (step === undefined || step.lasting) return
         const key = getStepName(task)
