--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -269,7 +269,7 @@
     findStep: findTaskStep,
     stopRun
   })
-  const copySupport = createCopySupport()
+  const copySupport = createCopySupport(getState)
   const listReplicas = (): string[] => [...log.status().voters, ...log.status().learners, ...getState().sessionHosts.map(({ host }) => host)]
   const copies = createRunCopies({
     clock,
@@ -299,7 +299,8 @@
     assign: async (assignments: Assignment[], copied: Assignment[]) => {
       const addTicket = ([task, worker, attempt]: Assignment): Assignment =>
         [task, worker, attempt, advisor.findTicket(getStepName(task), worker), views.workers.get(worker)?.bornAt]
-      const result = await log.propose({ kind: 'workflow.assign', assignments: assignments.map(addTicket), ...copied.length > 0 && { copies: copied.map(addTicket) } }, clock.now() + PROPOSE_TIMEOUT_MS)
+      const copyHosts = copied.length > 0 ? copySupport.listNew(listReplicas()) : undefined
+      const result = await log.propose({ kind: 'workflow.assign', assignments: assignments.map(addTicket), ...copied.length > 0 && { copies: copied.map(addTicket) }, ...copyHosts !== undefined && { copyHosts } }, clock.now() + PROPOSE_TIMEOUT_MS)
       if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length + copied.length, reason: result.val.kind })
     },
     stopRun,
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -184,8 +184,11 @@
   z.strictObject({ kind: z.literal('catalog.put'), catalog: catalogSchema }),
   z.strictObject({ kind: z.literal('workflow.submit'), queue: z.string(), workflow: workflowSchema, at: z.number() }),
   z.strictObject({ kind: z.literal('workflow.cancel'), id: z.string(), at: z.number() }),
-  /** `copies`: second runs of tasks that are running. Absent in entries of earlier builds, which do not apply it. */
-  z.strictObject({ kind: z.literal('workflow.assign'), assignments: z.array(assignmentSchema), copies: z.array(assignmentSchema).optional() }),
+  /**
+   * `copies`: second runs of tasks that are running. `copyHosts`: hosts that apply them, as far as the leader knows. Both are
+   * absent in entries of earlier builds, which apply neither.
+   */
+  z.strictObject({ kind: z.literal('workflow.assign'), assignments: z.array(assignmentSchema), copies: z.array(assignmentSchema).optional(), copyHosts: z.array(z.string()).optional() }),
   z.strictObject({ kind: z.literal('workflow.end'), lives: z.array(workerRunEndsSchema), judge: sessionOwnerSchema, at: z.number() }),
   /** Assigns the sessions of all workers to these hosts. Each worker has one session host, which alone sends it orders. */
   z.strictObject({ kind: z.literal('sessions.divide'), hosts: z.array(sessionHostSchema) }),
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -82,6 +82,8 @@
   departed?: Record<string, { bornAt: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
   sessionHosts: SessionHost[]
+  /** Hosts whose build applies copies, as a leader has learned; absent until the first copy, and in state of earlier builds. */
+  copyHosts?: string[]
   /** Number of the session assignment in force; each `sessions.divide` entry increments it. */
   division: number
 }
@@ -204,7 +206,8 @@
     return Ok({})
   },
 
-  'workflow.assign': (state: WorkflowsState, { assignments, copies = [] }: { assignments: Assignment[], copies?: Assignment[] | undefined }): HandlerResult => {
+  'workflow.assign': (state: WorkflowsState, { assignments, copies = [], copyHosts }: { assignments: Assignment[], copies?: Assignment[] | undefined, copyHosts?: string[] | undefined }): HandlerResult => {
+    if (copyHosts !== undefined) state.copyHosts = copyHosts
     // A worker that has been replaced meanwhile may be of another service or kind.
     const isCurrent = ([, worker, , , bornAt]: Assignment): boolean => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt
     assignments.filter(isCurrent).forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
--- a/test/workflows/copies.test.ts
+++ b/test/workflows/copies.test.ts
@@ -1,15 +1,16 @@
 import { expect, test } from 'vitest'
+import { createCopySupport } from '../../src/coordination/workflows/copySupport.js'
 import type { FakeRunWorker } from '../../src/fakes/runFleet.js'
-import type { Step } from '../../src/state/index.js'
-import { createScene, listDoubled, type Scene } from './support.js'
+import { createWorkflowsState, type Step } from '../../src/state/index.js'
+import { CATALOG, createHosts, createScene, listDoubled, listOwned, type Scene } from './support.js'
 
 const LONG_MS = 7000
 const SPECULATIVE: Partial<Step> = { speculative: true }
 const WORKERS = ['w1', 'w2', 'w3', 'w4']
 
 /** Submits twelve tasks of which the first run of the last one takes seven times as long; its other runs are planned by `planCopy`. */
-async function startStraggler (step: Partial<Step> = SPECULATIVE, planCopy: Scene['fleet']['plan'] = () => ({ runMs: 1000, result: 'succeeded' })): Promise<Scene> {
-  const scene = await createScene(WORKERS)
+async function startStraggler (step: Partial<Step> = SPECULATIVE, planCopy: Scene['fleet']['plan'] = () => ({ runMs: 1000, result: 'succeeded' }), allowsCopies = true): Promise<Scene> {
+  const scene = await createScene(WORKERS, CATALOG, { allowsCopies })
   const begun = new Set<string>()
   scene.fleet.plan = (task, worker) => {
     if (task !== 'a1.0.0.11') return { runMs: 1000, result: 'succeeded' }
@@ -158,3 +159,81 @@
   await scene.run(2500)
   expect(listRuns(scene)).toHaveLength(1)
 })
+
+test('no step gets copies while they are turned off', async () => {
+  const scene = await startStraggler(SPECULATIVE, undefined, false)
+  await scene.run(5000)
+  expect(listDoubled(scene.fleet.events)).toEqual([])
+})
+
+// Guards against a next leader that takes the original or the copy for a task without a run, or starts a third one.
+test.each([['before the copy was started', 'lost-order'], ['while both run', 'none']] as const)('the leader changes %s', async (_name, fault) => {
+  const scene = await startStraggler(SPECULATIVE, () => ({ runMs: 3000, result: 'succeeded' }))
+  let isFaulty = true
+  scene.fleet.workers.forEach((worker) => { worker.fault = (kind, task) => isFaulty && kind === 'start' && task === 'a1.0.0.11' && listRuns(scene).length > 0 ? fault : 'none' })
+  const isAssigned = (): boolean => scene.log.state().workflows.workflows.a1?.tasks['0.0.11']?.copy !== undefined
+  for (let waited = 0; waited < 3000 && !isAssigned(); waited += 10) await scene.run(10)
+  await scene.changeLeader()
+  isFaulty = false
+  await scene.run(6000)
+  expect([getOutcome(scene), listRuns(scene).map(({ attempt }) => attempt), listEnds(scene), listLeft(scene)]).toEqual(['completed', [1, 2], ['1 stopped', '2 succeeded'], NOTHING_LEFT])
+})
+
+// Guards against a host that takes over a worker and knows only one of the two runs, or restarts the one that has lost.
+test.each([['original', 0], ['copy', 1]])('the session host of the worker of the %s is lost, and the workflow completes with one copy', async (_name, position) => {
+  const hosts = await createHosts(['h1', 'h2', 'h3', 'h4'], 12)
+  const begun = new Set<string>()
+  const straggler = 'a1.0.0.11'
+  hosts.fleet.plan = (task) => {
+    if (task !== straggler) return { runMs: 1000, result: 'succeeded' }
+    const isFirst = !begun.has(task)
+    begun.add(task)
+    return { runMs: isFirst ? 2 * LONG_MS : 4000, result: 'succeeded' }
+  }
+  hosts.submit('a1', [{ count: 12, speculative: true }])
+  const listStarts = (): string[] => hosts.fleet.events.filter(({ kind, task }) => kind === 'started' && task === straggler).map(({ worker }) => worker)
+  for (let waited = 0; waited < 4000 && listStarts().length < 2; waited += 10) await hosts.clock.advance(10)
+  await hosts.clock.advance(1000)
+  const worker = listStarts()[position] ?? ''
+  const owner = ['h1', 'h2', 'h3', 'h4'].find((host) => listOwned(hosts, host).includes(worker)) ?? ''
+  hosts.network.setDown(owner, true)
+  hosts.followers.get(owner)?.setReachable(false)
+  await hosts.clock.advance(12_000)
+  const assigned = Object.values(hosts.log.state().workflows.workers).flatMap((record) => Object.keys(record.assigned))
+  expect([owner === '' || owner === 'h1', hosts.log.state().workflows.workflows.a1?.outcome, listStarts().length, assigned]).toEqual([false, 'completed', 2, []])
+  await hosts.stop()
+})
+
+// Guards against copies that a host of an earlier build would not know of: it could start a task after its success.
+test('a host of an earlier build among the hosts keeps copies off', async () => {
+  const scene = await startStraggler()
+  scene.log.join('h2')
+  await scene.run(5000)
+  expect(listDoubled(scene.fleet.events)).toEqual([])
+})
+
+// Guards against a leader that makes no copies because a voter has been down since before its term.
+test('copies go on under a new leader while a host that is known to apply them is down', async () => {
+  const scene = await startStraggler()
+  await runUntilCopied(scene)
+  const { log } = scene
+  const copyHosts = [...log.state().workflows.copyHosts ?? []]
+  log.join('h2')
+  log.propose({ kind: 'workflow.assign', assignments: [], copyHosts: [...copyHosts, 'h2'] }, Infinity)
+  await scene.changeLeader()
+  // A host gets sessions with workers half a second after its first exchange.
+  await scene.run(1500)
+  const before = listDoubled(scene.fleet.events).length
+  await scene.submit('a2', [{ count: 12, ...SPECULATIVE }])
+  await scene.run(100)
+  scene.fleet.workers.forEach(({ running }) => running.forEach((run, task) => { if (task === 'a2.0.0.3') run.plan = { runMs: LONG_MS, result: 'succeeded' } }))
+  await scene.run(3000)
+  expect([copyHosts, listDoubled(scene.fleet.events).slice(before)]).toEqual([['h1'], ['a2.0.0.3']])
+})
+
+test('a host that comes back with an earlier build counts as such although it applied copies before', () => {
+  const support = createCopySupport(() => ({ ...createWorkflowsState(), copyHosts: ['h1', 'h2'] }))
+  const before = support.isComplete(['h1', 'h2'])
+  support.recordHost('h2', false)
+  expect([before, support.isComplete(['h1', 'h2']), support.isComplete(['h1']), support.listNew(['h1', 'h2'])]).toEqual([true, false, true, ['h1']])
+})
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -1,5 +1,5 @@
-import { createManualClock, createNoopMetrics, createNoopEventLoopMeter, createSilentLogger, type Clock, type ManualClock, type RequestHandler } from '../../src/common/index.js'
-import { createWorkflowCoordinator, type WorkerClient, type WorkflowCoordinator, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
+import { Err, createManualClock, createNoopMetrics, createNoopEventLoopMeter, createSilentLogger, type Clock, type ManualClock, type RequestHandler } from '../../src/common/index.js'
+import { createWorkflowCoordinator, type WorkerClient, type WorkflowCoordinator, type WorkflowCoordinatorOptions, type WorkflowReply, type WorkflowRequest } from '../../src/coordination/workflows/index.js'
 import type { Candidate } from '../../src/coordination/workflows/placement.js'
 import { WORKFLOW_MESSAGE } from '../../src/coordination/workflows/messages.js'
 import { COMMIT_MS, createEmulatedHosts, DEFAULT_SERVICE_BOUND, HOST_LEASE_MS, ONE_QUEUE, PLAIN_STEP, type EmulatedHosts } from '../../src/emulator/index.js'
@@ -21,6 +21,8 @@
   log: MemoryLog
   fleet: FakeRunFleet
   coordinator: WorkflowCoordinator
+  /** Ends the term of the present coordinator and starts a later one on the same log, as after a loss of the leader. */
+  changeLeader (): Promise<void>
   send (request: WorkflowRequest): Promise<WorkflowReply>
   /** Submits a workflow and advances the clock until the reply. */
   submit (id: string, steps: Array<Partial<Step>>, more?: Partial<Workflow>): Promise<WorkflowReply>
@@ -30,13 +32,20 @@
 }
 
 /** Creates a leader with a replicated log in memory, and workers that can fail. */
-export async function createScene (workers: string[], catalog: Catalog = ONE_QUEUE): Promise<Scene> {
+export async function createScene (workers: string[], catalog: Catalog = ONE_QUEUE, more: Partial<WorkflowCoordinatorOptions> = {}): Promise<Scene> {
   const clock = createManualClock(1000)
   const log = createMemoryLog('h1', { clock, commitMs: COMMIT_MS })
   const fleet = createFakeRunFleet(clock)
   const handlers = new Map<string, RequestHandler>()
-  const network = { self: 'h1', request: async () => { throw new Error('no peers') }, handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
-  const coordinator = createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), work: createNoopEventLoopMeter(), network, log, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: 'p1', client: fleet.client, hosts: fleet.hosts, hostLeaseMs: HOST_LEASE_MS, advice: fleet.advice })
+  const network = { self: 'h1', request: async () => Err({ kind: 'unreachable' as const, to: 'h2', message: 'no peers' }), handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
+  let term = 1
+  const createCoordinator = (): WorkflowCoordinator => {
+    const fence = term
+    // Proposals go through the shared log, in which tests replace them.
+    const ownLog = { ...log, propose: (...call: Parameters<MemoryLog['propose']>) => log.propose(...call), status: () => ({ ...log.status(), term: fence }) }
+    return createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), work: createNoopEventLoopMeter(), network, log: ownLog, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: `p${term}`, client: fleet.client, hosts: fleet.hosts, hostLeaseMs: HOST_LEASE_MS, advice: fleet.advice, ...more })
+  }
+  let coordinator = createCoordinator()
   const commitEntry = async (entry: Entry): Promise<void> => {
     log.propose(entry, Infinity)
     await clock.advance(COMMIT_MS)
@@ -60,7 +69,13 @@
     clock,
     log,
     fleet,
-    coordinator,
+    get coordinator () { return coordinator },
+    changeLeader: async () => {
+      const stopped = coordinator.stop()
+      await Promise.all([stopped, run(1000)])
+      term += 1
+      coordinator = createCoordinator()
+    },
     send,
     run,
     submit: (id, steps, more = {}) => send({
