--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -86,6 +86,8 @@
 
 test('settings are validated, and the failure names the invalid field', () => {
   expect(parseSettings(SETTINGS).val).toMatchSnapshot()
+  const withoutCopies = parseSettings(`${SETTINGS}\n[copies]\nenabled = false\n`)
+  expect(withoutCopies.ok && withoutCopies.val.allowsCopies).toBe(false)
   const broken = parseSettings(SETTINGS.replace('graceS = 6', 'graceS = "six"'))
   expect(!broken.ok && broken.val.message).toContain('graceS')
 })
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -41,8 +41,8 @@
   let term = 1
   const createCoordinator = (): WorkflowCoordinator => {
     const fence = term
-    // Proposals go through the shared log, in which tests replace them.
-    const ownLog = { ...log, propose: (...call: Parameters<MemoryLog['propose']>) => log.propose(...call), status: () => ({ ...log.status(), term: fence }) }
+    // Everything else goes to the shared log, of which tests replace functions.
+    const ownLog: MemoryLog = Object.assign(Object.create(log), { status: () => ({ ...log.status(), term: fence }) })
     return createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), work: createNoopEventLoopMeter(), network, log: ownLog, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: `p${term}`, client: fleet.client, hosts: fleet.hosts, hostLeaseMs: HOST_LEASE_MS, advice: fleet.advice, ...more })
   }
   let coordinator = createCoordinator()
