--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -41,6 +41,8 @@
   looksAhead?: boolean
   /** Absent: `DEFAULT_COMPETITION`. */
   competition?: CompetitionSettings
+  /** False turns copies of stragglers off while this host is the leader; absent: true. */
+  allowsCopies?: boolean
 }
 
 export interface WorkflowCoordinator {
