Evacuate a zone: no new task is placed or started there

Cause: an operator cannot take a zone out of use; control serves no path for it. Change: entries zone.evacuate and zone.readmit, kept in the replicated state. An assignment that follows the evacuation in the log does not take effect. Placement and admission leave out the workers of the zone, session hosts release runs that have not started, a gang that cannot become complete is stopped as a whole, and a service without another zone refuses new workflows with reason evacuated. Paths /evacuation/ZONE/start and /stop on control; settings zones and bounds.evacuateMs. A run that was confirmed and whose row is missing is told to stop before it is released, also on a draining worker, because it may still exist.

--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,11 +1,14 @@
 import type { Clock } from '../../common/index.js'
-import type { Queue, Step, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
+import { isZoneEvacuated, type Queue, type Step, type Workflow, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
 import { estimateChainMs, ZERO_VALUE_FACTOR } from './plan.js'
+import { EVACUATED_REASON, isServiceEvacuated } from './zoneEvacuation.js'
 
 /** Share of their requested cores that long-running tasks are assumed to use. */
 const LONG_RUNNING_UTILIZATION = 0.5
 const MIN_RETRY_AFTER_MS = 1000
 const MAX_RETRY_AFTER_MS = 30_000
+/** When an operator readmits a zone is not known; callers return within this time of it. */
+const EVACUATED_RETRY_AFTER_MS = 5000
 
 /** Admission uses cached totals for up to this long; the work that arrives meanwhile delays a workflow by less than it may wait. */
 const TOTALS_CACHE_MS = 50
@@ -37,14 +40,16 @@
 
 export type Admission =
   | { kind: 'admitted', backlogMs: number }
-  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog', backlogMs: number, retryAfterMs: number }
+  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog' | typeof EVACUATED_REASON, backlogMs: number, retryAfterMs: number }
 
 /**
  * Refuses a workflow when the backlog of its queue would take longer than the workflow may last, for example after a burst
  * of large jobs: admitting it would make earlier workflows late as well. The backlog is that of the workers or that of the
- * scheduler, whichever takes longer. Workflows with long-running steps and recurring workflows are always admitted.
+ * scheduler, whichever takes longer. Workflows with long-running steps and recurring workflows are admitted whatever the
+ * backlog. While all zones of a service are evacuated, none of its workflows is admitted.
  */
 export function admitWorkflow ({ state, queue, workflow, isKnown, totals, load }: AdmissionInput): Admission {
+  if (!isKnown && isServiceEvacuated(state, queue.service)) return { kind: 'refused', reason: EVACUATED_REASON, backlogMs: 0, retryAfterMs: EVACUATED_RETRY_AFTER_MS }
   const workersMs = estimateBacklogMs(totals ?? computeTotals(state, Object.values(state.workflows)), queue)
   const schedulerMs = load === undefined ? 0 : estimateSchedulerBacklogMs(load)
   const backlogMs = Math.max(workersMs, schedulerMs)
@@ -79,7 +84,7 @@
     return serviceTotals
   }
   Object.values(state.workers)
-    .filter(({ life, expired }) => !life.draining && !expired)
+    .filter(({ life, expired }) => !life.draining && !expired && !isZoneEvacuated(state, life.availabilityZone))
     .forEach(({ life }) => { getTotals(life.service).cores += life.cores })
   records.filter(({ outcome }) => outcome === undefined).forEach((record) => {
     const serviceTotals = getTotals(record.service)
--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,4 +1,4 @@
-import { formatTaskName, getStepName, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { formatTaskName, getStepName, isZoneEvacuated, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placement.js'
 import type { WorkerView } from './sessionState.js'
 import type { InterferenceModel } from './interferenceModel.js'
@@ -81,7 +81,7 @@
   const entries = new Map<string, CandidateEntry>()
 
   const isAvailable = (session: WorkerView, life: WorkerIncarnation): boolean =>
-    session.reachable && !session.ended && !life.draining && !isCordoned(session.worker) && !health.isPaused(session.worker)
+    session.reachable && !session.ended && !life.draining && !isZoneEvacuated(getState(), life.availabilityZone) && !isCordoned(session.worker) && !health.isPaused(session.worker)
 
   const createEntry = (session: WorkerView, record: WorkerRecord, now: number): CandidateEntry => {
     const tasks = Object.keys(record.assigned)
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -27,6 +27,8 @@
   log: ReplicatedLog
   availabilityZone: string
   serviceBound: ServiceBound
+  /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
+  evacuateMs?: number
   /** Identifies this process; a restarted host has a new one. */
   process: string
   client: WorkerClient
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -3,7 +3,7 @@
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskStepIndex, formatStepName, type CandidateOptions, type PlacementCandidate, type Pool } from './candidates.js'
 import { findWorkerToReserve, placeOnWorkers, type GroupOptions } from './groups.js'
-import { drainWorkers, observeInterference, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
+import { drainWorkers, observeInterference, stopIncompleteGangs, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import { compareGroups, getLateness } from './plan.js'
 import { createCompetingDemand } from './competingDemand.js'
@@ -201,6 +201,7 @@
     if (now - stallCheckedAt >= STALL_CHECK_MS) {
       stallCheckedAt = now
       stopStalled(options)
+      stopIncompleteGangs(options)
     }
     if (now - drainCheckedAt < DRAIN_CHECK_MS) return
     drainCheckedAt = now
--- a/src/coordination/workflows/index.ts
+++ b/src/coordination/workflows/index.ts
@@ -7,6 +7,7 @@
 } from './orders.js'
 export { type AdviceClient, type AdviceFailure, type Ticket } from './advice.js'
 export { createCatalogStore, type CatalogFailure, type CatalogProblem, type CatalogStore } from './catalog.js'
+export { createEvacuationStore, type EvacuationOutcome, type EvacuationStore } from './zoneEvacuationStore.js'
 export { createWorkerDirectory, type ReportOutcome, type WorkerDirectory } from './directory.js'
 export { type ServiceBound } from './serviceWatch.js'
 export { isWaveDone, type HostClient, type HostOrderFailure } from './hostMaintenance.js'
--- a/src/coordination/workflows/moves.ts
+++ b/src/coordination/workflows/moves.ts
@@ -5,6 +5,7 @@
 import type { RunView, WorkerView } from './sessionState.js'
 import type { BestEffortRun, LatencyCriticalRun, InterferenceModel } from './interferenceModel.js'
 import type { WorkerHealth } from './workerHealth.js'
+import { EVACUATED_REASON, listIncompleteGangs, type ZoneEvacuations } from './zoneEvacuation.js'
 
 /** Minimum interval, per worker, of the log line about a service that is over its target although no neighbour is stopped. */
 const RETAINED_LOG_INTERVAL_MS = 1000
@@ -15,6 +16,7 @@
   sessions: ReadonlyMap<string, WorkerView>
   health: WorkerHealth
   interferenceModel: InterferenceModel
+  evacuations: Pick<ZoneEvacuations, 'isStartBlocked'>
   getState (): WorkflowsState
   stopRun (session: WorkerView, run: RunView, reason: string): void
 }
@@ -105,6 +107,11 @@
   })
 }
 
+/** Stops gangs that cannot become complete because a zone was evacuated, so that they are placed again elsewhere. */
+export function stopIncompleteGangs ({ sessions, evacuations, getState, stopRun }: MoveOptions): void {
+  listIncompleteGangs(getState(), sessions, evacuations.isStartBlocked).forEach(({ worker, run }) => stopRun(worker, run, EVACUATED_REASON))
+}
+
 /** Stops runs that make no progress or are on a slow worker, so that they continue elsewhere. */
 export function stopStalled ({ sessions, health, getState, stopRun }: MoveOptions): void {
   const find = (task: string): Step | undefined => findStep(getState(), task)
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -3,6 +3,7 @@
 import type { WorkerFailure } from './orders.js'
 import { getRecord, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
 import { MAX_START_TRIES, ORDER_TIMEOUT_MS, RESEND_STOP_MS } from './timing.js'
+import { EVACUATED_REASON } from './zoneEvacuation.js'
 
 /** Reason for stopping best-effort runs on a worker whose latency-critical task is about to exceed the bound on its time over target. */
 export const SERVICE_BOUND_REASON = 'service-bound'
@@ -94,8 +95,10 @@
 
 /** Returns the reason why an assigned run may no longer start on its worker, if there is one. */
 function findStartBlocker (context: SessionContext, session: Session, { task }: Run): string | undefined {
-  if (getRecord(context, session)?.life.draining === true) return 'draining'
+  const life = getRecord(context, session)?.life
+  if (life?.draining === true) return 'draining'
   const step = findStep(context.getState(), task)
+  if (life !== undefined && context.evacuations.isStartBlocked(life.availabilityZone, step)) return EVACUATED_REASON
   // A member of a gang starts nevertheless: the others would wait for it in vain.
   return step?.fills === true && !step.gang && session.hasOverdueService ? SERVICE_BOUND_REASON : undefined
 }
@@ -103,6 +106,8 @@
 /** Releases a run that may no longer start on its worker. */
 function rejectRun (context: SessionContext, session: Session, run: Run, reason: string): void {
   if (run.stopReason !== undefined) return
+  // A run that was confirmed before and is not listed may still exist, because its row could not be read.
+  run.unanswered ||= run.confirmedAt !== undefined
   context.logger.info('run.rejected', { task: run.task, attempt: run.attempt, worker: session.worker, reason })
   stopUnconfirmed(context, session, run, reason)
 }
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -9,6 +9,7 @@
 import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
 import type { ServiceBound } from './serviceWatch.js'
 import { createStartQueue } from './startQueue.js'
+import { createZoneEvacuations } from './zoneEvacuation.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, EXCHANGE_INTERVAL_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
 
 export interface SessionHostOptions {
@@ -21,6 +22,8 @@
   client: WorkerClient
   availabilityZone: string
   serviceBound: ServiceBound
+  /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
+  evacuateMs?: number
   /** Identifies this process; a restarted host has a new one. */
   process: string
   /** Handles the exchange in this process, without the network, while this host is the leader. */
@@ -48,6 +51,7 @@
   const getSessionOwner = (): SessionOwner => ({ host: self, division: getState().division })
   const recorder = createEndRecorder({ ...options, getSessionOwner })
   const starts = createStartQueue({ limit: MAX_STARTS_IN_FLIGHT, workerLimit: MAX_STARTS_PER_WORKER })
+  const evacuations = createZoneEvacuations({ ...options, getState })
   const exchange = createLeaderExchange({ ...options, sessions, stopRun: (session, run, reason) => { stopRun(context, session, run, reason) } })
 
   const isOwnWorker = (worker: string): boolean => {
@@ -64,6 +68,7 @@
     client: options.client,
     starts,
     serviceBound: options.serviceBound,
+    evacuations,
     get fence () { return exchange.getFence() },
     getState,
     isActive: exchange.isActive,
@@ -195,10 +200,12 @@
   const unsubscribe = log.subscribe((entry, index) => options.work.measure('sessions.apply', () => {
     // A snapshot replaced entries that were not applied here one by one. Meanwhile the workers of these sessions may have been assigned to other session hosts, which may have extended the leases.
     if (index > lastIndex + 1) {
+      evacuations.reset()
       sessions.forEach(removeSession)
       syncSessions()
     }
     lastIndex = index
+    evacuations.observeEntry(entry, exchange.isActive())
     const handler = handlers[entry.kind] as ((entry: Entry) => void) | undefined
     handler?.(entry)
   }))
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -5,6 +5,7 @@
 import { createSignal, type Signal } from './signal.js'
 import type { StartQueue } from './startQueue.js'
 import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, WORKER_HANDOVER_MS, LEASE_MS } from './timing.js'
+import type { ZoneEvacuations } from './zoneEvacuation.js'
 import { computeWorkerTime, type ClockReading } from './workerClock.js'
 
 /** The part of the state of an assigned run that scheduling decisions use. */
@@ -84,6 +85,7 @@
   /** Fencing token of the orders: the term of the leader on whose behalf this host gives them. */
   readonly fence: number
   readonly serviceBound: ServiceBound
+  readonly evacuations: Pick<ZoneEvacuations, 'isStartBlocked'>
   getState (): WorkflowsState
   /** False while this host has no current authority from a leader; it gives no orders then. */
   isActive (): boolean
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -15,6 +15,7 @@
 import { startMaintenance, type HostClient } from './hostMaintenance.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
+import { createZoneEvacuations } from './zoneEvacuation.js'
 
 /** Reasons for which workers refuse a start because of the order, not of their own state. */
 const REFUSALS_OF_WORK: ReadonlySet<string> = new Set(['invalid', 'no-ticket'])
@@ -31,6 +32,8 @@
   /** Length of the order lease on a host, see `MaintenanceOptions`. */
   hostLeaseMs: number
   advice: AdviceClient
+  /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
+  evacuateMs?: number
   /** Model of the interference between images that share workers; kept across terms. */
   interferenceModel: InterferenceModel
   /** Term of the log, used as fencing token: workers refuse orders of earlier terms. */
@@ -66,6 +69,7 @@
   let ignoreHeardBefore = -Infinity
   const replicaLag = createReplicaLagTracker(clock, () => log.status().appliedIndex)
   const getState = (): WorkflowsState => log.state().workflows
+  const evacuations = createZoneEvacuations({ clock, getState, evacuateMs: options.evacuateMs })
   const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < MAX_AUTHORITY_AGE_MS && !jumpDetector.hasJumped(clockMark)
   /** Open workflows of which a worker has started a task. */
   const startedWorkflows = new Set<string>()
@@ -208,6 +212,8 @@
       dispatcher.markChanged()
       dispatcher.schedule()
     },
+    'zone.evacuate': () => dispatcher.schedule(),
+    'zone.readmit': () => dispatcher.schedule(),
     'sessions.divide': (_entry, index) => {
       replicaLag.recordSessionAssignment(index)
       views.syncHosts()
@@ -266,6 +272,7 @@
     sessions: views.workers,
     health,
     interferenceModel: options.interferenceModel,
+    evacuations,
     advisor,
     startBackoff,
     getState,
@@ -282,6 +289,7 @@
     wake: createSignal(clock)
   })
   const unsubscribe = log.subscribe((entry, index) => {
+    evacuations.observeEntry(entry, true)
     const handler = handlers[entry.kind] as ((entry: Entry, index: number) => void) | undefined
     options.work.measure('term.apply', () => handler?.(entry, index))
   })
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -5,6 +5,7 @@
 import { createSignal } from '../coordination/workflows/signal.js'
 import { createStartBackoff } from '../coordination/workflows/startBackoff.js'
 import { createWorkerHealth } from '../coordination/workflows/workerHealth.js'
+import { createZoneEvacuations } from '../coordination/workflows/zoneEvacuation.js'
 import { createWorkflowsState, getStepName, parseTaskName, workflowHandlers, type Assignment, type Step, type WorkflowsState } from '../state/index.js'
 
 const STEP: Step = {
@@ -175,6 +176,7 @@
     sessions,
     health: createWorkerHealth({ clock, logger }),
     interferenceModel,
+    evacuations: createZoneEvacuations({ clock, getState: () => state }),
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
     getState: () => state,
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -5,6 +5,7 @@
   type MaintenanceWave, type WorkerIncarnation, type WorkerPool, type Workflow
 } from './schemas.js'
 export { findMissingIndex } from './indexRanges.js'
+export { hasEvacuatedZones, isZoneEvacuated, type EvacuatedZone } from './zoneEvacuations.js'
 export { findSessionHost } from './sessionHosts.js'
 export {
   countOccurrences, createWorkflowsState, findTask, formatStepKey, formatTaskName, formatTaskKey, getStepName, isStepDone, isStepReady, isTaskDone, parseTaskName, workflowHandlers,
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -1,5 +1,8 @@
 import { z } from 'zod'
 
+/** Longest name of an availability zone in a log entry, in characters; the reports of workers allow as many. */
+const MAX_ZONE_LENGTH = 256
+
 /** A stage of a workflow: `count` identical tasks, which may start once every step in `dependsOn` has succeeded. */
 export const stepSchema = z.strictObject({
   count: z.number().int().min(1).max(100_000),
@@ -196,6 +199,9 @@
   z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema, at: z.number() }),
   /** Removes a worker. Without `judge`, the worker itself has announced its shutdown. `hasLeft`: this incarnation has said that it ends, so it does not return. */
   z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema.optional(), hasLeft: z.boolean().optional(), at: z.number() }),
+  /** From this entry on, no task is assigned to a worker of the zone until it is readmitted. */
+  z.strictObject({ kind: z.literal('zone.evacuate'), zone: z.string().min(1).max(MAX_ZONE_LENGTH), at: z.number() }),
+  z.strictObject({ kind: z.literal('zone.readmit'), zone: z.string().min(1).max(MAX_ZONE_LENGTH), at: z.number() }),
   z.strictObject({ kind: z.literal('wave.open'), wave: maintenanceWaveSchema }),
   /** Recorded before the order to start the maintenance of a host is sent. */
   z.strictObject({ kind: z.literal('wave.order'), wave: z.number().int(), host: z.string() }),
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from '../../common/index.js'
 import { addIndex, countIndexes, hasIndex, type IndexRanges } from './indexRanges.js'
 import { findSessionHost } from './sessionHosts.js'
+import { listAdmissibleAssignments, zoneEvacuationHandlers, type EvacuatedZone } from './zoneEvacuations.js'
 import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
@@ -83,6 +84,8 @@
   /** Workers that have left by themselves, with the start of the incarnation that left; absent in state of earlier builds. */
   departed?: Record<string, { bornAt: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
+  /** Zones in which no task may be started; absent in state of earlier builds. */
+  evacuatedZones?: EvacuatedZone[]
   sessionHosts: SessionHost[]
   /** Number of the session assignment in force; each `sessions.divide` entry increments it. */
   division: number
@@ -165,6 +168,8 @@
 type HandlerResult = Result<Record<string, never>, WorkflowRejection>
 
 export const workflowHandlers = {
+  ...zoneEvacuationHandlers,
+
   'catalog.put': (state: WorkflowsState, { catalog }: { catalog: Catalog }): HandlerResult => {
     // A catalog whose version is not higher is ignored, and acknowledged all the same.
     if (catalog.version > (state.catalog?.version ?? -1)) state.catalog = catalog
@@ -202,7 +207,8 @@
 
   'workflow.assign': (state: WorkflowsState, { assignments }: { assignments: Assignment[] }): HandlerResult => {
     // A worker that has been replaced meanwhile may be of another service or kind.
-    assignments.filter(([, worker, , , bornAt]) => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt)
+    listAdmissibleAssignments(state, assignments, (task) => findGangStep(state, task))
+      .filter(([, worker, , , bornAt]) => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt)
       .forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
     return Ok({})
   },
@@ -320,6 +326,12 @@
   return isNewer && record.outcome === undefined && !isTaskDone(record, name)
 }
 
+/** The step name of a task that is a member of a gang. */
+function findGangStep (state: WorkflowsState, task: string): string | undefined {
+  const name = parseTaskName(task)
+  return name !== undefined && state.workflows[name.workflow]?.workflow.steps[name.step]?.gang === true ? getStepName(task) : undefined
+}
+
 function getGang (record: WorkflowRecord, { occurrence, step }: TaskName): GangRecord {
   const key = formatStepKey(occurrence, step)
   const known = record.gangs?.[key]
--- a/test/platform/wholePath.test.ts
+++ b/test/platform/wholePath.test.ts
@@ -26,7 +26,7 @@
 
 function createSettings (hostId: string, more: Partial<ProcessSettings>): ProcessSettings {
   return {
-    hostName: hostId, hostId, availabilityZone: 'a', peerPort: PEER_PORT, seedHosts: VOTERS, foundsDeployment: true, dataFolder: undefined, clientAddress: undefined, readinessAddress: undefined, controlAddress: undefined, toleratedLosses: 1, stopWithinMs: 6000, serviceBound: { overTargetMs: 4000, stopMs: 400 }, hostLeaseMs: 3000, reorderMs: 250, hostApiAddress: undefined, adviceAddress: undefined, metricsPort: undefined, ...more
+    hostName: hostId, hostId, availabilityZone: 'a', peerPort: PEER_PORT, seedHosts: VOTERS, foundsDeployment: true, dataFolder: undefined, clientAddress: undefined, readinessAddress: undefined, controlAddress: undefined, toleratedLosses: 1, stopWithinMs: 6000, serviceBound: { overTargetMs: 4000, stopMs: 400 }, hostLeaseMs: 3000, reorderMs: 250, evacuateMs: 5000, zones: [], hostApiAddress: undefined, adviceAddress: undefined, metricsPort: undefined, ...more
   }
 }
 
