--- a/test/soak/clients.ts
+++ b/test/soak/clients.ts
@@ -40,6 +40,8 @@
   /** Sends the next version of the configuration; with `hasAllQueues` an even one, which has the optional queue. */
   putConfiguration (hasAllQueues?: boolean): Promise<void>
   putInvalidConfiguration (): Promise<void>
+  /** Evacuates or readmits a zone, and repeats the request until it is acknowledged. */
+  changeEvacuation (zone: string, change: 'start' | 'stop'): Promise<void>
   /** Cancels all long-running jobs, which don't end on their own. */
   cancelLongRunning (): Promise<void>
   counts: { accepted: number, refused: number, unclear: number, answers: number, breaks: number }
@@ -293,6 +295,19 @@
     if (status >= 200 && status < 400) checker.report('CONFIG', `an invalid configuration was answered with ${status}`)
   }
 
+  const changeEvacuation = async (zone: string, change: 'start' | 'stop'): Promise<void> => {
+    checker.evacuatedAt.delete(zone)
+    const deadline = performance.now() + 20_000
+    while (!state.isClosed && performance.now() < deadline) {
+      const { status } = await sendControl('POST', `/evacuation/${zone}/${change}`, undefined)
+      checker.trace('evacuation', { zone, change, status })
+      if (status === 200 && change === 'start') checker.evacuatedAt.set(zone, performance.now())
+      if (status === 200) return
+      if (status !== 0 && status !== 503) return checker.report('CONFIG', `the ${change} of the evacuation of zone ${zone} was answered with ${status}`)
+      await wait(RETRY_MS)
+    }
+  }
+
   const readConfigurations = async (): Promise<void> => {
     while (!state.isClosed) {
       const { acked } = checker.configuration
@@ -316,6 +331,7 @@
     stopSubmitting: () => { state.submits = false },
     putConfiguration,
     putInvalidConfiguration,
+    changeEvacuation,
     cancelLongRunning: async () => {
       await Promise.all([...checker.jobs.values()].filter((job) => job.steps[0]?.lasting === true && (job.acceptedAt !== undefined || job.isOutcomeUnknown)).map((job) => cancel('last-client', job)))
     },
--- a/test/soak/fakeWorker.ts
+++ b/test/soak/fakeWorker.ts
@@ -79,7 +79,7 @@
   const state: { id: string, life: Incarnation | undefined, lives: number, isClosed: boolean } = { id: `i-${name}-0`, life: undefined, lives: 0, isClosed: false }
 
   const createIncarnation = (): Incarnation => ({
-    record: { name: `${name}/${state.lives}`, service, rejectsOverload, capacity: { cpu: 4000, memMb: 8192 }, isUp: true },
+    record: { name: `${name}/${state.lives}`, zone: options.zone, service, rejectsOverload, capacity: { cpu: 4000, memMb: 8192 }, isUp: true },
     born: Date.now(),
     originAt: performance.now(),
     rate: 1 - random.next() * MAX_CLOCK_SLOWNESS,
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -17,6 +17,9 @@
 const MAX_DOWN_MS = 2500
 const MAX_DELAY_MS = 400
 const MIN_DOWN_MS = 300
+/** An evacuation begins within this time of the start of a phase and lasts until its end, which is longer than the bound on starts. */
+const EVACUATION_SPREAD_MS = 1000
+const ZONES = ['a', 'b', 'c']
 
 /** `target` selects the host, worker or link, modulo their number; `draw` in [0, 1) sets the strength or the direction. */
 export interface Fault { at: number, endAt: number, kind: string, target: number, draw: number }
@@ -37,10 +40,12 @@
 
 /**
  * Draws the script: phases of planned or unplanned faults, each followed by `FAULT_FREE_MS`. Times are in milliseconds
- * from the start of the traffic. At most `toleratedDisks` disks are cleared in a phase, so that a majority of voters keeps the log.
+ * from the start of the traffic. One zone is evacuated in each phase; these faults are drawn last, so that the others of a seed
+ * stay as they were. At most `toleratedDisks` disks are cleared in a phase, so that a majority of voters keeps the log.
  */
 export function planFaults (random: Random, { durationMs, toleratedDisks }: { durationMs: number, toleratedDisks: number }): Fault[] {
   const faults: Fault[] = []
+  const phases: Array<{ phaseAt: number, endAt: number }> = []
   let phaseAt = FIRST_FAULT_AT_MS
   while (phaseAt + MIN_FAULT_PHASE_MS <= durationMs) {
     const endAt = Math.min(durationMs, phaseAt + MIN_FAULT_PHASE_MS + random.below(FAULT_PHASE_SPREAD_MS))
@@ -54,9 +59,10 @@
       if (kind !== 'kill-empty' || emptiedDisks <= toleratedDisks) faults.push({ at, endAt: Math.min(endAt, at + lastsMs), kind, target: random.below(1 << 20), draw: random.next() })
       at += isPlanned ? 1500 + random.below(4000) : 100 + random.below(1400)
     }
+    phases.push({ phaseAt, endAt })
     phaseAt = endAt + FAULT_FREE_MS
   }
-  return faults
+  return faults.concat(phases.map(({ phaseAt, endAt }) => ({ at: phaseAt + random.below(EVACUATION_SPREAD_MS), endAt, kind: 'evacuate-zone', target: random.below(1 << 20), draw: 0 })))
 }
 
 function selectPeerLinks ({ hosts }: System, { target }: Fault): Link[] {
@@ -139,12 +145,18 @@
   'worker-late': (system, fault, wait) => runWorkerFault(system, fault, wait, (worker) => { worker.faults.lateShare = fault.draw }),
   'worker-unhealthy': (system, fault, wait) => runWorkerFault(system, fault, wait, (worker) => { worker.faults.isUnhealthy = true }),
   configurations: async ({ traffic }) => { await Promise.all([traffic.putConfiguration(), traffic.putConfiguration(), traffic.putConfiguration()]) },
+  'evacuate-zone': async ({ traffic }, fault, wait) => {
+    const zone = selectByNumber(ZONES, fault.target)
+    await traffic.changeEvacuation(zone, 'start')
+    await wait(fault.endAt)
+    await traffic.changeEvacuation(zone, 'stop')
+  },
   'invalid-configuration': ({ traffic }) => traffic.putInvalidConfiguration()
 }
 
 const PLANNED_STOP_KINDS = new Set(['stop-entry', 'stop-voter'])
 /** Kinds that the operator's contract doesn't count as disturbances, so that no time bound is extended by them. */
-const UNDISTURBING_KINDS = new Set(['hang-up', 'configurations', 'invalid-configuration'])
+const UNDISTURBING_KINDS = new Set(['hang-up', 'configurations', 'invalid-configuration', 'evacuate-zone'])
 
 export async function runFaults (system: System, faults: Fault[], startedAt: number, signal: AbortSignal): Promise<void> {
   const waitUntil = async (at: number): Promise<void> => {
--- a/test/soak/invariantChecker.ts
+++ b/test/soak/invariantChecker.ts
@@ -3,6 +3,7 @@
 export const CANCEL_MS = 3000
 export const STOP_TIMEOUT_MS = 200
 export const CONFIG_APPLY_MS = 2000
+const EVACUATE_MS = 5000
 /** Longest time that a long-running task may have no run, counted from its acceptance, from its last end or from `CONTACT_MS` after the last disturbance. */
 const LONG_RUNNING_GAP_MS = 6000
 const CONNECTION_LOSS_SLACK_MS = 200
@@ -26,7 +27,7 @@
 }
 
 /** One process lifetime of a fake worker, with the capacity that it announces. */
-export interface WorkerIncarnation { name: string, service: string, rejectsOverload: boolean, capacity: { cpu: number, memMb: number }, isUp: boolean }
+export interface WorkerIncarnation { name: string, zone: string, service: string, rejectsOverload: boolean, capacity: { cpu: number, memMb: number }, isUp: boolean }
 
 /**
  * `lapsed`: the lease of the worker expired before the end was acknowledged, so that the task may run again.
@@ -50,7 +51,7 @@
  * no client submitted, or after its cancel. REFUSED: a refused job ran. LOST: an accepted job, a long-running task or a request
  * was lost. ORDER: a task started before its dependencies ended. MIXED: a job was shown as completed too early.
  * LIMIT: a worker was overloaded. FINISH: a job did not complete in time. CONFIG: a configuration was lost or applied wrongly.
- * ONE: orders with a fencing token went on after the worker had refused it. `process` and `answer`: a process exited, or a request was
+ * EVACUATED: a task started in a zone after the bound of its evacuation. ONE: orders with a fencing token went on after the worker had refused it. `process` and `answer`: a process exited, or a request was
  * answered, in a way that the contract doesn't allow.
  */
 export interface Violation { at: number, guarantee: string, message: string }
@@ -59,6 +60,8 @@
   broken: Violation[]
   lines: string[]
   jobs: Map<string, JobRecord>
+  /** When the evacuation of a zone was acknowledged, by zone, until its end is requested. */
+  evacuatedAt: Map<string, number>
   configuration: { acked: number, sent: Map<number, string>, hasOptionalQueue: Map<number, boolean>, ackedAt: number }
   trace (kind: string, fields: object): void
   report (guarantee: string, message: string): void
@@ -87,6 +90,7 @@
   const broken: Violation[] = []
   const lines: string[] = []
   const jobs = new Map<string, JobRecord>()
+  const evacuatedAt = new Map<string, number>()
   const tasks = new Map<string, TaskRecord>()
   const runningTasks = new Map<WorkerIncarnation, Set<TaskRecord>>()
   const disturbances = { lastEventAt: 0, active: 0, lastUnplannedAt: 0, activeUnplanned: 0 }
@@ -124,6 +128,8 @@
 
   const observeStart = (life: WorkerIncarnation, name: string, attempt: number, spec: string): void => {
     trace('start', { worker: life.name, task: name, attempt })
+    const evacuatedMs = now() - (evacuatedAt.get(life.zone) ?? Infinity)
+    if (evacuatedMs > EVACUATE_MS) report('EVACUATED', `${name} attempt ${attempt} starts on ${life.name} ${Math.round(evacuatedMs)} ms after the evacuation of zone ${life.zone}`)
     const task = getTask(name)
     if (task === undefined) return report('UNASKED', `${life.name} was told to start ${name}, which no client has submitted`)
     const { job } = task
@@ -198,6 +204,7 @@
     broken,
     lines,
     jobs,
+    evacuatedAt,
     configuration: { acked: 0, sent: new Map(), hasOptionalQueue: new Map(), ackedAt: -Infinity },
     trace,
     report,
