--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -82,6 +82,9 @@
 drainMs = 2000
 interferenceMs = 4500
 stopTimeoutMs = 200
+evacuateMs = 4000
+[zones]
+north = "region"
 `
 
 test('settings are validated, and the failure names the invalid field', () => {
