Fill cold workers gradually

Cause: workers report coldRemainingMs after a start, and nothing read it; a readmitted zone would have been filled at once with tasks that run slowly. Change: the report becomes the deadline coldUntil of the incarnation, stored only if it is more than one report away and not again for each report. Until then placement counts the worker as slower and gives it a growing share of its cores.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,4 +1,6 @@
+import type { Clock } from '../../common/index.js'
 import { formatTaskName, getStepName, isZoneEvacuated, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { computeColdReserve, computeColdSlowness } from './coldWorkers.js'
 import { addTask, type Candidate } from './placement.js'
 import type { WorkerView } from './sessionState.js'
 import type { InterferenceModel } from './interferenceModel.js'
@@ -8,8 +10,12 @@
 const MAX_CACHED_TASKS = 50_000
 /** A candidate of this age is recomputed even without changes, because the mean utilization of its latency-critical tasks drifts. */
 const MAX_CANDIDATE_AGE_MS = 5000
+/** A cold worker is recomputed this often, so that its usable share grows in small steps. */
+const COLD_REFRESH_MS = 500
 
 export interface CandidateOptions {
+  /** Absent: no worker counts as cold. */
+  clock?: Pick<Clock, 'wall'>
   sessions: ReadonlyMap<string, WorkerView>
   health: WorkerHealth
   interferenceModel: InterferenceModel
@@ -72,6 +78,8 @@
   isUsable: boolean
   isChanged: boolean
   hasUnassignedRuns: boolean
+  /** Slowness of a cold worker when the entry was computed; kept until it is computed again, because each decrease counts as free capacity. */
+  coldSlowness: number
   refreshAt: number
 }
 
@@ -79,21 +87,28 @@
 export function createCandidates (options: CandidateOptions, findTaskStep: (task: string) => TaskStep | undefined): Candidates {
   const { sessions, health, interferenceModel, getState, isCordoned } = options
   const entries = new Map<string, CandidateEntry>()
+  const getWallTime = (): number => options.clock?.wall() ?? Infinity
 
   const isAvailable = (session: WorkerView, life: WorkerIncarnation): boolean =>
     session.reachable && !session.ended && !life.draining && !isZoneEvacuated(getState(), life.availabilityZone) && !isCordoned(session.worker) && !health.isPaused(session.worker)
 
   const createEntry = (session: WorkerView, record: WorkerRecord, now: number): CandidateEntry => {
     const tasks = Object.keys(record.assigned)
+    const candidate = createCandidate(interferenceModel, findTaskStep, record, tasks, session)
+    const coldReserve = computeColdReserve(record.life, getWallTime())
+    const isCold = coldReserve > 0
+    candidate.freeCores -= coldReserve
+    candidate.spareCores -= coldReserve
     return {
       life: record.life,
       session,
-      candidate: createCandidate(interferenceModel, findTaskStep, record, tasks, session),
+      candidate,
       tasks: new Set(tasks),
       isUsable: false,
       isChanged: false,
       hasUnassignedRuns: session.strays.size > 0,
-      refreshAt: now + MAX_CANDIDATE_AGE_MS
+      coldSlowness: computeColdSlowness(record.life, getWallTime()),
+      refreshAt: now + (isCold ? COLD_REFRESH_MS : MAX_CANDIDATE_AGE_MS)
     }
   }
 
@@ -104,7 +119,7 @@
     if (entry !== existing) entries.set(session.worker, entry)
     entry.isChanged = false
     const { candidate } = entry
-    const slowness = health.getSlowness(session.worker)
+    const slowness = Math.max(health.getSlowness(session.worker), entry.coldSlowness)
     const isFreed = existing?.isUsable !== true || (existing.candidate.hasOverdueService === true && !session.hasOverdueService) || slowness < existing.candidate.slowness || (entry !== existing && hasMoreCapacity(candidate, existing.candidate))
     candidate.slowness = slowness
     candidate.hasOverdueService = session.hasOverdueService
--- a/src/coordination/workflows/directory.ts
+++ b/src/coordination/workflows/directory.ts
@@ -1,4 +1,5 @@
 import { Err, Ok, type Clock, type Logger, type Result } from '../../common/index.js'
+import { isSameColdness, removeColdness, removeShortColdness } from './coldWorkers.js'
 import type { ReplicatedLog, LogFailure, WorkerIncarnation, WorkflowsState } from '../../state/index.js'
 
 /** Outcome of a report. `stale`: its incarnation has left, or a later one with the same id or at the same address is already recorded. */
@@ -16,15 +17,19 @@
   const getState = (): WorkflowsState => log.state().workflows
 
   return {
-    reportWorker: async (life, deadline) => {
+    reportWorker: async (reported, deadline) => {
+      const life = removeShortColdness(reported, clock.wall())
       const known = getState().workers[life.id]?.life
       if (isStale(getState(), life)) {
         logger.info('worker.report-stale', { worker: life.id, bornAt: life.bornAt, knownBornAt: known?.bornAt })
         return Ok('stale')
       }
-      if (known !== undefined && isSameReport(known, life)) return Ok('unchanged')
-      const result = await log.propose({ kind: 'life.report', life }, deadline)
-      logger.info('worker.report', { worker: life.id, bornAt: life.bornAt, address: life.address, draining: life.draining, knownBornAt: known?.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
+      if (known !== undefined && isSameReport(known, life) && isSameColdness(known, life, clock.wall())) return Ok('unchanged')
+      const first = await log.propose({ kind: 'life.report', life }, deadline)
+      // A leader of an earlier build does not know the field.
+      const isFieldUnknown = first.err && first.val.kind === 'invalid-entry' && life.coldUntil !== undefined
+      const result = isFieldUnknown ? await log.propose({ kind: 'life.report', life: removeColdness(life) }, deadline) : first
+      logger.info('worker.report', { worker: life.id, bornAt: life.bornAt, address: life.address, draining: life.draining, coldUntil: life.coldUntil, knownBornAt: known?.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
       return result.ok ? Ok('recorded') : Err(result.val)
     },
 
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -132,7 +132,9 @@
   rack: z.string().optional(),
   draining: z.boolean(),
   /** Earliest wall-clock ms at which a draining worker shuts down. */
-  leavesAt: z.number().optional()
+  leavesAt: z.number().optional(),
+  /** Wall-clock ms until which the worker is slow after its start; absent in reports of earlier builds and of workers that are not slow. */
+  coldUntil: z.number().optional()
 })
 export type WorkerIncarnation = z.infer<typeof workerIncarnationSchema>
 
