--- a/src/fakes/fakeDisk.ts
+++ b/src/fakes/fakeDisk.ts
@@ -23,6 +23,7 @@
   /** Makes the next `count` syncs fail. */
   setSyncFailures (count: number): void
   setCapacity (bytes: number): void
+  getUsedBytes (): number
   /** Inverts one byte. A negative offset counts from the end; an offset beyond the end wraps around. */
   damage (file: string, offset: number): void
   erase (): void
@@ -143,6 +144,7 @@
       files.forEach(loseUnsynced)
     },
     setSyncFailures: (count) => { syncFailures = count },
+    getUsedBytes: countBytes,
     setCapacity: (bytes) => { capacity = bytes },
     damage: (name, offset) => {
       const file = files.get(name)
--- a/src/state/replica/context.ts
+++ b/src/state/replica/context.ts
@@ -106,6 +106,8 @@
   /** Replies to forwarded proposals by origin and sequence number, so that a duplicate message is not appended a second time. */
   proposalReplies: Map<string, Map<number, Promise<ProposeReply>>>
   electedAt: number
+  /** While the disk is full: when this host hands leadership over if it leads; infinite otherwise. */
+  fullDiskHandoverAt: number
   lastJoinAt: number
   /** Number of the latest confirmation round; see `rounds.ts`. */
   latestRound: number
@@ -178,6 +180,7 @@
     proposalSequence: 0,
     proposalReplies: new Map(),
     electedAt: -Infinity,
+    fullDiskHandoverAt: Infinity,
     lastJoinAt: -Infinity,
     latestRound: 0,
     allPeersRound: 0,
--- a/src/state/replica/election.ts
+++ b/src/state/replica/election.ts
@@ -8,7 +8,7 @@
 import { updatePeers } from './replication.js'
 import {
   ELECTION_MAX_MS, ELECTION_MIN_MS, ELECTION_RETRY_MAX_MS, ELECTION_RETRY_MIN_MS, JOIN_INTERVAL_MS, LEADERSHIP_CHECK_INTERVAL_MS,
-  CONTACT_TIMEOUT_MS, LEARNER_EXPIRY_MS, VOTE_TIMEOUT_MS
+  CONTACT_TIMEOUT_MS, FULL_DISK_HANDOVER_INTERVAL_MS, LEADERSHIP_TRANSFER_TIMEOUT_MS, LEARNER_EXPIRY_MS, VOTE_TIMEOUT_MS
 } from './timing.js'
 
 /** Election loop: starts an election when the leader's messages stop, and steps down as leader without contact to a majority. */
@@ -18,6 +18,7 @@
   while (!context.stopped) {
     if (context.role === 'leader') {
       checkLeadership(context)
+      releaseIfFull(context)
       await context.electionWake.wait(LEADERSHIP_CHECK_INTERVAL_MS)
       continue
     }
@@ -115,6 +116,17 @@
   if (expired.length > 0) updatePeers(context)
 }
 
+/**
+ * Hands leadership over while the disk is full: the others hold what this host cannot store. Repeated, because this host may be
+ * elected again meanwhile, for instance if only its snapshot lacks space, and because no other voter may be reachable at first.
+ */
+function releaseIfFull (context: Context): void {
+  const now = context.clock.now()
+  if (context.role !== 'leader' || now < context.fullDiskHandoverAt) return
+  context.fullDiskHandoverAt = now + FULL_DISK_HANDOVER_INTERVAL_MS
+  releaseLeadership(context, now + LEADERSHIP_TRANSFER_TIMEOUT_MS)
+}
+
 function createVoteRequest (context: Context, phase: VoteRequest['phase'], term: number, handover: boolean): VoteRequest {
   return {
     formation: context.formation ?? 0,
--- a/src/state/replica/replica.ts
+++ b/src/state/replica/replica.ts
@@ -85,8 +85,9 @@
   }, store, loaded, createId())
   handleFullDisk = (isFull) => {
     reportFullDisk(options.logger, isFull)
-    // The others hold what this host cannot store, so another one leads until there is space again.
-    if (isFull) releaseLeadership(context, context.clock.now() + LEADERSHIP_TRANSFER_TIMEOUT_MS)
+    // The election loop hands leadership over if this host leads.
+    context.fullDiskHandoverAt = isFull ? context.clock.now() : Infinity
+    context.electionWake.notify()
   }
   setHandlers(context)
   const isStopped = (): boolean => context.stopped
--- a/src/state/replica/timing.ts
+++ b/src/state/replica/timing.ts
@@ -66,3 +66,5 @@
   retainedBytes: 128 * 1024
 }
 export const LEADERSHIP_TRANSFER_TIMEOUT_MS = 1000
+/** Interval at which a leader whose disk is full tries to hand leadership over; a try can hold proposals up for `LEADERSHIP_TRANSFER_TIMEOUT_MS`. */
+export const FULL_DISK_HANDOVER_INTERVAL_MS = 5000
