--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,7 +1,8 @@
 import type { Clock } from '../../common/index.js'
-import type { Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
+import { isZoneEvacuated, type Queue, type Workflow, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
 import { ZERO_VALUE_FACTOR } from './plan.js'
 import { computeObjectiveMs, computeOpenWork, findTooLargeStep, estimateEnd, type OpenWork, type RoomForecastInput, type WorkerSize } from './roomForecast.js'
+import { EVACUATED_REASON, isServiceEvacuated } from './zoneEvacuation.js'
 
 /** Share of their requested cores that long-running tasks are assumed to use. */
 const LONG_RUNNING_UTILIZATION = 0.5
@@ -9,6 +10,8 @@
 const MAX_RETRY_AFTER_MS = 30_000
 /** An unbounded forecast is logged as this. */
 const MAX_LOGGED_BACKLOG_MS = 3_600_000
+/** When an operator readmits a zone is not known; callers return within this time of it. */
+const EVACUATED_RETRY_AFTER_MS = 5000
 
 /** Admission uses cached totals for up to this long; the work that arrives meanwhile delays a workflow by less than it may wait. */
 const TOTALS_CACHE_MS = 50
@@ -47,16 +50,18 @@
 
 export type Admission =
   | { kind: 'admitted', backlogMs: number }
-  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog' | 'no-value' | 'too-large', backlogMs: number, retryAfterMs: number }
+  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog' | 'no-value' | 'too-large' | typeof EVACUATED_REASON, backlogMs: number, retryAfterMs: number }
 
 /**
  * Refuses a workflow when the backlog of its queue would take longer than the workflow may last, for example after a burst
  * of large jobs: admitting it would make earlier workflows late as well. The backlog is that of the workers or that of the
  * scheduler, whichever takes longer. Also refuses a workflow that even by an optimistic forecast would end without value, and
  * one with a step that is larger than any known worker. Workflows with long-running steps are refused only as too large, and
- * recurring workflows never, because workers may change before they start.
+ * recurring workflows never, because workers may change before they start. While all zones of a service are evacuated, none
+ * of its workflows is admitted.
  */
 export function admitWorkflow ({ state, queue, workflow, isKnown, totals: cachedTotals, load, sizes, rates = {}, hasFairShares = false, now }: AdmissionInput): Admission {
+  if (!isKnown && isServiceEvacuated(state, queue.service)) return { kind: 'refused', reason: EVACUATED_REASON, backlogMs: 0, retryAfterMs: EVACUATED_RETRY_AFTER_MS }
   const totals = cachedTotals ?? computeTotals(state, Object.values(state.workflows), now)
   const workersMs = estimateBacklogMs(totals, queue)
   const schedulerMs = estimateSchedulerBacklogMs(load)
@@ -110,7 +115,7 @@
     return serviceTotals
   }
   Object.values(state.workers)
-    .filter(({ life, expired }) => !life.draining && !expired)
+    .filter(({ life, expired }) => !life.draining && !expired && !isZoneEvacuated(state, life.availabilityZone))
     .forEach(({ life }) => { getTotals(life.service).cores += life.cores })
   records.filter(({ outcome }) => outcome === undefined).forEach((record) => {
     const serviceTotals = getTotals(record.service)
--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -30,6 +30,8 @@
   serviceBound: ServiceBound
   /** The longest lease that the workers grant; absent: no limit. */
   maxLeaseMs?: number | undefined
+  /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
+  evacuateMs?: number
   /** Identifies this process; a restarted host has a new one. */
   process: string
   client: WorkerClient
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -4,7 +4,7 @@
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskStepIndex, formatStepName, type CandidateOptions, type PlacementCandidate, type Pool } from './candidates.js'
 import { placeOnWorkers, type GroupOptions } from './groups.js'
-import { drainWorkers, observeInterference, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
+import { drainWorkers, observeInterference, stopIncompleteGangs, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import { compareGroups, getLateness } from './plan.js'
 import { createCompetingDemand } from './competingDemand.js'
@@ -222,6 +222,7 @@
     if (now - stallCheckedAt >= STALL_CHECK_MS) {
       stallCheckedAt = now
       stopStalled(options)
+      stopIncompleteGangs(options)
     }
     if (now - drainCheckedAt < DRAIN_CHECK_MS) return
     drainCheckedAt = now
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -20,6 +20,7 @@
 import type { ServiceBound } from './serviceWatch.js'
 import { createWorkerHealth, type WorkerHealth } from './workerHealth.js'
 import { createWorkerViews } from './workerViews.js'
+import { createZoneEvacuations } from './zoneEvacuation.js'
 
 /** Reasons for which workers refuse a start because of the order, not of their own state. */
 const REFUSALS_OF_WORK: ReadonlySet<string> = new Set(['invalid', 'no-ticket'])
@@ -37,6 +38,8 @@
   hostLeaseMs: number
   advice: AdviceClient
   competition: CompetitionSettings
+  /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
+  evacuateMs?: number
   /** Model of the interference between images that share workers; kept across terms. */
   interferenceModel: InterferenceModel
   serviceBound: ServiceBound
@@ -79,6 +82,7 @@
   let ignoreHeardBefore = -Infinity
   const replicaLag = createReplicaLagTracker(clock, () => log.status().appliedIndex)
   const getState = (): WorkflowsState => log.state().workflows
+  const evacuations = createZoneEvacuations({ clock, getState, evacuateMs: options.evacuateMs })
   const isActive = (): boolean => !stopping.signal.aborted && clock.now() - authorityAt < MAX_AUTHORITY_AGE_MS && !jumpDetector.hasJumped(clockMark)
   /** Open workflows of which a worker has started a task. */
   const startedWorkflows = new Set<string>()
@@ -227,6 +231,8 @@
       dispatcher.markChanged()
       dispatcher.schedule()
     },
+    'zone.evacuate': () => dispatcher.schedule(),
+    'zone.readmit': () => dispatcher.schedule(),
     'sessions.divide': (_entry, index) => {
       replicaLag.recordSessionAssignment(index)
       views.syncHosts()
@@ -301,6 +307,7 @@
     health,
     interferenceModel: options.interferenceModel,
     serviceBound: options.serviceBound,
+    evacuations,
     advisor,
     startBackoff,
     runDurations,
@@ -322,6 +329,7 @@
     wake: createSignal(clock)
   })
   const unsubscribe = log.subscribe((entry, index) => {
+    evacuations.observeEntry(entry, true)
     const handler = handlers[entry.kind] as ((entry: Entry, index: number) => void) | undefined
     options.work.measure('term.apply', () => handler?.(entry, index))
   })
--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -7,6 +7,7 @@
 import { createSignal } from '../coordination/workflows/signal.js'
 import { createStartBackoff } from '../coordination/workflows/startBackoff.js'
 import { createWorkerHealth } from '../coordination/workflows/workerHealth.js'
+import { createZoneEvacuations } from '../coordination/workflows/zoneEvacuation.js'
 import { createWorkflowsState, getStepName, parseTaskName, workflowHandlers, type Assignment, type Step, type WorkflowsState } from '../state/index.js'
 
 const STEP: Step = {
@@ -179,6 +180,7 @@
     health: createWorkerHealth({ clock, logger }),
     interferenceModel,
     serviceBound: { stopMs: 400 },
+    evacuations: createZoneEvacuations({ clock, getState: () => state }),
     advisor: { request: () => {}, findTicket: () => undefined, dropTicket: () => {}, removeWorker: () => {}, stop: () => {} },
     startBackoff: createStartBackoff({ clock }),
     runDurations,
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -2,6 +2,7 @@
 import { addIndex, countIndexes, hasIndex, type IndexRanges } from './indexRanges.js'
 import { findSessionHost } from './sessionHosts.js'
 import { addCopy, getAttemptOn, getLastAttempt, isRunAssigned, listRunWorkers, recordAttempt, removeRun, type TaskRuns } from './taskCopies.js'
+import { listAdmissibleAssignments, zoneEvacuationHandlers, type EvacuatedZone } from './zoneEvacuations.js'
 import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
@@ -81,6 +82,8 @@
   /** Workers that have left by themselves, with the start of the incarnation that left; absent in state of earlier builds. */
   departed?: Record<string, { bornAt: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
+  /** Zones in which no task may be started; absent in state of earlier builds. */
+  evacuatedZones?: EvacuatedZone[]
   sessionHosts: SessionHost[]
   /** Hosts whose build applies copies, as a leader has learned; absent until the first copy, and in state of earlier builds. */
   copyHosts?: string[]
@@ -171,6 +174,8 @@
 type HandlerResult = Result<Record<string, never>, WorkflowRejection>
 
 export const workflowHandlers = {
+  ...zoneEvacuationHandlers,
+
   'catalog.put': (state: WorkflowsState, { catalog }: { catalog: Catalog }): HandlerResult => {
     // A catalog whose version is not higher is ignored, and acknowledged all the same.
     if (catalog.version > (state.catalog?.version ?? -1)) state.catalog = catalog
@@ -210,8 +215,9 @@
     if (copyHosts !== undefined) state.copyHosts = copyHosts
     // A worker that has been replaced meanwhile may be of another service or kind.
     const isCurrent = ([, worker, , , bornAt]: Assignment): boolean => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt
-    assignments.filter(isCurrent).forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
-    copies.filter(isCurrent).forEach(([task, worker, attempt]) => applyCopy(state, task, worker, attempt))
+    const listAdmissible = (listed: Assignment[]): Assignment[] => listAdmissibleAssignments(state, listed, (task) => findGangStep(state, task)).filter(isCurrent)
+    listAdmissible(assignments).forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
+    listAdmissible(copies).forEach(([task, worker, attempt]) => applyCopy(state, task, worker, attempt))
     return Ok({})
   },
 
@@ -339,6 +345,12 @@
   return isNewer && record.outcome === undefined && !isTaskDone(record, name)
 }
 
+/** The step name of a task that is a member of a gang. */
+function findGangStep (state: WorkflowsState, task: string): string | undefined {
+  const name = parseTaskName(task)
+  return name !== undefined && state.workflows[name.workflow]?.workflow.steps[name.step]?.gang === true ? getStepName(task) : undefined
+}
+
 function getGang (record: WorkflowRecord, { occurrence, step }: TaskName): GangRecord {
   const key = formatStepKey(occurrence, step)
   const known = record.gangs?.[key]
