Refuse long-running work that would take the cores of short work

A workflow with long-running steps is refused while the long-running tasks that are accepted and its own leave less than the demand of short work: the mean of the last 10 s, times 1.5 for its peaks. Without short work nothing is refused. In virtual time, with 4 workers and more long-running work than they can hold, 60 of 60 short workflows end in time with the limit and 37 without it.

Admission is split into smaller functions.

--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,5 +1,6 @@
 import type { Clock } from '../../common/index.js'
 import { isZoneEvacuated, type Queue, type Workflow, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
+import { canAdmitLongRunning } from './longRunningLimit.js'
 import { ZERO_VALUE_FACTOR } from './plan.js'
 import { computeObjectiveMs, computeOpenWork, findTooLargeStep, estimateEnd, type OpenWork, type RoomForecastInput, type WorkerSize } from './roomForecast.js'
 import { EVACUATED_REASON, isServiceEvacuated } from './zoneEvacuation.js'
@@ -10,6 +11,8 @@
 const MAX_RETRY_AFTER_MS = 30_000
 /** An unbounded forecast is logged as this. */
 const MAX_LOGGED_BACKLOG_MS = 3_600_000
+/** Some long-running tasks of a large pool end within this time. */
+const LONG_RUNNING_RETRY_AFTER_MS = 5000
 /** When an operator readmits a zone is not known; callers return within this time of it. */
 const EVACUATED_RETRY_AFTER_MS = 5000
 
@@ -32,6 +35,8 @@
   now: number
   /** Totals of `state`; computed from it when absent. */
   totals?: BacklogTotals
+  /** Cores that short work of the service needs, see `ShortDemand`; absent: none. */
+  shortDemandCores?: number
   /** Tasks that wait for the scheduler, of the queue's priority and more urgent ones. */
   load?: SchedulerLoad
   /** Sizes of the known workers of the pool; absent: nothing is refused as too large. */
@@ -50,31 +55,42 @@
 
 export type Admission =
   | { kind: 'admitted', backlogMs: number }
-  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog' | 'no-value' | 'too-large' | typeof EVACUATED_REASON, backlogMs: number, retryAfterMs: number }
+  | { kind: 'refused', reason: 'backlog' | 'scheduler-backlog' | 'no-value' | 'too-large' | 'long-running-limit' | typeof EVACUATED_REASON, backlogMs: number, retryAfterMs: number }
 
 /**
  * Refuses a workflow when the backlog of its queue would take longer than the workflow may last, for example after a burst
  * of large jobs: admitting it would make earlier workflows late as well. The backlog is that of the workers or that of the
  * scheduler, whichever takes longer. Also refuses a workflow that even by an optimistic forecast would end without value, and
- * one with a step that is larger than any known worker. Workflows with long-running steps are refused only as too large, and
- * recurring workflows never, because workers may change before they start. While all zones of a service are evacuated, none
- * of its workflows is admitted.
+ * one with a step that is larger than any known worker. Workflows with long-running steps are refused as too large, or when
+ * they would take the cores of short work. Recurring workflows are refused only while all zones of the service are evacuated,
+ * because workers may change before they start.
  */
-export function admitWorkflow ({ state, queue, workflow, isKnown, totals: cachedTotals, load, sizes, rates = {}, hasFairShares = false, now }: AdmissionInput): Admission {
-  if (!isKnown && isServiceEvacuated(state, queue.service)) return { kind: 'refused', reason: EVACUATED_REASON, backlogMs: 0, retryAfterMs: EVACUATED_RETRY_AFTER_MS }
-  const totals = cachedTotals ?? computeTotals(state, Object.values(state.workflows), now)
+export function admitWorkflow (input: AdmissionInput): Admission {
+  const { state, queue, workflow, isKnown, load, now } = input
+  const totals = input.totals ?? computeTotals(state, Object.values(state.workflows), now)
   const workersMs = estimateBacklogMs(totals, queue)
   const schedulerMs = estimateSchedulerBacklogMs(load)
   const backlogMs = Math.max(workersMs, schedulerMs)
-  const isExempt = workflow.recurrence !== undefined || workflow.steps.some(({ lasting }) => lasting)
-  if (!isKnown && workflow.recurrence === undefined && isTooLarge(state, queue, workflow, sizes)) {
-    return { kind: 'refused', reason: 'too-large', backlogMs, retryAfterMs: MAX_RETRY_AFTER_MS }
-  }
-  if (isKnown || isExempt) return { kind: 'admitted', backlogMs }
+  if (isKnown) return { kind: 'admitted', backlogMs }
+  const refusal = findUnservable(input, totals.get(queue.service))
+  if (refusal !== undefined) return { kind: 'refused', backlogMs, ...refusal }
+  if (workflow.recurrence !== undefined || workflow.steps.some(({ lasting }) => lasting)) return { kind: 'admitted', backlogMs }
   const allowedMs = ZERO_VALUE_FACTOR * computeObjectiveMs(queue, workflow.steps)
   if (backlogMs > allowedMs) return { kind: 'refused', reason: schedulerMs > workersMs ? 'scheduler-backlog' : 'backlog', backlogMs, retryAfterMs: computeRetryDelayMs(backlogMs - allowedMs) }
-  const serviceTotals = totals.get(queue.service)
-  const forecast = serviceTotals && estimateEnd({ queue, workflow, open: serviceTotals.open, rates, freeableCores: computeFreeableCores(serviceTotals), hasFairShares, now })
+  return checkValue(input, totals.get(queue.service), backlogMs)
+}
+
+/** Why the pool cannot serve a workflow whatever its backlog is. */
+function findUnservable ({ state, queue, workflow, sizes, shortDemandCores = 0 }: AdmissionInput, totals: ServiceTotals | undefined): Pick<Extract<Admission, { kind: 'refused' }>, 'reason' | 'retryAfterMs'> | undefined {
+  if (isServiceEvacuated(state, queue.service)) return { reason: EVACUATED_REASON, retryAfterMs: EVACUATED_RETRY_AFTER_MS }
+  if (workflow.recurrence !== undefined) return undefined
+  if (isTooLarge(state, queue, workflow, sizes)) return { reason: 'too-large', retryAfterMs: MAX_RETRY_AFTER_MS }
+  if (totals === undefined || canAdmitLongRunning({ cores: totals.cores, longRunningCores: totals.longRunningCores / LONG_RUNNING_UTILIZATION, shortDemandCores }, workflow)) return undefined
+  return { reason: 'long-running-limit', retryAfterMs: LONG_RUNNING_RETRY_AFTER_MS }
+}
+
+function checkValue ({ queue, workflow, rates = {}, hasFairShares = false, now }: AdmissionInput, totals: ServiceTotals | undefined, backlogMs: number): Admission {
+  const forecast = totals && estimateEnd({ queue, workflow, open: totals.open, rates, freeableCores: computeFreeableCores(totals), hasFairShares, now })
   if (forecast === undefined || forecast.endsInMs <= forecast.allowedMs) return { kind: 'admitted', backlogMs }
   return { kind: 'refused', reason: 'no-value', backlogMs: Math.max(backlogMs, Math.min(forecast.endsInMs, MAX_LOGGED_BACKLOG_MS)), retryAfterMs: computeRetryDelayMs(forecast.readyInMs) }
 }
--- a/src/coordination/workflows/competition.ts
+++ b/src/coordination/workflows/competition.ts
@@ -1,6 +1,7 @@
 import type { Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
 import { createTaskStepIndex, type Pool } from './candidates.js'
 import { formatUse, listOverShare, type QueueUse } from './fairShares.js'
+import { createShortDemand } from './longRunningLimit.js'
 import { getLateness, type WaitingGroup } from './plan.js'
 import { createPreemptor, type PreemptorOptions } from './preemptor.js'
 import { getWorkKind, hasWrongEstimates, type RoomForecastInput, type WorkKind } from './roomForecast.js'
@@ -18,13 +19,15 @@
 export interface CompetitionSettings {
   preemption: boolean
   fairShares: boolean
+  /** Refuses long-running workflows that would take the cores of short work. */
+  longRunningLimit: boolean
   /** Work in ms between two checkpoints of a task, and the time that a restore takes. */
   checkpointMs: number
   restoreMs: number
 }
 
 /** Defaults: the interval and restore time of the reference sites with the rarest checkpoints. */
-export const DEFAULT_COMPETITION: CompetitionSettings = { preemption: true, fairShares: true, checkpointMs: 1000, restoreMs: 250 }
+export const DEFAULT_COMPETITION: CompetitionSettings = { preemption: true, fairShares: true, longRunningLimit: true, checkpointMs: 1000, restoreMs: 250 }
 
 export interface CompetitionOptions extends PreemptorOptions { settings: CompetitionSettings, runDurations: Pick<RunDurations, 'forecast' | 'forecastEnd'> }
 
@@ -35,6 +38,8 @@
   /** Measured rates for the forecast of a workflow; none when its estimates are known to be wrong. */
   getRates (queue: Queue, workflow: Workflow): RoomForecastInput['rates']
   readonly hasFairShares: boolean
+  /** Cores that short work of the service needs; 0 if long-running work is not limited. */
+  getShortDemand (service: string): number
   /** The groups that may be placed now. */
   selectStartable (trackedGroups: TrackedGroup[], wallTime: number): TrackedGroup[]
   /** 1 for a group whose queue holds more than its share of the pool, otherwise 0. */
@@ -46,6 +51,7 @@
 export function createCompetition (options: CompetitionOptions): Competition {
   const { clock, settings, getState } = options
   const rates = createWorkRates()
+  const shortDemand = createShortDemand()
   const findTaskStep = createTaskStepIndex(getState)
   const preemptor = createPreemptor(options)
   let overShare: ReadonlySet<string> = new Set()
@@ -79,9 +85,13 @@
   }
 
   return {
-    recordAccepted: (queue, { steps, recurrence }) => steps.filter(({ lasting }) => !lasting && recurrence === undefined).forEach((step) => {
-      rates.recordAccepted(queue, getWorkKind(step), step.count * step.cores * step.expectedRunMs, clock.now())
-    }),
+    recordAccepted: (queue, workflow) => {
+      shortDemand.recordAccepted(queue.service, workflow, clock.now())
+      workflow.steps.filter(({ lasting }) => !lasting && workflow.recurrence === undefined).forEach((step) => {
+        rates.recordAccepted(queue, getWorkKind(step), step.count * step.cores * step.expectedRunMs, clock.now())
+      })
+    },
+    getShortDemand: (service) => settings.longRunningLimit ? shortDemand.get(service, clock.now()) : 0,
     recordSucceeded: (task) => {
       const taskStep = findTaskStep(task)
       const record = taskStep === undefined ? undefined : findRecord(getState(), taskStep.stepName)
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -138,7 +138,7 @@
 function checkAdmission ({ log, clock, logger, metrics }: RequestOptions, view: TermView | undefined, queue: Queue, workflow: Workflow, isKnown: boolean): { verdict: Admission, refusal?: WorkflowReply } {
   const load = view?.term.getSchedulerLoad(queue.priority)
   const sizes = view?.sizes.list(getState(log), queue.service)
-  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load, sizes, rates: view?.term.competition.getRates(queue, workflow), hasFairShares: view?.term.competition.hasFairShares })
+  const verdict = admitWorkflow({ state: getState(log), queue, workflow, isKnown, now: clock.wall(), totals: view?.getTotals(), load, sizes, rates: view?.term.competition.getRates(queue, workflow), hasFairShares: view?.term.competition.hasFairShares, shortDemandCores: view?.term.competition.getShortDemand(queue.service) })
   if (verdict.kind === 'admitted') return { verdict }
   const retryAfterMs = computeRetryAfterMs(verdict.retryAfterMs, queue.priority, workflow.id)
   metrics.count('workflow.refused', 1, { queue: queue.name, reason: verdict.reason })
