Test that a run with an unreadable row in an evacuated zone does not run twice

Cause: a run whose row cannot be read was taken for one that has not started, and its task was released and started elsewhere while it ran. A draining worker has the same path. The fix came with the evacuation; it had no test.

--- a/test/workflows/zoneEvacuation.test.ts
+++ b/test/workflows/zoneEvacuation.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { createManualClock, createSilentLogger } from '../../src/common/index.js'
+import { createManualClock, createSilentLogger, Ok } from '../../src/common/index.js'
 import { admitWorkflow } from '../../src/coordination/workflows/admission.js'
 import { createEvacuationStore } from '../../src/coordination/workflows/index.js'
 import { createZoneEvacuations, DEFAULT_EVACUATE_MS } from '../../src/coordination/workflows/zoneEvacuation.js'
@@ -200,6 +200,27 @@
   await hosts.stop()
 })
 
+// Guards against a run that is taken for one that has not started, because its row cannot be read, and is started elsewhere as well.
+test('a run in an evacuated zone whose row cannot be read does not run twice', async () => {
+  let isDamaged = false
+  const hosts = await createZonedHosts((_clock, client) => ({
+    ...client,
+    poll: async (...call) => {
+      const reply = await client.poll(...call)
+      return !isDamaged || !reply.ok ? reply : Ok({ ...reply.val, running: [], unreadableRuns: reply.val.running.length })
+    }
+  }))
+  hosts.fleet.plan = () => ({ runMs: 0, result: 'never' })
+  hosts.fleet.stopMs = 4000
+  hosts.submit('x', [{ count: 24, cores: 1, lasting: true }])
+  await hosts.clock.advance(2000)
+  isDamaged = true
+  hosts.propose(evacuate('a'))
+  await hosts.clock.advance(8000)
+  expect(listDoubled(hosts.fleet.events)).toEqual([])
+  await hosts.stop()
+})
+
 // Guards against the next session host of a worker, which starts what was assigned before the evacuation and did not start.
 test('after a hand-over of sessions no task starts in the zone', async () => {
   const hosts = await createZonedHosts()
