Keep what is known of a run between searches for stragglers

Cause: a check looked up step and record of each run by its name. Change: both are kept for the run; the usual duration is found once for each step.

--- a/src/coordination/workflows/runCopies.ts
+++ b/src/coordination/workflows/runCopies.ts
@@ -1,10 +1,10 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
-import { canRunCopies, findTask, isTaskDone, parseTaskName, type Assignment, type EndCause, type WorkflowsState } from '../../state/index.js'
+import { canRunCopies, findTask, formatTaskKey, isTaskDone, parseTaskName, type Assignment, type EndCause, type WorkflowsState } from '../../state/index.js'
 import type { PlacementCandidate, Pool, TaskStep } from './candidates.js'
 import { placeOnWorkers, type GroupOptions } from './groups.js'
 import { canHold } from './placement.js'
 import { computeObjectiveMs, getLateness, getOccurrenceStart, type WaitingGroup } from './plan.js'
-import { findWorkKey, getRunProgress, type RunDurations } from './runDurations.js'
+import { findWorkKey, getRunProgress, type RunDurations, type WorkKey } from './runDurations.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import { addOutcome, canCopyWork, countAllowedCopies, createCopyRecord, listStragglers, recordCopy, type CopyRecord, type ObservedRun, type Straggler } from './stragglers.js'
 import type { TrackedGroup } from './waiting.js'
@@ -50,12 +50,14 @@
 
 /**
  * Places copies of stragglers. Handles some thousand running tasks, of which those of steps with `speculative` are examined;
- * without such steps a check takes one lookup for each running task.
+ * a run of another step takes one lookup.
  */
 export function createRunCopies (options: RunCopiesOptions): RunCopies {
   const { clock, logger, metrics, getState, health } = options
   const open = new Map<string, OpenCopy>()
   const records = new Map<string, CopyRecord>()
+  /** What stays the same of a run, as it takes long to find by the name of its task. `single`: its step allows no copies. */
+  const runTasks = new WeakMap<RunView, RunTask | 'long-running' | 'single'>()
   let checkedAt = -Infinity
   let offset = 0
 
@@ -91,11 +93,13 @@
       const pool = pools.get(service) ?? { runs: [], runningTasks: 0, copies: 0 }
       pools.set(service, pool)
       session.runs.forEach((run) => {
-        const taskStep = findTaskStep(run.task)
-        if (taskStep === undefined || taskStep.step.lasting) return
+        const runTask = runTasks.get(run) ?? findRunTask(getState(), run, findTaskStep)
+        if (runTask === undefined) return
+        runTasks.set(run, runTask)
+        if (runTask === 'long-running') return
         pool.runningTasks += 1
-        if (!canRunCopies(taskStep.step)) return
-        const observed = observeRun(getState(), session, run, taskStep)
+        if (runTask === 'single') return
+        const observed = run.isCopy === true ? undefined : observeRun(getState(), session, run, runTask)
         if (run.isCopy === true) pool.copies += 1
         else if (observed !== undefined) pool.runs.push(observed)
       })
@@ -152,11 +156,22 @@
   return name !== undefined && record !== undefined && record.outcome === undefined && !isTaskDone(record, name)
 }
 
-function observeRun (state: WorkflowsState, session: WorkerView, run: RunView, { step, stepName }: TaskStep): ObservedRun | undefined {
-  const known = findTask(state, run.task)
-  const work = findWorkKey(state, run.task)
-  const record = state.workflows[parseTaskName(run.task)?.workflow ?? '']
-  if (known === undefined || record === undefined || work === undefined || run.startedAt === undefined) return undefined
+interface RunTask extends TaskStep { workflow: string, taskKey: string, work: WorkKey }
+
+function findRunTask (state: WorkflowsState, { task }: RunView, findTaskStep: CopySearch['findTaskStep']): RunTask | 'long-running' | 'single' | undefined {
+  const taskStep = findTaskStep(task)
+  if (taskStep === undefined) return undefined
+  if (taskStep.step.lasting) return 'long-running'
+  if (!canRunCopies(taskStep.step)) return 'single'
+  const name = parseTaskName(task)
+  const work = findWorkKey(state, task)
+  return name === undefined || work === undefined ? undefined : { ...taskStep, workflow: name.workflow, taskKey: formatTaskKey(name), work }
+}
+
+function observeRun (state: WorkflowsState, session: WorkerView, run: RunView, { step, stepName, workflow, taskKey, work }: RunTask): ObservedRun | undefined {
+  const record = state.workflows[workflow]
+  const known = record?.tasks[taskKey]
+  if (record === undefined || known === undefined || run.startedAt === undefined) return undefined
   // The failure of a copy must not be the one that ends the workflow.
   const canAffordFailure = known.failures + 1 < record.maxAttempts
   const progress = getRunProgress(run)
--- a/src/coordination/workflows/stragglers.ts
+++ b/src/coordination/workflows/stragglers.ts
@@ -8,8 +8,8 @@
 const MIN_GAIN_MS = 100
 /** With fewer ended runs than this, the usual duration is taken from the running tasks of the same step. */
 const MIN_SAMPLES = 8
-/** Running tasks of a step from which its usual duration is taken; fewer say little. */
-const MIN_SIBLINGS = 3
+/** Running tasks of a step, with the one in question, from which its usual duration is taken; fewer say little. */
+const MIN_SIBLINGS = 4
 /** Percentage from which the duration of a running sibling is projected; lower ones are too inaccurate. */
 const MIN_SIBLING_PERCENT = 10
 /** A worker with at least this slowness is the cause of a slow run; below it, the other tasks on the worker make progress as usual. */
@@ -54,8 +54,9 @@
     if (known === undefined) siblings.set(run.stepName, [run])
     else known.push(run)
   })
+  const usual = new Map([...siblings].map(([stepName, members]) => [stepName, estimateUsual(members, durations)]))
   return runs.filter(({ isEligible }) => isEligible).flatMap((run): Straggler[] => {
-    const { usualMs, lateMs } = estimateUsual(run, siblings.get(run.stepName) ?? [], durations)
+    const { usualMs, lateMs } = usual.get(run.stepName) as Usual
     const remainingMs = durations.forecastEnd(run.work, run.estimateMs, run.progress, now).expectedAt - now
     const copyMs = usualMs * (1 - run.savedShare)
     const totalMs = now - run.progress.startedAt + remainingMs
@@ -66,13 +67,17 @@
 }
 
 /** Usual duration of the tasks of a step, and the duration within which nine of ten end. */
-function estimateUsual (run: ObservedRun, siblings: readonly ObservedRun[], durations: RunDurations): { usualMs: number, lateMs: number } {
-  const { expectedMs, lateMs, samples } = durations.forecast(run.work, run.estimateMs)
-  const projected = siblings.filter((other) => other !== run && other.progress.percent >= MIN_SIBLING_PERCENT)
+interface Usual { usualMs: number, lateMs: number }
+
+function estimateUsual (siblings: readonly ObservedRun[], durations: RunDurations): Usual {
+  const { work, estimateMs } = siblings[0] as ObservedRun
+  const { expectedMs, lateMs, samples } = durations.forecast(work, estimateMs)
+  if (samples >= MIN_SAMPLES) return { usualMs: expectedMs, lateMs }
+  const projected = siblings.filter(({ progress: { percent } }) => percent >= MIN_SIBLING_PERCENT)
     .map(({ progress: { startedAt, percent, progressAt } }) => (progressAt - startedAt) * 100 / percent).sort((a, b) => a - b)
-  if (samples >= MIN_SAMPLES || projected.length < MIN_SIBLINGS) return { usualMs: expectedMs, lateMs }
+  if (projected.length < MIN_SIBLINGS) return { usualMs: expectedMs, lateMs }
   const usualMs = projected[Math.floor(projected.length / 2)] as number
-  return { usualMs, lateMs: projected[Math.floor(projected.length * 0.9)] as number }
+  return { usualMs, lateMs: projected[Math.floor((projected.length - 1) * 0.9)] as number }
 }
 
 /** Number of further copies that a pool may have. */
