--- a/src/coordination/workflows/runCopies.ts
+++ b/src/coordination/workflows/runCopies.ts
@@ -183,8 +183,6 @@
     estimateMs: step.expectedRunMs,
     // The percentage is of the worker's last reading, and its report arrives up to 300 ms later.
     progress: { ...progress, progressAt: Math.max(progress.startedAt, session.readAt) },
-    // A checkpoint is recorded only when a run ends, so the percentage of this run says nothing about it.
-    savedShare: 0,
     isEligible: canAffordFailure && run.stopReason === undefined && known.copy === undefined && !known.succeeded
   }
 }
--- a/src/coordination/workflows/stragglers.ts
+++ b/src/coordination/workflows/stragglers.ts
@@ -35,8 +35,6 @@
   estimateMs: number
   /** Steady-clock times; `progressAt` is when the worker read `percent`. */
   progress: RunProgress
-  /** Share of the task that is in its last recorded checkpoint, from 0 to 1. */
-  savedShare: number
   /** False if the task has a copy already or the run is being stopped; it still counts as a sibling of others. */
   isEligible: boolean
 }
@@ -58,7 +56,8 @@
   return runs.filter(({ isEligible }) => isEligible).flatMap((run): Straggler[] => {
     const { usualMs, lateMs } = usual.get(run.stepName) as Usual
     const remainingMs = durations.forecastEnd(run.work, run.estimateMs, run.progress, now).expectedAt - now
-    const copyMs = usualMs * (1 - run.savedShare)
+    // A copy counts with its whole duration: a checkpoint is recorded only when a run ends, so what it saves is unknown.
+    const copyMs = usualMs
     const totalMs = now - run.progress.startedAt + remainingMs
     const isFarBeyond = totalMs > Math.max(lateMs, STRAGGLER_FACTOR * usualMs)
     if (!isFarBeyond || remainingMs < copyMs * (1 + MIN_GAIN_SHARE) + MIN_GAIN_MS) return []
--- a/test/workflows/stragglers.test.ts
+++ b/test/workflows/stragglers.test.ts
@@ -7,7 +7,7 @@
 const USUAL_MS = 500
 
 function createRun (index: number, ageMs: number, percent: number, more: Partial<ObservedRun> = {}): ObservedRun {
-  return { task: `a1.0.0.${index}`, worker: `w${index}`, stepName: 'a1.0.0', work: WORK, estimateMs: USUAL_MS, progress: { startedAt: NOW - ageMs, percent, progressAt: NOW }, savedShare: 0, isEligible: true, ...more }
+  return { task: `a1.0.0.${index}`, worker: `w${index}`, stepName: 'a1.0.0', work: WORK, estimateMs: USUAL_MS, progress: { startedAt: NOW - ageMs, percent, progressAt: NOW }, isEligible: true, ...more }
 }
 function list (runs: ObservedRun[], { ended = 40, slow = [] as string[] } = {}): unknown[] {
   const durations = createRunDurations()
