Bound the cost of preemption checks, and describe competition for capacity

Cause: with two urgent groups blocked by best-effort runs on 245 workers (dispatch load, 500 ends/s, 2,000 waiting tasks, trial), the check took 5.4 to 5.8 s of thread time in 5 s of virtual time.

Change: a check samples 32 workers and 4 groups, rests 20 times its own duration, and considers a group again after 200 ms. The log and a counter name queues over their shares.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,4 +1,4 @@
-import { formatTaskName, getStepName, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { formatTaskName, getStepName, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
 import { addTask, type Candidate } from './placement.js'
 import type { WorkerView } from './sessionState.js'
 import type { InterferenceModel } from './interferenceModel.js'
@@ -215,3 +215,8 @@
   if (occurrenceDot <= 0 || stepDot <= occurrenceDot || indexDot <= stepDot) return undefined
   return state.workflows[task.slice(0, occurrenceDot)]?.workflow.steps[Number(task.slice(stepDot + 1, indexDot))]
 }
+
+/** Finds the workflow of a step by its name, `WORKFLOW.OCCURRENCE.STEP`. */
+export function findRecord ({ workflows }: WorkflowsState, stepName: string): WorkflowRecord | undefined {
+  return workflows[stepName.slice(0, stepName.lastIndexOf('.', stepName.lastIndexOf('.') - 1))]
+}
--- a/src/coordination/workflows/competition.ts
+++ b/src/coordination/workflows/competition.ts
@@ -1,5 +1,5 @@
-import type { Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
-import { createTaskStepIndex, type Pool } from './candidates.js'
+import type { Queue, Workflow } from '../../state/index.js'
+import { createTaskStepIndex, findRecord, type Pool } from './candidates.js'
 import { formatUse, listOverShare, type QueueUse } from './fairShares.js'
 import { getLateness, type WaitingGroup } from './plan.js'
 import { createPreemptor, type PreemptorOptions } from './preemptor.js'
@@ -13,6 +13,8 @@
 const SHARES_CACHE_MS = 100
 /** Interval at which it is recorded whether work waits; several times within one bucket of the rates. */
 const WAITING_CHECK_MS = 100
+/** Minimum interval of the log line about queues over their shares. */
+const SHARES_LOG_MS = 1000
 const KINDS: readonly WorkKind[] = ['ordinary', 'bestEffort']
 
 export interface CompetitionSettings {
@@ -51,6 +53,14 @@
   let overShare: ReadonlySet<string> = new Set()
   let sharesUntil = -Infinity
   let waitingCheckedAt = -Infinity
+  let sharesLoggedAt = -Infinity
+
+  const reportOverShare = (uses: readonly QueueUse[]): void => {
+    uses.forEach(({ queue }) => options.metrics.count('queue.over_share', 1, { queue }))
+    if (uses.length === 0 || clock.now() - sharesLoggedAt < SHARES_LOG_MS) return
+    sharesLoggedAt = clock.now()
+    uses.forEach(({ queue, kind, heldCores }) => options.logger.info('queue.over-share', { queue, work: kind, heldCores: Math.round(heldCores) }))
+  }
 
   const updateShares = (trackedGroups: readonly TrackedGroup[]): void => {
     if (!settings.fairShares || clock.now() < sharesUntil) return
@@ -65,6 +75,7 @@
       if (use !== undefined) use.heldCores += taskStep.step.cores
     }))
     overShare = listOverShare([...uses.values()])
+    reportOverShare([...uses.values()].filter(({ queue, kind }) => overShare.has(formatUse(queue, kind))))
   }
 
   const recordWaiting = (trackedGroups: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, wallTime: number): void => {
@@ -119,8 +130,3 @@
     ? bestEffort.reduce((held, { coreShare }) => held + coreShare * cores, 0)
     : (freeWithoutShortTasks?.freeCores ?? freeCores) - freeCores), 0)
 }
-
-/** Finds the workflow of a step by its name, `WORKFLOW.OCCURRENCE.STEP`. */
-function findRecord ({ workflows }: WorkflowsState, stepName: string): WorkflowRecord | undefined {
-  return workflows[stepName.slice(0, stepName.lastIndexOf('.', stepName.lastIndexOf('.') - 1))]
-}
--- a/src/coordination/workflows/preemption.ts
+++ b/src/coordination/workflows/preemption.ts
@@ -30,6 +30,8 @@
   step: Step
   /** Number of waiting tasks. */
   count: number
+  /** Share of the workers of the pool on which runs could be stopped that is passed in; what ends in time on the others is estimated from it. */
+  sampledShare: number
   /** Time in ms within which the tasks have to start. */
   startWithinMs: number
   countStepRuns (worker: string, candidate: Candidate): number
@@ -45,18 +47,17 @@
  */
 export function choosePreempted (need: PreemptionNeed, workers: readonly PreemptionWorker[], restoreMs: number): PreemptibleRun[] {
   const { step } = need
-  const able = workers.filter(({ candidate, ending }) => canHold(createEmpty(ending.reduce(addRoom, candidate)), need))
   const choices: Choice[] = []
   let missing = need.count
-  able.forEach(({ candidate, runs, ending: others }) => {
-    const room = others.reduce(addRoom, { ...candidate })
-    const ending = runs.filter(({ endsInMs }) => endsInMs <= need.startWithinMs).reduce((freed, run) => addRoom(freed, run.step), room)
-    const held = countHeld(ending, need, need.count)
-    missing -= held
+  workers.forEach(({ candidate, runs, ending: others }) => {
+    const room = addRoom(candidate, others)
+    const ending = runs.filter(({ endsInMs }) => endsInMs <= need.startWithinMs)
+    const held = countHeld(addRoom(room, ending.map((run) => run.step)), need, need.count)
+    missing -= held / need.sampledShare
     if (held === 0) choices.push(...listChoices(need, room, runs, restoreMs))
   })
   const gain = step.cores * (step.lasting ? LONG_RUNNING_GAIN_MS : step.expectedRunMs) * (1 - LATE_VALUE_SHARE)
-  const chosen = choices.filter(({ cost }) => cost < gain).sort((a, b) => a.cost - b.cost).slice(0, Math.max(0, missing))
+  const chosen = choices.filter(({ cost }) => cost < gain).sort((a, b) => a.cost - b.cost).slice(0, Math.max(0, Math.ceil(missing)))
   return step.gang && chosen.length < missing ? [] : chosen.flatMap(({ runs }) => runs)
 }
 
@@ -68,10 +69,11 @@
 /** Chooses the runs on one worker that make room for one task, if that is possible. */
 function listChoices (need: PreemptionNeed, room: Candidate, runs: readonly PreemptibleRun[], restoreMs: number): Choice[] {
   const getCost = ({ isWorthless, unsavedMs, step }: PreemptibleRun): number => isWorthless ? 0 : step.cores * (unsavedMs + restoreMs)
+  const isEnough = (stopped: readonly PreemptibleRun[]): boolean => canHold(addRoom(room, stopped.map((run) => run.step)), need)
+  // Most workers cannot help, and sorting would cost more than this.
+  if (!isEnough(runs)) return []
   const ordered = runs.toSorted((a, b) => getCost(a) - getCost(b) || a.endsInMs - b.endsInMs)
-  const isEnough = (stopped: readonly PreemptibleRun[]): boolean => canHold(stopped.reduce((freed, run) => addRoom(freed, run.step), room), need)
   const count = ordered.findIndex((_run, index) => isEnough(ordered.slice(0, index + 1))) + 1
-  if (count === 0) return []
   // A cheap run that was added first may no longer be needed; the dearest one that can stay is left running.
   const needed = ordered.slice(0, count).toReversed().reduce((kept, run) => {
     const others = kept.filter((other) => other !== run)
@@ -80,14 +82,16 @@
   return [{ runs: needed, cost: needed.reduce((sum, run) => sum + getCost(run), 0) }]
 }
 
-function addRoom (candidate: Candidate, step: Step): Candidate {
-  return {
-    ...candidate,
-    freeCores: candidate.freeCores + (step.fills ? 0 : step.cores),
-    spareCores: candidate.spareCores + step.cores,
-    freeMemoryMb: candidate.freeMemoryMb + step.memoryMb,
-    freeAccelerators: candidate.freeAccelerators + step.accelerators
-  }
+function addRoom (candidate: Candidate, steps: readonly Step[]): Candidate {
+  if (steps.length === 0) return candidate
+  const room = { ...candidate }
+  steps.forEach(({ fills, cores, memoryMb, accelerators }) => {
+    if (!fills) room.freeCores += cores
+    room.spareCores += cores
+    room.freeMemoryMb += memoryMb
+    room.freeAccelerators += accelerators
+  })
+  return room
 }
 
 /** The worker without tasks that preemption could stop: only its size, labels and ordinary cores can rule a task out. */
--- a/src/coordination/workflows/preemptor.ts
+++ b/src/coordination/workflows/preemptor.ts
@@ -1,12 +1,12 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
-import { parseTaskName, type Queue, type Step, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
-import { findStep, type Pool } from './candidates.js'
+import type { Queue, Step, WorkflowRecord, WorkflowsState } from '../../state/index.js'
+import { createTaskStepIndex, findRecord, type PlacementCandidate, type Pool } from './candidates.js'
 import { STOP_MARGIN_MS } from './evacuation.js'
 import { estimateTailMs, getLateness } from './plan.js'
-import type { Candidate } from './placement.js'
+import { countHeld, type Candidate } from './placement.js'
 import { canHelp, choosePreempted, type PreemptibleRun, type PreemptionNeed } from './preemption.js'
 import { computeOpenWork } from './roomForecast.js'
-import { findWorkKey, getRunProgress, type RunDurations } from './runDurations.js'
+import { getRunProgress, type RunDurations, type WorkKey } from './runDurations.js'
 import type { RunView, WorkerView } from './sessionState.js'
 import type { TrackedGroup } from './waiting.js'
 
@@ -15,7 +15,13 @@
 /** A task that was preempted is not preempted again for this long. */
 const REPEAT_MS = 5000
 /** Most groups that are considered in one check; the others wait for the next. */
-const MAX_CHECKED_GROUPS = 8
+const MAX_CHECKED_GROUPS = 4
+/** Most workers whose runs are considered for a group. */
+const MAX_CHECKED_WORKERS = 32
+/** A group for which nothing was stopped is considered again after this long. */
+const GROUP_RETRY_MS = 200
+/** After a check this many times its own duration passes, so that checks take at most a twentieth of the thread. */
+const REST_FACTOR = 20
 /** Only tasks of this priority may displace others. */
 const URGENT_PRIORITY = 0
 
@@ -39,24 +45,41 @@
 export function createPreemptor (options: PreemptorOptions): Preemptor {
   const { clock, logger, metrics, settings, sessions, getState, stopRun } = options
   const pausedUntil = new Map<string, number>()
-  let checkedAt = -Infinity
+  const groupRetryAt = new Map<string, number>()
+  const findTaskStep = createTaskStepIndex(getState)
+  let nextCheckAt = -Infinity
+  /** Position at which the next sample of workers begins. */
+  let offset = 0
 
-  /** Lists the runs on a worker that may be stopped, and the steps of the others that free their capacity in time. */
+  /** Lists the runs on a worker, of which those that `isPreemptible` accepts may be stopped. */
   const listRuns = (worker: string, { startWithinMs }: PreemptionNeed, isPreemptible: (record: WorkflowRecord, step: Step) => boolean, isWorthless: (record: WorkflowRecord) => boolean): { runs: PreemptibleRun[], ending: Step[] } => {
     const runs: PreemptibleRun[] = []
     const ending: Step[] = []
     sessions.get(worker)?.runs.forEach((run) => {
-      const step = findStep(getState(), run.task)
-      const record = getState().workflows[parseTaskName(run.task)?.workflow ?? '']
-      if (step === undefined || record === undefined) return
-      const loss = estimateLoss(options, run, step)
-      if (run.stopReason !== undefined) ending.push(step)
-      else if (isPreemptible(record, step) && !pausedUntil.has(run.task)) runs.push({ task: run.task, worker, step, isWorthless: isWorthless(record), ...loss })
-      else if (!step.lasting && loss.endsInMs <= startWithinMs) ending.push(step)
+      const taskStep = findTaskStep(run.task)
+      const record = taskStep === undefined ? undefined : findRecord(getState(), taskStep.stepName)
+      if (taskStep === undefined || record === undefined) return
+      const { step, stepName } = taskStep
+      if (run.stopReason !== undefined) return ending.push(step)
+      if (step.lasting) return
+      const loss = estimateLoss(options, run, step, { queue: record.queue, image: step.image, step: Number(stepName.slice(stepName.lastIndexOf('.') + 1)) })
+      if (isPreemptible(record, step) && !pausedUntil.has(run.task)) runs.push({ task: run.task, worker, step, isWorthless: isWorthless(record), ...loss })
+      else if (loss.endsInMs <= startWithinMs) ending.push(step)
     })
     return { runs, ending }
   }
 
+  /** The workers of a pool that a group is checked on, with the number of its tasks that the others can hold already. */
+  const selectWorkers = (need: PreemptionNeed, pool: Pool | undefined): { workers: PlacementCandidate[], sampledShare: number, held: number } => {
+    const all = pool?.workers ?? []
+    const held = all.reduce((sum, worker) => sum + countHeld(worker, need, need.count), 0)
+    const able = all.filter((worker) => canHelp(need, worker))
+    const start = offset % Math.max(1, able.length)
+    offset += MAX_CHECKED_WORKERS
+    const workers = [...able.slice(start), ...able.slice(0, start)].slice(0, MAX_CHECKED_WORKERS)
+    return { workers, sampledShare: workers.length / Math.max(1, able.length), held }
+  }
+
   const stop = ({ task, worker, unsavedMs, isWorthless }: PreemptibleRun, { stepName, group }: TrackedGroup): void => {
     const session = sessions.get(worker)
     const run = session?.runs.get(task)
@@ -69,21 +92,22 @@
 
   return {
     run: (trackedGroups, pools, wallTime) => {
-      if (clock.now() - checkedAt < CHECK_MS) return
-      checkedAt = clock.now()
-      pausedUntil.forEach((until, task) => { if (until <= clock.now()) pausedUntil.delete(task) })
-      const blocked = trackedGroups.filter(({ group, progress }) => progress.isBlocked && group.priority === URGENT_PRIORITY && getLateness(group, wallTime) === 0)
+      const now = clock.now()
+      if (now < nextCheckAt) return
+      ;[pausedUntil, groupRetryAt].forEach((times) => times.forEach((at, key) => { if (at <= now) times.delete(key) }))
+      const blocked = trackedGroups.filter(({ group, progress, stepName }) => progress.isBlocked && group.priority === URGENT_PRIORITY && !groupRetryAt.has(stepName) && getLateness(group, wallTime) === 0)
       const queues = new Map(blocked.length === 0 ? [] : getState().catalog?.queues.map((queue) => [queue.name, queue]))
       const isWorthless = createWorthlessCheck(queues, wallTime)
-      const isPreemptible = ({ queue }: WorkflowRecord, { fills, lasting, gang }: Step): boolean => fills && !lasting && !gang && (queues.get(queue)?.priority ?? URGENT_PRIORITY) > URGENT_PRIORITY
+      const isPreemptible = ({ queue }: WorkflowRecord, { fills, gang }: Step): boolean => fills && !gang && (queues.get(queue)?.priority ?? URGENT_PRIORITY) > URGENT_PRIORITY
       blocked.sort((a, b) => a.group.dueAt - b.group.dueAt).slice(0, MAX_CHECKED_GROUPS).forEach((tracked) => {
+        groupRetryAt.set(tracked.stepName, now + GROUP_RETRY_MS)
         const need = createNeed(tracked, wallTime)
-        const workers = pools.get(tracked.group.record.service)?.workers ?? []
-        // Most groups wait for cores that best-effort runs do not hold; for these the runs are not listed.
-        if (need.startWithinMs < STOP_MARGIN_MS || !workers.some((candidate) => canHelp(need, candidate))) return
+        const { workers, sampledShare, held } = selectWorkers(need, pools.get(tracked.group.record.service))
+        if (need.startWithinMs < STOP_MARGIN_MS || workers.length === 0 || held >= need.count) return
         const described = workers.map((candidate) => ({ candidate, ...listRuns(candidate.id, need, isPreemptible, isWorthless) }))
-        choosePreempted(need, described, settings.restoreMs).forEach((run) => stop(run, tracked))
+        choosePreempted({ ...need, sampledShare, count: need.count - held }, described, settings.restoreMs).forEach((run) => stop(run, tracked))
       })
+      nextCheckAt = now + Math.max(CHECK_MS, REST_FACTOR * (clock.now() - now))
     }
   }
 }
@@ -92,16 +116,15 @@
 function createNeed ({ stepName, group }: TrackedGroup, wallTime: number): PreemptionNeed {
   const { step, stepNumber, dueAt, indexes, record } = group
   const slackMs = dueAt - wallTime - estimateTailMs(record.workflow.steps, stepNumber)
-  return { step, count: indexes.length, startWithinMs: step.lasting ? STOP_MARGIN_MS : slackMs, countStepRuns: (_worker: string, { stepRuns }: Candidate) => stepRuns?.get(stepName) ?? 0 }
+  return { step, count: indexes.length, sampledShare: 1, startWithinMs: step.lasting ? STOP_MARGIN_MS : slackMs, countStepRuns: (_worker: string, { stepRuns }: Candidate) => stepRuns?.get(stepName) ?? 0 }
 }
 
-function estimateLoss ({ clock, settings, runDurations, getState }: PreemptorOptions, run: RunView, step: Step): Pick<PreemptibleRun, 'unsavedMs' | 'endsInMs'> {
+function estimateLoss ({ clock, settings, runDurations }: PreemptorOptions, run: RunView, step: Step, work: WorkKey): Pick<PreemptibleRun, 'unsavedMs' | 'endsInMs'> {
   const now = clock.now()
   const elapsedMs = run.confirmedAt === undefined ? 0 : now - run.confirmedAt
-  const work = findWorkKey(getState(), run.task)
   return {
     unsavedMs: step.checkpoints ? elapsedMs % settings.checkpointMs : elapsedMs,
-    endsInMs: work === undefined ? Infinity : runDurations.forecastEnd(work, step.expectedRunMs, getRunProgress(run), now).expectedAt - now
+    endsInMs: runDurations.forecastEnd(work, step.expectedRunMs, getRunProgress(run), now).expectedAt - now
   }
 }
 
--- a/test/workflows/preemption.test.ts
+++ b/test/workflows/preemption.test.ts
@@ -7,7 +7,7 @@
 import { createRun, createSession, type Run, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
 import { createWaitingIndex } from '../../src/coordination/workflows/waiting.js'
 import { createWorkflowsState, workflowHandlers, type Step } from '../../src/state/index.js'
-import { CATALOG, createCandidate, STEP } from './support.js'
+import { CATALOG, createCandidate, createScene, listDoubled, STEP } from './support.js'
 
 const RESTORE_MS = 250
 /** Needs all the memory of a worker of which best-effort runs hold 20 GB each. */
@@ -23,7 +23,7 @@
 }
 
 function choose (workers: PreemptionWorker[], more: Partial<PreemptionNeed> = {}): string[] {
-  return choosePreempted({ step: URGENT, count: 1, startWithinMs: 300, countStepRuns: () => 0, ...more }, workers, RESTORE_MS).map(({ task }) => task)
+  return choosePreempted({ step: URGENT, count: 1, startWithinMs: 300, sampledShare: 1, countStepRuns: () => 0, ...more }, workers, RESTORE_MS).map(({ task }) => task)
 }
 
 test('the runs with the least unsaved work are stopped, those of worthless workflows first, and no more than needed', () => {
@@ -120,3 +120,20 @@
   await lasting.check()
   expect(lasting.stopped).toEqual([])
 })
+
+// Guards against a second run of a task whose stop was answered late, over the whole path of orders.
+test.each(['none', 'late', 'lost-answer'] as const)('urgent work starts in the place of a best-effort run, and no task runs twice at a time, with the fault %s of stop orders', async (fault) => {
+  const queues = [{ ...CATALOG.queues[0]!, slackFactor: 3, objectiveMs: 3000 }, { ...CATALOG.queues[0]!, name: 'batch', pathPrefix: '/batch/', priority: 2 }]
+  const scene = await createScene(['w1'], { ...CATALOG, queues })
+  scene.fleet.plan = (task) => ({ runMs: task.startsWith('batch') ? 60_000 : 1000, result: 'succeeded' })
+  scene.fleet.workers.get('w1')!.fault = (kind) => kind === 'stop' ? fault : 'none'
+  scene.fleet.lateMs = 1500
+  await scene.submit('batch', [{ count: 4, cores: 2, memoryMb: 32_000, fills: true, checkpoints: true, expectedRunMs: 60_000 }], {}, 'batch')
+  await scene.run(2000)
+  await scene.submit('urgent', [{ cores: 16, memoryMb: 32_000, expectedRunMs: 1000 }])
+  await scene.run(6000)
+  const ends = scene.listEvents('ended')
+  expect(ends.filter(({ cause }) => cause === 'stopped').length).toBe(1)
+  expect(ends.some(({ task, cause }) => task.startsWith('urgent') && cause === 'succeeded')).toBe(true)
+  expect(listDoubled(scene.fleet.events)).toEqual([])
+})
