--- a/src/coordination/workflows/competition.ts
+++ b/src/coordination/workflows/competition.ts
@@ -54,6 +54,8 @@
   let sharesUntil = -Infinity
   let waitingCheckedAt = -Infinity
   let sharesLoggedAt = -Infinity
+  /** Groups that the last pass left out. */
+  let deferred = 0
 
   const reportOverShare = (uses: readonly QueueUse[]): void => {
     uses.forEach(({ queue }) => options.metrics.count('queue.over_share', 1, { queue }))
@@ -81,6 +83,7 @@
   const recordWaiting = (trackedGroups: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, wallTime: number): void => {
     if (clock.now() - waitingCheckedAt < WAITING_CHECK_MS) return
     waitingCheckedAt = clock.now()
+    options.metrics.gauge('work.deferred', deferred)
     const blocked = trackedGroups.filter(({ group, progress }) => progress.isBlocked && !progress.isSchedulerLimited && !group.step.lasting && getLateness(group, wallTime) < 2)
     pools.forEach(({ workers }, service) => KINDS.forEach((kind) => {
       const waitingCores = blocked.filter(({ group }) => group.record.service === service && getWorkKind(group.step) === kind).reduce((sum, { group }) => sum + group.indexes.length * group.step.cores, 0)
@@ -103,7 +106,9 @@
     getRates: (queue, workflow) => hasWrongEstimates(options.runDurations, queue, workflow) ? {} : Object.fromEntries(KINDS.map((kind) => [kind, rates.get(queue, kind, clock.now())]).filter(([, measured]) => measured !== undefined)),
     selectStartable: (trackedGroups, wallTime) => {
       updateShares(trackedGroups)
-      return selectWorthy(trackedGroups, wallTime)
+      const startable = selectWorthy(trackedGroups, wallTime)
+      deferred = trackedGroups.length - startable.length
+      return startable
     },
     getShareRank: ({ record, step }) => overShare.size > 0 && !step.lasting && overShare.has(formatUse(record.queue, getWorkKind(step))) ? 1 : 0,
     observePass: (trackedGroups, pools, wallTime) => {
