Compute the open work of admission without intermediate lists

Cause: the totals of 754 open workflows took 2.8 ms, each 50 ms at most.

Change: one pass over the steps; the objective is cached by steps.

--- a/src/coordination/workflows/roomForecast.ts
+++ b/src/coordination/workflows/roomForecast.ts
@@ -74,8 +74,13 @@
   return step.fills ? 'bestEffort' : 'ordinary'
 }
 
+/** Steps of a workflow never change. */
+const chainsBySteps = new WeakMap<readonly Step[], number>()
+
 export function computeObjectiveMs (queue: Pick<Queue, 'slackFactor' | 'objectiveMs'>, steps: readonly Step[]): number {
-  return queue.slackFactor * estimateChainMs(steps) + queue.objectiveMs
+  const chainMs = chainsBySteps.get(steps) ?? estimateChainMs(steps)
+  chainsBySteps.set(steps, chainMs)
+  return queue.slackFactor * chainMs + queue.objectiveMs
 }
 
 /**
@@ -133,13 +138,21 @@
 export function computeOpenWork (record: WorkflowRecord, queue: Queue | undefined, now: number): OpenWork | undefined {
   const { steps, recurrence } = record.workflow
   if (recurrence !== undefined || record.outcome !== undefined) return undefined
-  const remaining = steps.map((step, number) => step.lasting ? 0 : Math.max(0, step.count - (record.succeeded[`0.${number}`] ?? 0)))
   const objectiveMs = queue === undefined ? Infinity : computeObjectiveMs(queue, steps)
-  const endsAt = now + estimateChainMs(steps.map((step, number) => remaining[number] === 0 ? { ...step, expectedRunMs: 0 } : step))
   const dueAt = record.submittedAt + objectiveMs
-  if (endsAt > record.submittedAt + ZERO_VALUE_FACTOR * objectiveMs) return undefined
+  const worthlessAt = record.submittedAt + ZERO_VALUE_FACTOR * objectiveMs
+  if (now > worthlessAt) return undefined
   const work: Record<WorkKind, number> = { ordinary: 0, bestEffort: 0 }
-  steps.forEach((step, number) => { work[getWorkKind(step)] += (remaining[number] ?? 0) * step.cores * step.expectedRunMs })
+  const ends: number[] = []
+  // One pass without intermediate lists: called for each open workflow each 50 ms.
+  steps.forEach((step, number) => {
+    const remaining = step.lasting ? 0 : Math.max(0, step.count - (record.succeeded[`0.${number}`] ?? 0))
+    const readyAt = step.dependsOn.reduce((latest, earlier) => Math.max(latest, ends[earlier] ?? 0), now)
+    ends.push(remaining === 0 ? readyAt : readyAt + step.expectedRunMs)
+    work[getWorkKind(step)] += remaining * step.cores * step.expectedRunMs
+  })
+  const endsAt = ends.reduce((latest, end) => Math.max(latest, end), now)
+  if (endsAt > worthlessAt) return undefined
   return { queue: record.queue, priority: queue?.priority ?? 0, dueAt, isLate: endsAt > dueAt, work }
 }
 
