--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -1,5 +1,5 @@
 import type { Clock } from '../../common/index.js'
-import { formatTaskName, getStepName, isZoneEvacuated, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { formatTaskName, getStepName, isZoneEvacuated, type Step, type WorkerIncarnation, type WorkerRecord, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
 import { computeColdReserve, computeColdSlowness } from './coldWorkers.js'
 import { addTask, type Candidate } from './placement.js'
 import type { WorkerView } from './sessionState.js'
@@ -230,3 +230,8 @@
   if (occurrenceDot <= 0 || stepDot <= occurrenceDot || indexDot <= stepDot) return undefined
   return state.workflows[task.slice(0, occurrenceDot)]?.workflow.steps[Number(task.slice(stepDot + 1, indexDot))]
 }
+
+/** Finds the workflow of a step by its name, `WORKFLOW.OCCURRENCE.STEP`. */
+export function findRecord ({ workflows }: WorkflowsState, stepName: string): WorkflowRecord | undefined {
+  return workflows[stepName.slice(0, stepName.lastIndexOf('.', stepName.lastIndexOf('.') - 1))]
+}
