--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -147,7 +147,13 @@
     const pass: Pass = { now, wallTime, getCompetingDemand: getCompetingDemand(trackedGroups, pools, now), exhausted: new Set() }
     const assignments: Assignment[] = []
     const compare = compareGroups(wallTime)
-    const dueGroups = trackedGroups.filter((tracked) => isRetryDue(tracked, pools.get(tracked.group.record.service), now)).sort((a, b) => compare(a.group, b.group))
+    reservations.update(trackedGroups, pools, now, wallTime)
+    const isDue = (tracked: TrackedGroup): boolean => {
+      const pool = pools.get(tracked.group.record.service)
+      // The retry time has come, or a worker whose free capacity has grown can hold a task of the group.
+      return pool !== undefined && (tracked.progress.blockedUntil <= now || hasCapacity(tracked, reservations.selectFreed(tracked, pool, wallTime)))
+    }
+    const dueGroups = trackedGroups.filter(isDue).sort((a, b) => compare(a.group, b.group))
     const placeEach = (groupsToPlace: TrackedGroup[]): void => groupsToPlace.forEach((tracked) => {
       const pool = pools.get(tracked.group.record.service)
       if (pool === undefined) return
@@ -156,7 +162,6 @@
       else tracked.progress.isSchedulerLimited = hasCapacity(tracked, selected.pool.workers)
     })
     trackedGroups.forEach(({ progress }) => { progress.isSchedulerLimited = false })
-    reservations.update(trackedGroups, pools, now, wallTime)
     placeEach(dueGroups.filter(({ group }) => group.isResumed === true))
     reservations.openInterrupted(trackedGroups.filter(({ group }) => group.isResumed === true), pools, now)
     placeEach(dueGroups.filter(({ group }) => group.isResumed !== true))
@@ -268,12 +273,6 @@
   return workers.some((worker) => canHold(worker, needs))
 }
 
-/** True when a group may be placed: its retry time has come, or a worker whose free capacity has grown can hold a task of it. */
-function isRetryDue (tracked: TrackedGroup, pool: Pool | undefined, now: number): boolean {
-  if (pool === undefined) return false
-  return tracked.progress.blockedUntil <= now || hasCapacity(tracked, pool.freed)
-}
-
 /** Marks blocked groups that would fit on busy workers: they wait for the scheduler, not for capacity. */
 function updateSchedulerLimited (trackedGroups: TrackedGroup[], pools: Map<string, Pool>): void {
   const busy = new Map([...pools].filter(([, pool]) => pool.busy.length > 0).map(([service, pool]) => [service, pool.busy]))
--- a/src/coordination/workflows/reservations.ts
+++ b/src/coordination/workflows/reservations.ts
@@ -1,9 +1,10 @@
 import type { Logger, Metrics } from '../../common/index.js'
 import type { PlacementCandidate, Pool } from './candidates.js'
-import { addCapacity, hasCapacityFor, type Capacity } from './capacityForecast.js'
+import { addCapacity, hasCapacityFor } from './capacityForecast.js'
 import { canKeepReserve } from './groups.js'
 import { canHold } from './placement.js'
-import { compareUrgencyClasses, getLateness, type WaitingGroup } from './plan.js'
+import { compareUrgencyClasses, getLateness } from './plan.js'
+import { estimateEndAt, estimateSavedMs, measureIdleCores, recordOthers, removeWorkers, type Reservation, type StoredReservation } from './reservationRules.js'
 import type { ReservationSearch } from './reservationSearch.js'
 import type { RunDurations } from './runDurations.js'
 import type { TrackedGroup } from './waiting.js'
@@ -31,30 +32,16 @@
 /** Groups that will end without value get no reservation; see `getLateness`. */
 const WORTHLESS = 2
 
-export interface Reservation {
-  /** Key of the group, see `TrackedGroup`. */
-  group: string
-  workers: readonly string[]
-  /** Time at which the workers are expected to have the capacity for the group. */
-  readyAt: number
-  expiresAt: number
-}
-
-interface StoredReservation extends Reservation {
-  waiting: WaitingGroup
-  service: string
-  waitingSince: number
-  /** Held for an interrupted long-running task: no other work may use the workers meanwhile. */
-  isExclusive: boolean
-  /** What the workers are expected to have free at `readyAt` beside the tasks of the group. */
-  spare: Map<string, Capacity>
-  /** A more urgent group has taken capacity of the workers. */
-  isOvertaken: boolean
-  idleCoreMs: number
-}
-
 /** Reservations that a class of groups must respect, and the names of their workers. */
-interface ClosedWorkers { closing: readonly StoredReservation[], excluded: string }
+interface ClosedWorkers {
+  closing: readonly StoredReservation[]
+  excluded: string
+  workers: ReadonlySet<string>
+  holders: ReadonlySet<string>
+  /** Latest `readyAt` and most spare cores of the reservations: a group that needs more can use none of the workers. */
+  latestReadyAt: number
+  mostSpareCores: number
+}
 
 type DropReason = 'late' | 'overtaken' | 'worker-unavailable' | 'not-waiting' | 'placed-elsewhere' | 'displaced' | 'review'
 
@@ -77,6 +64,8 @@
   update (trackedGroups: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, now: number, wallTime: number): void
   /** Returns the pool without the workers that are reserved for other groups and that the group may not use meanwhile. */
   selectPool (tracked: TrackedGroup, pool: Pool, now: number, wallTime: number): SelectedPool
+  /** Returns the workers whose free capacity has grown, without those that are reserved for other groups. */
+  selectFreed (tracked: TrackedGroup, pool: Pool, wallTime: number): readonly PlacementCandidate[]
   /** Records that the group was tried on all workers and some of its tasks fit on none. */
   recordBlocked (tracked: TrackedGroup, now: number): void
   recordPlaced (tracked: TrackedGroup, workers: readonly string[], now: number, wallTime: number): void
@@ -149,8 +138,9 @@
   const canUse = (reservation: StoredReservation, { group: { step, indexes } }: TrackedGroup, worker: string, getEndAt: () => number): boolean => {
     if (reservation.isExclusive) return false
     const candidate = reservedCandidates.get(worker)
-    // A worker without free capacity counts as excluded, so that groups of one class see the same workers and share their failed tries.
-    if (candidate === undefined || !canHold(candidate, { step, countStepRuns: () => 0 })) return false
+    // A worker without free cores counts as closed, so that groups of one class see the same workers and share their failed tries.
+    // Best-effort tasks need no free cores; the spare memory, which seldom differs between groups, decides for them.
+    if (candidate === undefined || (!step.fills && !canHold(candidate, { step, countStepRuns: () => 0 }))) return false
     const spare = reservation.spare.get(worker)
     const needed = addCapacity({ cores: 0, memoryMb: 0, accelerators: 0 }, step.fills ? { ...step, cores: 0 } : step, indexes.length)
     return (spare !== undefined && hasCapacityFor(spare, needed)) || getEndAt() <= reservation.readyAt
@@ -164,17 +154,27 @@
     if (known !== undefined) return known
     const hasPrecedence = ({ isExclusive, waiting }: StoredReservation): boolean => !isExclusive && (progress.isStarved || compareUrgencyClasses(group, waiting, wallTime) < 0)
     const closing = reservations.filter((reservation) => reservation.service === service && !hasPrecedence(reservation))
-    const closed = { closing, excluded: closing.flatMap(({ workers }) => workers).join() }
+    const workers = closing.flatMap((reservation) => reservation.workers)
+    const closed: ClosedWorkers = {
+      closing,
+      excluded: workers.join(),
+      workers: new Set(workers),
+      holders: new Set(closing.map((reservation) => reservation.group)),
+      latestReadyAt: Math.max(...closing.map(({ readyAt }) => readyAt)),
+      mostSpareCores: Math.max(...closing.flatMap(({ spare }) => [...spare.values()].map(({ cores }) => cores)))
+    }
     closedByClass.set(key, closed)
     return closed
   }
 
-  const listUsable = (closing: readonly StoredReservation[], tracked: TrackedGroup, now: number): string[] => {
+  const listUsable = ({ closing, holders, latestReadyAt, mostSpareCores }: ClosedWorkers, tracked: TrackedGroup, now: number): string[] => {
+    const { step, indexes } = tracked.group
     let endAt: number | undefined
     const getEndAt = (): number => {
       endAt ??= estimateEndAt(runDurations, tracked.group, now)
       return endAt
     }
+    if (!step.fills && !holders.has(tracked.key) && step.cores * indexes.length > mostSpareCores && getEndAt() > latestReadyAt) return []
     return closing.flatMap((reservation) => reservation.workers.filter((worker) => reservation.group === tracked.key || canUse(reservation, tracked, worker, getEndAt)))
   }
 
@@ -241,14 +241,20 @@
     },
     selectPool: (tracked, pool, now, wallTime) => {
       if (reservations.length === 0 || tracked.group.isResumed === true) return { pool, excluded: '' }
-      const { closing, excluded } = getClosed(tracked, wallTime)
+      const closed = getClosed(tracked, wallTime)
+      const { closing, excluded, workers } = closed
       if (closing.length === 0) return { pool, excluded }
-      const usable = listUsable(closing, tracked, now)
+      const usable = listUsable(closed, tracked, now)
       const key = usable.length === 0 ? excluded : `${excluded}-${usable.join()}`
-      const selected = selectedPools.get(key) ?? removeWorkers(pool, new Set(closing.flatMap(({ workers }) => workers).filter((worker) => !usable.includes(worker))))
+      const selected = selectedPools.get(key) ?? removeWorkers(pool, new Set([...workers].filter((worker) => !usable.includes(worker))))
       selectedPools.set(key, selected)
       return { pool: selected, excluded: key }
     },
+    selectFreed: (tracked, { freed }, wallTime) => {
+      if (reservations.length === 0 || freed.length === 0 || tracked.group.isResumed === true) return freed
+      const { workers, holders } = getClosed(tracked, wallTime)
+      return workers.size === 0 || holders.has(tracked.key) ? freed : freed.filter(({ id }) => !workers.has(id))
+    },
     recordBlocked: (tracked, now) => {
       if (!options.looksAhead || tracked.group.isResumed === true) return
       // Of a class, only the first group is tried, so most groups have waited for longer than since their first try.
@@ -297,38 +303,3 @@
     list: () => reservations
   }
 }
-
-/** Records that a group took capacity of workers that are reserved for another one. */
-function recordOthers (reservation: StoredReservation, group: WaitingGroup, workers: readonly string[], wallTime: number): void {
-  if (compareUrgencyClasses(group, reservation.waiting, wallTime) < 0) reservation.isOvertaken = true
-  const { step } = group
-  workers.forEach((worker) => {
-    const spare = reservation.spare.get(worker)
-    if (spare !== undefined) reservation.spare.set(worker, addCapacity(spare, step.fills ? { ...step, cores: 0 } : step, -1))
-  })
-}
-
-/** Steady-clock time at which a task of the group ends in nine of ten cases if it starts now; infinite for long-running tasks. */
-function estimateEndAt (runDurations: RunDurations, { record, stepNumber, step }: WaitingGroup, now: number): number {
-  if (step.lasting) return Infinity
-  return now + runDurations.forecast({ queue: record.queue, image: step.image, step: stepNumber }, step.expectedRunMs).lateMs
-}
-
-/**
- * Wait that a reservation saves. How long the group would wait without one is not known; at least as long again as it has
- * waited is assumed, and if it can still be on time, until it cannot, but no longer than it will run.
- */
-function estimateSavedMs (group: WaitingGroup, waitedMs: number, wallTime: number): number {
-  const slackMs = group.dueAt - wallTime - group.step.expectedRunMs
-  return Math.max(waitedMs, group.step.lasting ? 0 : Math.min(slackMs, group.step.expectedRunMs))
-}
-
-/** Cores that are idle on the workers because of a reservation: the free ones that the group will use. */
-function measureIdleCores ({ workers, waiting: { step } }: StoredReservation, candidates: ReadonlyMap<string, PlacementCandidate>): number {
-  return workers.reduce((sum, worker) => sum + Math.max(0, Math.min(step.cores, candidates.get(worker)?.freeCores ?? 0)), 0)
-}
-
-function removeWorkers ({ workers, freed, busy }: Pool, excluded: ReadonlySet<string>): Pool {
-  const isAllowed = ({ id }: PlacementCandidate): boolean => !excluded.has(id)
-  return { workers: workers.filter(isAllowed), freed: freed.filter(isAllowed), busy }
-}
