--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -86,6 +86,8 @@
 
 test('settings are validated, and the failure names the invalid field', () => {
   expect(parseSettings(SETTINGS).val).toMatchSnapshot()
+  const disabled = parseSettings(`${SETTINGS}\n[placement]\nreservations = false\n`)
+  expect(disabled.ok && disabled.val.looksAhead).toBe(false)
   const broken = parseSettings(SETTINGS.replace('graceS = 6', 'graceS = "six"'))
   expect(!broken.ok && broken.val.message).toContain('graceS')
 })
