--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -93,6 +93,8 @@
   expect(withTable.ok && withTable.val.competition).toEqual({ preemption: false, fairShares: true, longRunningLimit: true, checkpointMs: 1000, restoreMs: 250 })
   const withoutCopies = parseSettings(`${SETTINGS}\n[copies]\nenabled = false\n`)
   expect(withoutCopies.ok && withoutCopies.val.allowsCopies).toBe(false)
+  const disabled = parseSettings(`${SETTINGS}\n[placement]\nreservations = false\n`)
+  expect(disabled.ok && disabled.val.looksAhead).toBe(false)
   const broken = parseSettings(SETTINGS.replace('graceS = 6', 'graceS = "six"'))
   expect(!broken.ok && broken.val.message).toContain('graceS')
 })
