Bound the memory and the connections that untrusted clients can use

Bounded as well: connections, time of a header, rate of a body, requests at once on one connection, decoded size and nesting of a body, answers that are not read, unsent bytes of a link, and the bytes of requests in progress on the leader. The published limits are decoded into the catalog and reach entry hosts with the leader's pongs.

--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -3,6 +3,7 @@
 import type { AdviceClient } from './advice.js'
 import { WORKFLOW_MESSAGE, workflowRequestSchema, type WorkflowReply } from './messages.js'
 import type { WorkerClient } from './orders.js'
+import { createRequestLimit } from './requestLimit.js'
 import { createWorkflowService } from './workflowService.js'
 import type { ServiceBound } from './serviceWatch.js'
 import { createInterferenceModel, type InterferenceEstimates } from './interferenceModel.js'
@@ -33,6 +34,8 @@
   hosts: HostClient
   /** Length of the order lease on a host: for this long after an order only the process that gave it may give further orders for that host. */
   hostLeaseMs: number
+  /** The most bytes of requests of entry hosts in progress. */
+  maxRequestBytes?: number
   advice: AdviceClient
 }
 
@@ -66,9 +69,10 @@
   })
 
   const service = createWorkflowService({ ...options, getTerm })
+  const requestLimit = createRequestLimit(options.maxRequestBytes)
   network.handle(WORKFLOW_MESSAGE, async (from, body): Promise<WorkflowReply> => {
     const request = workflowRequestSchema.safeParse(body)
-    if (request.success) return service.handle(request.data)
+    if (request.success) return requestLimit.handle(request.data, service.handle)
     logger.warn('workflow.request-malformed', { from })
     return { kind: 'invalid', message: 'the request between hosts is malformed' }
   })
--- a/src/coordination/workflows/gateway.ts
+++ b/src/coordination/workflows/gateway.ts
@@ -1,4 +1,5 @@
 import { runSupervised, type Clock, type Logger, type Network } from '../../common/index.js'
+import type { RequestLimits } from '../../state/index.js'
 import { createVersionOrder } from './versionOrder.js'
 import { WORKFLOW_MESSAGE, type ClientRequest, type WorkflowReply, type WorkflowRequest } from './messages.js'
 
@@ -36,6 +37,8 @@
   send (request: ClientRequest, deadline: number): Promise<WorkflowReply>
   /** True while the leader answers and has a catalog. */
   isReady (): boolean
+  /** The limits of the catalog that the leader last reported; undefined until then, or if it has none. */
+  getLimits (): RequestLimits | undefined
   /** Replaces the seed hosts, which are asked for the leader in addition to the voters. */
   updateSeeds (seeds: string[]): void
   stop (): Promise<void>
@@ -51,6 +54,7 @@
   let isConfirmed = false
   let answeredAt = -Infinity
   let hasCatalog = false
+  let limits: RequestLimits | undefined
   let wasReady = false
   /** Tries that wait for the answer of a host. */
   const tries = new Set<{ host: string, abandon (): void }>()
@@ -81,6 +85,7 @@
     answeredAt = clock.now()
     if (reply.kind !== 'pong') return
     hasCatalog = reply.hasCatalog
+    limits = reply.limits
     recordVoters(reply.voters)
   }
 
@@ -179,6 +184,7 @@
   return {
     send,
     isReady,
+    getLimits: () => limits,
     updateSeeds: (updated) => {
       seeds = updated
       hosts = [...new Set([...hosts, ...updated])]
--- a/src/coordination/workflows/messages.ts
+++ b/src/coordination/workflows/messages.ts
@@ -1,5 +1,5 @@
 import { z } from 'zod'
-import { workflowSchema } from '../../state/index.js'
+import { workflowSchema, type RequestLimits } from '../../state/index.js'
 
 /** Address of a request; the host name and the path select the queue. */
 export const queueAddressSchema = z.object({ hostName: z.string(), path: z.string() })
@@ -32,7 +32,7 @@
  */
 export type WorkflowReply =
   | { kind: 'not-leader', leader: string | undefined, voters: string[] }
-  | { kind: 'pong', hasCatalog: boolean, voters: string[] }
+  | { kind: 'pong', hasCatalog: boolean, voters: string[], limits?: RequestLimits | undefined }
   | { kind: 'accepted' }
   | { kind: 'status', status: WorkflowStatus }
   | { kind: 'queue', pending: number, catalogVersion: number }
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -45,7 +45,7 @@
   }
 
   const handlers: { [K in WorkflowRequest['kind']]: (request: Extract<WorkflowRequest, { kind: K }>) => Promise<WorkflowReply> } = {
-    ping: async () => ({ kind: 'pong', hasCatalog: getState(log).catalog !== undefined, voters: log.status().voters }),
+    ping: async () => ({ kind: 'pong', hasCatalog: getState(log).catalog !== undefined, voters: log.status().voters, ...describeLimits(getState(log)) }),
     submit: (request) => handleSubmit(options, request),
     cancel: (request) => handleCancel(options, request),
     read: (request) => handleRead(options, request)
@@ -77,6 +77,10 @@
   }
 }
 
+function describeLimits ({ catalog }: WorkflowsState): Pick<Extract<WorkflowReply, { kind: 'pong' }>, 'limits'> {
+  return catalog?.limits === undefined ? {} : { limits: catalog.limits }
+}
+
 function getState (log: ReplicatedLog): WorkflowsState {
   return log.state().workflows
 }
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -1,7 +1,7 @@
 export {
   assignmentSchema, catalogSchema, endCauseSchema, sessionOwnerSchema, workerRunEndsSchema, queueSchema, recurrenceSchema, runEndSchema, sessionHostSchema, stepSchema, maintenanceWaveSchema,
   workerIncarnationSchema, workerPoolSchema, workflowEntrySchemas, workflowSchema,
-  type AdvicePolicy, type Assignment, type Catalog, type EndCause, type SessionOwner, type WorkerRunEnds, type Queue, type Recurrence, type RunEnd, type SessionHost, type Step,
+  type AdvicePolicy, type Assignment, type Catalog, type EndCause, type SessionOwner, type WorkerRunEnds, type RequestLimits, type Queue, type Recurrence, type RunEnd, type SessionHost, type Step,
   type MaintenanceWave, type WorkerIncarnation, type WorkerPool, type Workflow
 } from './schemas.js'
 export { findMissingIndex } from './indexRanges.js'
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -99,11 +99,24 @@
 })
 export type WorkerPool = z.infer<typeof workerPoolSchema>
 
+/** Limits that an operator publishes to the callers of entry hosts. Where one is absent, entry hosts use their own. */
+export const requestLimitsSchema = z.strictObject({
+  maxHeaderBytes: z.number().int().positive().optional(),
+  maxBodyBytes: z.number().int().positive().optional(),
+  /** Time in which the header of a request must arrive. */
+  headerTimeoutMs: z.number().int().positive().optional(),
+  /** An idle connection stays open for at least this long. */
+  idleTimeoutMs: z.number().int().positive().optional()
+})
+export type RequestLimits = z.infer<typeof requestLimitsSchema>
+
 /** The queues and worker pools in force. An operator replaces the whole catalog at once. */
 export const catalogSchema = z.strictObject({
   version: z.number().int().nonnegative(),
   queues: z.array(queueSchema),
   pools: z.array(workerPoolSchema),
+  /** Absent in entries of earlier builds. */
+  limits: requestLimitsSchema.optional(),
   /** The document as the operator sent it; a client that reads the catalog gets it back unchanged. */
   document: z.string()
 })
--- a/src/transport/http/server.ts
+++ b/src/transport/http/server.ts
@@ -1,11 +1,14 @@
 import 'reflect-metadata'
-import { STATUS_CODES } from 'node:http'
+import { STATUS_CODES, type RequestListener } from 'node:http'
 import type { Socket } from 'node:net'
 import { Catch, HttpException, Module, type ArgumentsHost, type DynamicModule, type ExceptionFilter } from '@nestjs/common'
 import { NestFactory } from '@nestjs/core'
 import { FastifyAdapter, type NestFastifyApplication } from '@nestjs/platform-fastify'
-import type { Logger } from '../../common/index.js'
+import { createNoopMetrics, createSystemClock, type Logger, type Metrics } from '../../common/index.js'
 import { createFailure, HTTP_STATUS, type ApiFailure, type ApiFailureKind, type EntryHost } from '../../protocol/index.js'
+import { computeProcessLimits, type MachineLimits } from '../connectionLimit.js'
+import { createGuardedServer } from '../guardedServer.js'
+import { createRequestGuard, getReceivedBody, type AnsweredRefusal } from '../requestGuard.js'
 import { FailureException, type HttpReply } from './requestHelpers.js'
 import { OperationsController } from './operations.js'
 import { RequestsController } from './requests.js'
@@ -19,6 +22,10 @@
 /** Interval at which Node.js looks for requests that did not arrive in time; with its default of 30 s a request could take twice the time allowed. */
 const ARRIVAL_CHECK_INTERVAL_MS = 1_000
 
+/** Machine of a host whose settings do not describe it. */
+const DEFAULT_MACHINE: MachineLimits = { memoryMb: 1024, maxFds: 4096 }
+const MAX_HEADER_BYTES = 16 * 1024
+
 export interface HttpServerOptions {
   host: string
   port: number
@@ -26,6 +33,9 @@
   logger: Logger
   /** Time in which a request must arrive completely, ms; later it is answered with status 408. */
   arrivalMs?: number
+  metrics?: Metrics
+  /** Memory and descriptors, from which the limits on connections and on bytes of bodies are derived. */
+  machine?: MachineLimits
 }
 
 export interface HttpServer {
@@ -33,25 +43,47 @@
   close (): Promise<void>
 }
 
-export async function openHttpServer ({ host, port, entryHost, logger, arrivalMs = REQUEST_ARRIVAL_TIMEOUT_MS }: HttpServerOptions): Promise<HttpServer> {
+export async function openHttpServer ({ host, port, entryHost, logger, arrivalMs = REQUEST_ARRIVAL_TIMEOUT_MS, metrics = createNoopMetrics(), machine = DEFAULT_MACHINE }: HttpServerOptions): Promise<HttpServer> {
+  const processLimits = computeProcessLimits(machine)
+  const guard = createRequestGuard({ clock: createSystemClock(), logger, metrics, bodyBytes: processLimits.bodyBytes })
+  const limits = { maxHeaderBytes: MAX_HEADER_BYTES, maxBodyBytes: MAX_BODY_BYTES, headerTimeoutMs: arrivalMs, idleTimeoutMs: KEEP_ALIVE_TIMEOUT_MS }
   const adapter = new FastifyAdapter({
-    bodyLimit: MAX_BODY_BYTES,
-    requestTimeout: arrivalMs,
-    http: { headersTimeout: arrivalMs, connectionsCheckingInterval: Math.min(ARRIVAL_CHECK_INTERVAL_MS, arrivalMs) },
+    serverFactory: (handler: RequestListener) => createGuardedServer({
+      guard,
+      name: 'api',
+      maxConnections: processLimits.requestConnections,
+      getLimits: () => limits,
+      describeRefusal,
+      http: { requestTimeout: arrivalMs, headersTimeout: arrivalMs, connectionsCheckingInterval: Math.min(ARRIVAL_CHECK_INTERVAL_MS, arrivalMs) }
+    }, handler),
     clientErrorHandler: rejectConnection,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
     forceCloseConnections: 'idle',
     routerOptions: { maxParamLength: 128 }
   })
   const app = await NestFactory.create<NestFastifyApplication>(createHttpModule(entryHost), adapter, { bodyParser: false, logger: false })
   const fastify = app.getHttpAdapter().getInstance()
   fastify.removeAllContentTypeParsers()
-  fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => done(null, body))
+  fastify.addContentTypeParser('*', (request, _payload, done) => {
+    const received = getReceivedBody(request.raw)
+    const body = received?.readBytes() ?? Buffer.alloc(0)
+    received?.release()
+    done(null, body)
+  })
   app.useGlobalFilters(new FailureFilter(logger))
   await app.listen(port, host)
   return { close: () => app.close() }
 }
 
+const refusals: Record<AnsweredRefusal, ApiFailure> = {
+  budget: createFailure('not-run', 'this host holds too many bytes of requests'),
+  slow: createFailure('timeout', 'the request arrived too slowly'),
+  'too-large': createFailure('too-large', 'the body is too large')
+}
+
+function describeRefusal (reason: AnsweredRefusal): object {
+  return { error: refusals[reason] }
+}
+
 @Module({})
 class HttpModule {}
 
--- a/src/transport/peerLink.ts
+++ b/src/transport/peerLink.ts
@@ -14,8 +14,8 @@
 const SILENCE_CONFIRM_MS = 50
 const MIN_RETRY_DELAY_MS = 50
 const MAX_RETRY_DELAY_MS = 1_000
-/** With more unsent bytes than this the peer is taken not to read, and requests fail at once. */
-const MAX_BUFFERED_BYTES = 32 * 1024 * 1024
+/** Default of `maxUnsentBytes`. */
+const MAX_UNSENT_BYTES = 32 * 1024 * 1024
 
 export interface PeerLink {
   request (kind: string, body: unknown, deadline: number): Promise<Result<unknown, NetworkFailure>>
@@ -34,7 +34,7 @@
 
 /** Creates a link to a peer. From the first request on, it keeps one outgoing connection open and reopens it when it fails. */
 export function createPeerLink (options: PeerNetworkOptions, to: string, traffic: TrafficCounter): PeerLink {
-  const { clock } = options
+  const { clock, maxUnsentBytes = MAX_UNSENT_BYTES } = options
   const logger = options.logger.child({ peer: to })
   const stopping = new AbortController()
   let connection: Connection | undefined
@@ -150,7 +150,7 @@
     if (stopping.signal.aborted) return Err({ kind: 'unreachable', to, message: 'this host is stopping' })
     const current = await waitForConnection(deadline)
     if (current === undefined) return Err({ kind: 'unreachable', to, message: 'no connection' })
-    if (current.socket.readyState !== current.socket.OPEN || current.socket.bufferedAmount > MAX_BUFFERED_BYTES) {
+    if (current.socket.readyState !== current.socket.OPEN || current.socket.bufferedAmount > maxUnsentBytes) {
       return Err({ kind: 'unreachable', to, message: 'the connection accepts no more data' })
     }
     const id = nextId++
--- a/src/transport/peerNetwork.ts
+++ b/src/transport/peerNetwork.ts
@@ -1,12 +1,21 @@
 import { WebSocketServer, type WebSocket } from 'ws'
-import type { IncomingMessage } from 'node:http'
-import type { AddressInfo } from 'node:net'
+import { createServer, type IncomingMessage, type Server } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
 import { describeError, Err, type Clock, type Logger, type Metrics, type Network, type RequestHandler, type EventLoopMeter } from '../common/index.js'
 import { decodeEnvelope, encodeEnvelope, MAX_MESSAGE_BYTES, type Envelope } from '../protocol/index.js'
 import { createCredentialVerifier, type PeerCredential } from './peerAuth.js'
+import { findConnectionToClose, type ConnectionView } from './connectionLimit.js'
+import { throttleConnections } from './guardedServer.js'
 import { createPeerLink, type PeerLink } from './peerLink.js'
+import { createRefusalRecorder } from './refusals.js'
 import { createTrafficCounter, type TrafficCounter, type TrafficView } from './traffic.js'
 
+/** Time in which a peer must send the whole request that opens a link. */
+const HANDSHAKE_TIMEOUT_MS = 5000
+const CHECK_INTERVAL_MS = 1000
+/** Connections of other hosts, if the process states no other limit. Each host opens one. */
+const DEFAULT_MAX_CONNECTIONS = 512
+
 export interface PeerNetworkOptions {
   self: string
   listenHost: string
@@ -16,6 +25,10 @@
   logger: Logger
   metrics: Metrics
   work: EventLoopMeter
+  /** The most connections that other hosts may open to this one. */
+  maxConnections?: number
+  /** With more unsent bytes than this on a link, its peer is taken not to read, and requests fail at once. */
+  maxUnsentBytes?: number
   /** Returns the `ip:port` of a host, or undefined for an unknown host. */
   findAddress (host: string): string | undefined
 }
@@ -59,7 +72,8 @@
     close: async () => {
       await Promise.all([...links.values()].map((link) => link.close()))
       server.clients.forEach((socket) => socket.terminate())
-      await new Promise<void>((resolve) => server.close(() => resolve()))
+      server.close()
+      await closeServer(server.options.server as Server)
     }
   }
 }
@@ -67,15 +81,56 @@
 function openServer (options: PeerNetworkOptions): Promise<WebSocketServer> {
   const verifier = createCredentialVerifier(options.secret, options.self)
   return new Promise((resolve, reject) => {
+    const http = createLinkServer(options)
     const server = new WebSocketServer({
-      host: options.listenHost,
-      port: options.listenPort,
+      server: http,
       maxPayload: MAX_MESSAGE_BYTES,
       perMessageDeflate: false,
       verifyClient: ({ req }: { req: IncomingMessage }) => verifier.accept(readCredential(req), options.clock.wall())
     })
     server.once('listening', () => resolve(server))
     server.once('error', reject)
+    http.listen(options.listenPort, options.listenHost)
+  })
+}
+
+/** Creates the HTTP server that links are opened on. Of too many connections, those that have not become links are closed first. */
+function createLinkServer (options: PeerNetworkOptions): Server {
+  const { clock, maxConnections = DEFAULT_MAX_CONNECTIONS } = options
+  const { recordRefusal } = createRefusalRecorder(options)
+  const timeouts = { headerTimeoutMs: HANDSHAKE_TIMEOUT_MS, idleTimeoutMs: HANDSHAKE_TIMEOUT_MS }
+  const connections = new Map<Socket, ConnectionView & { socket: Socket }>()
+  const server = createServer({ headersTimeout: HANDSHAKE_TIMEOUT_MS, requestTimeout: HANDSHAKE_TIMEOUT_MS, connectionsCheckingInterval: CHECK_INTERVAL_MS }, (request, reply) => {
+    reply.writeHead(426, { connection: 'close' }).end()
+    request.socket.destroySoon()
+  })
+  server.on('upgrade', ({ socket }) => {
+    const connection = connections.get(socket)
+    if (connection !== undefined) connection.phase = 'busy'
+  })
+  const admit = (socket: Socket): boolean => {
+    if (connections.size >= maxConnections) {
+      const replaced = findConnectionToClose([...connections.values()], timeouts, clock.now())
+      if (replaced === undefined) return false
+      replaced.socket.destroy()
+      connections.delete(replaced.socket)
+    }
+    connections.set(socket, { socket, phase: 'header', since: clock.now() })
+    socket.once('close', () => connections.delete(socket))
+    return true
+  }
+  throttleConnections(server, (socket) => {
+    const isAdmitted = admit(socket)
+    if (!isAdmitted) recordRefusal('peer-connections')
+    return isAdmitted
+  })
+  return server
+}
+
+function closeServer (server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => resolve())
+    server.closeAllConnections()
   })
 }
 
--- /dev/null
+++ b/test/transport/decodedSize.test.ts
@@ -0,0 +1,12 @@
+import { expect, test } from 'vitest'
+import { estimateDecodedSize } from '../../src/transport/decodedSize.js'
+
+// A text of brackets needs many times its length once it is decoded.
+test('many small values are estimated at several times the length of the text, and a long string at its length', () => {
+  expect(estimateDecodedSize(`[${'[],'.repeat(1000)}[]]`).bytes).toBeGreaterThan(20 * 3000)
+  expect(estimateDecodedSize(JSON.stringify({ spec: 'x,[{'.repeat(1000) })).bytes).toBeLessThan(5000)
+})
+
+test('the depth is that of the nesting outside of strings, also after an escaped quote', () => {
+  expect(['[[[', '{"a":[{}]}', '["[[\\"[[", []]', '"[', ''].map((text) => estimateDecodedSize(text).depth)).toEqual([3, 3, 2, 0, 0])
+})
