--- a/src/transport/bodyBudget.ts
+++ b/src/transport/bodyBudget.ts
@@ -96,7 +96,8 @@
   }
 }
 
-function computeRecentBytes ({ recentBytes, updatedAt }: HeldBody, now: number): number {
+/** Bytes of a body that arrived within about the last second. */
+export function computeRecentBytes ({ recentBytes, updatedAt }: HeldBody, now: number): number {
   return recentBytes * Math.exp((updatedAt - now) / RATE_TIME_MS)
 }
 
--- a/src/transport/guardedServer.ts
+++ b/src/transport/guardedServer.ts
@@ -1,7 +1,9 @@
 import { createServer, type IncomingMessage, type RequestListener, type Server, type ServerOptions } from 'node:http'
 import type { Socket } from 'node:net'
+import { computeRecentBytes } from './bodyBudget.js'
 import { findConnectionToClose, listExpiredConnections, type ConnectionPhase, type ConnectionTimeouts, type ConnectionView } from './connectionLimit.js'
-import type { AnsweredRefusal, RequestGuard } from './requestGuard.js'
+import type { RefusalReason } from './refusals.js'
+import type { AdmittedRequest, AnsweredRefusal, RequestGuard } from './requestGuard.js'
 
 const CHECK_INTERVAL_MS = 250
 /** Requests on one connection that have not been answered. Each costs memory from the moment that it is parsed. */
@@ -27,8 +29,8 @@
 
 interface Connection extends ConnectionView {
   socket: Socket
-  /** Requests that have not been answered, by what is to be called when the connection has closed. */
-  unanswered: Set<() => void>
+  /** Requests that have not been answered. */
+  unanswered: Set<AdmittedRequest>
   /** Bytes received when the connection became idle. */
   receivedBefore: number
   unsentBytes: number
@@ -66,7 +68,7 @@
     connections.set(socket, connection)
     socket.once('close', () => {
       connections.delete(socket)
-      connection.unanswered.forEach((handleClose) => handleClose())
+      connection.unanswered.forEach((request) => request.handleClose())
     })
     return true
   }
@@ -74,7 +76,9 @@
   const updatePhases = (): void => connections.forEach((connection) => {
     const { socket, unsentBytes } = connection
     connection.unsentBytes = socket.writableLength
-    if (connection.unanswered.size > 0 && socket.writableLength === 0) setPhase(connection, 'busy')
+    const arriving = [...connection.unanswered].find(({ held }) => !held.isComplete)
+    connection.recentBytes = arriving === undefined ? 0 : computeRecentBytes(arriving.held, clock.now())
+    if (connection.unanswered.size > 0 && socket.writableLength === 0) setPhase(connection, arriving === undefined ? 'busy' : 'body')
     else if (connection.unanswered.size > 0) {
       if (socket.writableLength !== unsentBytes) setPhase(connection, 'busy')
       setPhase(connection, 'unread')
@@ -91,8 +95,8 @@
     guard.recordConnections(options.name, connections.size)
   }
 
-  const observeAnswer = (connection: Connection, handleClose: () => void): void => {
-    connection.unanswered.delete(handleClose)
+  const observeAnswer = (connection: Connection, request: AdmittedRequest): void => {
+    connection.unanswered.delete(request)
     if (connection.unanswered.size > 0) return
     setPhase(connection, 'idle')
     connection.receivedBefore = connection.socket.bytesRead
@@ -108,9 +112,9 @@
     if (connection === undefined || message.socket.destroyed) return
     if (connection.unanswered.size >= MAX_UNANSWERED_PER_CONNECTION) return closePipelined(message)
     setPhase(connection, 'busy')
-    const handleClose = guard.admit(message, reply, { maxBodyBytes: getLimits().maxBodyBytes, describeRefusal: options.describeRefusal }, () => listener(message, reply))
-    connection.unanswered.add(handleClose)
-    reply.once('close', () => observeAnswer(connection, handleClose))
+    const request = guard.admit(message, reply, { maxBodyBytes: getLimits().maxBodyBytes, describeRefusal: options.describeRefusal }, () => listener(message, reply))
+    connection.unanswered.add(request)
+    reply.once('close', () => observeAnswer(connection, request))
   })
 
   throttleConnections(server, (socket) => {
@@ -124,7 +128,7 @@
   return server
 }
 
-const CLOSE_REASONS: Record<ConnectionPhase, 'idle' | 'header-timeout' | 'unread'> = { idle: 'idle', header: 'header-timeout', busy: 'unread', unread: 'unread' }
+const CLOSE_REASONS: Record<ConnectionPhase, RefusalReason> = { idle: 'idle', header: 'header-timeout', body: 'slow', busy: 'unread', unread: 'unread' }
 
 /** Passes only admitted connections on to the HTTP server, which would otherwise create a parser for each. */
 export function throttleConnections (server: Server, admit: (socket: Socket) => boolean): void {
--- a/src/transport/requestGuard.ts
+++ b/src/transport/requestGuard.ts
@@ -49,14 +49,16 @@
   describeRefusal (reason: AnsweredRefusal): object
 }
 
+export interface AdmittedRequest { readonly held: HeldBody, handleClose (): void }
+
 /** Accounts for all requests of a process. Load: every listening address of it. */
 export interface RequestGuard extends RefusalRecorder {
   readonly clock: Clock
   /**
-   * Reads the body, and calls `pass` once the request has arrived whole; otherwise refuses it. Returns a function to be called when the
-   * connection has closed, because a reply that waits for earlier ones on its connection is not told.
+   * Reads the body, and calls `pass` once the request has arrived whole; otherwise refuses it. `handleClose` of the returned request is
+   * to be called when the connection has closed, because a reply that waits for earlier ones on its connection is not told.
    */
-  admit (message: IncomingMessage, reply: ServerResponse, options: AdmitOptions, pass: () => void): () => void
+  admit (message: IncomingMessage, reply: ServerResponse, options: AdmitOptions, pass: () => void): AdmittedRequest
   /** Refuses the requests that arrive too slowly, and reports the bytes in use. To be called several times a second. */
   checkRequests (): void
   recordConnections (server: string, connections: number): void
@@ -121,7 +123,7 @@
     requests.set(request.held, request)
     const handleClose = observeEnd(request)
     receive(request, options, pass)
-    return handleClose
+    return { held: request.held, handleClose }
   }
 
   const receive = (request: HeldRequest, { maxBodyBytes }: AdmitOptions, pass: () => void): void => {
--- a/test/transport/connectionLimit.test.ts
+++ b/test/transport/connectionLimit.test.ts
@@ -49,6 +49,14 @@
   expect(findConnectionToClose(connections, TIMEOUTS, 1900)).toBeUndefined()
 })
 
+// Stopped bodies would otherwise hold all connections, and ordinary callers could not connect.
+test('a body below the minimum rate makes room for a new connection, the slowest first', () => {
+  const connections = [{ ...create('body', 0), recentBytes: 100 }, { ...create('body', 0), recentBytes: 1 }, { ...create('body', 0), recentBytes: 5000 }]
+  expect(findConnectionToClose(connections, TIMEOUTS, 1000)).toEqual(connections[1])
+  expect(findConnectionToClose(connections, TIMEOUTS, 999)).toBeUndefined()
+  expect(findConnectionToClose(connections.slice(2), TIMEOUTS, 9000)).toBeUndefined()
+})
+
 test('phases expire by the published limits', () => {
   const connections = [create('busy', 0), create('idle', 0), create('header', 0), create('unread', 0), create('idle', 5000)]
   expect(listExpiredConnections(connections, TIMEOUTS, 3001)).toEqual([create('header', 0)])
--- a/test/workflows/gateway.test.ts
+++ b/test/workflows/gateway.test.ts
@@ -181,3 +181,14 @@
   await scene.send('submit', 3000)
   expect([waits.length > 0, scene.sent]).toEqual([true, ['b']])
 })
+
+// Entry hosts have no replica, so they learn the limits that the operator publishes only from the leader.
+test('the limits of the catalog are those of the last answer of the leader', async () => {
+  const limits = { maxBodyBytes: 1000 }
+  const hosts: Record<string, Host> = { a: () => ({ kind: 'pong', hasCatalog: true, voters: ['a'], limits }) }
+  const scene = await createScene(hosts, ['a'])
+  expect(scene.gateway.getLimits()).toEqual(limits)
+  hosts.a = LEADS
+  await scene.clock.advance(1000)
+  expect(scene.gateway.getLimits()).toBeUndefined()
+})
