--- a/src/programs/entryHost/entryHost.ts
+++ b/src/programs/entryHost/entryHost.ts
@@ -62,7 +62,7 @@
   const replicaStopped = components.val.log.waitUntilStopped()
   let stop = async (): Promise<void> => {}
   const entryHost = createEntryHost(settings, components.val, state, () => stop())
-  const server = await openServer(settings, entryHost, logger)
+  const server = await openServer(settings, entryHost, components.val)
   if (!server.ok) {
     await stopComponents(components.val)
     return server
@@ -171,10 +171,10 @@
   }
 }
 
-async function openServer (settings: HostSettings, entryHost: EntryHost, logger: Logger): Promise<Result<{ close (): Promise<void> }, StartFailure>> {
+async function openServer (settings: HostSettings, entryHost: EntryHost, { logger, metrics }: Components): Promise<Result<{ close (): Promise<void> }, StartFailure>> {
   const [host, port] = splitAddress(settings.self.httpAddress)
   try {
-    return Ok(await openHttpServer({ host, port, entryHost, logger }))
+    return Ok(await openHttpServer({ host, port, entryHost, logger, metrics }))
   } catch (error) {
     return Err(describeListenError(settings.self.httpAddress, error))
   }
--- a/src/transport/requestGuard.ts
+++ b/src/transport/requestGuard.ts
@@ -7,7 +7,7 @@
 /** Charge of a request besides its body: header, request and reply objects. */
 const REQUEST_BYTES = 16 * 1024
 const RETRY_AFTER_S = 1
-/** Time after a refusal in which the client can read it before the connection is closed. */
+/** A connection is closed at the latest this long after a refusal on it, if the client does not take the answer. */
 const LINGER_MS = 200
 /** A request whose connection has closed stays charged until it has been handled, but at most this long. */
 const MAX_ABANDONED_MS = 60_000
