--- a/src/transport/http/server.ts
+++ b/src/transport/http/server.ts
@@ -77,7 +77,7 @@
 const refusals: Record<AnsweredRefusal, ApiFailure> = {
   budget: createFailure('not-run', 'this host holds too many bytes of requests'),
   slow: createFailure('timeout', 'the request arrived too slowly'),
-  'too-large': createFailure('too-large', 'the body is too large')
+  'too-large': createFailure('too-large', 'Request body is too large')
 }
 
 function describeRefusal (reason: AnsweredRefusal): object {
