--- a/test/platform/evacuation.test.ts
+++ b/test/platform/evacuation.test.ts
@@ -1,7 +1,8 @@
 import { expect, onTestFinished, test } from 'vitest'
-import { createSilentLogger, createSystemClock } from '../../src/common/index.js'
+import { createNoopMetrics, createSilentLogger, createSystemClock } from '../../src/common/index.js'
 import { createCatalogStore, createEvacuationStore, createWorkerDirectory } from '../../src/coordination/workflows/index.js'
 import { createMemoryLog } from '../../src/fakes/memoryLog.js'
+import { createRequestGuard } from '../../src/transport/requestGuard.js'
 import { openControlServer } from '../../platform/control.js'
 
 const ADDRESS = `127.0.${process.pid % 200}.9:21791`
@@ -11,7 +12,7 @@
   const clock = createSystemClock()
   const logger = createSilentLogger()
   const log = createMemoryLog('h1')
-  const server = await openControlServer({ address: ADDRESS, clock, logger, log, catalogs: createCatalogStore({ clock, logger, log }), directory: createWorkerDirectory({ clock, logger, log }), evacuations: createEvacuationStore({ clock, logger, log, zones: ['north', 'a b'] }) })
+  const server = await openControlServer({ address: ADDRESS, clock, logger, log, catalogs: createCatalogStore({ clock, logger, log }), directory: createWorkerDirectory({ clock, logger, log }), evacuations: createEvacuationStore({ clock, logger, log, zones: ['north', 'a b'] }), guard: createRequestGuard({ clock, logger, metrics: createNoopMetrics(), bodyBytes: 1_000_000 }), maxConnections: 100 })
   onTestFinished(() => server.close())
   const send = async (path: string): Promise<[number, string]> => {
     const { status } = await fetch(`http://${ADDRESS}/evacuation/${path}`, { method: 'POST' })
