--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -238,7 +238,7 @@
   const runPass = async (): Promise<number> => {
     const startedAt = clock.now()
     const assignments = placeWaiting()
-    const copies = options.copies === undefined ? [] : work.measure('dispatch.copies', () => options.copies?.place({ pools: lastPools, waiting: lastTracked, findTaskStep }) ?? [])
+    const copies = options.copies === undefined ? [] : work.measure('dispatch.copies', () => options.copies?.place({ pools: reservations.excludeReserved(lastPools), waiting: lastTracked, findTaskStep }) ?? [])
     copies.forEach(([task, worker]) => candidates.recordPlaced(worker, task))
     work.measure('dispatch.move', () => moveRuns(startedAt))
     const tookMs = clock.now() - startedAt
--- a/src/coordination/workflows/reservations.ts
+++ b/src/coordination/workflows/reservations.ts
@@ -73,6 +73,8 @@
   openInterrupted (resumed: readonly TrackedGroup[], pools: ReadonlyMap<string, Pool>, now: number): void
   /** Reserves workers for the groups that were blocked in this pass. */
   openBlocked (pools: ReadonlyMap<string, Pool>, now: number, wallTime: number): void
+  /** Returns the pools without the workers that are reserved for any group, for work that has no group, as copies of runs. */
+  excludeReserved (pools: ReadonlyMap<string, Pool>): ReadonlyMap<string, Pool>
   list (): readonly Reservation[]
 }
 
@@ -300,6 +302,12 @@
         if (!isOpened) searchAt.set(tracked.equivalenceClass ?? tracked.key, now + SEARCH_INTERVAL_MS)
       })
     },
+    excludeReserved: (pools) => {
+      const reserved = new Set(reservations.flatMap(({ workers }) => workers))
+      if (reserved.size === 0) return pools
+      const isFree = ({ id }: PlacementCandidate): boolean => !reserved.has(id)
+      return new Map([...pools].map(([service, { workers, freed, busy }]) => [service, { workers: workers.filter(isFree), freed: freed.filter(isFree), busy: busy.filter(isFree) }]))
+    },
     list: () => reservations
   }
 }
--- a/test/workflows/reservations.test.ts
+++ b/test/workflows/reservations.test.ts
@@ -155,6 +155,15 @@
   expect([after.runPass(START + 1000, [large]), after.listAllowed(createTracked('other'), START + 1000).length, after.runPass(START + 1200, [large])]).toEqual([[], 20, [['large', 'w0']]])
 })
 
+// Guards against a copy of a straggler that takes the capacity for which a large group waits.
+test('work without a group gets no reserved worker', () => {
+  const scene = createScene()
+  const count = (): number | undefined => scene.reservations.excludeReserved(scene.pools).get('desk')?.workers.length
+  const before = count()
+  scene.runPass(START + 300, [createTracked('large')])
+  expect([before, count()]).toEqual([20, 19])
+})
+
 test('an interrupted long-running task has its worker for itself, at once and without an end', () => {
   const scene = createScene()
   const resumed = createTracked('resumed', { lasting: true }, { isResumed: true })
