--- a/test/workflows/queueTimeout.test.ts
+++ b/test/workflows/queueTimeout.test.ts
@@ -6,7 +6,7 @@
 import { CATALOG, STEP } from './support.js'
 
 /** Nothing has been learned about the pool. */
-const COMPETITION = { hasFairShares: true, getRates: () => ({}), recordAccepted: () => {} }
+const COMPETITION = { hasFairShares: true, getRates: () => ({}), getShortDemand: () => 0, recordAccepted: () => {} }
 
 const TIMEOUT_MS = 500
 const ADDRESS = { hostName: 'desk.example', path: '/quotes/a1' }
