--- a/src/coordination/workflows/admission.ts
+++ b/src/coordination/workflows/admission.ts
@@ -1,8 +1,8 @@
 import type { Clock } from '../../common/index.js'
 import { isZoneEvacuated, type Queue, type Workflow, type WorkflowRecord, type WorkflowsState } from '../../state/index.js'
 import { canAdmitLongRunning } from './longRunningLimit.js'
-import { ZERO_VALUE_FACTOR } from './plan.js'
-import { computeObjectiveMs, computeOpenWork, findTooLargeStep, estimateEnd, type OpenWork, type RoomForecastInput, type WorkerSize } from './roomForecast.js'
+import { computeObjectiveMs, ZERO_VALUE_FACTOR } from './plan.js'
+import { computeOpenWork, findTooLargeStep, estimateEnd, type OpenWork, type RoomForecastInput, type WorkerSize } from './roomForecast.js'
 import { EVACUATED_REASON, isServiceEvacuated } from './zoneEvacuation.js'
 
 /** Share of their requested cores that long-running tasks are assumed to use. */
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -64,9 +64,14 @@
   return tails
 }
 
+/** Cached by the steps, which never change: the objective of each open workflow is computed each 50 ms. */
+const chainsBySteps = new WeakMap<readonly Step[], number>()
+
 /** Time in ms that an occurrence may take to meet the objective of its queue. */
-export function computeObjectiveMs ({ workflow }: WorkflowRecord, queue: Queue | undefined): number {
-  return (queue?.slackFactor ?? 1) * estimateChainMs(workflow.steps) + (queue?.objectiveMs ?? 0)
+export function computeObjectiveMs (queue: Pick<Queue, 'slackFactor' | 'objectiveMs'> | undefined, steps: readonly Step[]): number {
+  const chainMs = chainsBySteps.get(steps) ?? estimateChainMs(steps)
+  chainsBySteps.set(steps, chainMs)
+  return (queue?.slackFactor ?? 1) * chainMs + (queue?.objectiveMs ?? 0)
 }
 
 export function getOccurrenceStart (record: WorkflowRecord, occurrence: number): number {
@@ -99,7 +104,7 @@
 export function listWaiting (record: WorkflowRecord, queue: Queue | undefined, wallTime: number): WaitingGroup[] {
   if (record.outcome !== undefined) return []
   const { workflow } = record
-  const objectiveMs = computeObjectiveMs(record, queue)
+  const objectiveMs = computeObjectiveMs(queue, workflow.steps)
   const knownTasks = listKnownTasks(record)
   const groups: WaitingGroup[] = []
   /** Adds the groups of one occurrence; returns the number of tasks in them. `limit`: most tasks that never ran. */
--- a/src/coordination/workflows/roomForecast.ts
+++ b/src/coordination/workflows/roomForecast.ts
@@ -1,6 +1,6 @@
 import type { Queue, Step, Workflow, WorkflowRecord } from '../../state/index.js'
 import { countFitting } from './placement.js'
-import { estimateChainMs, ZERO_VALUE_FACTOR } from './plan.js'
+import { computeObjectiveMs, estimateChainMs, ZERO_VALUE_FACTOR } from './plan.js'
 import type { RunDurations } from './runDurations.js'
 
 /**
@@ -74,15 +74,6 @@
   return step.fills ? 'bestEffort' : 'ordinary'
 }
 
-/** Steps of a workflow never change. */
-const chainsBySteps = new WeakMap<readonly Step[], number>()
-
-export function computeObjectiveMs (queue: Pick<Queue, 'slackFactor' | 'objectiveMs'>, steps: readonly Step[]): number {
-  const chainMs = chainsBySteps.get(steps) ?? estimateChainMs(steps)
-  chainsBySteps.set(steps, chainMs)
-  return queue.slackFactor * chainMs + queue.objectiveMs
-}
-
 /**
  * Forecasts when a workflow would end, for loads that exceed the capacity of one kind of work, for example best-effort work
  * beside services. The forecast follows the order of the dispatcher: a workflow that can be on time waits for more urgent
--- a/src/coordination/workflows/runCopies.ts
+++ b/src/coordination/workflows/runCopies.ts
@@ -202,7 +202,7 @@
     indexes: [name.index],
     runningTasks: 1,
     priority: queue?.priority ?? 0,
-    dueAt: getOccurrenceStart(record, name.occurrence) + computeObjectiveMs(record, queue),
+    dueAt: getOccurrenceStart(record, name.occurrence) + computeObjectiveMs(queue, record.workflow.steps),
     advice: queue === undefined ? record.advice : queue.advice
   }
 }
