--- a/src/coordination/workflows/preemption.ts
+++ b/src/coordination/workflows/preemption.ts
@@ -74,7 +74,7 @@
   if (!isEnough(runs)) return []
   const ordered = runs.toSorted((a, b) => getCost(a) - getCost(b) || a.endsInMs - b.endsInMs)
   const count = ordered.findIndex((_run, index) => isEnough(ordered.slice(0, index + 1))) + 1
-  // A cheap run that was added first may no longer be needed; the dearest one that can stay is left running.
+  // A run with a low cost that was added first may no longer be needed; the most expensive one that can stay is left running.
   const needed = ordered.slice(0, count).toReversed().reduce((kept, run) => {
     const others = kept.filter((other) => other !== run)
     return isEnough(others) ? others : kept
--- a/src/coordination/workflows/roomForecast.ts
+++ b/src/coordination/workflows/roomForecast.ts
@@ -4,9 +4,8 @@
 import type { RunDurations } from './runDurations.js'
 
 /**
- * The measured rate of a pool is multiplied by this for an optimistic forecast. With 1.25, 37% of the callers of a queue that
- * asked for 1.3 times the capacity were accepted in vain and 6% refused; with 1.1, 10% and 28%, and no fewer were served
- * (test/workflows/threeQueues.test.ts).
+ * The measured rate of a pool is multiplied by this for an optimistic forecast. 1.25, with run times of 0.8 of their estimates,
+ * accepted a third of the callers of an overloaded queue although their work ended without value.
  */
 const RATE_OPTIMISM = 1.1
 /** Estimates of a queue that are off by more than this factor are not used for a refusal. */
--- a/src/coordination/workflows/runCopies.ts
+++ b/src/coordination/workflows/runCopies.ts
@@ -45,8 +45,8 @@
   recordEnd (worker: string, run: RunView, cause: EndCause): void
 }
 
-/** A copy without a recorded end. `isBeaten`: the original has succeeded. */
-interface OpenCopy { worker: string, attempt: number, workName: string, isBeaten: boolean }
+/** A copy without a recorded end. `isOriginalDone`: the original has succeeded. */
+interface OpenCopy { worker: string, attempt: number, workName: string, isOriginalDone: boolean }
 
 /**
  * Places copies of stragglers. Handles some thousand running tasks, of which those of steps with `speculative` are examined;
@@ -78,11 +78,11 @@
   }
 
   /** Finds copies that ended without an end of their run: their worker was lost, or their assignment was not committed. */
-  const pruneLost = (): void => open.forEach(({ worker, attempt, isBeaten }, task) => {
+  const pruneLost = (): void => open.forEach(({ worker, attempt, isOriginalDone }, task) => {
     const copy = findTask(getState(), task)?.copy
     const isCurrent = copy?.attempt === attempt && copy.worker === worker
     // A copy whose original was lost is the only run of its task.
-    if (!isCurrent && getState().workers[worker]?.assigned[task] === undefined) recordOutcome(task, worker, attempt, isBeaten ? 'lost' : 'failed')
+    if (!isCurrent && getState().workers[worker]?.assigned[task] === undefined) recordOutcome(task, worker, attempt, isOriginalDone ? 'lost' : 'failed')
   })
 
   const observe = ({ findTaskStep }: CopySearch): Map<string, { runs: ObservedRun[], runningTasks: number, copies: number }> => {
@@ -117,7 +117,7 @@
     const [assignment] = placeOnWorkers(options, group, { pool: pool.workers, workers, getCompetingDemand: () => 0, isStarved: false, offset })
     if (assignment === undefined) return []
     const [task, worker, attempt] = assignment
-    open.set(task, { worker, attempt, workName, isBeaten: false })
+    open.set(task, { worker, attempt, workName, isOriginalDone: false })
     updateRecord(workName, (record) => recordCopy(record, clock.now()))
     const original = options.sessions.get(straggler.run.worker)?.runs.get(task)
     if (original !== undefined) original.isLongTask = straggler.cause === 'long-task'
@@ -141,11 +141,11 @@
     recordEnd: (worker, { task, attempt, isCopy }, cause) => {
       const copy = open.get(task)
       if (isCopy !== true) {
-        if (copy !== undefined && cause === 'succeeded') copy.isBeaten = true
+        if (copy !== undefined && cause === 'succeeded') copy.isOriginalDone = true
         return
       }
-      const isBeaten = copy?.isBeaten === true || (cause !== 'succeeded' && !isTaskOpen(getState(), task))
-      recordOutcome(task, worker, attempt, isBeaten ? 'lost' : cause === 'succeeded' ? 'won' : 'failed')
+      const isOriginalDone = copy?.isOriginalDone === true || (cause !== 'succeeded' && !isTaskOpen(getState(), task))
+      recordOutcome(task, worker, attempt, isOriginalDone ? 'lost' : cause === 'succeeded' ? 'won' : 'failed')
     }
   }
 }
@@ -207,7 +207,7 @@
   }
 }
 
-/** True if a waiting group may need the capacity that the copy would take: the worker could hold a task of it one day, but not beside the copy now. */
+/** True if a waiting group may need the capacity that the copy would take: the worker could hold a task of it if it were empty, but not beside the copy now. */
 function isNeeded (worker: PlacementCandidate, { step }: WaitingGroup, rivals: readonly TrackedGroup[]): boolean {
   const beside = { ...worker, freeCores: worker.freeCores - (step.fills ? 0 : step.cores), spareCores: worker.spareCores - step.cores, freeMemoryMb: worker.freeMemoryMb - step.memoryMb, freeAccelerators: worker.freeAccelerators - step.accelerators }
   const empty = { ...worker, freeCores: worker.cores, spareCores: worker.cores, freeMemoryMb: worker.memoryMb, freeAccelerators: worker.accelerators }
--- a/src/coordination/workflows/zoneEvacuation.ts
+++ b/src/coordination/workflows/zoneEvacuation.ts
@@ -11,7 +11,7 @@
 
 /** Time from the acknowledgement of an evacuation until no task starts in the zone any more; the platform's default. */
 export const DEFAULT_EVACUATE_MS = 5000
-/** Members of a gang that was assigned before the evacuation may start for this long, so that the others do not wait for them in vain. */
+/** Members of a gang that was assigned before the evacuation may start for this long, so that the others do not reach their time-out. */
 const GANG_GRACE_MS = 1000
 /** A session host applies the entry at most this long after its commit, or gives no orders; its last order arrives within its time-out. */
 const LAST_ORDER_MS = MAX_LAG_MS + MAX_SESSION_AUTHORITY_AGE_MS + ORDER_TIMEOUT_MS
@@ -73,7 +73,7 @@
 
 /**
  * Lists the runs of gangs that an evacuation has left incomplete: a member has not started and may no longer start, or has
- * already been released. The other members would wait for it in vain, and the gang is placed again only when all have ended.
+ * already been released. The other members would wait for it until their time-out, and the gang is placed again only when all have ended.
  */
 export function listIncompleteGangs (state: WorkflowsState, sessions: ReadonlyMap<string, WorkerView>, isStartBlocked: ZoneEvacuations['isStartBlocked']): GangRun[] {
   if (!hasEvacuatedZones(state)) return []
