--- a/src/coordination/workflows/catalog.ts
+++ b/src/coordination/workflows/catalog.ts
@@ -8,7 +8,6 @@
 export type CatalogProblem =
   | { kind: 'unknown-service', queue: string, service: string }
   | { kind: 'same-place', queues: [string, string] }
-  | { kind: 'same-name', name: string }
   | { kind: 'no-timeout', queue: string }
 
 export type CatalogFailure = { kind: 'invalid-catalog', problem: CatalogProblem } | LogFailure
@@ -42,18 +41,21 @@
 }
 
 /** The first rule that a catalog violates, or undefined. */
-export function findCatalogProblem ({ queues, pools }: Catalog): CatalogProblem | undefined {
+export function findCatalogProblem (catalog: Catalog): CatalogProblem | undefined {
+  return listCatalogProblems(catalog)[0]
+}
+
+/** All rules that a catalog violates. */
+export function listCatalogProblems ({ queues, pools }: Catalog): CatalogProblem[] {
   const services = new Set(pools.map(({ service }) => service))
-  const unknown = queues.find(({ service }) => !services.has(service))
-  if (unknown !== undefined) return { kind: 'unknown-service', queue: unknown.name, service: unknown.service }
-  const untimed = queues.find(({ requestTimeoutMs }) => requestTimeoutMs <= 0)
-  if (untimed !== undefined) return { kind: 'no-timeout', queue: untimed.name }
   const places = new Map<string, string>()
-  for (const { name, hostName, pathPrefix } of queues) {
+  const unknown = queues.filter(({ service }) => !services.has(service)).map(({ name, service }): CatalogProblem => ({ kind: 'unknown-service', queue: name, service }))
+  const untimed = queues.filter(({ requestTimeoutMs }) => requestTimeoutMs <= 0).map(({ name }): CatalogProblem => ({ kind: 'no-timeout', queue: name }))
+  const shared = queues.flatMap(({ name, hostName, pathPrefix }): CatalogProblem[] => {
     const place = `${hostName.toLowerCase()} ${pathPrefix}`
     const other = places.get(place)
-    if (other !== undefined) return { kind: 'same-place', queues: [other, name] }
-    places.set(place, name)
-  }
-  return undefined
+    if (other === undefined) places.set(place, name)
+    return other === undefined ? [] : [{ kind: 'same-place', queues: [other, name] }]
+  })
+  return [...unknown, ...untimed, ...shared]
 }
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -16,7 +16,7 @@
   type HardState, type LoadedLog, type LogStore, type OpenStoreOptions, type StoredEntry, type StoredSnapshot, type StoreFailure
 } from './logStore/index.js'
 export {
-  createReplica, ELECTION_MAX_MS, ELECTION_MIN_MS, HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_ENTRY_BYTES, MAX_VOTERS,
+  checkEntry, createReplica, ELECTION_MAX_MS, ELECTION_MIN_MS, HEARTBEAT_MS, MAX_CHUNK_BYTES, MAX_ENTRY_BYTES, MAX_VOTERS,
   type CreateReplicaOptions, type LogLimits, type MembershipFailure, type Replica, type ReplicaFailure, type Voter
 } from './replica/index.js'
 export * from './workflows/index.js'
--- a/src/state/replica/index.ts
+++ b/src/state/replica/index.ts
@@ -1,3 +1,4 @@
+export { checkEntry } from './proposals.js'
 export { createReplica, type CreateReplicaOptions, type Replica } from './replica.js'
 export { type ReplicaFailure } from './context.js'
 export { type MembershipFailure, type Voter } from './messages.js'
--- a/src/state/replica/proposals.ts
+++ b/src/state/replica/proposals.ts
@@ -156,7 +156,8 @@
   return Ok(reply.value)
 }
 
-function checkEntry (entry: Entry): Result<{ entry: Entry, bytes: Uint8Array }, LogFailure> {
+/** Checks what every host checks before it proposes an entry, and returns the encoded form. */
+export function checkEntry (entry: Entry): Result<{ entry: Entry, bytes: Uint8Array }, LogFailure> {
   const parsed = entrySchema.safeParse(entry)
   if (!parsed.success) return Err({ kind: 'invalid-entry', message: parsed.error.message })
   const bytes = encodeCommand(parsed.data)
