Measure the speed of a worker only by ends that are dated

Cause: the leader takes the time at which it records an end for the time of the end. While workers have no session host (1.4 s after the loss of one, and again when it returns) runs end unseen, and seem to have taken up to 2 s longer. A few of them raise the slowness of a worker above 3, and then all its runs are stopped that would end sooner elsewhere, among them those that have just started and have no reading yet: an absent reading counted as no progress.

Change: ends that are recorded while a worker is unreachable, or within 500 ms of the first report after a silence or a change of its session host, do not count for its speed; a run without a reading is not moved.

--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -43,6 +43,8 @@
   /** When the session host of the worker last received its runs. */
   readAt: number
   reachable: boolean
+  /** When the first report after a silence, or of a new session host, arrived. Known to the leader only. */
+  reachableSince?: number
   ended: boolean
 }
 
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -22,6 +22,8 @@
 const MAX_SLOWNESS = 10
 /** The progress of a run is ignored until the run is this old, because a rate from so short a time is inaccurate. */
 const MIN_ELAPSED_MS = 400
+/** Ends that are recorded within this time of the first report on a worker do not count for its speed: they may have happened before. Covers the commit of the ends that the first poll returned. */
+const FIRST_ENDS_MS = 500
 /** Runs are moved away from a worker that is slower than the average by this factor with tasks of the same steps. */
 const MOVE_SLOWNESS = 3
 /** A run is moved only if it needs less than this share of its remaining time on the slow worker when it continues elsewhere. */
@@ -125,7 +127,9 @@
       const health = getHealth(session.worker)
       if (stepRates.size > MAX_KNOWN_STEPS) stepRates.clear()
       const ended = reply.ends.filter(([, , , cause]) => cause === 'succeeded').map(([, task, attempt]) => ({ task, attempt, percent: 100 }))
-      const statuses = [...reply.running, ...ended]
+      // After a silence, or under a new session host, a run may have ended long before its end is reported.
+      const isEndDated = session.reachable && clock.now() - (session.reachableSince ?? -Infinity) >= FIRST_ENDS_MS
+      const statuses = isEndDated ? [...reply.running, ...ended] : reply.running
       statuses.forEach(({ task, attempt, percent }) => {
         const run = session.runs.get(task)
         if (run?.attempt === attempt) stallDetector.observeProgress(run, percent, session.readAt)
@@ -153,8 +157,9 @@
         const step = findStep(run.task)
         const averageRate = stepRates.get(getStepName(run.task))
         const elapsedMs = run.confirmedAt === undefined ? 0 : knownUntil - run.confirmedAt
-        const percent = run.status?.percent ?? 0
-        if (step === undefined || step.lasting || averageRate === undefined || run.stopReason !== undefined || elapsedMs < MIN_ELAPSED_MS) return false
+        const percent = run.status?.percent
+        // Without a reading nothing is known of the progress of a run.
+        if (percent === undefined || step === undefined || step.lasting || averageRate === undefined || run.stopReason !== undefined || elapsedMs < MIN_ELAPSED_MS) return false
         const remainingHereMs = percent > 0 ? elapsedMs * (100 - percent) / percent : Infinity
         const remainingElsewhereMs = (step.checkpoints ? 100 - percent : 100) / averageRate
         return remainingElsewhereMs < remainingHereMs * MAX_REMAINING_SHARE
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -169,7 +169,10 @@
       if (view === undefined || view.bornAt !== bornAt || view.host !== from) return undefined
       // While the worker was unreachable or its session host was silent, no progress could be reported, so that time does not count as a stall.
       const isAfterSilence = !view.reachable || clock.now() - view.reportedAt > MAX_REPORT_GAP_MS
-      if (reachable && isAfterSilence) view.runs.forEach((run) => { run.progressAt = clock.now() })
+      if (reachable && isAfterSilence) {
+        view.reachableSince = clock.now()
+        view.runs.forEach((run) => { run.progressAt = clock.now() })
+      }
       Object.assign(view, { reachable, hasOverdueService, reportedAt: clock.now() })
       if (readAgoMs !== null) view.readAt = clock.now() - readAgoMs
       view.strays = new Map(strays.map((key) => [key, clock.now()]))
--- a/test/workflows/workerHealth.test.ts
+++ b/test/workflows/workerHealth.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import { createManualClock, createSilentLogger, type ManualClock } from '../../src/common/index.js'
 import type { WorkerReport } from '../../src/coordination/workflows/sessionMessages.js'
+import type { RunView, WorkerView } from '../../src/coordination/workflows/sessionState.js'
 import { createWorkerHealth, type WorkerHealth } from '../../src/coordination/workflows/workerHealth.js'
 import { createWorkerViews } from '../../src/coordination/workflows/workerViews.js'
 import { createWorkflowsState, workflowHandlers, type Step, type WorkerIncarnation } from '../../src/state/index.js'
@@ -175,3 +176,61 @@
   }
   expect([await listAfter(20), await listAfter(6)]).toEqual([[], ['x.0.0.0']])
 })
+
+interface ObservedWorker { view: WorkerView, startRun (task: string): void, end (task: string): void }
+
+/** Workers whose runs of one step the leader observes; the average speed comes from all of them. */
+function createObservedWorker (worker: string, clock: ManualClock, health: WorkerHealth): ObservedWorker {
+  const runs = new Map<string, RunView>()
+  const view: WorkerView = { worker, bornAt: 1, runs, strays: new Map(), hasOverdueService: false, readAt: clock.now(), reachable: true, ended: false }
+  return {
+    view,
+    startRun: (task) => runs.set(task, { task, attempt: 1, confirmedAt: clock.now(), startedAt: clock.now(), assignedAt: clock.now(), stopReason: undefined, status: undefined, progressAt: clock.now() }),
+    end: (task) => {
+      health.observeRuns(view, { running: [], ends: [[1, task, 1, 'succeeded', '']] }, () => STEP)
+      runs.delete(task)
+    }
+  }
+}
+
+// Guards against sound workers that look slow, and lose all their runs, because another session host took them over and reported
+// late what had ended meanwhile: on the heaviest days of the platform some hundred runs were stopped for this within a second.
+test('runs that ended before the first report of a new session host do not make their worker look slow', async () => {
+  const clock = createManualClock(10_000)
+  const health = createWorkerHealth({ clock, logger: createSilentLogger() })
+  const [usual, taken] = ['w1', 'w2'].map((worker) => createObservedWorker(worker, clock, health)) as [ObservedWorker, ObservedWorker]
+  const tasks = Array.from({ length: 6 }, (_, index) => `a.0.0.${index}`)
+  tasks.forEach((task) => [usual, taken].forEach((worker) => worker.startRun(task)))
+  await clock.advance(600)
+  tasks.forEach(usual.end)
+  taken.view.reachable = false
+  await clock.advance(1800)
+  Object.assign(taken.view, { reachable: true, reachableSince: clock.now() })
+  await clock.advance(100)
+  tasks.forEach(taken.end)
+  expect(health.getSlowness('w2')).toBeLessThan(1.2)
+})
+
+// Guards against the stop of a run that has just started, because no reading of it has arrived yet.
+test('a run without a reading is not moved off a slow worker', async () => {
+  const clock = createManualClock(10_000)
+  const health = createWorkerHealth({ clock, logger: createSilentLogger() })
+  const [usual, slow] = ['w1', 'w2'].map((worker) => createObservedWorker(worker, clock, health)) as [ObservedWorker, ObservedWorker]
+  const tasks = Array.from({ length: 6 }, (_, index) => `a.0.0.${index}`)
+  tasks.forEach(slow.startRun)
+  await clock.advance(4500)
+  for (const task of tasks) {
+    const siblings = [10, 20, 30, 40].map((offset) => `a.0.0.${offset + Number(task.at(-1))}`)
+    siblings.forEach(usual.startRun)
+    await clock.advance(500)
+    siblings.forEach(usual.end)
+    slow.end(task)
+  }
+  slow.startRun('a.0.0.99')
+  slow.view.readAt = clock.now()
+  await clock.advance(600)
+  const withoutReading = health.listSlow(slow.view, () => STEP)
+  const run = slow.view.runs.get('a.0.0.99')
+  if (run !== undefined) run.status = { task: run.task, attempt: 1, checkpoint: '', percent: 1, reading: undefined }
+  expect([health.getSlowness('w2') > 3, withoutReading, health.listSlow(slow.view, () => STEP)]).toEqual([true, [], ['a.0.0.99']])
+})
