Let long-running work yield to short work while workers come and go

Cause: the interrupted long-running tasks of lost workers were placed before everything else and took the cores that the others had left for short work.

Change: for 3 s after a worker has become reachable or unreachable, and for 2 s after its leases have ended, short work that can be on time goes first, and long-running tasks take only what it has left free for two seconds.

--- a/src/coordination/workflows/competition.ts
+++ b/src/coordination/workflows/competition.ts
@@ -16,6 +16,14 @@
 const WAITING_CHECK_MS = 100
 /** Minimum interval of the log line about queues over their shares. */
 const SHARES_LOG_MS = 1000
+/** `reachability`: a worker has become reachable or unreachable. `expiry`: the leases of an unreachable worker have ended. */
+export type Disturbance = 'reachability' | 'expiry'
+
+/**
+ * Workers count as coming and going for this long after such a change. The platform counts an interrupted long-running task as
+ * lost after 7 s of calm, and 9 s after its last run, of which the lease takes 6 s; it has to be assigned and started before.
+ */
+const DISTURBED_MS: Record<Disturbance, number> = { reachability: 3000, expiry: 2000 }
 const KINDS: readonly WorkKind[] = ['ordinary', 'bestEffort']
 
 export interface CompetitionSettings {
@@ -23,13 +31,17 @@
   fairShares: boolean
   /** Refuses long-running workflows that would take the cores of short work. */
   longRunningLimit: boolean
+  /** While workers come and go, long-running tasks take only the cores that short work has left free for a while. */
+  longRunningYields: boolean
+  /** Workers whose connections are lost again and again get no new tasks for a while. */
+  flapSuspension: boolean
   /** Work in ms between two checkpoints of a task, and the time that a restore takes. */
   checkpointMs: number
   restoreMs: number
 }
 
 /** Defaults: the interval and restore time of the reference sites with the rarest checkpoints. */
-export const DEFAULT_COMPETITION: CompetitionSettings = { preemption: true, fairShares: true, longRunningLimit: true, checkpointMs: 1000, restoreMs: 250 }
+export const DEFAULT_COMPETITION: CompetitionSettings = { preemption: true, fairShares: true, longRunningLimit: true, longRunningYields: false, flapSuspension: true, checkpointMs: 1000, restoreMs: 250 }
 
 export interface CompetitionOptions extends PreemptorOptions { settings: CompetitionSettings, runDurations: Pick<RunDurations, 'forecast' | 'forecastEnd'> }
 
@@ -40,6 +52,11 @@
   /** Measured rates for the forecast of a workflow; none when its estimates are known to be wrong. */
   getRates (queue: Queue, workflow: Workflow): RoomForecastInput['rates']
   readonly hasFairShares: boolean
+  /** Whether long-running tasks ever yield to short work. */
+  readonly longRunningYields: boolean
+  recordDisturbance (disturbance: Disturbance): void
+  /** True while long-running tasks yield to short work. */
+  yieldsToShortWork (): boolean
   /** Cores that short work of the service needs; 0 if long-running work is not limited. */
   getShortDemand (service: string): number
   /** The groups that may be placed now. */
@@ -56,6 +73,8 @@
   const shortDemand = createShortDemand()
   const findTaskStep = createTaskStepIndex(getState)
   const preemptor = createPreemptor(options)
+  /** A new leader begins in a disturbance: its predecessor was lost, or workers have just connected. */
+  let disturbedUntil = clock.now() + DISTURBED_MS.reachability
   let overShare: ReadonlySet<string> = new Set()
   let sharesUntil = -Infinity
   let waitingCheckedAt = -Infinity
@@ -113,6 +132,9 @@
       rates.recordCompleted(record.service, getWorkKind(taskStep.step), taskStep.step.cores * taskStep.step.expectedRunMs, clock.now())
     },
     hasFairShares: settings.fairShares,
+    longRunningYields: settings.longRunningYields,
+    recordDisturbance: (disturbance) => { disturbedUntil = Math.max(disturbedUntil, clock.now() + DISTURBED_MS[disturbance]) },
+    yieldsToShortWork: () => settings.longRunningYields && clock.now() < disturbedUntil,
     getRates: (queue, workflow) => hasWrongEstimates(options.runDurations, queue, workflow) ? {} : Object.fromEntries(KINDS.map((kind) => [kind, rates.get(queue, kind, clock.now())]).filter(([, measured]) => measured !== undefined)),
     selectStartable: (trackedGroups, wallTime) => {
       updateShares(trackedGroups)
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -4,6 +4,7 @@
 import { createStartRate, type SchedulerLoad } from './admission.js'
 import { createCandidates, createTaskStepIndex, formatStepName, type CandidateOptions, type PlacementCandidate, type Pool } from './candidates.js'
 import { placeOnWorkers, type GroupOptions } from './groups.js'
+import { createSettledRoom, createYieldReport, findSmallestTask, isInterrupted, canYield, splitPass } from './longRunningRoom.js'
 import { drainWorkers, observeInterference, stopIncompleteGangs, stopInterfering, stopStalled, type MoveOptions } from './moves.js'
 import { canHold, SAMPLE_SIZE, type PlacementNeeds } from './placement.js'
 import { compareGroups, getLateness } from './plan.js'
@@ -15,6 +16,7 @@
 import type { WorkerView } from './sessionState.js'
 import type { Signal } from './signal.js'
 import type { StartBackoff } from './startBackoff.js'
+import { updateStarved } from './starvation.js'
 import { createWaitingIndex, type TrackedGroup } from './waiting.js'
 
 /** Minimum pause between scheduling passes, so that a burst of changes is handled by one pass. */
@@ -32,14 +34,6 @@
 const DRAIN_CHECK_MS = 100
 /** Interval of the check for stalled runs; a tenth of the time without progress after which a run is stalled. */
 const STALL_CHECK_MS = 250
-/** A workflow of which no task has run for this long is starved: a task of it may start even beside a service that does not tolerate it. */
-const STARVATION_MS = 1000
-/** Starvation threshold in a crowded pool, where a task that a service does not tolerate would soon be stopped again without having helped. */
-const CROWDED_STARVATION_MS = 5000
-/** A pool is crowded when the share of its free cores is below this. */
-const CROWDED_SHARE = 0.35
-/** While at least this share of a pool's cores is free, a workflow that was starved once does not wait again: every workflow has to make progress while less than half of the capacity is in use. */
-const MOSTLY_FREE_SHARE = 0.5
 const LOAD_LOG_MS = 1000
 /** Limit for one pass, so that the log entry with its assignments stays small. */
 const MAX_ASSIGNMENTS = 400
@@ -89,6 +83,8 @@
   /** Open workflows of which a task was placed because they were starved. */
   const starvedWorkflows = new Set<string>()
   const startRate = createStartRate()
+  const settledRoom = createSettledRoom()
+  const reportYielding = createYieldReport(options)
   const interferenceOptions = { ...options, retainedLoggedAt: new WeakMap<WorkerView, number>() }
   const stopping = new AbortController()
   /** Waiting groups of the last pass. */
@@ -161,17 +157,25 @@
       return pool !== undefined && (tracked.progress.blockedUntil <= now || hasCapacity(tracked, reservations.selectFreed(tracked, pool, wallTime)))
     }
     const dueGroups = options.competition.selectStartable(trackedGroups, wallTime).filter(isDue).sort((a, b) => compare(a.group, b.group))
-    const placeEach = (groupsToPlace: TrackedGroup[]): void => groupsToPlace.forEach((tracked) => {
+    const yields = options.competition.yieldsToShortWork()
+    const order = splitPass(dueGroups, { yields, now, wallTime })
+    const place = (tracked: TrackedGroup): Assignment[] => {
       const pool = pools.get(tracked.group.record.service)
-      if (pool === undefined) return
+      if (pool === undefined) return []
       const selected = reservations.selectPool(tracked, pool, now, wallTime)
-      if (assignments.length < MAX_ASSIGNMENTS) placeTracked(tracked, selected, pass).forEach((assignment) => assignments.push(assignment))
-      else tracked.progress.isSchedulerLimited = hasCapacity(tracked, selected.pool.workers)
-    })
+      const placed = assignments.length < MAX_ASSIGNMENTS ? placeTracked(tracked, selected, pass) : []
+      tracked.progress.isSchedulerLimited = assignments.length >= MAX_ASSIGNMENTS && hasCapacity(tracked, selected.pool.workers)
+      placed.forEach((assignment) => assignments.push(assignment))
+      return placed
+    }
     trackedGroups.forEach(({ progress }) => { progress.isSchedulerLimited = false })
-    placeEach(dueGroups.filter(({ group }) => group.isResumed === true))
-    reservations.openInterrupted(trackedGroups.filter(({ group }) => group.isResumed === true), pools, now)
-    placeEach(dueGroups.filter(({ group }) => group.isResumed !== true))
+    order.first.forEach(place)
+    reservations.openInterrupted(trackedGroups.filter((tracked) => isInterrupted(tracked) && !(yields && canYield(tracked, now))), pools, now)
+    order.short.forEach(place)
+    if (options.competition.longRunningYields) pools.forEach(({ workers }, service) => settledRoom.observe(service, workers, findSmallestTask(order.yielding, service), now))
+    order.yielding.forEach((tracked) => placeSettled(tracked, place, now))
+    reportYielding(order.yielding)
+    order.rest.forEach(place)
     work.measure('dispatch.reserve', () => reservations.openBlocked(pools, now, wallTime))
     updateSchedulerLimited(trackedGroups, pools)
     options.competition.observePass(trackedGroups, pools, wallTime)
@@ -182,6 +186,17 @@
     return assignments
   }
 
+  /** Places as many tasks of a long-running group as fit into the cores that short work has left free for a while. */
+  const placeSettled = (tracked: TrackedGroup, place: (tracked: TrackedGroup) => Assignment[], now: number): void => {
+    const { record: { service }, step, indexes } = tracked.group
+    const count = settledRoom.countTasks(service, step.cores, now)
+    const isPlaceable = step.gang ? count >= indexes.length : count > 0
+    tracked.progress.isBlocked = true
+    if (!isPlaceable) return
+    const placed = place({ ...tracked, group: { ...tracked.group, indexes: indexes.slice(0, count) } })
+    settledRoom.recordPlaced(service, placed.length * step.cores)
+  }
+
   /** Returns the time until which a group is tried only on workers whose free capacity has grown, because the other workers recently had too little. */
   const getRetryAt = ({ group: { step }, progress }: TrackedGroup, equivalenceClass: string | undefined): number => {
     // Gangs and rack-sensitive groups are always tried on all workers, as they need the capacity of several together.
@@ -311,38 +326,7 @@
   }
 }
 
-/**
- * Marks groups as starved when none of their tasks has run for the starvation threshold. A waiting long-running task is
- * starved after the threshold even if other tasks of its step run, because each of these tasks has its own users. While most
- * of the pool is free, the threshold is 0 for a workflow that was starved once: if its tasks are short, it would otherwise be
- * idle most of the time.
- */
-function updateStarved (trackedGroups: TrackedGroup[], pools: Map<string, Pool>, starvedWorkflows: ReadonlySet<string>, now: number): void {
-  const freeShares = new Map([...pools].map(([service, { workers }]) => [service, computeFreeShare(workers)]))
-  trackedGroups.forEach(({ group: { step, record, runningTasks }, progress }) => {
-    const isIdle = step.lasting || runningTasks === 0
-    progress.idleSince = isIdle ? progress.idleSince ?? now : undefined
-    const starvationMs = getStarvationMs(step.lasting, freeShares.get(record.service) ?? 0, starvedWorkflows.has(record.workflow.id))
-    const isStarved = progress.idleSince !== undefined && now - progress.idleSince >= starvationMs
-    if (isStarved && !progress.isStarved) progress.blockedUntil = -Infinity
-    progress.isStarved = isStarved
-  })
-}
-
 function isOpen (state: WorkflowsState, workflow: string): boolean {
   const record = state.workflows[workflow]
   return record !== undefined && record.outcome === undefined
 }
-
-/** Starvation threshold: how long a group waits before a task of it may start despite excess load. */
-function getStarvationMs (isLongRunning: boolean, freeShare: number, hasStarvedBefore: boolean): number {
-  if (isLongRunning) return STARVATION_MS
-  if (hasStarvedBefore && freeShare >= MOSTLY_FREE_SHARE) return 0
-  return freeShare < CROWDED_SHARE ? CROWDED_STARVATION_MS : STARVATION_MS
-}
-
-function computeFreeShare (workers: readonly PlacementCandidate[]): number {
-  const cores = workers.reduce((sum, worker) => sum + worker.cores, 0)
-  const free = workers.reduce((sum, worker) => sum + worker.freeCores, 0)
-  return free / Math.max(1, cores)
-}
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -6,6 +6,7 @@
 import { createCopySupport } from './copySupport.js'
 import { createDispatcher, type Dispatcher } from './dispatcher.js'
 import { createClockJumpDetector } from './clockJumpDetector.js'
+import { computeMajorityAge } from './majorityAge.js'
 import { createSessionAssigner } from './sessionAssignment.js'
 import { createReplicaLagTracker } from './replicaLag.js'
 import type { ReportedRefusal, SessionsReply, SessionsRequest, WorkerReport } from './sessionMessages.js'
@@ -71,7 +72,7 @@
 /** Starts a term as leader: assigns the workers to session hosts and dispatches tasks. */
 export function startTerm (options: TermOptions): Term {
   const { clock, logger, log, fence, metrics } = options
-  const health = createWorkerHealth({ clock, logger, metrics })
+  const health = createWorkerHealth({ clock, logger, metrics, suspendsFlapping: options.competition.flapSuspension })
   const startBackoff = createStartBackoff({ clock })
   const runDurations = createRunDurations()
   const stopping = new AbortController()
@@ -146,6 +147,7 @@
     if (known !== undefined) dispatcher.observeReport(known)
     const view = views.recordReport(from, report)
     if (view === undefined) return
+    if (view.reachable !== wasReachable) competition.recordDisturbance('reachability')
     if (!view.reachable && wasReachable === true) health.recordConnectionLoss(view.worker, views.workers.size)
     dispatcher.stopInterfering(view)
     const running = [...view.runs.values()].flatMap(({ status }) => status ?? [])
@@ -211,6 +213,7 @@
       dispatcher.schedule()
     },
     'life.expire': ({ worker }) => {
+      competition.recordDisturbance('expiry')
       dispatcher.markChanged()
       dispatcher.markWorkerChanged(worker)
       views.syncWorker(worker)
@@ -335,14 +338,9 @@
   })
   const state = getState()
   logger.info('term.start', { fence, workers: Object.keys(state.workers).length, workflows: Object.keys(state.workflows).length - state.ended.length, catalog: state.catalog?.version })
+  logger.info('scheduling.switches', { reservations: options.looksAhead !== false, copies: options.allowsCopies !== false, ...options.competition })
   Object.keys(state.workers).forEach(views.syncWorker)
   runSupervised({ clock, logger, event: 'term.failed', isStopped: () => stopping.signal.aborted }, runAuthority)
   dispatcher.schedule()
   return { fence, workers: views.workers, health, runDurations, isActive, getAuthorityAt: () => authorityAt, getSchedulerLoad: dispatcher.getLoad, competition, hasStarted: (workflow) => startedWorkflows.has(workflow), exchange, stop }
 }
-
-/** Age of the last contact with a majority of the voters, which includes this host: the oldest contact in the most recent majority. */
-export function computeMajorityAge (progress: Array<{ votes: boolean, lastHeardAgoMs: number }>): number {
-  const ages = progress.filter(({ votes }) => votes).map(({ lastHeardAgoMs }) => lastHeardAgoMs).sort((a, b) => a - b)
-  return ages[Math.floor(ages.length / 2)] ?? Infinity
-}
--- a/src/coordination/workflows/workerHealth.ts
+++ b/src/coordination/workflows/workerHealth.ts
@@ -60,7 +60,15 @@
 
 const REFUSAL_PAUSE_MS: Record<string, number> = { 'no-room': NO_CAPACITY_PAUSE_MS, unhealthy: UNHEALTHY_PAUSE_MS, 'no-answer': UNHEALTHY_PAUSE_MS }
 
-export function createWorkerHealth ({ clock, logger, metrics = createNoopMetrics() }: { clock: Clock, logger: Logger, metrics?: Metrics }): WorkerHealth {
+export interface WorkerHealthOptions {
+  clock: Clock
+  logger: Logger
+  metrics?: Metrics
+  /** False: workers whose connections are lost again and again still get tasks; absent: they are suspended. */
+  suspendsFlapping?: boolean
+}
+
+export function createWorkerHealth ({ clock, logger, metrics = createNoopMetrics(), suspendsFlapping = true }: WorkerHealthOptions): WorkerHealth {
   const known = new Map<string, Health>()
   const failures = createFailureAttribution()
   const stallDetector = createStallDetector()
@@ -118,7 +126,7 @@
       if (ms !== undefined) pause(worker, ms, reason)
     },
     recordConnectionLoss: (worker, knownWorkers) => {
-      const ms = flapDetector.recordLoss(worker, knownWorkers)
+      const ms = suspendsFlapping ? flapDetector.recordLoss(worker, knownWorkers) : undefined
       if (ms === undefined) return
       metrics.count('worker.flapping', 1)
       logger.info('worker.flapping', { worker, suspendedMs: ms })
--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -90,7 +90,7 @@
 test('settings are validated, and the failure names the invalid field', () => {
   expect(parseSettings(SETTINGS).val).toMatchSnapshot()
   const withTable = parseSettings(`${SETTINGS}[competition]\npreemption = false\n`)
-  expect(withTable.ok && withTable.val.competition).toEqual({ preemption: false, fairShares: true, longRunningLimit: true, checkpointMs: 1000, restoreMs: 250 })
+  expect(withTable.ok && withTable.val.competition).toEqual({ preemption: false, fairShares: true, longRunningLimit: true, longRunningYields: true, flapSuspension: true, checkpointMs: 1000, restoreMs: 250 })
   const withBounds = parseSettings(SETTINGS.replace('[zones]', 'checkpointS = 0.5\nrestoreMs = 100\n[zones]'))
   expect(withBounds.ok && withBounds.val.competition).toMatchObject({ checkpointMs: 500, restoreMs: 100 })
   const withoutCopies = parseSettings(`${SETTINGS}\n[copies]\nenabled = false\n`)
--- a/test/workflows/longRunningLimit.test.ts
+++ b/test/workflows/longRunningLimit.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from 'vitest'
+import { DEFAULT_COMPETITION } from '../../src/coordination/workflows/competition.js'
 import { canAdmitLongRunning, createShortDemand } from '../../src/coordination/workflows/longRunningLimit.js'
 import type { Step, Workflow } from '../../src/state/index.js'
 import { createScene, STEP } from './support.js'
@@ -27,7 +28,7 @@
 // Guards against long-running tasks that take each core as it becomes free and keep it, while short work is late for minutes.
 test('short workflows end in time although callers submit more long-running work than the pool can hold', async () => {
   const play = async (longRunningLimit: boolean): Promise<{ inTime: number, started: number }> => {
-    const scene = await createScene(['w1', 'w2', 'w3', 'w4'], undefined, { competition: { preemption: true, fairShares: true, longRunningLimit, checkpointMs: 1000, restoreMs: 250 } })
+    const scene = await createScene(['w1', 'w2', 'w3', 'w4'], undefined, { competition: { ...DEFAULT_COMPETITION, longRunningLimit } })
     scene.fleet.plan = (task) => task.startsWith('service') ? { runMs: 0, result: 'never' } : { runMs: 500, result: 'succeeded' }
     const submittedAt = new Map<string, number>()
     for (let round = 0; round < 60; round += 1) {
--- a/test/workflows/plan.test.ts
+++ b/test/workflows/plan.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from 'vitest'
 import { admitWorkflow } from '../../src/coordination/workflows/admission.js'
 import { compareGroups, estimateChainMs, estimateTailMs, getLateness, listWaiting } from '../../src/coordination/workflows/plan.js'
-import { computeMajorityAge } from '../../src/coordination/workflows/term.js'
+import { computeMajorityAge } from '../../src/coordination/workflows/majorityAge.js'
 import { computeWorkerTime } from '../../src/coordination/workflows/workerClock.js'
 import { createWorkflowsState, workflowHandlers, type EndCause, type Step, type WorkflowsState } from '../../src/state/index.js'
 import { CATALOG, STEP } from './support.js'
