Soak: unfinished bodies in each phase of faults, and tasks that need most of a worker

Cause: the soak covered neither untrusted clients beside kills and cuts, nor work that waits for a reservation.

Change: in each phase 40 clients send all but the last byte of a body of legal size to one entry host and stay open until the phase ends; the checks that no process ends by itself and that every accepted job finishes cover it. One job in nine has a task of 3.5 of the 4 cores of a worker.

--- a/test/soak/clients.ts
+++ b/test/soak/clients.ts
@@ -15,6 +15,9 @@
 const FAILED_CHECKS_UNTIL_REMOVAL = 2
 const OPERATOR_TIMEOUT_MS = 1000
 const MAX_FAILURES = 2
+/** One in this many jobs has a task that needs most of a worker, and so waits for a reservation while others take the free cores. */
+const LARGE_TASK_INTERVAL = 9
+const LARGE_TASK = { count: 1, cpu: 3500, memMb: 1024, runMs: 500, dependsOn: [], lasting: false, failures: 0 }
 const SERVICES = [{ name: 'guarded', rejectsOverload: true }, { name: 'open', rejectsOverload: false }]
 /** Settings that all queues of the configuration share. */
 const QUEUE_SETTINGS = { kind: 'non_idempotent', targetLatencyMs: 2000, maxAttempts: MAX_FAILURES + 1, slackFactor: 4 }
@@ -217,7 +220,9 @@
     const longRunningJobs = [...checker.jobs.values()].filter((job) => job.steps[0]?.lasting === true && job.cancelSentAt === undefined).length
     state.nextId += 1
     const id = (state.nextId * 0x10000 + random.below(0x10000)).toString(16).padStart(16, '0')
-    const job = checker.addJob({ id, queue, spec: `spec ${id}`, steps: planSteps(kind === 'lasting' && longRunningJobs >= MAX_LONG_RUNNING_JOBS ? 'batch' : kind) })
+    const planned = planSteps(kind === 'lasting' && longRunningJobs >= MAX_LONG_RUNNING_JOBS ? 'batch' : kind)
+    const steps = kind === 'batch' && state.nextId % LARGE_TASK_INTERVAL === 0 ? [LARGE_TASK] : planned
+    const job = checker.addJob({ id, queue, spec: `spec ${id}`, steps })
     if (!await runSubmission(client, job)) {
       if (job.isOutcomeUnknown && random.next() < 0.5) await cancel(client, job)
       return
--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -1,8 +1,9 @@
+import { connect } from 'node:net'
 import type { Random } from '../../src/common/index.js'
 import type { Traffic } from './clients.js'
 import type { Host, HostSet } from './hosts.js'
 import type { InvariantChecker } from './invariantChecker.js'
-import type { Direction, Link } from './links.js'
+import { splitAddress, type Direction, type Link } from './links.js'
 import type { FakeWorker } from './fakeWorker.js'
 
 const FIRST_FAULT_AT_MS = 3000
@@ -20,6 +21,9 @@
 /** An evacuation begins within this time of the start of a phase and lasts until its end, which is longer than the bound on starts. */
 const EVACUATION_SPREAD_MS = 1000
 const ZONES = ['a', 'b', 'c']
+/** Clients of a group that send most of a body of legal size and then nothing until the end of their phase. */
+const UNFINISHED_CLIENTS = 40
+const UNFINISHED_BODY_BYTES = 250_000
 
 /** `target` selects the host, worker or link, modulo their number; `draw` in [0, 1) sets the strength or the direction. */
 export interface Fault { at: number, endAt: number, kind: string, target: number, draw: number }
@@ -40,8 +44,8 @@
 
 /**
  * Draws the script: phases of planned or unplanned faults, each followed by `FAULT_FREE_MS`. Times are in milliseconds
- * from the start of the traffic. One zone is evacuated in each phase; these faults are drawn last, so that the others of a seed
- * stay as they were. At most `toleratedDisks` disks are cleared in a phase, so that a majority of voters keeps the log.
+ * from the start of the traffic. One zone is evacuated and one group of clients leaves its requests unfinished in each phase;
+ * these are drawn last, so that the other faults of a seed stay as they were. At most `toleratedDisks` disks are cleared in a phase, so that a majority of voters keeps the log.
  */
 export function planFaults (random: Random, { durationMs, toleratedDisks }: { durationMs: number, toleratedDisks: number }): Fault[] {
   const faults: Fault[] = []
@@ -62,7 +66,9 @@
     phases.push({ phaseAt, endAt })
     phaseAt = endAt + FAULT_FREE_MS
   }
-  return faults.concat(phases.map(({ phaseAt, endAt }) => ({ at: phaseAt + random.below(EVACUATION_SPREAD_MS), endAt, kind: 'evacuate-zone', target: random.below(1 << 20), draw: 0 })))
+  const evacuations = phases.map(({ phaseAt, endAt }): Fault => ({ at: phaseAt + random.below(EVACUATION_SPREAD_MS), endAt, kind: 'evacuate-zone', target: random.below(1 << 20), draw: 0 }))
+  const groups = phases.map(({ phaseAt, endAt }): Fault => ({ at: phaseAt, endAt, kind: 'unfinished-bodies', target: random.below(1 << 20), draw: 0 }))
+  return [...faults, ...evacuations, ...groups]
 }
 
 function selectPeerLinks ({ hosts }: System, { target }: Fault): Link[] {
@@ -151,12 +157,25 @@
     await wait(fault.endAt)
     await traffic.changeEvacuation(zone, 'stop')
   },
+  'unfinished-bodies': async ({ hosts }, fault, wait) => {
+    const address = hosts.clientLinks.get(selectByNumber(hosts.entries, fault.target))?.address ?? ''
+    const sockets = Array.from({ length: UNFINISHED_CLIENTS }, () => {
+      const socket = connect({ ...splitAddress(address), noDelay: true })
+      socket.on('error', () => {})
+      socket.resume()
+      socket.write(`POST /guarded/${'0'.repeat(16)} HTTP/1.1\r\nHost: soak.example\r\nContent-Type: application/json\r\nContent-Length: ${UNFINISHED_BODY_BYTES}\r\n\r\n`)
+      socket.write(Buffer.alloc(UNFINISHED_BODY_BYTES - 1, ' '))
+      return socket
+    })
+    await wait(fault.endAt)
+    sockets.forEach((socket) => socket.destroy())
+  },
   'invalid-configuration': ({ traffic }) => traffic.putInvalidConfiguration()
 }
 
 const PLANNED_STOP_KINDS = new Set(['stop-entry', 'stop-voter'])
 /** Kinds that the operator's contract doesn't count as disturbances, so that no time bound is extended by them. */
-const UNDISTURBING_KINDS = new Set(['hang-up', 'configurations', 'invalid-configuration', 'evacuate-zone'])
+const UNDISTURBING_KINDS = new Set(['hang-up', 'configurations', 'invalid-configuration', 'evacuate-zone', 'unfinished-bodies'])
 
 export async function runFaults (system: System, faults: Fault[], startedAt: number, signal: AbortSignal): Promise<void> {
   const waitUntil = async (at: number): Promise<void> => {
