Fuzz: an end whose worker's lease lapsed before the acknowledgement was not reported

Trace: the run ended on w0 at 4,108 ms while w0 was cut off (two cuts, 3.3 to 6.0 s and 6.1 to 9.6 s, without a poll between them), its lease lapsed, the task was started on w1 at 9,525 ms, w0 came back at 9,553 ms and its end was acknowledged at 9,715 ms. Nobody could know of the end when the task was started again. The platform's rule says so too: an end counts as taken note of only if the lease of the worker has not lapsed between the two.

--- a/src/fakes/runFleet.ts
+++ b/src/fakes/runFleet.ts
@@ -14,7 +14,16 @@
  */
 export type OrderFault = 'none' | 'lost-order' | 'lost-answer' | 'late'
 
-export interface RunEvent { at: number, kind: 'started' | 'ended' | 'acknowledged', worker: string, task: string, attempt: number, cause?: string }
+export interface RunEvent {
+  at: number
+  kind: 'started' | 'ended' | 'acknowledged'
+  worker: string
+  task: string
+  attempt: number
+  cause?: string
+  /** Of an acknowledgement: when the lease of the worker last ended without having been renewed. */
+  lapsedAt?: number
+}
 
 export interface RunningTask { attempt: number, startedAt: number, plan: RunPlan, reading: number | undefined }
 
@@ -91,7 +100,7 @@
     measure: (task, running) => running.get(task)?.reading,
     addWorker: (partial) => {
       const life = { ...DEFAULT_INCARNATION, ...partial }
-      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, ends: [], lastEnd: 0, getEndsPerReply: () => fleet.endsPerReply, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
+      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, lapsedAt: -Infinity, ends: [], lastEnd: 0, getEndsPerReply: () => fleet.endsPerReply, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
       const worker: FakeRunWorker = {
         life,
         running: state.running,
@@ -149,6 +158,7 @@
   ended: Map<string, number>
   fence: number
   leaseUntil: number
+  lapsedAt: number
   ends: RunEnd[]
   lastEnd: number
   getEndsPerReply (): number
@@ -159,6 +169,7 @@
 
 function updateRuns (state: FakeState): void {
   const now = state.clock.now()
+  if (state.leaseUntil <= now) state.lapsedAt = state.leaseUntil
   state.running.forEach((run, task) => {
     const endsAt = run.plan.result === 'never' ? Infinity : run.startedAt + run.plan.runMs
     if (endsAt <= Math.min(now, state.leaseUntil)) recordEnd(state, task, run.plan.result === 'failed' ? 'failed' : 'succeeded', endsAt)
@@ -219,7 +230,7 @@
   const { clock } = state
   if (order.leaseUntil !== undefined && order.leaseUntil > clock.now()) state.leaseUntil = Math.max(state.leaseUntil, order.leaseUntil)
   state.ends.filter(([number]) => number <= order.acknowledged).forEach(([, task, attempt, cause]) => {
-    state.events.push({ at: clock.now(), kind: 'acknowledged', worker: state.life.id, task, attempt, cause })
+    state.events.push({ at: clock.now(), kind: 'acknowledged', worker: state.life.id, task, attempt, cause, lapsedAt: state.lapsedAt })
   })
   state.ends = state.ends.filter(([number]) => number > order.acknowledged)
   const until = clock.now() + order.waitMs
