Test that a misspelt switch is an error of the settings

Cause: an unknown key in a scheduling table was ignored before the tables became strict, so that a misspelt switch left the default in force unnoticed; no test covered it.

Change: one expectation in the test of the settings.

Result: it fails with the tables as they were and passes now.

--- a/test/platform/wire.test.ts
+++ b/test/platform/wire.test.ts
@@ -97,6 +97,8 @@
   expect(withoutCopies.ok && withoutCopies.val.allowsCopies).toBe(false)
   const disabled = parseSettings(`${SETTINGS}\n[placement]\nreservations = false\n`)
   expect(disabled.ok && disabled.val.looksAhead).toBe(false)
+  const misspelt = parseSettings(`${SETTINGS}[competition]\nfairShare = false\n`)
+  expect(!misspelt.ok && misspelt.val.message).toContain('fairShare')
   const broken = parseSettings(SETTINGS.replace('graceS = 6', 'graceS = "six"'))
   expect(!broken.ok && broken.val.message).toContain('graceS')
 })
