Say plainly what the division of a pass and two limits are for

Cause: a reading of the diff as a newcomer: a reason that named no figure, a type and a constant with names that need a second read, and a constant that stood between a type and its table.

Change: comments, two names inside longRunningRoom.ts and the order of two declarations; no statement of logic.

--- a/src/coordination/workflows/catalogCheck.ts
+++ b/src/coordination/workflows/catalogCheck.ts
@@ -4,7 +4,7 @@
 /** `error`: hosts refuse the catalog. `warning`: they accept it, and some of it cannot have the effect that its author expects. */
 export interface CatalogFinding { severity: 'error' | 'warning', kind: string, subject: string, message: string }
 
-/** A request that is answered by hosts reserves this much of its time limit for the answer; shorter limits fail every request. */
+/** Hosts reserve 30 ms of a request's time limit for the answer, and a commit takes some tens of ms; with less, most requests fail. */
 const MIN_REQUEST_TIMEOUT_MS = 100
 /** From this share of the largest entry on, a catalog is reported: a few more queues would make it too large. */
 const LARGE_SHARE = 0.8
--- a/src/coordination/workflows/competition.ts
+++ b/src/coordination/workflows/competition.ts
@@ -16,6 +16,8 @@
 const WAITING_CHECK_MS = 100
 /** Minimum interval of the log line about queues over their shares. */
 const SHARES_LOG_MS = 1000
+const KINDS: readonly WorkKind[] = ['ordinary', 'bestEffort']
+
 /** `reachability`: a worker has become reachable or unreachable. `expiry`: the leases of an unreachable worker have ended. */
 export type Disturbance = 'reachability' | 'expiry'
 
@@ -24,7 +26,6 @@
  * lost after 7 s of calm, and 9 s after its last run, of which the lease takes 6 s; it has to be assigned and started before.
  */
 const DISTURBED_MS: Record<Disturbance, number> = { reachability: 3000, expiry: 2000 }
-const KINDS: readonly WorkKind[] = ['ordinary', 'bestEffort']
 
 export interface CompetitionSettings {
   preemption: boolean
--- a/src/coordination/workflows/longRunningRoom.ts
+++ b/src/coordination/workflows/longRunningRoom.ts
@@ -3,17 +3,17 @@
 import { getLateness } from './plan.js'
 import type { TrackedGroup } from './waiting.js'
 
-/** A long-running task waits for short work at most this long: its caller has been told that it runs. As long as work without value is deferred. */
+/** A long-running task waits for short work at most this long, because its caller has been told that it runs. */
 const MAX_YIELD_MS = 60_000
-/** Long-running tasks take the cores that short work has left free for this long. The platform allows a long-running task to wait for 3 s while there are cores for two of it. */
+/** Cores that short work has left free for this long may be taken; the platform lets a long-running task wait for 3 s while there are cores for two of it. */
 const SETTLED_MS = 2000
 const SAMPLE_INTERVAL_MS = 100
 const YIELD_LOG_INTERVAL_MS = 1000
-/** Rounding of core counts. */
-const EPSILON = 1e-6
+/** Tolerance of comparisons of core counts, which are sums of fractions. */
+const CORES_EPSILON = 1e-6
 
 /** Groups in the order in which a pass tries them; within each list by urgency. */
-export interface PassOrder {
+export interface DividedPass {
   /** Interrupted long-running tasks that wait for nothing. */
   first: TrackedGroup[]
   /** Short work that goes before long-running tasks. */
@@ -24,12 +24,13 @@
 }
 
 /**
- * Orders the groups of a pass. Handles the loss of workers from a pool in which long-running tasks request nearly all cores:
- * placed first, the interrupted ones would take the cores of the other workers for a minute or more, and short work, which
- * yields about a hundred times as much per core and second, would be late all that time. They yield only to short work of the
- * same or a more urgent priority that requests cores and can still be on time.
+ * Divides the groups of a pass, sorted by urgency, into the lists that it tries one after the other. Handles the loss of workers
+ * from a pool in which long-running tasks request nearly all cores: placed first, the interrupted ones would take the cores of
+ * the other workers for a minute or more, and short work, which is worth about a hundred times as much per core and second,
+ * would be late all that time. Long-running tasks yield only to short work of the same or a more urgent priority that requests
+ * cores and can still be on time.
  */
-export function splitPass (sorted: readonly TrackedGroup[], { yields, now, wallTime }: { yields: boolean, now: number, wallTime: number }): PassOrder {
+export function splitPass (sorted: readonly TrackedGroup[], { yields, now, wallTime }: { yields: boolean, now: number, wallTime: number }): DividedPass {
   const yielding = yields ? sorted.filter((tracked) => tracked.group.step.lasting && canYield(tracked, now)) : []
   const waiting = new Set(yielding)
   const first = sorted.filter((tracked) => isInterrupted(tracked) && !waiting.has(tracked))
@@ -82,8 +83,8 @@
       if (now - (samples.at(-1)?.at ?? -Infinity) < SAMPLE_INTERVAL_MS) return
       // The last sample before the window shows that the room had settled when the window began.
       const firstNeeded = samples.findLastIndex(({ at }) => at <= now - SETTLED_MS)
-      const size = Math.max(EPSILON, smallestTask.get(service) ?? 1)
-      const cores = workers.reduce((sum, { freeCores }) => sum + Math.floor((freeCores + EPSILON) / size) * size, 0)
+      const size = Math.max(CORES_EPSILON, smallestTask.get(service) ?? 1)
+      const cores = workers.reduce((sum, { freeCores }) => sum + Math.floor((freeCores + CORES_EPSILON) / size) * size, 0)
       samplesByService.set(service, [...samples.slice(Math.max(0, firstNeeded)), { at: now, cores }])
     },
     countTasks: (service, taskCores, now) => {
@@ -91,7 +92,7 @@
       const isSettled = samples.some(({ at }) => at <= now - SETTLED_MS)
       if (!isSettled || taskCores <= 0) return Infinity
       const cores = Math.min(...samples.map((sample) => sample.cores))
-      return Math.max(0, Math.floor((cores + EPSILON) / taskCores))
+      return Math.max(0, Math.floor((cores + CORES_EPSILON) / taskCores))
     },
     recordPlaced: (service, cores) => samplesByService.get(service)?.forEach((sample) => { sample.cores -= cores })
   }
