--- a/test/workflows/workerHealth.test.ts
+++ b/test/workflows/workerHealth.test.ts
@@ -194,7 +194,7 @@
 }
 
 // Guards against sound workers that look slow, and lose all their runs, because another session host took them over and reported
-// late what had ended meanwhile: on the heaviest days of the platform some hundred runs were stopped for this within a second.
+// late what had ended meanwhile: on one day the log had 94 stops within a tenth of a second after such a change.
 test('runs that ended before the first report of a new session host do not make their worker look slow', async () => {
   const clock = createManualClock(10_000)
   const health = createWorkerHealth({ clock, logger: createSilentLogger() })
