--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -64,7 +64,7 @@
   session.reachable = true
   // No progress could be reported while the worker was unreachable, so that time does not count as a stall.
   session.runs.forEach((run) => { run.progressAt = context.clock.now() })
-  context.logger.info('worker.reachable', { worker: session.worker, silentMs: Math.round(context.clock.now() - session.unreachableSince) })
+  context.logger.info('worker.reachable', { worker: session.worker, bornAt: session.bornAt, silentMs: Math.round(context.clock.now() - session.unreachableSince) })
   context.onReachabilityChange(session)
 }
 
@@ -75,7 +75,7 @@
     session.reachable = false
     session.unreachableSince = clock.now()
     context.onReachabilityChange(session)
-    logger.warn('worker.unreachable', { worker: session.worker, zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, message: 'message' in failure ? failure.message : undefined, runs: session.runs.size })
+    logger.warn('worker.unreachable', { worker: session.worker, bornAt: session.bornAt, leaseMs: Math.round(session.leaseEndsAt - clock.now()), zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, message: 'message' in failure ? failure.message : undefined, runs: session.runs.size })
   }
   session.retryMs = Math.min(MAX_RETRY_MS, session.retryMs * 2)
   const isReplaced = failure.kind === 'other-life'
@@ -85,8 +85,10 @@
     return logger.info('worker.removed', { worker: session.worker, outcome: removed ? 'recorded' : 'not-recorded' })
   }
   if (record === undefined || record.expired || (!isReplaced && clock.now() < session.leaseEndsAt)) return
+  // The entry removes the runs from the session.
+  const runs = session.runs.size
   const expired = await context.expireWorker(session.worker, session.bornAt)
-  if (expired) logger.warn('worker.expired', { worker: session.worker, reason: failure.kind, runs: session.runs.size })
+  if (expired) logger.warn('worker.expired', { worker: session.worker, bornAt: session.bornAt, reason: failure.kind, runs, leaseMs: Math.round(session.leaseEndsAt - clock.now()) })
 }
 
 async function handleReply (context: SessionContext, session: Session, reply: PollReply, sentAt: number): Promise<void> {
@@ -134,6 +136,7 @@
     const key = createRunKey(status)
     const now = context.clock.now()
     const unassigned = session.strays.get(key) ?? { task: status.task, attempt: status.attempt, seenAt: now, stoppedAt: -Infinity }
+    if (!session.strays.has(key)) recordUnassignedRun(context, session, status)
     session.strays.set(key, unassigned)
     if (!context.isActive()) return
     const mayBeNewer = !isAttemptKnown(context, status) && now - unassigned.seenAt < UNKNOWN_RUN_GRACE_MS
@@ -147,6 +150,12 @@
   if (run.stopReason !== undefined) stopRun(context, session, run, run.stopReason)
 }
 
+function recordUnassignedRun (context: SessionContext, session: Session, status: RunStatus): void {
+  const { task, attempt, percent } = status
+  context.metrics.count('run.unassigned', 1)
+  context.logger.info('run.unassigned', { task, attempt, percent, worker: session.worker, bornAt: session.bornAt, isKnown: isAttemptKnown(context, status) })
+}
+
 /** True if the local state already contains this attempt or a later one, or the success of the task, or the end of its workflow: an unassigned run then cannot belong to an assignment that is yet to be applied. */
 function isAttemptKnown (context: SessionContext, { task, attempt }: RunStatus): boolean {
   const name = parseTaskName(task)
--- a/test/platform/workers.test.ts
+++ b/test/platform/workers.test.ts
@@ -2,7 +2,7 @@
 import type { AddressInfo } from 'node:net'
 import { afterEach, beforeEach, expect, test } from 'vitest'
 import { createWorkerClient } from '../../platform/workers.js'
-import { createNoopEventLoopMeter, createSystemClock } from '../../src/common/index.js'
+import { createNoopEventLoopMeter, createSilentLogger, createSystemClock } from '../../src/common/index.js'
 import type { WorkerIncarnation } from '../../src/state/index.js'
 
 const BORN_AT = 1000
@@ -37,7 +37,7 @@
 // the order were sent before the start time of the incarnation is checked, the later incarnation would execute it.
 test('an order for one incarnation of a worker is not sent to a later incarnation with the same id', async () => {
   const clock = createSystemClock()
-  const client = createWorkerClient({ clock, work: createNoopEventLoopMeter() })
+  const client = createWorkerClient({ clock, logger: createSilentLogger(), work: createNoopEventLoopMeter() })
   const reply = await client.start(createIncarnation(), { task: 'a.0.0.0', attempt: 1, command: 'run', checkpoint: '', fence: 1, leaseUntil: 10_000, ticket: undefined }, clock.now() + DEADLINE_MS)
   await client.close()
   expect({ outcome: reply.ok ? 'accepted' : reply.val.kind, starts: received.filter(({ path }) => path === '/run-start').length }).toEqual({ outcome: 'other-life', starts: 0 })
@@ -47,7 +47,7 @@
 // take its own ended runs for acknowledged, although no host has received them.
 test('a poll of one incarnation of a worker acknowledges no ended run of a later incarnation', async () => {
   const clock = createSystemClock()
-  const client = createWorkerClient({ clock, work: createNoopEventLoopMeter() })
+  const client = createWorkerClient({ clock, logger: createSilentLogger(), work: createNoopEventLoopMeter() })
   const reply = await client.poll(createIncarnation(), { fence: 1, leaseUntil: undefined, acknowledged: 40, waitMs: 0 }, clock.now() + DEADLINE_MS)
   await client.close()
   expect({ outcome: reply.ok ? 'accepted' : reply.val.kind, acknowledged: Math.max(...received.map(({ body }) => body.ackCursor ?? 0)) }).toEqual({ outcome: 'other-life', acknowledged: 0 })
