Test what a restarted worker does with calls for its former incarnation (known red)

The stand-in of workers can start again under its old id and address, with a clock and counts that start anew, and executes a late order by the incarnation that it has then, shortens leases, and tells which runs ended with the process.

--- a/src/fakes/runFleet.ts
+++ b/src/fakes/runFleet.ts
@@ -4,19 +4,22 @@
 
 /** Interval at which a waiting poll checks for ended runs. */
 const CHECK_ENDS_MS = 10
+/** Longer leases are shortened to this. */
+const MAX_LEASE_MS = 10_000
 
 export interface RunPlan { runMs: number, result: 'succeeded' | 'failed' | 'never' }
 /** `hold` is a poll: it renews the lease of the worker and returns its runs. */
 export type OrderKind = 'start' | 'stop' | 'hold'
 /**
  * Fault of one order. `lost-order`: it never arrives. `lost-answer`: it is executed, but the answer is lost.
- * `late`: it is executed after `FakeRunFleet.lateMs`, without an answer.
+ * `late`: it is executed after `FakeRunFleet.lateMs`, without an answer, by the incarnation that the worker has then.
  */
 export type OrderFault = 'none' | 'lost-order' | 'lost-answer' | 'late'
 
 export interface RunEvent {
   at: number
-  kind: 'started' | 'ended' | 'acknowledged'
+  /** `lost`: the run ended with the process of its worker. */
+  kind: 'started' | 'ended' | 'acknowledged' | 'lost'
   worker: string
   task: string
   attempt: number
@@ -38,6 +41,8 @@
   setReading (task: string, reading: number): void
   /** Makes the worker unreachable and ends all its runs without reporting their ends. */
   crash (): void
+  /** Ends the incarnation with all its runs and starts a later one under the same id and address, whose clock and counts start anew. */
+  restart (): void
 }
 
 export interface FakeRunFleet {
@@ -99,11 +104,11 @@
     plan: () => ({ runMs: 1000, result: 'succeeded' }),
     measure: (task, running) => running.get(task)?.reading,
     addWorker: (partial) => {
-      const life = { ...DEFAULT_INCARNATION, ...partial }
-      const state: FakeState = { clock, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, lapsedAt: -Infinity, ends: [], lastEnd: 0, getEndsPerReply: () => fleet.endsPerReply, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) }
+      const createState = (life: WorkerIncarnation, startedAt: number): FakeState => ({ clock, startedAt, life, events, running: new Map(), ended: new Map(), fence: 0, leaseUntil: 0, lapsedAt: -Infinity, ends: [], lastEnd: 0, getEndsPerReply: () => fleet.endsPerReply, getStopMs: () => fleet.stopMs, plan: (task) => fleet.plan(task, life.id), measure: (...inputs) => fleet.measure(...inputs) })
+      let state = createState({ ...DEFAULT_INCARNATION, ...partial }, 0)
       const worker: FakeRunWorker = {
-        life,
-        running: state.running,
+        get life () { return state.life },
+        get running () { return state.running },
         fault: () => 'none',
         reachable: true,
         setReading: (task, reading) => {
@@ -111,13 +116,18 @@
           if (run !== undefined) run.reading = reading
         },
         crash: () => {
-          state.running.clear()
-          state.ended.clear()
+          removeRuns(state)
           worker.reachable = false
+        },
+        restart: () => {
+          removeRuns(state)
+          state = createState({ ...state.life, bornAt: state.life.bornAt + 1 }, clock.now())
+          states.set(state.life.id, state)
+          worker.reachable = true
         }
       }
-      workers.set(life.id, worker)
-      states.set(life.id, state)
+      workers.set(state.life.id, worker)
+      states.set(state.life.id, state)
       return worker
     },
     client: {
@@ -129,12 +139,17 @@
 
   const deliver = async <T>(life: WorkerIncarnation, kind: OrderKind, task: string | undefined, deadline: number, execute: (state: FakeState) => Promise<Result<T, WorkerFailure>>): Promise<Result<T, WorkerFailure>> => {
     const worker = workers.get(life.id)
-    const state = states.get(life.id)
     await clock.sleep(1)
+    const state = states.get(life.id)
     const fault = worker?.reachable === true ? worker.fault(kind, task) : 'lost-order'
     if (state === undefined || fault === 'lost-order') return waitForDeadline(deadline)
-    if (fault === 'late') clock.sleep(fleet.lateMs).then(() => execute(state))
-    if (fault === 'late') return waitForDeadline(deadline)
+    if (fault === 'late') {
+      clock.sleep(fleet.lateMs).then(() => {
+        const present = states.get(life.id)
+        if (present !== undefined) return execute(present)
+      })
+      return waitForDeadline(deadline)
+    }
     if (state.life.bornAt !== life.bornAt) return Err({ kind: 'other-life' })
     const reply = await execute(state)
     if (fault === 'lost-answer' || worker?.reachable !== true) return waitForDeadline(deadline)
@@ -151,12 +166,15 @@
 
 interface FakeState {
   clock: Clock
+  /** Time at which the worker's own clock started. */
+  startedAt: number
   life: WorkerIncarnation
   events: RunEvent[]
   running: Map<string, RunningTask>
   /** Highest attempt that was stopped or has ended, by task. */
   ended: Map<string, number>
   fence: number
+  /** By the shared clock, as all times of this state. */
   leaseUntil: number
   lapsedAt: number
   ends: RunEnd[]
@@ -167,6 +185,24 @@
   measure: FakeRunFleet['measure']
 }
 
+function getWorkerTime ({ clock, startedAt }: FakeState): number {
+  return clock.now() - startedAt
+}
+
+/** Extends the lease to a time of the worker's own clock, as far as the worker grants leases. */
+function renewLease (state: FakeState, until: number): void {
+  const granted = Math.min(until, getWorkerTime(state) + MAX_LEASE_MS)
+  state.leaseUntil = Math.max(state.leaseUntil, state.startedAt + granted)
+}
+
+/** Ends all runs with the process of the worker, which reports none of these ends. */
+function removeRuns (state: FakeState): void {
+  updateRuns(state)
+  state.running.forEach(({ attempt }, task) => state.events.push({ at: state.clock.now(), kind: 'lost', worker: state.life.id, task, attempt }))
+  state.running.clear()
+  state.ended.clear()
+}
+
 function updateRuns (state: FakeState): void {
   const now = state.clock.now()
   if (state.leaseUntil <= now) state.lapsedAt = state.leaseUntil
@@ -195,21 +231,21 @@
 }
 
 function reject (state: FakeState, reason: OrderRefusal): Result<never, WorkerFailure> {
-  return Err({ kind: 'refused', reason, clock: state.clock.now() })
+  return Err({ kind: 'refused', reason, clock: getWorkerTime(state) })
 }
 
 async function handleStart (state: FakeState, order: { task: string, attempt: number, fence: number, leaseUntil: number }): Promise<Result<OrderReply, WorkerFailure>> {
   const fenced = checkFence(state, order.fence)
   if (fenced.err) return fenced
   const now = state.clock.now()
-  if (order.leaseUntil <= now) return reject(state, 'late')
-  state.leaseUntil = Math.max(state.leaseUntil, order.leaseUntil)
+  if (order.leaseUntil <= getWorkerTime(state)) return reject(state, 'late')
+  renewLease(state, order.leaseUntil)
   const current = state.running.get(order.task)
-  if (current?.attempt === order.attempt) return Ok({ clock: now })
+  if (current?.attempt === order.attempt) return Ok({ clock: getWorkerTime(state) })
   if ((state.ended.get(order.task) ?? 0) >= order.attempt || current !== undefined) return reject(state, 'superseded')
   state.running.set(order.task, { attempt: order.attempt, startedAt: now, plan: state.plan(order.task), reading: undefined })
   state.events.push({ at: now, kind: 'started', worker: state.life.id, task: order.task, attempt: order.attempt })
-  return Ok({ clock: now })
+  return Ok({ clock: getWorkerTime(state) })
 }
 
 async function handleStop (state: FakeState, order: { task: string, attempt: number, fence: number }): Promise<Result<OrderReply, WorkerFailure>> {
@@ -221,14 +257,14 @@
   }
   if (state.getStopMs() === 0) end()
   else state.clock.sleep(state.getStopMs()).then(end)
-  return Ok({ clock: state.clock.now() })
+  return Ok({ clock: getWorkerTime(state) })
 }
 
 async function handlePoll (state: FakeState, order: PollOrder): Promise<Result<PollReply, WorkerFailure>> {
   const fenced = checkFence(state, order.fence)
   if (fenced.err) return fenced
   const { clock } = state
-  if (order.leaseUntil !== undefined && order.leaseUntil > clock.now()) state.leaseUntil = Math.max(state.leaseUntil, order.leaseUntil)
+  if (order.leaseUntil !== undefined) renewLease(state, order.leaseUntil)
   state.ends.filter(([number]) => number <= order.acknowledged).forEach(([, task, attempt, cause]) => {
     state.events.push({ at: clock.now(), kind: 'acknowledged', worker: state.life.id, task, attempt, cause, lapsedAt: state.lapsedAt })
   })
@@ -247,5 +283,5 @@
     reading: state.measure(task, state.running, clock.now())
   }))
   const ends = state.ends.slice(0, state.getEndsPerReply())
-  return Ok({ clock: clock.now(), running, ends, ...ends.length >= state.getEndsPerReply() && { hasMoreEnds: true } })
+  return Ok({ clock: getWorkerTime(state), running, ends, ...ends.length >= state.getEndsPerReply() && { hasMoreEnds: true } })
 }
--- a/test/platform/workers.test.ts
+++ b/test/platform/workers.test.ts
@@ -7,18 +7,29 @@
 
 const BORN_AT = 1000
 const DEADLINE_MS = 2000
+const SHORT_DEADLINE_MS = 300
+/** Connections that the client opens to one worker. */
+const MAX_CONNECTIONS = 4
+const WAITING_ORDERS = 8
 
 let server: Server
+/** Start time of the incarnation that answers. */
+let bornAt: number
+/** Paths on which requests get no answer. */
+let isSilent: (path: string) => boolean
 let received: Array<{ path: string, body: { task?: string, ackCursor?: number } }> = []
 
 /** Opens a worker that has restarted with the same id and address: its incarnation is later than that of the orders. */
 beforeEach(async () => {
   received = []
+  bornAt = BORN_AT + 1
+  isSilent = () => false
   server = createServer(async (request: IncomingMessage, response) => {
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
     received.push({ path: request.url ?? '', body: JSON.parse(Buffer.concat(chunks).toString()) })
-    const lists = request.url === '/hold' ? { born: BORN_AT + 1, running: [], finished: [[1, 'a.0.0.0', 1, 'done', '']] } : {}
+    if (isSilent(request.url ?? '')) return
+    const lists = request.url === '/hold' ? { born: bornAt, running: [], finished: [[1, 'a.0.0.0', 1, 'done', '']] } : {}
     response.setHeader('content-type', 'application/json').end(JSON.stringify({ clockMs: 5, ...lists }))
   })
   await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve))
@@ -52,3 +63,21 @@
   await client.close()
   expect({ outcome: reply.ok ? 'accepted' : reply.val.kind, acknowledged: Math.max(...received.map(({ body }) => body.ackCursor ?? 0)) }).toEqual({ outcome: 'other-life', acknowledged: 0 })
 })
+
+// An order that waits behind one without an answer finds its connection lost. It would go out on a new one, to whichever incarnation answers there.
+test('an order that waited on a lost connection is not sent on a new one before the incarnation is checked there', async () => {
+  const clock = createSystemClock()
+  const client = createWorkerClient({ clock, logger: createSilentLogger(), work: createNoopEventLoopMeter() })
+  const incarnation = createIncarnation()
+  bornAt = BORN_AT
+  isSilent = (path) => path === '/run-start'
+  const orders = Array.from({ length: WAITING_ORDERS }, (_, index) => client.start(incarnation, { task: `a.0.0.${index}`, attempt: 1, command: 'run', checkpoint: '', fence: 1, leaseUntil: 10_000, ticket: undefined }, clock.now() + (index < MAX_CONNECTIONS ? SHORT_DEADLINE_MS : DEADLINE_MS)))
+  while (received.filter(({ path }) => path === '/run-start').length < MAX_CONNECTIONS) await clock.sleep(5)
+  // The worker restarts; its old connections are silent.
+  received = []
+  bornAt = BORN_AT + 1
+  isSilent = () => false
+  const replies = await Promise.all(orders)
+  await client.close()
+  expect({ accepted: replies.filter(({ ok }) => ok).length, starts: received.filter(({ path }) => path === '/run-start').length }).toEqual({ accepted: 0, starts: 0 })
+})
--- /dev/null
+++ b/test/workflows/restartedWorkers.test.ts
@@ -0,0 +1,138 @@
+import { expect, test } from 'vitest'
+import type { FakeRunWorker, OrderKind } from '../../src/fakes/runFleet.js'
+import { createScene, listDoubled, type Scene } from './support.js'
+
+const TASKS = 8
+/** Long enough for a second run of the task to start elsewhere meanwhile. */
+const STOP_MS = 200
+/** No lease on a fake worker lasts longer. */
+const LONGEST_LEASE_MS = 11_000
+
+interface RestartedScene { scene: Scene, worker: FakeRunWorker }
+
+/** A worker that shares some long tasks with another one, and whose clock and counts are well ahead of those of a new incarnation. */
+async function createRestartScene (): Promise<RestartedScene> {
+  const scene = await createScene(['w1', 'w2'])
+  const worker = scene.fleet.workers.get('w1') as FakeRunWorker
+  scene.fleet.stopMs = STOP_MS
+  await scene.submit('early', [{ count: TASKS }])
+  await scene.run(8000)
+  scene.fleet.plan = () => ({ runMs: 60_000, result: 'succeeded' })
+  return { scene, worker }
+}
+
+/** Makes orders of a kind late. The returned function runs until one has been sent, and ends the fault. */
+function delayOrders (scene: Scene, worker: FakeRunWorker, kind: OrderKind): () => Promise<void> {
+  const delayed: OrderKind[] = []
+  worker.fault = (ordered) => {
+    if (ordered !== kind) return 'none'
+    delayed.push(ordered)
+    return 'late'
+  }
+  return async () => {
+    while (delayed.length === 0) await scene.run(10)
+    worker.fault = () => 'none'
+  }
+}
+
+async function reportWorker ({ log, clock }: Scene, { life }: FakeRunWorker): Promise<void> {
+  log.propose({ kind: 'life.report', life }, Infinity)
+  await clock.advance(12)
+}
+
+/** Cuts the worker off for longer than any of its leases, so that the ends of all its runs are known afterwards. */
+async function cutOff (scene: Scene, worker: FakeRunWorker): Promise<void> {
+  worker.reachable = false
+  await scene.run(LONGEST_LEASE_MS)
+  worker.reachable = true
+  await scene.run(500)
+}
+
+/** When the restarted worker executes the late order and when it is reported, ms after the order or after the restart. */
+const CASES: Array<[when: string, lateMs: number, reportAfterMs: number]> = [
+  ['before it is reported', 100, 200],
+  ['after its first poll', 300, 50]
+]
+
+test.each(CASES)('a start order for the former incarnation that a restarted worker executes %s does not run beside a second run of the task', async (_when, lateMs, reportAfterMs) => {
+  const { scene, worker } = await createRestartScene()
+  scene.fleet.lateMs = lateMs
+  const endDelay = delayOrders(scene, worker, 'start')
+  await scene.submit('a1', [{ count: TASKS }])
+  await endDelay()
+  worker.restart()
+  await scene.run(reportAfterMs)
+  await reportWorker(scene, worker)
+  await scene.run(2000)
+  await cutOff(scene, worker)
+  expect(listDoubled(scene.fleet.events)).toEqual([])
+})
+
+test.each(CASES)('a lease for the former incarnation that a restarted worker takes %s does not outlast the release of its tasks', async (_when, lateMs, reportAfterMs) => {
+  const { scene, worker } = await createRestartScene()
+  await scene.submit('a1', [{ count: TASKS }])
+  await scene.run(3000)
+  scene.fleet.lateMs = lateMs
+  await delayOrders(scene, worker, 'hold')()
+  worker.restart()
+  await scene.run(reportAfterMs)
+  await reportWorker(scene, worker)
+  // The other worker has room for these tasks when their lease is over.
+  scene.fleet.plan = (_task, id) => ({ runMs: id === 'w1' ? 60_000 : 2000, result: 'succeeded' })
+  await scene.submit('a2', [{ count: TASKS, maxPerWorker: TASKS / 2 }])
+  await scene.run(500)
+  await cutOff(scene, worker)
+  expect({ ranOnRestarted: scene.listEvents('started').some(({ worker, task }) => worker === 'w1' && task.startsWith('a2')), doubled: listDoubled(scene.fleet.events) })
+    .toEqual({ ranOnRestarted: true, doubled: [] })
+})
+
+test('a cursor for the former incarnation does not make a restarted worker forget an end that nobody has read', async () => {
+  const { scene, worker } = await createRestartScene()
+  const other = scene.fleet.workers.get('w2') as FakeRunWorker
+  other.reachable = false
+  await scene.run(LONGEST_LEASE_MS)
+  await scene.submit('a1', [{ count: 1 }])
+  await scene.run(1600)
+  scene.fleet.lateMs = 3000
+  await delayOrders(scene, worker, 'hold')()
+  worker.restart()
+  await reportWorker(scene, worker)
+  await scene.run(300)
+  scene.fleet.plan = () => ({ runMs: 300, result: 'succeeded' })
+  // From the end of the poll in flight on, none is answered until the late one with the former cursor has been executed.
+  worker.fault = (kind) => kind === 'hold' ? 'lost-answer' : 'none'
+  await scene.run(1300)
+  await scene.submit('a2', [{ count: 1 }])
+  await scene.run(2000)
+  worker.fault = () => 'none'
+  await scene.run(3000)
+  expect({ starts: scene.listEvents('started').filter(({ task }) => task.startsWith('a2')).length, outcome: scene.log.state().workflows.workflows.a2?.outcome })
+    .toEqual({ starts: 1, outcome: 'completed' })
+})
+
+test('the tasks of a worker are not released because a later incarnation under its id answers a poll', async () => {
+  const { scene, worker } = await createRestartScene()
+  scene.fleet.lateMs = 600
+  const endDelay = delayOrders(scene, worker, 'start')
+  await scene.submit('a1', [{ count: TASKS }])
+  await endDelay()
+  worker.restart()
+  await scene.run(3000)
+  await reportWorker(scene, worker)
+  await scene.run(2000)
+  await cutOff(scene, worker)
+  expect(listDoubled(scene.fleet.events)).toEqual([])
+})
+
+test('the tasks of a restarted worker are started again within a second of its report', async () => {
+  const { scene, worker } = await createRestartScene()
+  await scene.submit('a1', [{ count: TASKS }])
+  await scene.run(1000)
+  const lost = [...worker.running.keys()]
+  worker.restart()
+  await reportWorker(scene, worker)
+  await scene.run(1000)
+  const restarted = scene.listEvents('started').filter(({ attempt }) => attempt > 1).map(({ task }) => task)
+  expect({ hadTasks: lost.length > 0, restarted: restarted.toSorted(), doubled: listDoubled(scene.fleet.events) })
+    .toEqual({ hadTasks: true, restarted: lost.toSorted(), doubled: [] })
+})
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -94,7 +94,7 @@
 export function listDoubled (events: readonly RunEvent[]): string[] {
   const running = new Map<string, number>()
   return events.toSorted((a, b) => a.at - b.at).flatMap(({ kind, task }) => {
-    const count = (running.get(task) ?? 0) + (kind === 'started' ? 1 : kind === 'ended' ? -1 : 0)
+    const count = (running.get(task) ?? 0) + (kind === 'started' ? 1 : kind === 'ended' || kind === 'lost' ? -1 : 0)
     running.set(task, count)
     return count > 1 ? [task] : []
   })
