Fence each incarnation of a worker, and keep its tasks until the next one is polled

What callers saw: a task had two runs at the same time after its worker had restarted under its old id.

Cause: when a new incarnation was registered, the tasks of the former one were released at once, although the new one may execute an order that was meant for it: the id in the order is the same, and a call without an answer may be executed seconds later. The fencing token was the term of the leader, so the worker could not tell such an order from one for itself.

Change: the token rises with each incarnation that is registered and, for one incarnation, with the term. After its first poll with the new token a worker refuses what was meant for its predecessors. Until then the tasks of the former incarnation stay with the worker and are not placed elsewhere; the reply to that poll tells which of them it runs, and the others are released. The number comes from the replicated state and not from the start time, since the clock of a worker's host may step back. A refusal that is repeated under a later grant of the same leader no longer costs a host its authority over all its workers.

The case of taskCopies.test.ts in which the worker of a copy is replaced expected the release with the report. It now expects that the copy stays, that a conclusion about the former incarnation has no effect, and the release with one about the later incarnation.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -1,7 +1,7 @@
 import { findTask, parseTaskName, type EndCause } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import type { WorkerFailure } from './orders.js'
-import { getRecord, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
+import { getFencingToken, getRecord, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
 import { MAX_START_TRIES, ORDER_TIMEOUT_MS, RESEND_STOP_MS } from './timing.js'
 import { EVACUATED_REASON } from './zoneEvacuation.js'
 
@@ -56,7 +56,7 @@
     attempt: run.attempt,
     command: workflow.command,
     checkpoint: findTask(context.getState(), run.task)?.checkpoint ?? '',
-    fence: context.fence,
+    fence: getFencingToken(context, record),
     leaseUntil,
     ticket: run.ticket
   }, sentAt + ORDER_TIMEOUT_MS)
@@ -83,7 +83,7 @@
   if (failure.kind === 'other-life') return false
   const { reason, clock } = failure
   if (clock !== undefined) session.clockReading = { workerTime: clock, receivedAt: context.clock.now() }
-  if (reason === 'fenced') context.onFenced(session.worker)
+  if (reason === 'fenced') context.onFenced(session)
   if (reason === 'fenced') return false
   if (reason === 'late') return true
   context.onRefused(session, run, reason)
@@ -136,7 +136,7 @@
   if (run.stopping || record === undefined || now - run.stopSentAt < RESEND_STOP_MS || !session.reachable || !context.isActive()) return
   run.stopping = true
   run.stopSentAt = now
-  const reply = await context.client.stop(record.life, { task: run.task, attempt: run.attempt, fence: context.fence }, now + ORDER_TIMEOUT_MS)
+  const reply = await context.client.stop(record.life, { task: run.task, attempt: run.attempt, fence: getFencingToken(context, record) }, now + ORDER_TIMEOUT_MS)
   run.stopping = false
   if (reply.ok) run.stopAcknowledgedAt ??= clock.now()
   else logger.warn('run.stop-failed', { task: run.task, worker: session.worker, reason: describeWorkerFailure(reply.val) })
@@ -167,6 +167,6 @@
   if (record === undefined || !context.isActive() || now - unassigned.stoppedAt < RESEND_STOP_MS) return
   unassigned.stoppedAt = now
   context.logger.info('run.stop', { task: unassigned.task, attempt: unassigned.attempt, worker: session.worker, reason })
-  const reply = await context.client.stop(record.life, { task: unassigned.task, attempt: unassigned.attempt, fence: context.fence }, now + ORDER_TIMEOUT_MS)
+  const reply = await context.client.stop(record.life, { task: unassigned.task, attempt: unassigned.attempt, fence: getFencingToken(context, record) }, now + ORDER_TIMEOUT_MS)
   if (reply.err) context.logger.warn('run.stop-failed', { task: unassigned.task, worker: session.worker, reason: describeWorkerFailure(reply.val) })
 }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -1,9 +1,9 @@
-import { canRunCopies, findTask, getLastAttempt, isTaskDone, parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
+import { canRunCopies, findAttemptOn, findTask, getLastAttempt, isTaskDone, listUnsettledTasks, parseTaskName, type RunEnd, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import type { PollReply, RunStatus, WorkerFailure } from './orders.js'
 import { releaseRun, startRun, stopRun, stopUnassignedRun } from './runOrders.js'
 import { observeServices } from './serviceBound.js'
-import { getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
+import { getFencingToken, getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, REMOVE_WORKER_AFTER_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, SPECULATIVE_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
 
 /** Polls one worker until its session ends: renews its lease, records its ended runs, and starts or stops runs to match its assignments. */
@@ -12,7 +12,7 @@
   while (!context.isStopped() && !session.ended) {
     const record = getRecord(context, session)
     if (record === undefined) return
-    const delayMs = context.isActive() ? getPollDelayMs(session, clock.now()) : AUTHORITY_CHECK_INTERVAL_MS
+    const delayMs = context.isActive() ? getPollDelayMs(session, record, clock.now()) : AUTHORITY_CHECK_INTERVAL_MS
     if (delayMs > 0) {
       await session.wake.wait(delayMs)
       continue
@@ -22,9 +22,10 @@
 }
 
 /** Time until the next poll is due; zero or less if it is due now. */
-function getPollDelayMs (session: Session, now: number): number {
+function getPollDelayMs (session: Session, record: WorkerRecord, now: number): number {
   const hasRuns = session.runs.size > 0 || session.strays.size > 0
-  const intervalMs = hasRuns ? 0 : IDLE_POLL_INTERVAL_MS
+  const idleMs = record.unsettled === undefined ? IDLE_POLL_INTERVAL_MS : FIRST_RETRY_MS
+  const intervalMs = hasRuns ? 0 : idleMs
   const dueAt = session.reachable ? session.lastPollAt + intervalMs : session.lastPollAt + session.retryMs
   return dueAt - now
 }
@@ -33,11 +34,11 @@
   const { clock, client } = context
   const sentAt = clock.now()
   const isFirstPoll = session.clockReading === undefined
-  const waitMs = isFirstPoll || !session.reachable || session.runs.size === 0 ? 0 : getPollWaitMs(session, context.getState())
+  const waitMs = isFirstPoll || !session.reachable || session.runs.size + session.strays.size === 0 ? 0 : getPollWaitMs(session, context.getState())
   // Polls of an unreachable worker do not renew its lease: its runs have to end before their tasks are assigned to others.
   const leaseUntil = session.reachable ? renewLease(context, session) : undefined
   const acknowledged = record.lastEnd
-  const reply = await client.poll(record.life, { fence: context.fence, leaseUntil, acknowledged, waitMs }, sentAt + waitMs + POLL_REPLY_MARGIN_MS)
+  const reply = await client.poll(record.life, { fence: getFencingToken(context, record), leaseUntil, acknowledged, waitMs }, sentAt + waitMs + POLL_REPLY_MARGIN_MS)
   session.lastPollAt = sentAt
   if (context.isStopped() || session.ended) return
   if (!reply.ok) return handleFailedPoll(context, session, reply.val)
@@ -70,7 +71,11 @@
 
 async function handleFailedPoll (context: SessionContext, session: Session, failure: WorkerFailure): Promise<void> {
   const { clock, logger } = context
-  if (failure.kind === 'refused' && failure.reason === 'fenced') return context.onFenced(session.worker)
+  const isFenced = failure.kind === 'refused' && failure.reason === 'fenced'
+  // Refused again under a later grant of the same leader: the token that the worker has seen is not that of a later leader.
+  const isFencedAgain = isFenced && session.fencedTerm === context.fence
+  if (isFenced) context.onFenced(session)
+  if (isFenced && !isFencedAgain) return
   if (session.reachable) {
     session.reachable = false
     session.unreachableSince = clock.now()
@@ -78,6 +83,12 @@
     logger.warn('worker.unreachable', { worker: session.worker, bornAt: session.bornAt, leaseMs: Math.round(session.leaseEndsAt - clock.now()), zone: getRecord(context, session)?.life.availabilityZone, reason: failure.kind, message: 'message' in failure ? failure.message : undefined, runs: session.runs.size })
   }
   session.retryMs = Math.min(MAX_RETRY_MS, session.retryMs * 2)
+  await abandonWorker(context, session, failure)
+}
+
+/** Releases the tasks of a worker that does not answer once its leases are over, and later removes the worker. */
+async function abandonWorker (context: SessionContext, session: Session, failure: WorkerFailure): Promise<void> {
+  const { clock, logger } = context
   const isReplaced = failure.kind === 'other-life'
   const record = getRecord(context, session)
   if (record?.expired === true && clock.now() - session.unreachableSince > REMOVE_WORKER_AFTER_MS) {
@@ -99,6 +110,21 @@
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
   }
   context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
+  await releaseUnsettled(context, session, reply)
+}
+
+/**
+ * Releases the tasks of earlier incarnations that the worker does not list. It has executed this poll, so it refuses from now
+ * on what was meant for them. A listed one is unassigned, so it is told to stop.
+ */
+async function releaseUnsettled (context: SessionContext, session: Session, reply: PollReply): Promise<void> {
+  const unsettled = listUnsettledTasks(getRecord(context, session))
+  if (unsettled.length === 0 || reply.hasMoreEnds === true || reply.unreadableRuns !== undefined || !context.isActive()) return
+  const listed = new Set([...reply.running.map(({ task }) => task), ...reply.ends.map(([, task]) => task)])
+  const released = unsettled.filter((task) => !listed.has(task))
+  context.logger.info('worker.settled', { worker: session.worker, bornAt: session.bornAt, released: released.length, listed: unsettled.length - released.length })
+  if (released.length === 0) return
+  await context.recordEnds(session.worker, session.bornAt, released.map((task): RunEnd => [0, task, findAttemptOn(context.getState(), task, session.worker) ?? 1, 'not-started', '']))
 }
 
 /** Records for ended runs that had been told to stop the time from the decision to their end. */
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -80,9 +80,13 @@
     recordEnds: recorder.recordEnds,
     expireWorker: (worker, bornAt) => proposeChange({ kind: 'life.expire', worker, bornAt, judge: getSessionOwner(), at: clock.wall() }),
     removeWorker: (worker, bornAt) => proposeChange({ kind: 'life.remove', worker, bornAt, judge: getSessionOwner(), at: clock.wall() }),
-    onFenced: (worker) => {
-      logger.warn('sessions.fenced', { worker, fence: exchange.getFence() })
-      exchange.dropAuthority()
+    onFenced: (session) => {
+      // The session was for an incarnation that a later one has replaced, or another host has the worker now.
+      if (session.ended) return
+      const term = exchange.getFence()
+      logger.warn('sessions.fenced', { worker: session.worker, bornAt: session.bornAt, fence: term, repeated: session.fencedTerm === term })
+      if (session.fencedTerm !== term) exchange.dropAuthority()
+      session.fencedTerm = term
     },
     onReportDue: (session, isUrgent) => exchange.queueReport(session.worker, isUrgent),
     onStarted: (session, run) => exchange.addStart([session.worker, run.task, run.attempt]),
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -1,5 +1,6 @@
 import type { Clock, Logger, Metrics, EventLoopMeter } from '../../common/index.js'
 import type { RunEnd, WorkerIncarnation, WorkerRecord, WorkflowsState } from '../../state/index.js'
+import { computeFencingToken } from './fencingToken.js'
 import type { RunStatus, WorkerClient } from './orders.js'
 import { createServiceWatch, type ServiceBound, type ServiceWatch } from './serviceWatch.js'
 import { createSignal, type Signal } from './signal.js'
@@ -80,6 +81,8 @@
   readonly loggedServices: Set<string>
   lastPollAt: number
   retryMs: number
+  /** The term under which the worker last refused an order because of a higher fencing token. */
+  fencedTerm: number | undefined
   wake: Signal
 }
 
@@ -90,7 +93,7 @@
   work: EventLoopMeter
   client: WorkerClient
   starts: StartQueue
-  /** Fencing token of the orders: the term of the leader on whose behalf this host gives them. */
+  /** The term of the leader on whose behalf this host gives orders. */
   readonly fence: number
   readonly serviceBound: ServiceBound
   /** Length of the leases of workers. */
@@ -109,7 +112,7 @@
   /** Removes from the replicated state a worker that has not returned. */
   removeWorker (worker: string, bornAt: number): Promise<boolean>
   /** The worker refused an order because it has seen a higher fencing token. */
-  onFenced (worker: string): void
+  onFenced (session: Session): void
   /** The state of the worker has to be reported to the leader. `isUrgent`: at once, since the leader should not place tasks by the previous report. */
   onReportDue (session: Session, isUrgent: boolean): void
   onRefused (session: Session, run: Run, reason: string): void
@@ -136,6 +139,7 @@
     loggedServices: new Set(),
     lastPollAt: -Infinity,
     retryMs: FIRST_RETRY_MS,
+    fencedTerm: undefined,
     ended: false,
     wake: createSignal(context.clock)
   }
@@ -168,6 +172,11 @@
   return record?.life.bornAt === session.bornAt ? record : undefined
 }
 
+/** Fencing token of the orders of a session. */
+export function getFencingToken ({ fence }: SessionContext, { generation }: WorkerRecord): number {
+  return computeFencingToken(generation, fence)
+}
+
 /** Extends the lease of a worker as far as this host's authority allows. Returns the end of the lease on the worker's clock, or undefined before the first reading of that clock. */
 export function renewLease (context: SessionContext, session: Session): number | undefined {
   if (session.clockReading === undefined) return undefined
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -3,6 +3,7 @@
 import { findSessionHost } from './sessionHosts.js'
 import { addCopy, getAttemptOn, getLastAttempt, isRunAssigned, listRunWorkers, recordAttempt, removeRun, type TaskRuns } from './taskCopies.js'
 import { listAdmissibleAssignments, zoneEvacuationHandlers, type EvacuatedZone } from './zoneEvacuations.js'
+import { createUnsettled, listUnsettledTasks, releaseUnsettled } from './unsettledTasks.js'
 import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
@@ -65,6 +66,10 @@
   expired: boolean
   /** Tasks that are assigned to this incarnation of the worker. */
   assigned: Record<string, true>
+  /** Tasks of earlier incarnations that may still be started on this one, see `unsettledTasks.ts`; absent if there are none. */
+  unsettled?: Record<string, true>
+  /** Number of this incarnation among all that were registered; orders for a later one have higher fencing tokens. Absent in state of earlier builds. */
+  generation?: number
 }
 
 /**
@@ -79,6 +84,8 @@
   /** Ids of ended workflows, oldest first. */
   ended: string[]
   workers: Record<string, WorkerRecord>
+  /** Number of worker incarnations that have been registered; absent in state of earlier builds. */
+  incarnations?: number
   /** Workers that have left by themselves, with the start of the incarnation that left; absent in state of earlier builds. */
   departed?: Record<string, { bornAt: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
@@ -221,7 +228,7 @@
     return Ok({})
   },
 
-  // Ends of an incarnation that a later one has replaced are ignored: its tasks were released at the replacement.
+  // Ends of an incarnation that a later one has replaced are ignored: its tasks are with the later one.
   'workflow.end': (state: WorkflowsState, { lives, judge, at }: { lives: WorkerRunEnds[], judge: SessionOwner, at: number }): HandlerResult => {
     lives.forEach(({ worker, bornAt, ends }) => {
       const record = state.workers[worker]
@@ -246,8 +253,8 @@
   'life.report': (state: WorkflowsState, { life }: { life: WorkerIncarnation }): HandlerResult => {
     const known = state.workers[life.id]
     if (known === undefined || known.life.bornAt < life.bornAt) {
-      if (known !== undefined) releaseTasks(state, known)
-      state.workers[life.id] = { life, lastEnd: 0, expired: false, assigned: {} }
+      state.incarnations = (state.incarnations ?? 0) + 1
+      state.workers[life.id] = { life, lastEnd: 0, expired: false, assigned: {}, generation: state.incarnations, ...createUnsettled(known) }
     } else if (known.life.bornAt === life.bornAt) {
       // A worker incarnation that has started to drain never accepts work again.
       const draining = known.life.draining || life.draining
@@ -385,10 +392,12 @@
 
 function applyEnd (state: WorkflowsState, worker: WorkerRecord, [number, task, attempt, cause, checkpoint]: RunEnd, at: number): void {
   if (number > 0 && number <= worker.lastEnd) return
-  if (number > 0) worker.lastEnd = number
+  worker.lastEnd = Math.max(worker.lastEnd, number)
   const name = parseTaskName(task)
-  const record = name === undefined ? undefined : state.workflows[name.workflow]
-  const known = name === undefined ? undefined : record?.tasks[formatTaskKey(name)]
+  const record = state.workflows[name?.workflow ?? '']
+  const known = findTask(state, task)
+  // The task may have been pruned, or be with another worker by now.
+  if (known === undefined || !listRunWorkers(known).includes(worker.life.id)) releaseUnsettled(worker, task)
   if (name === undefined || record === undefined || known === undefined) return
   // A worker may report the end of an attempt that is not recorded in this state.
   const isAssigned = isRunAssigned(known, worker.life.id, attempt)
@@ -491,14 +500,16 @@
 }
 
 function releaseTasks (state: WorkflowsState, worker: WorkerRecord): void {
-  Object.keys(worker.assigned).forEach((task) => {
+  Object.keys(worker.assigned).concat(listUnsettledTasks(worker)).forEach((task) => {
     const known = findTask(state, task)
     if (known !== undefined && listRunWorkers(known).includes(worker.life.id)) releaseRun(worker, task, known)
   })
   worker.assigned = {}
+  delete worker.unsettled
 }
 
 function releaseRun (worker: WorkerRecord, task: string, known: TaskRecord): void {
   delete worker.assigned[task]
+  releaseUnsettled(worker, task)
   removeRun(known, worker.life.id)
 }
--- a/test/workflows/taskCopies.test.ts
+++ b/test/workflows/taskCopies.test.ts
@@ -27,8 +27,8 @@
   workflowHandlers['workflow.assign'](state, { assignments: [], copies: [[TASK, worker, attempt]] })
 }
 /** Applies an end that the worker reports, or with `number` 0 one that its session host concludes. */
-function end (worker: string, attempt: number, cause: EndCause, { number = ended[worker] = (ended[worker] ?? 0) + 1, checkpoint = '' } = {}): void {
-  workflowHandlers['workflow.end'](state, { lives: [{ worker, bornAt: 1, ends: [[number, TASK, attempt, cause, checkpoint]] }], judge: JUDGE, at: 0 })
+function end (worker: string, attempt: number, cause: EndCause, { number = ended[worker] = (ended[worker] ?? 0) + 1, checkpoint = '', bornAt = 1 } = {}): void {
+  workflowHandlers['workflow.end'](state, { lives: [{ worker, bornAt, ends: [[number, TASK, attempt, cause, checkpoint]] }], judge: JUDGE, at: 0 })
 }
 function getTask (): TaskRecord | undefined {
   return findTask(state, TASK)
@@ -125,7 +125,12 @@
     end('w2', 2, 'lease-expired')
   }],
   ['its worker is removed', () => { workflowHandlers['life.remove'](state, { worker: 'w2', bornAt: 1, judge: JUDGE, at: 0 }) }],
-  ['its worker is replaced', () => { workflowHandlers['life.report'](state, { life: { ...LIFE, id: 'w2', bornAt: 2 } }) }]
+  ['its worker is replaced, and the later incarnation does not run it', () => {
+    workflowHandlers['life.report'](state, { life: { ...LIFE, id: 'w2', bornAt: 2 } })
+    end('w2', 2, 'not-started', { number: 0, bornAt: 1 })
+    expect(getTask()?.copy).toEqual({ attempt: 2, worker: 'w2' })
+    end('w2', 2, 'not-started', { number: 0, bornAt: 2 })
+  }]
 ])('the original keeps its attempt after its copy is gone: %s', (_name, lose) => {
   submit()
   assign('w1', 1)
