Do not release the tasks of a worker because a later incarnation answers a poll

What callers saw: a task had two runs at the same time after its worker had restarted under its old id; the users' record has worker.expired reason=other-life.

Cause: a poll that a later incarnation answers counted as proof that nothing of the former one can run, and released its tasks before the later one was registered and had been polled for itself. It may execute their orders.

Change: only an answer of another worker, which refuses orders for this id, releases the tasks at once. Otherwise they wait for the report of the later incarnation, with which they stay until it is polled, or for the end of the lease.

--- a/src/coordination/workflows/orders.ts
+++ b/src/coordination/workflows/orders.ts
@@ -53,8 +53,11 @@
 
 export type WorkerFailure =
   | { kind: 'refused', reason: OrderRefusal, clock: number | undefined }
-  /** Another incarnation of the worker, or another worker, answers at the address. */
-  | { kind: 'other-life' }
+  /**
+   * Another process answers at the address: another incarnation of the worker, which started at `bornAt` and may execute orders
+   * for this one, or without `bornAt` another worker, which refuses them.
+   */
+  | { kind: 'other-life', bornAt?: number }
   /** The order may have been executed, or may be executed later. */
   | { kind: 'no-answer', message: string }
 
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -89,7 +89,8 @@
 /** Releases the tasks of a worker that does not answer once its leases are over, and later removes the worker. */
 async function abandonWorker (context: SessionContext, session: Session, failure: WorkerFailure): Promise<void> {
   const { clock, logger } = context
-  const isReplaced = failure.kind === 'other-life'
+  // A later incarnation under the same id takes over the tasks when it is registered.
+  const isReplaced = failure.kind === 'other-life' && failure.bornAt === undefined
   const record = getRecord(context, session)
   if (record?.expired === true && clock.now() - session.unreachableSince > REMOVE_WORKER_AFTER_MS) {
     const removed = await context.removeWorker(session.worker, session.bornAt)
--- a/src/fakes/runFleet.ts
+++ b/src/fakes/runFleet.ts
@@ -150,7 +150,7 @@
       })
       return waitForDeadline(deadline)
     }
-    if (state.life.bornAt !== life.bornAt) return Err({ kind: 'other-life' })
+    if (state.life.bornAt !== life.bornAt) return Err({ kind: 'other-life', bornAt: state.life.bornAt })
     const reply = await execute(state)
     if (fault === 'lost-answer' || worker?.reachable !== true) return waitForDeadline(deadline)
     await clock.sleep(1)
