Bound the lease that an order for a former incarnation can set on a worker

What callers saw: a task had two runs at the same time, the first on a worker that had restarted under its old id and was cut off soon after.

Cause: an order that the new incarnation executes in place of the former one carries a deadline of the former clock, which is far ahead of the new one. The worker shortens it to the longest lease that it grants (10 s) and keeps it. Its session host knew only the leases that it had given itself (6 s), and released the tasks up to 4 s before the worker ended them.

Change: until a restarted worker has been polled, an order that was sent to its former incarnation may still set a lease, at the latest 12 s after the registration; its leases count as over when the longest one set then has ended on the slowest clock. The first poll, after which it refuses such orders, ends that time. The same holds for a worker of which a later incarnation has answered.

--- a/src/coordination/workflows/coordinator.ts
+++ b/src/coordination/workflows/coordinator.ts
@@ -29,7 +29,7 @@
   log: ReplicatedLog
   availabilityZone: string
   serviceBound: ServiceBound
-  /** The longest lease that the workers grant; absent: no limit. */
+  /** The longest lease that the workers grant; absent: `DEFAULT_MAX_LEASE_MS`. */
   maxLeaseMs?: number | undefined
   /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
   evacuateMs?: number
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -3,7 +3,7 @@
 import type { PollReply, RunStatus, WorkerFailure } from './orders.js'
 import { releaseRun, startRun, stopRun, stopUnassignedRun } from './runOrders.js'
 import { observeServices } from './serviceBound.js'
-import { getFencingToken, getRecord, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
+import { getFencingToken, getRecord, recordFenced, recordReplaced, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, REMOVE_WORKER_AFTER_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, SPECULATIVE_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
 
 /** Polls one worker until its session ends: renews its lease, records its ended runs, and starts or stops runs to match its assignments. */
@@ -44,6 +44,7 @@
   if (!reply.ok) return handleFailedPoll(context, session, reply.val)
   session.clockReading = { workerTime: reply.val.clock, receivedAt: clock.now() }
   session.readAt = clock.now()
+  recordFenced(context, session)
   recordReachable(context, session)
   const { unreadableRuns } = reply.val
   if (unreadableRuns !== undefined) context.logger.warn('worker.runs-unreadable', { worker: session.worker, runs: unreadableRuns })
@@ -89,14 +90,15 @@
 /** Releases the tasks of a worker that does not answer once its leases are over, and later removes the worker. */
 async function abandonWorker (context: SessionContext, session: Session, failure: WorkerFailure): Promise<void> {
   const { clock, logger } = context
+  const isOtherWorker = failure.kind === 'other-life' && failure.bornAt === undefined
   // A later incarnation under the same id takes over the tasks when it is registered.
-  const isReplaced = failure.kind === 'other-life' && failure.bornAt === undefined
+  if (failure.kind === 'other-life' && !isOtherWorker) recordReplaced(context, session)
   const record = getRecord(context, session)
   if (record?.expired === true && clock.now() - session.unreachableSince > REMOVE_WORKER_AFTER_MS) {
     const removed = await context.removeWorker(session.worker, session.bornAt)
     return logger.info('worker.removed', { worker: session.worker, outcome: removed ? 'recorded' : 'not-recorded' })
   }
-  if (record === undefined || record.expired || (!isReplaced && clock.now() < session.leaseEndsAt)) return
+  if (record === undefined || record.expired || (!isOtherWorker && clock.now() < session.leaseEndsAt)) return
   // The entry removes the runs from the session.
   const runs = session.runs.size
   const expired = await context.expireWorker(session.worker, session.bornAt)
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -1,5 +1,5 @@
 import { runSupervised, type Clock, type Logger, type Metrics, type Network, type EventLoopMeter } from '../../common/index.js'
-import { findAttemptOn, findSessionHost, findTask, listRunWorkers, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkflowsState } from '../../state/index.js'
+import { findAttemptOn, findSessionHost, findTask, listRunWorkers, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkerIncarnation, type WorkflowsState } from '../../state/index.js'
 import { createEndRecorder } from './endRecorder.js'
 import { createLeaderExchange } from './leaderExchange.js'
 import type { WorkerClient } from './orders.js'
@@ -9,8 +9,9 @@
 import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
 import type { ServiceBound } from './serviceWatch.js'
 import { createStartQueue } from './startQueue.js'
+import { computeLongestMs } from './workerClock.js'
 import { createZoneEvacuations } from './zoneEvacuation.js'
-import { AUTHORITY_CHECK_INTERVAL_MS, EXCHANGE_INTERVAL_MS, LEASE_MS, LEAVE_TIMEOUT_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
+import { AUTHORITY_CHECK_INTERVAL_MS, DEFAULT_MAX_LEASE_MS, EXCHANGE_INTERVAL_MS, LEASE_MS, LEAVE_TIMEOUT_MS, MAX_CALL_DELAY_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
 
 export interface SessionHostOptions {
   clock: Clock
@@ -22,7 +23,7 @@
   client: WorkerClient
   availabilityZone: string
   serviceBound: ServiceBound
-  /** The longest lease that the workers grant; absent: no limit. */
+  /** The longest lease that the workers grant; absent: `DEFAULT_MAX_LEASE_MS`. */
   maxLeaseMs?: number | undefined
   /** Time within which starts in an evacuated zone end, see `createZoneEvacuations`. */
   evacuateMs?: number
@@ -71,6 +72,7 @@
     starts,
     serviceBound: options.serviceBound,
     leaseMs: Math.min(LEASE_MS, options.maxLeaseMs ?? Infinity),
+    longestLeaseMs: computeLongestMs(options.maxLeaseMs ?? DEFAULT_MAX_LEASE_MS),
     evacuations,
     get fence () { return exchange.getFence() },
     getState,
@@ -94,12 +96,24 @@
     onReachabilityChange: (session) => exchange.queueReport(session.worker, true)
   }
 
+  /** When this process first knew the incarnation of each worker. */
+  const registrations = new Map<string, { bornAt: number, at: number }>()
+
+  const getRegisteredAt = ({ id, bornAt }: WorkerIncarnation): number => {
+    const known = registrations.get(id)
+    if (known?.bornAt === bornAt) return known.at
+    const at = clock.now()
+    registrations.set(id, { bornAt, at })
+    return at
+  }
+
   const addSession = (worker: string): void => {
     const record = getState().workers[worker]
     const existing = sessions.get(worker)
     if (record === undefined || existing?.bornAt === record.life.bornAt) return
     if (existing !== undefined) removeSession(existing)
-    const session = createSession(context, record.life)
+    const foreignOrdersEndAt = record.isRestart === true ? getRegisteredAt(record.life) + MAX_CALL_DELAY_MS : undefined
+    const session = createSession(context, record.life, foreignOrdersEndAt)
     sessions.set(worker, session)
     exchange.queueReport(worker, true)
     Object.keys(record.assigned).forEach((task) => addRun(session, task, false, undefined))
@@ -210,12 +224,15 @@
     },
     'workflow.cancel': ({ id }) => stopWorkflowRuns(id),
     'life.report': ({ life }) => {
+      const record = getState().workers[life.id]
+      if (record !== undefined) getRegisteredAt(record.life)
       const session = sessions.get(life.id)
       if (isOwnWorker(life.id)) addSession(life.id)
       else if (session !== undefined) removeSession(session)
     },
     'life.expire': ({ worker }) => syncSession(worker),
     'life.remove': ({ worker }) => {
+      registrations.delete(worker)
       const session = sessions.get(worker)
       if (session !== undefined) removeSession(session)
     }
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -5,7 +5,7 @@
 import { createServiceWatch, type ServiceBound, type ServiceWatch } from './serviceWatch.js'
 import { createSignal, type Signal } from './signal.js'
 import type { StartQueue } from './startQueue.js'
-import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, WORKER_HANDOVER_MS } from './timing.js'
+import { EXPIRY_MARGIN_MS, FIRST_RETRY_MS, MAX_CALL_DELAY_MS, WORKER_HANDOVER_MS } from './timing.js'
 import type { ZoneEvacuations } from './zoneEvacuation.js'
 import { computeWorkerTime, type ClockReading } from './workerClock.js'
 
@@ -75,6 +75,10 @@
   unreachableSince: number
   /** Local time by which every run that was ordered so far has ended unless its lease is renewed. */
   leaseEndsAt: number
+  /** Local time from which on the worker executes no order that was meant for another incarnation; such an order may set a lease of any length. */
+  foreignOrdersEndAt: number
+  /** A later incarnation has answered under the worker's id. */
+  isReplaced: boolean
   clockReading: ClockReading | undefined
   readonly services: ServiceWatch
   /** Tasks that were logged as over their latency targets and have not recovered. */
@@ -98,6 +102,8 @@
   readonly serviceBound: ServiceBound
   /** Length of the leases of workers. */
   readonly leaseMs: number
+  /** The longest time for which a worker keeps a lease, whatever deadline an order names. */
+  readonly longestLeaseMs: number
   readonly evacuations: Pick<ZoneEvacuations, 'isStartBlocked'>
   getState (): WorkflowsState
   /** False while this host has no current authority from a leader; it gives no orders then. */
@@ -121,8 +127,11 @@
   onReachabilityChange (session: Session): void
 }
 
-export function createSession (context: SessionContext, life: WorkerIncarnation): Session {
+/** `foreignOrdersEndAt`: see `Session`; absent for a worker that no earlier incarnation can have orders for. */
+export function createSession (context: SessionContext, life: WorkerIncarnation, foreignOrdersEndAt = -Infinity): Session {
   const now = context.clock.now()
+  // The previous session host of the worker may have extended the lease until this moment.
+  const leaseEndsAt = now + context.leaseMs + EXPIRY_MARGIN_MS
   return {
     worker: life.id,
     bornAt: life.bornAt,
@@ -132,8 +141,9 @@
     readAt: -Infinity,
     reachable: false,
     unreachableSince: now,
-    // The previous session host of the worker may have extended the lease until this moment.
-    leaseEndsAt: now + context.leaseMs + EXPIRY_MARGIN_MS,
+    leaseEndsAt: foreignOrdersEndAt > now ? computeLongestLeaseEnd(context, foreignOrdersEndAt) : leaseEndsAt,
+    foreignOrdersEndAt,
+    isReplaced: false,
     clockReading: undefined,
     services: createServiceWatch(now - WORKER_HANDOVER_MS, context.serviceBound),
     loggedServices: new Set(),
@@ -172,6 +182,27 @@
   return record?.life.bornAt === session.bornAt ? record : undefined
 }
 
+/** Local time at which a lease has ended that an order set at `setAt`, whatever its deadline. */
+function computeLongestLeaseEnd ({ longestLeaseMs }: SessionContext, setAt: number): number {
+  return setAt + longestLeaseMs + EXPIRY_MARGIN_MS
+}
+
+/** Records that the worker has executed an order with the token of its incarnation and therefore refuses those for others from now on. */
+export function recordFenced (context: SessionContext, session: Session): void {
+  const now = context.clock.now()
+  if (session.foreignOrdersEndAt <= now) return
+  session.foreignOrdersEndAt = now
+  session.leaseEndsAt = computeLongestLeaseEnd(context, now)
+}
+
+/** Records that a later incarnation has answered, which may execute the orders of this session and hold a lease by them. */
+export function recordReplaced (context: SessionContext, session: Session): void {
+  if (session.isReplaced) return
+  session.isReplaced = true
+  session.foreignOrdersEndAt = context.clock.now() + MAX_CALL_DELAY_MS
+  session.leaseEndsAt = computeLongestLeaseEnd(context, session.foreignOrdersEndAt)
+}
+
 /** Fencing token of the orders of a session. */
 export function getFencingToken ({ fence }: SessionContext, { generation }: WorkerRecord): number {
   return computeFencingToken(generation, fence)
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -16,6 +16,10 @@
 /** A poll without an answer this long after the end of its wait has failed; some hundred times a round trip. */
 export const POLL_REPLY_MARGIN_MS = 800
 export const ORDER_TIMEOUT_MS = 700
+/** A worker may execute a call that got no answer up to this long after it was sent, also if it has restarted in between. */
+export const MAX_CALL_DELAY_MS = 12_000
+/** Longest lease of a worker where the settings do not tell it. */
+export const DEFAULT_MAX_LEASE_MS = 10_000
 export const MAX_START_TRIES = 4
 /** A stop order is repeated after this long if its run has not ended. */
 export const RESEND_STOP_MS = 400
--- a/src/coordination/workflows/workerClock.ts
+++ b/src/coordination/workflows/workerClock.ts
@@ -12,3 +12,8 @@
   const remainingMs = until - receivedAt
   return Math.floor(workerTime + (remainingMs > 0 ? remainingMs * (1 - MAX_CLOCK_DRIFT) : remainingMs))
 }
+
+/** The longest local time that a worker, whose clock may be slow, takes for `ms` by its own clock. */
+export function computeLongestMs (ms: number): number {
+  return ms / (1 - MAX_CLOCK_DRIFT)
+}
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -68,6 +68,8 @@
   assigned: Record<string, true>
   /** Tasks of earlier incarnations that may still be started on this one, see `unsettledTasks.ts`; absent if there are none. */
   unsettled?: Record<string, true>
+  /** An earlier incarnation was registered under the id, so this one may execute orders that were meant for that one. */
+  isRestart?: boolean
   /** Number of this incarnation among all that were registered; orders for a later one have higher fencing tokens. Absent in state of earlier builds. */
   generation?: number
 }
@@ -253,8 +255,9 @@
   'life.report': (state: WorkflowsState, { life }: { life: WorkerIncarnation }): HandlerResult => {
     const known = state.workers[life.id]
     if (known === undefined || known.life.bornAt < life.bornAt) {
+      const isRestart = known !== undefined || state.departed?.[life.id] !== undefined
       state.incarnations = (state.incarnations ?? 0) + 1
-      state.workers[life.id] = { life, lastEnd: 0, expired: false, assigned: {}, generation: state.incarnations, ...createUnsettled(known) }
+      state.workers[life.id] = { life, lastEnd: 0, expired: false, assigned: {}, generation: state.incarnations, ...createUnsettled(known), ...isRestart && { isRestart } }
     } else if (known.life.bornAt === life.bornAt) {
       // A worker incarnation that has started to drain never accepts work again.
       const draining = known.life.draining || life.draining
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -45,7 +45,7 @@
   worker.reachable = false
   await scene.run(LONGEST_LEASE_MS)
   worker.reachable = true
-  await scene.run(500)
+  await scene.run(1500)
 }
 
 /** When the restarted worker executes the late order and when it is reported, ms after the order or after the restart. */
