End the orders of a session with the session

What callers could see: a task that runs twice after its worker has been given to another session host.

Cause: a session that ends keeps its runs. A start order that waits in the queue or for its repetition was still sent, with the same token, and renewed the lease by the authority of the former host, which the present one does not know of. Its answer was counted, and an order without an answer was stopped by the former host.

Change: an ended session has no record of its worker, so it sends nothing, and the answers that come later are ignored.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -27,6 +27,7 @@
     if (isAdmitted) context.starts.release(session.worker)
   }
   run.starting = false
+  if (session.ended) return
   // A worker that answers polls but no start orders would otherwise keep the task forever. Reset connections fail at once, so the elapsed time is checked as well as the number of tries.
   const isOverdue = context.clock.now() >= run.assignedAt + MAX_START_TRIES * ORDER_TIMEOUT_MS
   if (shouldRetry && isOverdue && run.unanswered && run.confirmedAt === undefined) {
@@ -39,6 +40,7 @@
 /** Sends one start order. Returns whether to send it again. */
 async function sendStart (context: SessionContext, session: Session, run: Run, tries: number): Promise<boolean> {
   const { clock, logger, client } = context
+  if (session.ended) return false
   const record = getRecord(context, session)
   const workflow = findWorkflow(context, run.task)
   const blocker = findStartBlocker(context, session, run)
@@ -60,7 +62,8 @@
     leaseUntil,
     ticket: run.ticket
   }, sentAt + ORDER_TIMEOUT_MS)
-  if (context.isStopped()) return false
+  // What a worker answers to an ended session is for its present session host to find out.
+  if (context.isStopped() || session.ended) return false
   if (reply.ok) {
     session.clockReading = { workerTime: reply.val.clock, receivedAt: clock.now() }
     run.confirmedAt = clock.now()
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -111,6 +111,7 @@
   recordStops(context, session, reply)
   if (reply.ends.length > 0) {
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
+    if (session.ended) return
   }
   context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
   await releaseUnsettled(context, session, reply)
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -176,8 +176,9 @@
   }
 }
 
-/** The replicated record of the session's worker; undefined if the worker was removed or another incarnation has replaced it. */
+/** The replicated record of the session's worker; undefined if the session has ended, the worker was removed or another incarnation has replaced it. */
 export function getRecord (context: SessionContext, session: Session): WorkerRecord | undefined {
+  if (session.ended) return undefined
   const record = context.getState().workers[session.worker]
   return record?.life.bornAt === session.bornAt ? record : undefined
 }
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -437,3 +437,31 @@
   expect([outcome, refused > 0, refused <= 12 * 8]).toEqual(['completed', true, true])
   await hosts.stop()
 })
+
+test('a host sends no repetition of a start order to a worker that has been assigned to another host', async () => {
+  const startsByOld: number[] = []
+  const hosts = await createHosts(HOSTS, WORKERS, (clock, client, host) => ({
+    ...client,
+    start: (life, order, deadline) => {
+      if (host === 'h3') startsByOld.push(clock.now())
+      return client.start(life, order, deadline)
+    }
+  }))
+  listOwned(hosts, 'h3').forEach((id) => {
+    const worker = hosts.fleet.workers.get(id)
+    if (worker !== undefined) worker.fault = (kind) => kind === 'start' ? 'lost-order' : 'none'
+  })
+  hosts.submit('x', [{ count: 24, cores: 1 }])
+  while (startsByOld.length === 0) await hosts.clock.advance(10)
+  // The orders are repeated after 700 ms. The leader returns the workers to the host 100 ms after the change at the latest.
+  await hosts.clock.advance(670)
+  const ordered = startsByOld.length
+  hosts.propose({ kind: 'sessions.divide', hosts: ['h2', 'h4'].map((host) => ({ host, availabilityZone: 'a' })) })
+  while (listOwned(hosts, 'h3').length > 0) await hosts.clock.advance(1)
+  const lostAt = hosts.clock.now()
+  while (listOwned(hosts, 'h3').length === 0) await hosts.clock.advance(1)
+  const regainedAt = hosts.clock.now()
+  expect({ ordered: ordered > 0, wasLost: regainedAt - lostAt > 40, repeated: startsByOld.filter((at) => at > lostAt && at < regainedAt).length })
+    .toEqual({ ordered: true, wasLost: true, repeated: 0 })
+  await hosts.stop()
+})
