Ignore a departure without a start time unless the worker drains

What callers could see: tasks that run twice after a late deregistration of a former incarnation.

Cause: a deregistration without a start time, as the platform sends it, removed whatever incarnation was known under the id and released its tasks, although that one may be at work.

Change: it counts only for an incarnation that has announced that it leaves, which workers do before a planned end. A worker whose announcement was lost is given up when its lease ends, as one that crashes.

The new test failed before. The existing one removed a worker that had announced nothing; it now announces its departure first and expects the same outcomes after it.

--- a/src/coordination/workflows/directory.ts
+++ b/src/coordination/workflows/directory.ts
@@ -8,7 +8,7 @@
 export interface WorkerDirectory {
   /** Registers or updates a worker; resolves once the change is committed. */
   reportWorker (life: WorkerIncarnation, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
-  /** Removes a worker that has shut down by itself; `bornAt` is undefined if the message does not contain it, and it may then be of an earlier incarnation. */
+  /** Removes a worker that has shut down by itself; `bornAt` is undefined if the message does not contain it, which then counts only for a worker that drains. */
   removeWorker (worker: string, bornAt: number | undefined, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
 }
 
@@ -35,7 +35,9 @@
 
     removeWorker: async (worker, bornAt, deadline) => {
       const known = getState().workers[worker]?.life
-      if (known === undefined || (bornAt !== undefined && bornAt !== known.bornAt)) return Ok('stale')
+      // Without a start time the message may be a late one of an earlier incarnation, unless the known one has announced that it leaves.
+      const isMeant = known !== undefined && (bornAt === undefined ? known.draining : bornAt === known.bornAt)
+      if (!isMeant) return Ok('stale')
       const result = await log.propose({ kind: 'life.remove', worker, bornAt: known.bornAt, hasLeft: bornAt !== undefined, at: clock.wall() }, deadline)
       logger.info('worker.left', { worker, bornAt: known.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
       if (result.ok) return Ok('recorded')
--- a/test/workflows/catalog.test.ts
+++ b/test/workflows/catalog.test.ts
@@ -61,6 +61,13 @@
   expect([
     await report({}), await remove(10), await report({}), await report({ bornAt: 5 }), Object.keys(log.state().workflows.workers), await report({ bornAt: 20 }),
     // Without a start time the message may be of an earlier incarnation, so the worker may report again.
-    await remove(undefined), await report({ bornAt: 20 })
-  ]).toEqual(['recorded', 'recorded', 'stale', 'stale', [], 'recorded', 'recorded', 'recorded'])
+    await report({ bornAt: 20, draining: true }), await remove(undefined), await report({ bornAt: 20 })
+  ]).toEqual(['recorded', 'recorded', 'stale', 'stale', [], 'recorded', 'recorded', 'recorded', 'recorded'])
+})
+
+test('a departure without a start time does not remove an incarnation that has not announced that it leaves', async () => {
+  const log = createMemoryLog('h1')
+  const directory = createWorkerDirectory({ clock: createManualClock(), logger: createSilentLogger(), log })
+  const outcomes = [await directory.reportWorker(LIFE, 1000), await directory.removeWorker('w1', undefined, 1000)].map(({ val }) => val)
+  expect([outcomes, Object.keys(log.state().workflows.workers)]).toEqual([['recorded', 'stale'], ['w1']])
 })
