Soak: execute late orders in whichever incarnation is up under their id

Change: a late start, stop or poll is executed by the incarnation that is up at that time, if it has the id that the order names, by the usual rules: fencing token, deadline shortened to the longest lease, attempt, room and cursor; a late poll does not wait. Otherwise the order is dropped. The trace of a late order names the incarnation that it was meant for, the clock of the one that executed it, its deadline and its cursor. `silence` keeps the connections to an incarnation open without answers, also after its crash; a share of the orders on them is executed late. `isCutOff` holds back heartbeats. No fault uses these two yet.

--- a/test/soak/fakeWorker.ts
+++ b/test/soak/fakeWorker.ts
@@ -1,4 +1,5 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
 import { request } from 'undici'
 import { z } from 'zod'
 import type { Random } from '../../src/common/index.js'
@@ -40,6 +41,8 @@
 /** State of one process lifetime of the worker. */
 interface Incarnation {
   record: WorkerIncarnation
+  /** Whether its connections stay open without answers, also after its crash. */
+  isSilent: boolean
   born: number
   originAt: number
   rate: number
@@ -61,8 +64,11 @@
 export interface FakeWorker {
   name: string
   link: Link
-  /** Faults of the worker itself; `lateShare` is the part of the orders that are executed late. */
-  faults: { answerDelayMs: number, lateShare: number, isUnhealthy: boolean }
+  zone: string
+  /** Faults of the worker itself; `lateShare` is the part of the orders that are executed late. `isCutOff` holds back heartbeats. */
+  faults: { answerDelayMs: number, lateShare: number, isUnhealthy: boolean, isCutOff: boolean }
+  /** Makes the connections to the incarnation stay open without answers, also after its crash. Orders on them are executed late or not at all. */
+  silence (): void
   /** Ends the incarnation with all its runs; resolves when the next one has started, under the same id or a new one. */
   crash (downMs: number, keepsId: boolean): Promise<void>
   restore (): void
@@ -75,11 +81,14 @@
 export async function openWorker (options: WorkerOptions): Promise<FakeWorker> {
   const { name, ip, service, rejectsOverload, checker, random } = options
   const link = await openLink(`*>${name}`, `${ip}:${LINK_PORT}`, `${ip}:${WORKER_PORT}`)
-  const faults = { answerDelayMs: 0, lateShare: 0, isUnhealthy: false }
-  const state: { id: string, life: Incarnation | undefined, lives: number, isClosed: boolean } = { id: `i-${name}-0`, life: undefined, lives: 0, isClosed: false }
+  const faults = { answerDelayMs: 0, lateShare: 0, isUnhealthy: false, isCutOff: false }
+  /** `silentLife` is the former incarnation while none is up, if its connections stay open. */
+  const state: { id: string, life: Incarnation | undefined, silentLife: Incarnation | undefined, lives: number, isClosed: boolean } = { id: `i-${name}-0`, life: undefined, silentLife: undefined, lives: 0, isClosed: false }
+  const lifeByConnection = new WeakMap<Socket, Incarnation | undefined>()
 
   const createIncarnation = (): Incarnation => ({
     record: { name: `${name}/${state.lives}`, zone: options.zone, service, rejectsOverload, capacity: { cpu: 4000, memMb: 8192 }, isUp: true },
+    isSilent: false,
     born: Date.now(),
     originAt: performance.now(),
     rate: 1 - random.next() * MAX_CLOCK_SLOWNESS,
@@ -190,24 +199,39 @@
     return await handlers[path]?.(life, order) ?? [404, {}]
   }
 
-  const traceOrder = (life: Incarnation, path: string, { task, attempt, fencingToken }: Order, [status, body]: Reply): void => {
-    checker.trace('order', { worker: life.record.name, path, task, attempt, fence: fencingToken, status, ...('reason' in body ? { reason: body.reason } : {}) })
+  const traceOrder = (life: Incarnation, path: string, { task, attempt, fencingToken }: Order, [status, body]: Reply, details: object = {}): void => {
+    checker.trace('order', { worker: life.record.name, path, task, attempt, fence: fencingToken, status, ...('reason' in body ? { reason: body.reason } : {}), ...details })
+  }
+
+  /** The id is all that an order says of the incarnation that it was meant for, so the next one under that id executes it too. */
+  const executeLate = async (meantFor: Incarnation, expectedId: unknown, path: string, order: Order): Promise<void> => {
+    const { life } = state
+    if (life === undefined || expectedId !== state.id) return
+    const details = { meantFor: meantFor.record.name, clockMs: Math.floor(getClock(life)), deadlineMs: order.deadlineMs, cursor: order.ackCursor }
+    traceOrder(life, `late ${path}`, order, await execute(life, path, { ...order, waitMs: 0 }), details)
   }
 
   const handleOrder = async (incoming: IncomingMessage, answer: ServerResponse): Promise<void> => {
     const chunks: Buffer[] = []
     for await (const chunk of incoming) chunks.push(chunk as Buffer)
     const { life } = state
-    if (life === undefined) {
+    const meantFor = lifeByConnection.get(incoming.socket) ?? state.life
+    if (meantFor === undefined || (life === undefined && !meantFor.isSilent)) {
       incoming.socket.destroy()
       return
     }
     const order = orderSchema.safeParse(JSON.parse(Buffer.concat(chunks).toString() || '{}'))
     const path = incoming.url ?? ''
+    const expectedId = incoming.headers['x-sequoiadrift-expect-instance']
+    const scheduleLate = ({ data }: { data: Order }): unknown => setTimeout(() => executeLate(meantFor, expectedId, path, data), random.next() * MAX_ORDER_DELAY_MS)
+    if (life === undefined || meantFor.isSilent) {
+      if (order.success && random.next() < faults.lateShare) scheduleLate(order)
+      return
+    }
     const sendReply = ([status, body]: Reply): void => {
       if (!answer.destroyed) answer.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify({ clockMs: Math.floor(getClock(life)), born: life.born, ...body }))
     }
-    if (incoming.headers['x-sequoiadrift-expect-instance'] !== state.id) return sendReply([421, {}])
+    if (expectedId !== state.id) return sendReply([421, {}])
     if (!order.success) return sendReply([400, {}])
     if (faults.isUnhealthy && path !== '/hold') {
       traceOrder(life, path, order.data, [503, {}])
@@ -216,16 +240,13 @@
     if (random.next() < faults.lateShare) {
       // The sender gets no answer, and newer orders may be executed before this one.
       incoming.socket.destroy()
-      setTimeout(() => {
-        if (state.life !== life) return
-        execute(life, path, { ...order.data, waitMs: 0 }).then((reply) => traceOrder(life, `late ${path}`, order.data, reply))
-      }, random.next() * MAX_ORDER_DELAY_MS)
+      scheduleLate(order)
       return
     }
     const reply = await execute(life, path, order.data)
     if (path !== '/hold') traceOrder(life, path, order.data, reply)
     if (faults.answerDelayMs > 0) await new Promise((resolve) => setTimeout(resolve, faults.answerDelayMs))
-    if (state.life === life) sendReply(reply)
+    if (state.life === life && !life.isSilent) sendReply(reply)
   }
 
   const sendHeartbeat = async (life: Incarnation): Promise<void> => {
@@ -236,7 +257,7 @@
       service, address: link.address, zone: options.zone, version: 'v1', slots: 8, state: 'ready', coldRemainingMs: 0, seq: life.heartbeatSequence, born: life.born, clockMs: Math.floor(getClock(life)), capacity: { ...life.record.capacity, gpu: 0 }, labels: ['kind-a', `rack-${options.zone}`]
     })
     for (const control of [...controls.slice(first), ...controls.slice(0, first)]) {
-      if (!life.record.isUp || state.isClosed) return
+      if (!life.record.isUp || faults.isCutOff || state.isClosed) return
       const url = `http://${control}/instances/${state.id}/heartbeat`
       const status = await request(url, { method: 'POST', headers: { 'content-type': 'application/json' }, body, signal: AbortSignal.timeout(HEARTBEAT_TIMEOUT_MS) })
         .then(async (reply) => {
@@ -256,11 +277,13 @@
   }
 
   const server = createServer((incoming, answer) => { handleOrder(incoming, answer).catch(() => incoming.socket.destroy()) })
+  server.on('connection', (socket) => lifeByConnection.set(socket, state.life ?? state.silentLife))
   const listen = (): Promise<void> => new Promise((resolve, reject) => server.once('error', reject).listen(splitAddress(`${ip}:${WORKER_PORT}`), resolve))
 
   const startIncarnation = (): void => {
     state.lives += 1
     state.life = createIncarnation()
+    state.silentLife = undefined
     checker.trace('life', { worker: state.life.record.name, id: state.id, born: state.life.born })
     runHeartbeats(state.life)
   }
@@ -273,6 +296,8 @@
     life.running.forEach((run) => clearTimeout(run.timer))
     checker.observeCrash(life.record)
     life.waiters.forEach((wake) => wake())
+    state.silentLife = life.isSilent ? life : undefined
+    if (life.isSilent) return
     server.closeAllConnections()
     link.reset()
   }
@@ -281,8 +306,10 @@
   startIncarnation()
   return {
     name,
+    zone: options.zone,
     link,
     faults,
+    silence: () => { if (state.life !== undefined) state.life.isSilent = true },
     crash: async (downMs, keepsId) => {
       if (state.life === undefined) return
       endIncarnation()
@@ -291,7 +318,7 @@
       if (!state.isClosed) startIncarnation()
     },
     restore: () => {
-      Object.assign(faults, { answerDelayMs: 0, lateShare: 0, isUnhealthy: false })
+      Object.assign(faults, { answerDelayMs: 0, lateShare: 0, isUnhealthy: false, isCutOff: false })
       link.heal()
     },
     close: async () => {
