Soak: restart the workers of a zone under their ids and cut them off, while their orders are executed late

Change: in each phase of unplanned faults, the workers of one zone fall silent with 0.3 to 1 of their orders executed late, crash 0.5 s later, are back under their ids after 0.3 to 0.9 s and are cut off 2 s after that until the phase ends. The fault is drawn after all others.

--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -20,6 +20,13 @@
 const MIN_DOWN_MS = 300
 /** An evacuation begins within this time of the start of a phase and lasts until its end, which is longer than the bound on starts. */
 const EVACUATION_SPREAD_MS = 1000
+/** Time of silence before the crash of 'worker-recut'. Hosts send orders until they notice it, and these orders may be executed late. */
+const RECUT_SILENT_MS = 500
+const RECUT_MIN_DOWN_MS = 300
+const RECUT_DOWN_SPREAD_MS = 600
+/** Time between the restart and the cut, in which the hosts assign tasks to the new incarnation. */
+const RECUT_UP_MS = 2000
+const MIN_RECUT_LATE_SHARE = 0.3
 const ZONES = ['a', 'b', 'c']
 /** Clients of a group that send most of a body of legal size and then nothing until the end of their phase. */
 const UNFINISHED_CLIENTS = 40
@@ -45,11 +52,12 @@
 /**
  * Draws the script: phases of planned or unplanned faults, each followed by `FAULT_FREE_MS`. Times are in milliseconds
  * from the start of the traffic. One zone is evacuated and one group of clients leaves its requests unfinished in each phase;
- * these are drawn last, so that the other faults of a seed stay as they were. At most `toleratedDisks` disks are cleared in a phase, so that a majority of voters keeps the log.
+ * in each phase of unplanned faults, the workers of one zone also start again and are cut off. These faults are drawn last, so
+ * that the other faults of a seed stay as they were. At most `toleratedDisks` disks are cleared in a phase, so that a majority of voters keeps the log.
  */
 export function planFaults (random: Random, { durationMs, toleratedDisks }: { durationMs: number, toleratedDisks: number }): Fault[] {
   const faults: Fault[] = []
-  const phases: Array<{ phaseAt: number, endAt: number }> = []
+  const phases: Array<{ phaseAt: number, endAt: number, isPlanned: boolean }> = []
   let phaseAt = FIRST_FAULT_AT_MS
   while (phaseAt + MIN_FAULT_PHASE_MS <= durationMs) {
     const endAt = Math.min(durationMs, phaseAt + MIN_FAULT_PHASE_MS + random.below(FAULT_PHASE_SPREAD_MS))
@@ -63,12 +71,13 @@
       if (kind !== 'kill-empty' || emptiedDisks <= toleratedDisks) faults.push({ at, endAt: Math.min(endAt, at + lastsMs), kind, target: random.below(1 << 20), draw: random.next() })
       at += isPlanned ? 1500 + random.below(4000) : 100 + random.below(1400)
     }
-    phases.push({ phaseAt, endAt })
+    phases.push({ phaseAt, endAt, isPlanned })
     phaseAt = endAt + FAULT_FREE_MS
   }
   const evacuations = phases.map(({ phaseAt, endAt }): Fault => ({ at: phaseAt + random.below(EVACUATION_SPREAD_MS), endAt, kind: 'evacuate-zone', target: random.below(1 << 20), draw: 0 }))
   const groups = phases.map(({ phaseAt, endAt }): Fault => ({ at: phaseAt, endAt, kind: 'unfinished-bodies', target: random.below(1 << 20), draw: 0 }))
-  return [...faults, ...evacuations, ...groups]
+  const recuts = phases.filter(({ isPlanned }) => !isPlanned).map(({ phaseAt, endAt }): Fault => ({ at: phaseAt, endAt, kind: 'worker-recut', target: random.below(1 << 20), draw: random.next() }))
+  return [...faults, ...evacuations, ...groups, ...recuts]
 }
 
 function selectPeerLinks ({ hosts }: System, { target }: Fault): Link[] {
@@ -149,6 +158,24 @@
   'worker-reset': async ({ workers }, fault) => selectByNumber(workers, fault.target).link.reset(),
   'worker-slow': (system, fault, wait) => runWorkerFault(system, fault, wait, (worker) => { worker.faults.answerDelayMs = fault.draw * 1500 }),
   'worker-late': (system, fault, wait) => runWorkerFault(system, fault, wait, (worker) => { worker.faults.lateShare = fault.draw }),
+  'worker-recut': async ({ workers, checker }, fault, wait) => {
+    const zone = selectByNumber(ZONES, fault.target)
+    const downMs = RECUT_MIN_DOWN_MS + fault.draw * RECUT_DOWN_SPREAD_MS
+    await Promise.all(workers.filter((worker) => worker.zone === zone).map(async (worker) => {
+      worker.silence()
+      worker.faults.lateShare = MIN_RECUT_LATE_SHARE + fault.draw * (1 - MIN_RECUT_LATE_SHARE)
+      await wait(fault.at + RECUT_SILENT_MS)
+      worker.silence()
+      await worker.crash(downMs, true)
+      worker.faults.lateShare = 0
+      await wait(fault.at + RECUT_SILENT_MS + downMs + RECUT_UP_MS)
+      checker.trace('cut-off', { worker: worker.name })
+      worker.faults.isCutOff = true
+      worker.link.setCut(['forward', 'back'])
+      await wait(fault.endAt)
+      worker.restore()
+    }))
+  },
   'worker-unhealthy': (system, fault, wait) => runWorkerFault(system, fault, wait, (worker) => { worker.faults.isUnhealthy = true }),
   configurations: async ({ traffic }) => { await Promise.all([traffic.putConfiguration(), traffic.putConfiguration(), traffic.putConfiguration()]) },
   'evacuate-zone': async ({ traffic }, fault, wait) => {
