--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -11,7 +11,7 @@
 import { createStartQueue } from './startQueue.js'
 import { computeLongestMs } from './workerClock.js'
 import { createZoneEvacuations } from './zoneEvacuation.js'
-import { AUTHORITY_CHECK_INTERVAL_MS, DEFAULT_MAX_LEASE_MS, EXCHANGE_INTERVAL_MS, LEASE_MS, LEAVE_TIMEOUT_MS, MAX_CALL_DELAY_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
+import { AUTHORITY_CHECK_INTERVAL_MS, DEFAULT_MAX_LEASE_MS, EXCHANGE_INTERVAL_MS, LEASE_MS, LEAVE_TIMEOUT_MS, MAX_CALL_DELAY_MS, MAX_LAG_MS, MAX_STARTS_IN_FLIGHT, MAX_STARTS_PER_WORKER, PROPOSE_TIMEOUT_MS, ORPHAN_CHECK_INTERVAL_MS } from './timing.js'
 
 export interface SessionHostOptions {
   clock: Clock
@@ -112,7 +112,8 @@
     const existing = sessions.get(worker)
     if (record === undefined || existing?.bornAt === record.life.bornAt) return
     if (existing !== undefined) removeSession(existing)
-    const foreignOrdersEndAt = record.isRestart === true ? getRegisteredAt(record.life) + MAX_CALL_DELAY_MS : undefined
+    // Another host may go on ordering for the former incarnation until it has applied the registration, too.
+    const foreignOrdersEndAt = record.isRestart === true ? getRegisteredAt(record.life) + MAX_LAG_MS + MAX_CALL_DELAY_MS : undefined
     const session = createSession(context, record.life, foreignOrdersEndAt)
     sessions.set(worker, session)
     exchange.queueReport(worker, true)
--- a/src/coordination/workflows/timing.ts
+++ b/src/coordination/workflows/timing.ts
@@ -16,7 +16,7 @@
 /** A poll without an answer this long after the end of its wait has failed; some hundred times a round trip. */
 export const POLL_REPLY_MARGIN_MS = 800
 export const ORDER_TIMEOUT_MS = 700
-/** A worker may execute a call that got no answer up to this long after it was sent, also if it has restarted in between. */
+/** A worker may execute a call that got no answer late, also after a restart; the contract of workers gives no bound, and delays of up to 12 s are known. */
 export const MAX_CALL_DELAY_MS = 12_000
 /** Longest lease of a worker where the settings do not tell it. */
 export const DEFAULT_MAX_LEASE_MS = 10_000
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -465,3 +465,45 @@
     .toEqual({ ordered: true, wasLost: true, repeated: 0 })
   await hosts.stop()
 })
+
+test('a host that takes over a restarted worker counts the lease that a late order for its former incarnation has set', async () => {
+  const hosts = await createHosts(HOSTS, 4)
+  const { fleet, clock, network } = hosts
+  const runFor = async (ms: number): Promise<void> => {
+    for (let passed = 0; passed < ms; passed += 10) await clock.advance(10)
+  }
+  fleet.plan = () => ({ runMs: 120_000, result: 'succeeded' })
+  await runFor(15_000)
+  const worker = fleet.workers.get(listOwned(hosts, 'h3')[0] ?? '')
+  if (worker === undefined) throw new Error('the host has no worker')
+  hosts.submit('x', [{ count: 16 }])
+  await runFor(3000)
+  // A poll for the former incarnation is executed shortly before the longest delay of a call is over.
+  fleet.lateMs = 11_800
+  const late: string[] = []
+  worker.fault = (kind) => {
+    if (kind !== 'hold' || late.length > 0) return 'none'
+    late.push(kind)
+    return 'late'
+  }
+  while (late.length === 0) await clock.advance(10)
+  worker.restart()
+  hosts.propose({ kind: 'life.report', life: worker.life })
+  worker.fault = () => 'lost-order'
+  await runFor(11_900)
+  worker.fault = () => 'none'
+  hosts.submit('y', [{ count: 40 }])
+  while (worker.running.size === 0) await clock.advance(10)
+  await runFor(100)
+  const ran = worker.running.size
+  worker.reachable = false
+  network.setDown('h3', true)
+  hosts.followers.get('h3')?.setReachable(false)
+  // The other workers have room for the tasks of this one.
+  fleet.workers.forEach((other) => { if (other !== worker) other.running.forEach((run) => { run.plan = { runMs: 1, result: 'succeeded' } }) })
+  await runFor(11_000)
+  worker.reachable = true
+  await runFor(2000)
+  expect({ hadRuns: ran > 0, doubled: listDoubled(fleet.events) }).toEqual({ hadRuns: true, doubled: [] })
+  await hosts.stop()
+})
