Make the tests of restarted workers depend on the token and on the refused connection

The review showed that the test of an order after the first poll passed with the bare term as token, because the next attempt went to the restarted worker itself, and that no test held the refusal to open a connection for an order.

--- a/test/platform/workers.test.ts
+++ b/test/platform/workers.test.ts
@@ -17,6 +17,8 @@
 let bornAt: number
 /** Paths on which requests get no answer. */
 let isSilent: (path: string) => boolean
+/** Whether the worker ends the connection with each answer. */
+let closes: boolean
 let received: Array<{ path: string, body: { task?: string, ackCursor?: number } }> = []
 
 /** Opens a worker that has restarted with the same id and address: its incarnation is later than that of the orders. */
@@ -24,11 +26,13 @@
   received = []
   bornAt = BORN_AT + 1
   isSilent = () => false
+  closes = false
   server = createServer(async (request: IncomingMessage, response) => {
     const chunks: Buffer[] = []
     for await (const chunk of request) chunks.push(chunk as Buffer)
     received.push({ path: request.url ?? '', body: JSON.parse(Buffer.concat(chunks).toString()) })
     if (isSilent(request.url ?? '')) return
+    if (closes) response.setHeader('connection', 'close')
     const lists = request.url === '/hold' ? { born: bornAt, running: [], finished: [[1, 'a.0.0.0', 1, 'done', '']] } : {}
     response.setHeader('content-type', 'application/json').end(JSON.stringify({ clockMs: 5, ...lists }))
   })
@@ -81,3 +85,13 @@
   await client.close()
   expect({ accepted: replies.filter(({ ok }) => ok).length, starts: received.filter(({ path }) => path === '/run-start').length }).toEqual({ accepted: 0, starts: 0 })
 })
+
+test('an order whose connection has ended since the check is not sent on a new one to a later incarnation', async () => {
+  const clock = createSystemClock()
+  const client = createWorkerClient({ clock, logger: createSilentLogger(), work: createNoopEventLoopMeter() })
+  bornAt = BORN_AT
+  closes = true
+  const reply = await client.start(createIncarnation(), { task: 'a.0.0.0', attempt: 1, command: 'run', checkpoint: '', fence: 1, leaseUntil: 10_000, ticket: undefined }, clock.now() + DEADLINE_MS)
+  await client.close()
+  expect({ accepted: reply.ok, starts: received.filter(({ path }) => path === '/run-start').length }).toEqual({ accepted: false, starts: 0 })
+})
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -35,8 +35,8 @@
   }
 }
 
-async function reportWorker ({ log, clock }: Scene, { life }: FakeRunWorker): Promise<void> {
-  log.propose({ kind: 'life.report', life }, Infinity)
+async function reportWorker ({ log, clock }: Scene, { life }: FakeRunWorker, draining = false): Promise<void> {
+  log.propose({ kind: 'life.report', life: { ...life, draining } }, Infinity)
   await clock.advance(12)
 }
 
@@ -62,7 +62,8 @@
   await endDelay()
   worker.restart()
   await scene.run(reportAfterMs)
-  await reportWorker(scene, worker)
+  // It drains, so the next attempts go to the other worker: one that runs a later attempt would refuse the late order.
+  await reportWorker(scene, worker, true)
   await scene.run(2000)
   await cutOff(scene, worker)
   expect(listDoubled(scene.fleet.events)).toEqual([])
