--- a/test/fuzz/restartPlays.ts
+++ b/test/fuzz/restartPlays.ts
@@ -24,6 +24,8 @@
 const CHECK_INTERVAL_MS = 250
 const HOSTS = ['h1', 'h2', 'h3', 'h4']
 const LASTING_MS = 600_000
+/** Start of the first incarnation of each fake worker; each restart adds 1. */
+const FIRST_BORN_AT = 1
 /** Share of the orders shortly before a restart that reach the next incarnation. */
 const DELAYED_BEFORE_RESTART = 0.7
 /** As `maxHoldMs` of the users' pages. The option is not known before the mend of issue 41. */
@@ -125,6 +127,8 @@
   restarts: Array<{ worker: string, from: number, until: number }>
   /** When an incarnation, by worker and number, first answered a poll that was meant for it. */
   polledAt: Map<string, number>
+  /** Conclusions from answers of an incarnation that an attempt there has ended or does not exist, so that its task may go on elsewhere. */
+  settlements: Array<{ worker: string, incarnation: number, task: string, attempt: number, at: number }>
 }
 
 const getRunMs = ({ kind, share }: JobPlan): number => ({ short: 200 + 15 * share, long: 3000 + 90 * share, chain: 200 + 40 * share, lasting: LASTING_MS })[kind]
@@ -145,9 +149,8 @@
 /** A poll that waits on a worker is not answered once the process of the worker has ended. */
 function endPollsWithProcesses ({ site: { clock, fleet }, polledAt }: Played): void {
   const { poll } = fleet.client
-  const firstBornAt = new Map([...fleet.workers].map(([id, { life }]) => [id, life.bornAt]))
   const recordPoll = ({ id, bornAt }: WorkerIncarnation): void => {
-    const key = getIncarnationKey(id, bornAt - (firstBornAt.get(id) ?? 0))
+    const key = getIncarnationKey(id, bornAt - FIRST_BORN_AT)
     if (!polledAt.has(key)) polledAt.set(key, clock.now())
   }
   fleet.client.poll = async (life, order, deadline) => {
@@ -162,6 +165,13 @@
   }
 }
 
+function recordSettlements ({ site: { clock, log }, settlements }: Played): void {
+  log.subscribe((entry) => {
+    if (entry.kind !== 'workflow.end') return
+    entry.lives.forEach(({ worker, bornAt, ends }) => ends.forEach(([, task, attempt]) => settlements.push({ worker, incarnation: bornAt - FIRST_BORN_AT, task, attempt, at: clock.now() })))
+  })
+}
+
 export function getIncarnationKey (id: string, incarnation: number): string {
   return `${id}/${incarnation}`
 }
@@ -252,9 +262,10 @@
   const site = await (drawn.hosts === 1 ? createOneHost(drawn.workers) : createManyHosts(drawn.hosts, drawn.workers))
   const { clock, log, fleet } = site
   const startedAt = clock.now()
-  const played: Played = { site, jobs: new Map(), completedAt: new Map(), healedAt: startedAt + ACTIVE_MS, restarts: [], polledAt: new Map() }
+  const played: Played = { site, jobs: new Map(), completedAt: new Map(), healedAt: startedAt + ACTIVE_MS, restarts: [], polledAt: new Map(), settlements: [] }
   const random = createRandom(drawn.seed)
   endPollsWithProcesses(played)
+  recordSettlements(played)
   fleet.stopMs = drawn.stopMs
   fleet.endsPerReply = drawn.endsPerReply
   fleet.plan = (task) => {
