--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -73,7 +73,7 @@
 async function handleFailedPoll (context: SessionContext, session: Session, failure: WorkerFailure): Promise<void> {
   const { clock, logger } = context
   const isFenced = failure.kind === 'refused' && failure.reason === 'fenced'
-  // Refused again under a later grant of the same leader: the token that the worker has seen is not that of a later leader.
+  // Refused once more in the same term: the token that the worker has seen is not that of a later leader.
   const isFencedAgain = isFenced && session.fencedTerm === context.fence
   if (isFenced) context.onFenced(session)
   if (isFenced && !isFencedAgain) return
@@ -114,14 +114,14 @@
     if (session.ended) return
   }
   context.work.measure('session.update', () => updateRuns(context, session, reply, sentAt))
-  await releaseUnsettled(context, session, reply)
+  await releaseFormerTasks(context, session, reply)
 }
 
 /**
- * Releases the tasks of earlier incarnations that the worker does not list. It has executed this poll, so it refuses from now
- * on what was meant for them. A listed one is unassigned, so it is told to stop.
+ * Releases the tasks of earlier incarnations that the worker does not list. It has executed this poll, so its present incarnation
+ * refuses from now on what was meant for them. A listed task is unassigned, so its run is told to stop.
  */
-async function releaseUnsettled (context: SessionContext, session: Session, reply: PollReply): Promise<void> {
+async function releaseFormerTasks (context: SessionContext, session: Session, reply: PollReply): Promise<void> {
   const unsettled = listUnsettledTasks(getRecord(context, session))
   if (unsettled.length === 0 || reply.hasMoreEnds === true || reply.unreadableRuns !== undefined || !context.isActive()) return
   const listed = new Set([...reply.running.map(({ task }) => task), ...reply.ends.map(([, task]) => task)])
