Learn of a later incarnation from the answer to an order, too

What callers could see: a task that runs twice after its worker has restarted and was cut off before it was polled or reported.

Cause: a start order that a later incarnation answered was given up without noting that this incarnation may execute the late ones, so the lease of the worker was over by the session host's account while a late start ran there.

Change: such an answer bounds the lease as the same answer to a poll does. The reduced play failed before and passes.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -1,7 +1,7 @@
 import { findTask, parseTaskName, type EndCause } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import type { WorkerFailure } from './orders.js'
-import { getFencingToken, getRecord, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
+import { getFencingToken, getRecord, recordReplaced, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
 import { MAX_START_TRIES, ORDER_TIMEOUT_MS, RESEND_STOP_MS } from './timing.js'
 import { EVACUATED_REASON } from './zoneEvacuation.js'
 
@@ -83,7 +83,10 @@
     run.unanswered = true
     return session.reachable
   }
-  if (failure.kind === 'other-life') return false
+  if (failure.kind === 'other-life') {
+    if (failure.bornAt !== undefined) recordReplaced(context, session)
+    return false
+  }
   const { reason, clock } = failure
   if (clock !== undefined) session.clockReading = { workerTime: clock, receivedAt: context.clock.now() }
   if (reason === 'fenced') context.onFenced(session)
--- a/test/fuzz/restartedWorkers.test.ts
+++ b/test/fuzz/restartedWorkers.test.ts
@@ -1,6 +1,6 @@
 import fc from 'fast-check'
 import { expect, test } from 'vitest'
-import { CLASSES, listBroken, type Broken } from './restartOracle.js'
+import { CLASSES, listBroken, type Broken, type FailureClass } from './restartOracle.js'
 import { plan, play, type Plan } from './restartPlays.js'
 
 const RUNS = Number(process.env.FUZZ_RUNS ?? 50)
@@ -24,3 +24,25 @@
     expect((await runPlan(drawn))[failure]).toEqual([])
   }), { seed: SEED, numRuns: RUNS, endOnFailure: true })
 }, TEST_TIMEOUT_MS)
+
+const RESTART = { worker: 0, at: 227, times: 1, gapMs: 100, downMs: 0, reportMs: undefined, cutAfterMs: undefined, cutForMs: 300, delayedMs: 0 }
+/** Plays that have failed, reduced, by what went wrong in them. */
+const FAILED_PLAYS: Array<[cause: string, failure: FailureClass, failed: Plan]> = [
+  ['a later incarnation answered a start order only', 'overlapping runs', {
+    hosts: 1,
+    workers: 3,
+    jobs: [{ kind: 'short', at: 2972, size: 0, share: 0 }, { kind: 'short', at: 573, size: 17, share: 33 }],
+    restarts: [{ ...RESTART, worker: 1, at: 599 }, { ...RESTART, at: 699, times: 2, gapMs: 1600, downMs: 600 }],
+    cuts: [{ worker: 1, at: 1999, forMs: 5500 }],
+    hostFaults: [],
+    late: { start: 0.2, stop: 0, hold: 0 },
+    lost: { start: 0.5, stop: 0, hold: 0.1 },
+    stopMs: 0,
+    endsPerReply: 1,
+    seed: 176450
+  }]
+]
+
+test.each(FAILED_PLAYS)('no task runs twice in the play in which %s', async (_cause, failure, failed) => {
+  expect((await runPlan(failed))[failure]).toEqual([])
+}, TEST_TIMEOUT_MS)
