--- a/test/fuzz/restartedWorkers.test.ts
+++ b/test/fuzz/restartedWorkers.test.ts
@@ -40,6 +40,19 @@
     stopMs: 0,
     endsPerReply: 1,
     seed: 176450
+  }],
+  ['polls of an unreachable worker carried its cursor', 'started after success', {
+    hosts: 1,
+    workers: 2,
+    jobs: [{ kind: 'short', at: 0, size: 6, share: 0 }, { kind: 'short', at: 0, size: 0, share: 0 }],
+    restarts: [RESTART],
+    cuts: [],
+    hostFaults: [],
+    late: { start: 0.5, stop: 0, hold: 0.1 },
+    lost: { start: 0.5, stop: 0, hold: 0 },
+    stopMs: 0,
+    endsPerReply: 1,
+    seed: 195004
   }]
 ]
 
