--- a/test/fuzz/restartPlays.ts
+++ b/test/fuzz/restartPlays.ts
@@ -7,16 +7,16 @@
 
 /** Jobs are submitted and faults occur within this time. */
 const ACTIVE_MS = 20_000
-/** A call without an answer may be executed seconds later; the reports of users show up to 12 s. */
+/** A call without an answer may be executed this much later; the contract of workers gives no bound, and delays of up to 12 s are known. */
 const LONGEST_DELAY_MS = 12_000
 const MAX_LEASE_MS = 10_000
 /** The longest lease of a worker on its own clock, which may be 2% slow. */
 const LONGEST_LEASE_MS = MAX_LEASE_MS / 0.98
-/** `finish_s` of the users' pages: by then the jobs of a day have to go on wherever there is room. */
+/** Bound of the contract on the time by which jobs go on wherever there is room. */
 const FINISH_MS = 14_000
 /**
  * From the end of the faults to the end of a job, besides the time of its own tasks: the last late call is executed, the lease that it
- * grants ends, so that nothing on any worker can stand in the way of a task any more, and the job has the time that the pages grant.
+ * grants ends, so that nothing on any worker can stand in the way of a task any more, and the job has `FINISH_MS`.
  */
 export const RECOVERY_MS = LONGEST_DELAY_MS + LONGEST_LEASE_MS + FINISH_MS
 /** By then all late calls have been executed, and their leases are over. */
@@ -28,7 +28,7 @@
 const FIRST_BORN_AT = 1
 /** Share of the orders shortly before a restart that reach the next incarnation. */
 const DELAYED_BEFORE_RESTART = 0.7
-/** As `maxHoldMs` of the users' pages. The option is not known before the mend of issue 41. */
+/** The fake workers shorten leases to `MAX_LEASE_MS`. */
 const LEASES = { hostLeaseMs: HOST_LEASE_MS, maxLeaseMs: MAX_LEASE_MS }
 
 type JobKind = 'short' | 'long' | 'chain' | 'lasting'
