Send a cursor only when there are ends to acknowledge

What callers saw: a task that had succeeded ran again, in plays of the fuzz test of restarted workers only.

Cause: every poll of a worker that answers carried the cursor. A poll that was in flight when the worker restarted is executed by the next incarnation, which takes the cursor for one of its own ends and forgets those of runs that late orders have started, before anybody has read them.

Change: a poll carries the cursor only if the last reply has listed ends. Acknowledged ends stay forgotten on the worker, so that nothing has to be repeated. A poll that does acknowledge ends can still be late.

--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -39,7 +39,7 @@
   // Polls of an unreachable worker do not renew its lease: its runs have to end before their tasks are assigned to others.
   const leaseUntil = session.reachable ? renewLease(context, session) : undefined
   // A worker that does not answer may have restarted, and its next incarnation would take the cursor for its own.
-  const acknowledged = session.reachable ? record.lastEnd : 0
+  const acknowledged = session.reachable && session.hasListedEnds ? record.lastEnd : 0
   const reply = await client.poll(record.life, { fence: getFencingToken(context, record), leaseUntil, acknowledged, waitMs }, sentAt + waitMs + POLL_REPLY_MARGIN_MS)
   session.lastPollAt = sentAt
   if (context.isStopped() || session.ended) return
@@ -111,6 +111,7 @@
 }
 
 async function handleReply (context: SessionContext, session: Session, reply: PollReply, sentAt: number): Promise<void> {
+  session.hasListedEnds = reply.ends.length > 0
   context.onReportDue(session, false)
   context.work.measure('session.services', () => observeServices(context, session, reply.running))
   recordStops(context, session, reply)
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -84,6 +84,8 @@
   aliveAt: number
   /** Local time from which on no start order is under way that another session host has sent. */
   unknownStartsEndAt: number
+  /** The last reply to a poll has listed ends, which the next poll acknowledges if they are recorded. */
+  hasListedEnds: boolean
   /** An entry that releases tasks of ended incarnations is being recorded. */
   isReleasing: boolean
   clockReading: ClockReading | undefined
@@ -157,6 +159,7 @@
     isReplaced: false,
     aliveAt,
     unknownStartsEndAt,
+    hasListedEnds: false,
     isReleasing: false,
     clockReading: undefined,
     services: createServiceWatch(now - WORKER_HANDOVER_MS, context.serviceBound),
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -176,3 +176,22 @@
   expect({ hadTasks: lost.length > 0, restarted: restarted.toSorted(), doubled: listDoubled(scene.fleet.events) })
     .toEqual({ hadTasks: true, restarted: lost.toSorted(), doubled: [] })
 })
+
+test('a late poll that has nothing to acknowledge does not make a restarted worker forget an end before its first poll', async () => {
+  const { scene, worker } = await createRestartScene()
+  scene.fleet.plan = () => ({ runMs: 300, result: 'succeeded' })
+  const delays: Partial<Record<OrderKind, number>> = { start: 300, hold: 1000 }
+  worker.fault = (kind) => {
+    scene.fleet.lateMs = delays[kind] ?? 0
+    return kind in delays ? 'late' : 'none'
+  }
+  await scene.submit('a1', [{ count: TASKS }])
+  await scene.run(50)
+  worker.restart()
+  await scene.run(1150)
+  worker.fault = () => 'none'
+  await reportWorker(scene, worker)
+  await scene.run(3000)
+  const starts = scene.listEvents('started').filter(({ task }) => task.startsWith('a1'))
+  expect({ hasLateStart: starts.some((start) => start.worker === 'w1'), starts: starts.length }).toEqual({ hasLateStart: true, starts: TASKS })
+})
