Log how many released tasks a start order under way could still start

The traces could not tell how often a worker is given up while a start order without an answer may still be executed by an incarnation that nobody has seen. `startable` in worker.expired counts these tasks.

--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -106,8 +106,9 @@
   if (record === undefined || record.expired || (!isOtherWorker && clock.now() < session.leaseEndsAt)) return
   // The entry removes the runs from the session.
   const runs = session.runs.size
+  const startable = [...session.runs.keys()].filter((task) => context.unansweredStarts.canArriveAfter(session.worker, task, session.aliveAt)).length
   const expired = await context.expireWorker(session.worker, session.bornAt)
-  if (expired) logger.warn('worker.expired', { worker: session.worker, bornAt: session.bornAt, reason: failure.kind, runs, leaseMs: Math.round(session.leaseEndsAt - clock.now()) })
+  if (expired) logger.warn('worker.expired', { worker: session.worker, bornAt: session.bornAt, reason: failure.kind, runs, startable, leaseMs: Math.round(session.leaseEndsAt - clock.now()) })
 }
 
 async function handleReply (context: SessionContext, session: Session, reply: PollReply, sentAt: number): Promise<void> {
