Note which incarnation a host has when its maintenance is confirmed

A wave may take down more hosts at the same time than its limit.

Cause: the incarnation that the next one has to follow was noted before the order was sent. A worker that restarted by itself while the order was under way then counted as back from a maintenance that had just begun.

Change: it is noted when the order is confirmed. An incarnation that is known by then counts as back only once it has answered a poll that came later, as before.

Evidence: the new test of test/workflows/hostMaintenance.test.ts has two hosts down at once on the code before, with a limit of 1.

--- a/src/coordination/workflows/hostMaintenance.ts
+++ b/src/coordination/workflows/hostMaintenance.ts
@@ -114,13 +114,13 @@
   const undrained = workers.filter(({ life }) => !drainWorker(options, sessions.get(life.id), mustStopRuns))
   if (undrained.length > 0 || clock.now() < (resendAt.get(key) ?? -Infinity)) return
   const propose = async (entry: Entry): Promise<boolean> => (await log.propose(entry, clock.now() + ORDER_TIMEOUT_MS)).ok
-  const bornAt = Math.max(0, ...workers.map(({ life }) => life.bornAt))
   if (isFirst && !await propose({ kind: 'wave.order', wave, host })) return
   resendAt.set(key, clock.now() + RESEND_MS)
   const result = await options.hosts.startUpkeep({ host, wave, fence: options.fence }, clock.now() + ORDER_TIMEOUT_MS)
   logger.info('upkeep.order', { wave, host, fence: options.fence, first: isFirst, outcome: result.ok ? 'ordered' : result.val.kind })
   if (result.ok) {
     confirmedAt.set(key, clock.now())
+    const bornAt = Math.max(0, ...listHostWorkers(log.state().workflows, host).map(({ life }) => life.bornAt))
     await propose({ kind: 'wave.confirm', wave, host, bornAt })
   }
   const failure = result.ok ? undefined : result.val.kind
--- a/test/workflows/hostMaintenance.test.ts
+++ b/test/workflows/hostMaintenance.test.ts
@@ -114,6 +114,24 @@
   expect({ early, done: owner.scene.log.state().workflows.waves[1]?.done }).toEqual({ early: [], done: ['m-w1', 'm-w2'] })
 })
 
+test('a host whose worker restarted while the order was under way does not count as back before its maintenance', async () => {
+  const owner = await createOwner({})
+  const { scene } = owner
+  const { startUpkeep } = scene.fleet.hosts
+  scene.fleet.hosts.startUpkeep = async (order, deadline) => {
+    const { life } = scene.fleet.workers.get(order.host.slice(2))!
+    if (!owner.begun.includes(order.host)) scene.log.propose({ kind: 'life.report', life: scene.fleet.addWorker({ ...life, bornAt: life.bornAt + 1 }).life }, Infinity)
+    await scene.clock.sleep(200)
+    return startUpkeep(order, deadline)
+  }
+  let mostDown = 0
+  for (let passed = 0; passed < 25_000; passed += 100) {
+    await scene.run(100)
+    mostDown = Math.max(mostDown, owner.down.size)
+  }
+  expect({ begun: owner.begun, mostDown, done: scene.log.state().workflows.waves[1]?.done }).toEqual({ begun: ['m-w1', 'm-w2'], mostDown: 1, done: ['m-w1', 'm-w2'] })
+})
+
 test('a maintenance wave goes on after the answer to an order was lost, and takes down one host at a time', async () => {
   const owner = await createOwner({ unanswered: 2 })
   let mostDown = 0
