Assign no member of a gang whose worker has been replaced

The started members of a gang wait for one that never starts, until they give up and the gang has lost that time.

Cause: an assignment to an incarnation that has been replaced, or to a worker that has left, was left out by itself. Only assignments to evacuated zones took the other members of their gang with them.

Change: one check for both reasons, before the assignments of an entry are applied.

Evidence: the new test of test/workflows/gangs.test.ts finds two of three members assigned on the code before, in both cases.

--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -222,9 +222,7 @@
 
   'workflow.assign': (state: WorkflowsState, { assignments, copies = [], copyHosts }: { assignments: Assignment[], copies?: Assignment[] | undefined, copyHosts?: string[] | undefined }): HandlerResult => {
     if (copyHosts !== undefined) state.copyHosts = copyHosts
-    // A worker that has been replaced meanwhile may be of another service or kind.
-    const isCurrent = ([, worker, , , bornAt]: Assignment): boolean => bornAt === undefined || state.workers[worker]?.life.bornAt === bornAt
-    const listAdmissible = (listed: Assignment[]): Assignment[] => listAdmissibleAssignments(state, listed, (task) => findGangStep(state, task)).filter(isCurrent)
+    const listAdmissible = (listed: Assignment[]): Assignment[] => listAdmissibleAssignments(state, listed, (task) => findGangStep(state, task))
     listAdmissible(assignments).forEach(([task, worker, attempt]) => applyAssignment(state, task, worker, attempt))
     listAdmissible(copies).forEach(([task, worker, attempt]) => applyCopy(state, task, worker, attempt))
     return Ok({})
--- a/src/state/workflows/zoneEvacuations.ts
+++ b/src/state/workflows/zoneEvacuations.ts
@@ -36,13 +36,20 @@
 }
 
 /**
- * Leaves out the assignments to workers of evacuated zones: the entry that evacuates the zone may precede them in the log,
- * although the leader proposed them before it was committed. The other members of their gangs are left out as well, as they
- * would wait for the missing ones. `findGang` returns the step name of a gang member, and undefined for other tasks.
+ * Leaves out the assignments that must not take effect, for example to workers of evacuated zones: the entry that evacuates the
+ * zone may precede them in the log, although the leader proposed them before it was committed. The other members of their gangs
+ * are left out as well, as they would wait for the missing ones. `findGang` returns the step name of a gang member, and undefined
+ * for other tasks.
  */
 export function listAdmissibleAssignments (state: Pick<WorkflowsState, 'evacuatedZones' | 'workers'>, assignments: Assignment[], findGang: (task: string) => string | undefined): Assignment[] {
-  if (!hasEvacuatedZones(state)) return assignments
-  const isAdmissible = ([, worker]: Assignment): boolean => !isZoneEvacuated(state, state.workers[worker]?.life.availabilityZone ?? '')
-  const brokenGangs = new Set(assignments.filter((assignment) => !isAdmissible(assignment)).flatMap(([task]) => findGang(task) ?? []))
-  return assignments.filter((assignment) => isAdmissible(assignment) && !brokenGangs.has(findGang(assignment[0]) ?? ''))
+  const inadmissible = assignments.filter((assignment) => !isAdmissible(state, assignment))
+  if (inadmissible.length === 0) return assignments
+  const brokenGangs = new Set(inadmissible.flatMap(([task]) => findGang(task) ?? []))
+  return assignments.filter((assignment) => !inadmissible.includes(assignment) && !brokenGangs.has(findGang(assignment[0]) ?? ''))
+}
+
+/** The worker is not in an evacuated zone and has not been replaced since the task was placed: a later incarnation may be of another service or kind. */
+function isAdmissible (state: Pick<WorkflowsState, 'evacuatedZones' | 'workers'>, [, worker, , , bornAt]: Assignment): boolean {
+  const life = state.workers[worker]?.life
+  return !isZoneEvacuated(state, life?.availabilityZone ?? '') && (bornAt === undefined || life?.bornAt === bornAt)
 }
--- a/test/workflows/gangs.test.ts
+++ b/test/workflows/gangs.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from 'vitest'
-import { createWorkflowsState, workflowHandlers, type RunEnd, type WorkflowRecord, type WorkflowsState } from '../../src/state/index.js'
+import { createWorkflowsState, workflowHandlers, type RunEnd, type WorkerRecord, type WorkflowRecord, type WorkflowsState } from '../../src/state/index.js'
 import { CATALOG, STEP } from './support.js'
 
 const MEMBERS = 3
@@ -55,3 +55,16 @@
   start(state, 3)
   expect([second, afterLateEnd, listCheckpoints()]).toEqual([['c1', 'c1', 'c1'], ['c1', 'c1', 'c1'], ['c2', 'c2', 'c2']])
 })
+
+test('no member of a gang is assigned if the worker of one has been replaced or has left since the gang was placed', () => {
+  const assigned = (['replaced', 'left'] as const).map((change) => {
+    const { state } = createState()
+    const { life } = state.workers.w1 as WorkerRecord
+    workflowHandlers['life.report'](state, { life: { ...life, id: 'w2' } })
+    if (change === 'replaced') workflowHandlers['life.report'](state, { life: { ...life, id: 'w2', bornAt: 2 } })
+    else workflowHandlers['life.remove'](state, { worker: 'w2', bornAt: 1, hasLeft: true, at: 0 })
+    workflowHandlers['workflow.assign'](state, { assignments: Array.from({ length: MEMBERS }, (_, index) => [`a1.0.0.${index}`, index === 0 ? 'w2' : 'w1', 1, undefined, 1]) })
+    return Object.values(state.workers).flatMap((worker) => Object.keys(worker.assigned))
+  })
+  expect(assigned).toEqual([[], []])
+})
