Remember the last recorded end of a worker that is removed for its silence

A job may be shown as failed after fewer failed runs than its queue allows.

Cause: a worker that nobody reaches for 30 s is removed with the number of its last recorded end. When the same incarnation returns, it lists again the ends of which it has no acknowledgement, and failures among them were counted a second time.

Change: the number is kept for 10 minutes and goes on to hold when the incarnation is registered again.

Evidence: the new test of test/workflows/restartedWorkers.test.ts; on the code before the job has failed after one failed run where its queue allows two.

--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -90,6 +90,8 @@
   incarnations?: number
   /** Workers that have left by themselves, with the start of the incarnation that left; absent in state of earlier builds. */
   departed?: Record<string, { bornAt: number, at: number }>
+  /** Workers that were removed because nobody reached them, with the last end that was recorded of their incarnation; absent in state of earlier builds. */
+  removed?: Record<string, { bornAt: number, lastEnd: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
   /** Zones in which no task may be started; absent in state of earlier builds. */
   evacuatedZones?: EvacuatedZone[]
@@ -111,12 +113,12 @@
   return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [], division: 0 }
 }
 
-/** A departure is kept for this long; reports of a worker that are still on their way arrive within seconds. */
-const DEPARTURE_KEPT_MS = 600_000
+/** What is known of a removed worker is kept for this long; reports that are still on their way arrive within seconds, and workers that were cut off within minutes. */
+const REMOVED_KEPT_MS = 600_000
 
-function recordDeparture (state: WorkflowsState, worker: string, bornAt: number, at: number): void {
-  const kept = Object.entries(state.departed ?? {}).filter(([, departure]) => at - departure.at < DEPARTURE_KEPT_MS)
-  state.departed = { ...Object.fromEntries(kept), [worker]: { bornAt, at } }
+function recordRemoval<T extends { at: number }> (removals: Record<string, T> | undefined, worker: string, removal: T): Record<string, T> {
+  const kept = Object.entries(removals ?? {}).filter(([, { at }]) => removal.at - at < REMOVED_KEPT_MS)
+  return { ...Object.fromEntries(kept), [worker]: removal }
 }
 
 export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
@@ -255,7 +257,9 @@
     if (known === undefined || known.life.bornAt < life.bornAt) {
       const isRestart = known !== undefined || state.departed?.[life.id] !== undefined
       state.incarnations = (state.incarnations ?? 0) + 1
-      state.workers[life.id] = { life, lastEnd: 0, expired: false, assigned: {}, generation: state.incarnations, ...createUnsettled(known), ...isRestart && { isRestart } }
+      const removed = state.removed?.[life.id]
+      const lastEnd = removed?.bornAt === life.bornAt ? removed.lastEnd : 0
+      state.workers[life.id] = { life, lastEnd, expired: false, assigned: {}, generation: state.incarnations, ...createUnsettled(known), ...isRestart && { isRestart } }
     } else if (known.life.bornAt === life.bornAt) {
       // A worker incarnation that has started to drain never accepts work again.
       const draining = known.life.draining || life.draining
@@ -279,8 +283,9 @@
     if (judge !== undefined && !isSessionOwner(state, record, judge)) return Err({ kind: 'stale-division', worker, ...judge })
     releaseTasks(state, record)
     delete state.workers[worker]
-    // A worker that was removed because nobody reached it may return.
-    if (hasLeft === true) recordDeparture(state, worker, bornAt, at)
+    // A worker that was removed because nobody reached it may return, and lists again the ends that it has no acknowledgement of.
+    if (hasLeft === true) state.departed = recordRemoval(state.departed, worker, { bornAt, at })
+    else state.removed = recordRemoval(state.removed, worker, { bornAt, lastEnd: record.lastEnd, at })
     return Ok({})
   },
 
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -1,6 +1,7 @@
 import { expect, test } from 'vitest'
 import type { FakeRunWorker, OrderKind } from '../../src/fakes/runFleet.js'
-import { createScene, listDoubled, type Scene } from './support.js'
+import type { Entry } from '../../src/state/index.js'
+import { createScene, listDoubled, STEP, type Scene } from './support.js'
 
 const TASKS = 8
 /** Long enough for a second run of the task to start elsewhere meanwhile. */
@@ -195,3 +196,21 @@
   const starts = scene.listEvents('started').filter(({ task }) => task.startsWith('a1'))
   expect({ hasLateStart: starts.some((start) => start.worker === 'w1'), starts: starts.length }).toEqual({ hasLateStart: true, starts: TASKS })
 })
+
+test('a failed end that was recorded before a silent worker was removed does not count again when it returns', async () => {
+  const { log, clock, fleet } = await createScene(['w1'])
+  const { life } = fleet.workers.get('w1') as FakeRunWorker
+  const judge = { host: 'h1', division: log.state().workflows.division }
+  const apply = async (entry: Entry): Promise<void> => {
+    log.propose(entry, Infinity)
+    await clock.advance(12)
+  }
+  const recordFailure: Entry = { kind: 'workflow.end', lives: [{ worker: 'w1', bornAt: life.bornAt, ends: [[1, 'a1.0.0.0', 1, 'failed', '']] }], judge, at: 0 }
+  await apply({ kind: 'workflow.submit', queue: 'quotes', workflow: { id: 'a1', command: 'run', steps: [{ ...STEP, fills: true, cores: 1000 }] }, at: 0 })
+  await apply({ kind: 'workflow.assign', assignments: [['a1.0.0.0', 'w1', 1, undefined, life.bornAt]] })
+  await apply(recordFailure)
+  await apply({ kind: 'life.remove', worker: 'w1', bornAt: life.bornAt, judge, at: 0 })
+  await apply({ kind: 'life.report', life })
+  await apply(recordFailure)
+  expect(log.state().workflows.workflows.a1?.tasks['0.0.0']?.failures).toBe(1)
+})
