Hold the tasks that a restarted worker lists until their runs have ended

Cause: a run that a late order has started on the present incarnation is listed by it. If the worker could not be told to stop it and was cut off after the order had left the list of those under way, the task was released while it ran.

Change: without an answer, only a worker that has not been polled yet releases tasks; what is left after the first poll it has listed.

Evidence: the new test of test/workflows/restartedWorkers.test.ts has four tasks run twice on the code before.

--- a/src/coordination/workflows/formerTasks.ts
+++ b/src/coordination/workflows/formerTasks.ts
@@ -1,4 +1,4 @@
-import { findAttemptOn, listUnsettledTasks, type RunEnd } from '../../state/index.js'
+import { findAttemptOn, listUnsettledTasks, type RunEnd, type WorkerRecord } from '../../state/index.js'
 import type { PollReply } from './orders.js'
 import { getRecord, type Session, type SessionContext } from './sessionState.js'
 
@@ -17,12 +17,13 @@
 
 /**
  * Releases the tasks of incarnations that have ended if no start order for them is under way: they run nowhere, whether or not the
- * present incarnation answers. The others wait for its answer, or for the end of every lease that it may hold.
+ * present incarnation answers. The others wait for its answer, or for the end of every lease that it may hold. Those that are left
+ * after its first answer it has listed, so they may run there.
  */
 export async function releaseUnstartableTasks (context: SessionContext, session: Session): Promise<void> {
   const record = getRecord(context, session)
   if (record === undefined || session.isReleasing || session.unknownStartsEndAt > session.aliveAt) return
-  const former = listUnsettledTasks(record).concat(session.isReplaced ? Object.keys(record.assigned) : [])
+  const former = listEndedTasks(session, record)
   const released = former.filter((task) => !context.unansweredStarts.canArriveAfter(session.worker, task, session.aliveAt))
   if (released.length === 0) return
   context.logger.info('worker.unstartable', { worker: session.worker, bornAt: session.bornAt, released: released.length, held: former.length - released.length })
@@ -31,6 +32,12 @@
   session.isReleasing = false
 }
 
+/** Tasks of which the last incarnation that they were assigned to is known to have ended, and that no later one has listed. */
+function listEndedTasks ({ isReplaced, readAt }: Session, record: WorkerRecord): string[] {
+  if (isReplaced) return listUnsettledTasks(record).concat(Object.keys(record.assigned))
+  return readAt === -Infinity ? listUnsettledTasks(record) : []
+}
+
 async function releaseTasks (context: SessionContext, session: Session, tasks: string[]): Promise<void> {
   if (tasks.length === 0) return
   await context.recordEnds(session.worker, session.bornAt, tasks.map((task): RunEnd => [0, task, findAttemptOn(context.getState(), task, session.worker) ?? 1, 'not-started', '']))
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -8,6 +8,8 @@
 const STOP_MS = 200
 /** From the start of a session on, orders of an earlier session host may be under way for at most this long. */
 const INHERITED_ORDERS_MS = 15_000
+/** By then, every order without an answer has been executed, if at all. */
+const LATE_ORDERS_MS = 14_000
 /** No lease on a fake worker lasts longer. */
 const LONGEST_LEASE_MS = 11_000
 
@@ -178,6 +180,23 @@
     .toEqual({ hadTasks: true, restarted: lost.toSorted(), doubled: [] })
 })
 
+test('a task that a restarted worker lists and cannot be told to stop does not start elsewhere when the worker is cut off', async () => {
+  const { scene, worker } = await createRestartScene()
+  await scene.run(INHERITED_ORDERS_MS)
+  scene.fleet.lateMs = 100
+  const endDelay = delayOrders(scene, worker, 'start')
+  await scene.submit('a1', [{ count: TASKS }])
+  await endDelay()
+  worker.restart()
+  await scene.run(200)
+  await reportWorker(scene, worker, true)
+  worker.fault = (kind) => kind === 'stop' ? 'lost-order' : 'none'
+  await scene.run(LATE_ORDERS_MS)
+  await cutOff(scene, worker)
+  const startedLate = scene.listEvents('started').filter((event) => event.worker === 'w1' && event.task.startsWith('a1'))
+  expect({ hasLateStart: startedLate.length > 0, doubled: listDoubled(scene.fleet.events) }).toEqual({ hasLateStart: true, doubled: [] })
+})
+
 test('a late poll that has nothing to acknowledge does not make a restarted worker forget an end before its first poll', async () => {
   const { scene, worker } = await createRestartScene()
   scene.fleet.plan = () => ({ runMs: 300, result: 'succeeded' })
