Do not take orders of an earlier process for answered after a restart

A process that starts reads its log and so applies the registrations of workers once more. It took them for new, and itself for the only host that had ordered there, although the process before it had. After all hosts had been killed (3.6 to 5.8 s) beside a restart of w4 and w7 under their ids, the new process released their tasks 30 ms after its first grant (worker.unstartable, 27.713 and 27.719), while start orders of the former process were still executed late (5.838, 6.733).

Change: a registration counts as new only after the first grant of the process.

Evidence: the new test of test/workflows/restartedWorkers.test.ts has the task run twice on the code before.

--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -117,7 +117,8 @@
     if (existing !== undefined) removeSession(existing)
     // Another host may go on ordering for the former incarnation until it has applied the registration, too.
     const foreignOrdersEndAt = record.isRestart === true ? getRegisteredAt(record.life) + MAX_LAG_MS + MAX_CALL_DELAY_MS : undefined
-    const isFirst = isRegistered && record.isRestart !== true
+    // An earlier process of this host may have ordered for the incarnations that were registered before the first grant of this process.
+    const isFirst = isRegistered && record.isRestart !== true && log.status().appliedIndex > exchange.getFirstGrantIndex()
     const session = createSession(context, record.life, {
       foreignOrdersEndAt: foreignOrdersEndAt ?? -Infinity,
       aliveAt: existing?.aliveAt ?? -Infinity,
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -197,6 +197,33 @@
   expect({ hasLateStart: startedLate.length > 0, doubled: listDoubled(scene.fleet.events) }).toEqual({ hasLateStart: true, doubled: [] })
 })
 
+test('a process that has just read its log does not take the orders of an earlier process for answered', async () => {
+  const scene = await createScene([])
+  const { fleet, log, clock } = scene
+  const worker = fleet.addWorker({ id: 'w1', address: '127.0.0.1:1' })
+  const other = fleet.addWorker({ id: 'w2', address: '127.0.0.1:2' })
+  fleet.plan = () => ({ runMs: 10_000, result: 'succeeded' })
+  const restartHost = scene.changeLeader()
+  scene.setReplaying(true)
+  await restartHost
+  for (const { life } of [worker, other]) await reportWorker(scene, { life } as FakeRunWorker)
+  await scene.submit('a1', [{ count: 1 }])
+  log.propose({ kind: 'workflow.assign', assignments: [['a1.0.0.0', 'w1', 1, undefined, worker.life.bornAt]] }, Infinity)
+  await scene.run(100)
+  worker.fault = () => 'late'
+  fleet.client.start(worker.life, { task: 'a1.0.0.0', attempt: 1, command: 'run', checkpoint: '', fence: 1, leaseUntil: clock.now() + 6000, ticket: undefined }, clock.now() + 700)
+  await scene.run(10)
+  worker.fault = () => 'none'
+  worker.restart()
+  worker.reachable = false
+  await scene.run(100)
+  scene.setReplaying(false)
+  await scene.run(500)
+  await reportWorker(scene, worker)
+  await cutOff(scene, worker)
+  expect({ hasLateStart: scene.listEvents('started').some((start) => start.worker === 'w1'), doubled: listDoubled(fleet.events) }).toEqual({ hasLateStart: true, doubled: [] })
+})
+
 test('a late poll that has nothing to acknowledge does not make a restarted worker forget an end before its first poll', async () => {
   const { scene, worker } = await createRestartScene()
   scene.fleet.plan = () => ({ runMs: 300, result: 'succeeded' })
--- a/test/workflows/support.ts
+++ b/test/workflows/support.ts
@@ -21,6 +21,8 @@
   log: MemoryLog
   fleet: FakeRunFleet
   coordinator: WorkflowCoordinator
+  /** While true, the coordinator knows of no leader, like a process that has just started and reads its log. */
+  setReplaying (isReplaying: boolean): void
   /** Ends the term of the present coordinator and starts a later one on the same log, as after a loss of the leader. */
   changeLeader (): Promise<void>
   send (request: WorkflowRequest): Promise<WorkflowReply>
@@ -39,10 +41,11 @@
   const handlers = new Map<string, RequestHandler>()
   const network = { self: 'h1', request: async () => Err({ kind: 'unreachable' as const, to: 'h2', message: 'no peers' }), handle: (kind: string, handler: RequestHandler) => { handlers.set(kind, handler) } }
   let term = 1
+  let isReplaying = false
   const createCoordinator = (): WorkflowCoordinator => {
     const fence = term
     // Everything else goes to the shared log, of which tests replace functions.
-    const ownLog: MemoryLog = Object.assign(Object.create(log), { status: () => ({ ...log.status(), term: fence }) })
+    const ownLog: MemoryLog = Object.assign(Object.create(log), { status: () => ({ ...log.status(), term: fence, ...isReplaying && { leader: undefined } }) })
     return createWorkflowCoordinator({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), work: createNoopEventLoopMeter(), network, log: ownLog, availabilityZone: 'a', serviceBound: DEFAULT_SERVICE_BOUND, process: `p${term}`, client: fleet.client, hosts: fleet.hosts, hostLeaseMs: HOST_LEASE_MS, advice: fleet.advice, ...more })
   }
   let coordinator = createCoordinator()
@@ -70,6 +73,7 @@
     log,
     fleet,
     get coordinator () { return coordinator },
+    setReplaying: (value) => { isReplaying = value },
     changeLeader: async () => {
       const stopped = coordinator.stop()
       await Promise.all([stopped, run(1000)])
