Soak: start no second process of a host that is being started

Cause: a host counted as started only once its settings were written, so that a second fault, or the restart after an end by itself, could start it meanwhile.

Change: a host that is being started, or that has a process, is not started again. No check has changed.

--- a/test/soak/hosts.ts
+++ b/test/soak/hosts.ts
@@ -95,12 +95,18 @@
     bounds: { graceS: SHUTDOWN_GRACE_MS / 1000 }
   }))
 
+  /** Hosts whose settings are being written for a process that is not started yet. */
+  const starting = new Set<Host>()
+
   const start = async (host: Host): Promise<void> => {
+    if (host.process !== undefined || starting.has(host)) return
+    starting.add(host)
     await writeSettings(host)
     if (host.role === 'voter') await mkdir(getDisk(host), { recursive: true })
     const log = openSync(getFile(host, 'log'), 'a')
     const child = spawn(process.execPath, [PROGRAM_PATH, host.role, String(METRICS_PORT)], { env: { PATH: process.env.PATH, SEQUOIADRIFT_SETTINGS: getFile(host, 'toml') }, stdio: ['ignore', log, log] })
     closeSync(log)
+    starting.delete(host)
     Object.assign(host, { process: child, state: 'up', lives: host.lives + 1, startedAt: performance.now() })
     checker.trace('process-start', { host: host.name, pid: child.pid })
     child.once('exit', (code, signal) => {
