--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -1,12 +1,12 @@
 import { runSupervised, type Clock, type Logger, type Metrics, type Network, type EventLoopMeter } from '../../common/index.js'
-import { findAttemptOn, findSessionHost, findTask, listRunWorkers, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkerIncarnation, type WorkflowsState } from '../../state/index.js'
+import { findAttemptOn, findSessionHost, findTask, listRunWorkers, parseTaskName, type ReplicatedLog, type Entry, type SessionOwner, type WorkerIncarnation, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { createEndRecorder } from './endRecorder.js'
 import { createLeaderExchange } from './leaderExchange.js'
 import type { WorkerClient } from './orders.js'
 import { OTHER_RUN_SUCCEEDED, startRun, stopRun } from './runOrders.js'
 import { runSession } from './session.js'
 import type { SessionsReply, SessionsRequest } from './sessionMessages.js'
-import { createRun, createSession, type Run, type Session, type SessionContext } from './sessionState.js'
+import { createRun, createSession, type Run, type Session, type SessionContext, type SessionOrigin } from './sessionState.js'
 import type { ServiceBound } from './serviceWatch.js'
 import { createStartQueue } from './startQueue.js'
 import { computeLongestMs } from './workerClock.js'
@@ -109,21 +109,25 @@
     return at
   }
 
-  /** `isRegistered`: this host applies the registration of the incarnation just now. */
+  /** What the session with a worker inherits. `isRegistered`: this host applies the registration of the incarnation just now. */
+  const createOrigin = ({ life, isRestart }: WorkerRecord, existing: Session | undefined, isRegistered: boolean): SessionOrigin => {
+    // An earlier process of this host may have ordered for the incarnations that were registered before the first grant of this process.
+    const isFirst = isRegistered && isRestart !== true && log.status().appliedIndex > exchange.getFirstGrantIndex()
+    const unknownStartsEndAt = isFirst ? -Infinity : clock.now() + MAX_LAG_MS + MAX_SESSION_AUTHORITY_AGE_MS + MAX_CALL_DELAY_MS
+    return {
+      // Another host may go on ordering for the former incarnation until it has applied the registration, too.
+      foreignOrdersEndAt: isRestart === true ? getRegisteredAt(life) + MAX_LAG_MS + MAX_CALL_DELAY_MS : -Infinity,
+      aliveAt: existing?.aliveAt ?? -Infinity,
+      unknownStartsEndAt: existing?.unknownStartsEndAt ?? unknownStartsEndAt
+    }
+  }
+
   const addSession = (worker: string, isRegistered: boolean): void => {
     const record = getState().workers[worker]
     const existing = sessions.get(worker)
     if (record === undefined || existing?.bornAt === record.life.bornAt) return
     if (existing !== undefined) removeSession(existing)
-    // Another host may go on ordering for the former incarnation until it has applied the registration, too.
-    const foreignOrdersEndAt = record.isRestart === true ? getRegisteredAt(record.life) + MAX_LAG_MS + MAX_CALL_DELAY_MS : undefined
-    // An earlier process of this host may have ordered for the incarnations that were registered before the first grant of this process.
-    const isFirst = isRegistered && record.isRestart !== true && log.status().appliedIndex > exchange.getFirstGrantIndex()
-    const session = createSession(context, record.life, {
-      foreignOrdersEndAt: foreignOrdersEndAt ?? -Infinity,
-      aliveAt: existing?.aliveAt ?? -Infinity,
-      unknownStartsEndAt: existing?.unknownStartsEndAt ?? (isFirst ? -Infinity : clock.now() + MAX_LAG_MS + MAX_SESSION_AUTHORITY_AGE_MS + MAX_CALL_DELAY_MS)
-    })
+    const session = createSession(context, record.life, createOrigin(record, existing, isRegistered))
     sessions.set(worker, session)
     exchange.queueReport(worker, true)
     Object.keys(record.assigned).forEach((task) => addRun(session, task, false, undefined))
