--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -3,6 +3,7 @@
 import type { PollReply } from '../../src/coordination/workflows/index.js'
 import { runSession } from '../../src/coordination/workflows/session.js'
 import { createSession, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
+import { createUnansweredStarts } from '../../src/coordination/workflows/unansweredStarts.js'
 import { createWorkflowsState, workflowHandlers, type WorkerIncarnation } from '../../src/state/index.js'
 import { CATALOG, createScene, SERVICE_BOUND, STEP, type Scene } from './support.js'
 
@@ -64,6 +65,7 @@
     metrics: createNoopMetrics(),
     work: createNoopEventLoopMeter(),
     serviceBound: SERVICE_BOUND,
+    unansweredStarts: createUnansweredStarts(),
     leaseMs: 6000,
     fence: 1,
     client: { poll: async () => Ok(reply) },
