--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -21,28 +21,71 @@
   const { over, recovered } = session.services.update(listReadings(context, statuses), now)
   over.forEach((service) => recordOverTarget(context, session, service, statuses))
   over.filter(({ since }) => since === now).forEach((service) => applyBound(context, session, service))
-  updateOverdue(context, session)
-  recovered.forEach((service) => recordRecovery(context, session, service))
+  updateOverdue(context, session, 'poll')
+  recovered.forEach((service) => recordRecovery(context, session, service, statuses))
+  recordMissedBound(context, session, statuses)
 }
 
 /** Waits for the deadline and then enforces the bound, because the next poll may come too late. */
-async function applyBound (context: SessionContext, session: Session, { task, stopBy, lastWithinAt }: OverTarget): Promise<void> {
-  const { clock, logger } = context
+async function applyBound (context: SessionContext, session: Session, { stopBy }: OverTarget): Promise<void> {
+  const { clock } = context
   await clock.sleep(Math.max(0, stopBy - clock.now()))
   if (context.isStopped() || session.ended || !session.services.isOverdue(clock.now())) return
-  logger.warn('service.bound', { task, worker: session.worker, withinAgoMs: Math.round(clock.now() - lastWithinAt), readAgeMs: Math.round(clock.now() - session.readAt), authorityAgeMs: Math.round(clock.now() - context.getAuthorityAt()), runs: session.runs.size })
-  updateOverdue(context, session)
+  updateOverdue(context, session, 'timer')
 }
 
-function updateOverdue (context: SessionContext, session: Session): void {
+/** `trigger`: whether a poll or the timer of a deadline found that the deadline has passed. */
+function updateOverdue (context: SessionContext, session: Session, trigger: 'poll' | 'timer'): void {
   const isOverdue = session.services.isOverdue(context.clock.now())
   if (isOverdue !== session.hasOverdueService) {
     session.hasOverdueService = isOverdue
+    if (isOverdue) recordBound(context, session, trigger)
     context.onReportDue(session, true)
   }
   if (isOverdue) stopBestEffortRuns(context, session)
 }
 
+/** Records how late the deadline of a service is enforced. */
+function recordBound (context: SessionContext, session: Session, trigger: string): void {
+  const now = context.clock.now()
+  const service = session.services.findMostUrgent()
+  if (service === undefined) return
+  context.metrics.timing('service.bound_late', now - service.stopBy, { trigger })
+  context.logger.warn('service.bound', {
+    task: service.task,
+    worker: session.worker,
+    trigger,
+    lateMs: Math.round(now - service.stopBy),
+    withinAgoMs: Math.round(now - service.lastWithinAt),
+    sessionMs: Math.round(now - session.openedAt),
+    readAgeMs: Math.round(now - session.readAt),
+    authorityAgeMs: Math.round(now - context.getAuthorityAt()),
+    runs: session.runs.size
+  })
+}
+
+/** Logs once for each enforced deadline which best-effort runs the worker still lists although their stops should have taken effect. */
+function recordMissedBound (context: SessionContext, session: Session, statuses: readonly RunStatus[]): void {
+  const now = context.clock.now()
+  const service = session.services.findMostUrgent()
+  if (service === undefined || session.missedServices.has(service.task) || now < service.endBy) return
+  const bestEffort = statuses.filter(({ task }) => findStep(context.getState(), task)?.fills === true)
+  if (bestEffort.length === 0) return
+  session.missedServices.add(service.task)
+  context.metrics.count('service.bound_missed', 1)
+  context.logger.warn('service.bound-missed', {
+    task: service.task,
+    worker: session.worker,
+    tailMs: service.tailMs,
+    targetMs: service.targetMs,
+    lateMs: Math.round(now - service.endBy),
+    withinAgoMs: Math.round(now - service.lastWithinAt),
+    sessionMs: Math.round(now - session.openedAt),
+    authorityAgeMs: Math.round(now - context.getAuthorityAt()),
+    neighbours: describeNeighbours(context, session, bestEffort)
+  })
+}
+
 /** Stops all best-effort runs, including ordered runs that the worker has not listed yet and unassigned runs. */
 function stopBestEffortRuns (context: SessionContext, session: Session): void {
   session.runs.forEach((run) => {
@@ -84,11 +127,15 @@
   })
 }
 
-function recordRecovery (context: SessionContext, session: Session, { task, since, targetMs }: OverTarget): void {
-  const overMs = context.clock.now() - since
+function recordRecovery (context: SessionContext, session: Session, { task, since, lastWithinAt, targetMs }: OverTarget, statuses: readonly RunStatus[]): void {
+  const now = context.clock.now()
+  const overMs = now - since
   context.metrics.timing('service.over_target', overMs)
+  context.recordOverTarget(now - lastWithinAt)
+  session.missedServices.delete(task)
   if (!session.loggedServices.delete(task)) return
-  context.logger.info('service.recovered', { task, worker: session.worker, targetMs, overMs: Math.round(overMs) })
+  const status = statuses.find((listed) => listed.task === task)
+  context.logger.info('service.recovered', { task, worker: session.worker, targetMs, overMs: Math.round(overMs), withinAgoMs: Math.round(now - lastWithinAt), tailMs: status?.reading, percent: status?.percent })
 }
 
 /** Describes the best-effort runs of a worker, both those that it lists and those that were only ordered. */
--- a/src/coordination/workflows/serviceWatch.ts
+++ b/src/coordination/workflows/serviceWatch.ts
@@ -12,6 +12,8 @@
   since: number
   /** Latest time to tell the best-effort runs beside the task to stop, so that the bound is kept. */
   stopBy: number
+  /** Time by which these runs have to be gone. */
+  endBy: number
 }
 
 export interface ServiceUpdate {
@@ -27,6 +29,8 @@
   update (readings: readonly ServiceReading[], now: number): ServiceUpdate
   /** True if `stopBy` of a task has passed, so best-effort runs have to leave the worker. */
   isOverdue (now: number): boolean
+  /** The period whose `stopBy` passes first; undefined while no task is over its target. */
+  findMostUrgent (): OverTarget | undefined
 }
 
 /** A reading covers half a second and is reported for another half. The last reading within the target may therefore be this old, and the period over target may have begun as early. */
@@ -43,7 +47,8 @@
 
   const createOverTarget = (reading: ServiceReading, now: number): OverTarget => {
     const withinAt = withinTargetAt.get(reading.task) ?? updatedAt
-    return { ...reading, lastWithinAt: withinAt, since: now, stopBy: withinAt - MAX_READING_AGE_MS + bound.overTargetMs - bound.stopMs - STOP_DELIVERY_MS }
+    const endBy = withinAt - MAX_READING_AGE_MS + bound.overTargetMs
+    return { ...reading, lastWithinAt: withinAt, since: now, endBy, stopBy: endBy - bound.stopMs - STOP_DELIVERY_MS }
   }
 
   const updateTask = (reading: ServiceReading, now: number): OverTarget[] => {
@@ -68,6 +73,7 @@
       updatedAt = now
       return { over: current, recovered }
     },
-    isOverdue: (now) => [...over.values()].some(({ stopBy }) => stopBy <= now)
+    isOverdue: (now) => [...over.values()].some(({ stopBy }) => stopBy <= now),
+    findMostUrgent: () => [...over.values()].toSorted((a, b) => a.stopBy - b.stopBy)[0]
   }
 }
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -64,6 +64,12 @@
   }
   const proposeChange = async (entry: Entry): Promise<boolean> => (await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)).ok
 
+  let longestOverTargetMs = 0
+  const recordOverTarget = (ms: number): void => {
+    longestOverTargetMs = Math.max(longestOverTargetMs, ms)
+    options.metrics.gauge('service.longest_over_target', longestOverTargetMs)
+  }
+
   const context: SessionContext = {
     clock,
     logger,
@@ -92,6 +98,7 @@
       if (session.fencedTerm !== term) exchange.dropAuthority()
       session.fencedTerm = term
     },
+    recordOverTarget,
     onReportDue: (session, isUrgent) => exchange.queueReport(session.worker, isUrgent),
     onStarted: (session, run) => exchange.addStart([session.worker, run.task, run.attempt]),
     onRefused: (session, run, reason) => exchange.addRefusal([session.worker, run.task, run.attempt, reason]),
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -92,6 +92,9 @@
   readonly services: ServiceWatch
   /** Tasks that were logged as over their latency targets and have not recovered. */
   readonly loggedServices: Set<string>
+  /** Tasks beside which best-effort runs were still listed after the bound, until these tasks recover. */
+  readonly missedServices: Set<string>
+  readonly openedAt: number
   lastPollAt: number
   retryMs: number
   /** The term under which the worker last refused an order because of a higher fencing token. */
@@ -131,6 +134,8 @@
   onFenced (session: Session): void
   /** The state of the worker has to be reported to the leader. `isUrgent`: at once, since the leader should not place tasks by the previous report. */
   onReportDue (session: Session, isUrgent: boolean): void
+  /** Reports how long a latency-critical task was over its target, from the last poll that showed it within. */
+  recordOverTarget (ms: number): void
   onRefused (session: Session, run: Run, reason: string): void
   onStarted (session: Session, run: Run): void
   /** The worker has become reachable or unreachable. */
@@ -164,6 +169,8 @@
     clockReading: undefined,
     services: createServiceWatch(now - WORKER_HANDOVER_MS, context.serviceBound),
     loggedServices: new Set(),
+    missedServices: new Set(),
+    openedAt: now,
     lastPollAt: -Infinity,
     retryMs: FIRST_RETRY_MS,
     fencedTerm: undefined,
