Never end a sleep of the system clock before its time

The session host of a worker sleeps until the deadline of the service and then asks whether it has passed. Node.js counts timers in whole milliseconds, so a timer may fire up to 2 ms before its time by the monotonic clock (885 of 2,000 did on this machine); the answer was no, and the work stayed until the next poll, up to half a second later. With a reading that is a second old and a stop of 400 ms that is 4.7 s of 4.5 s allowed. In virtual time no timer is early, so no test showed it.

A sleep now checks the clock and waits for the rest, so every deadline in the code that is asked about after a sleep has passed by then.

--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -7,7 +7,7 @@
   now (): number
   /** Milliseconds since 1970. This clock may jump, so no decision depends on it. */
   wall (): number
-  /** Resolves after `ms`, or as soon as `signal` is aborted. */
+  /** Resolves once `now` has advanced by `ms`, never sooner, or as soon as `signal` is aborted. */
   sleep (ms: number, signal?: AbortSignal): Promise<void>
 }
 
@@ -30,12 +30,19 @@
     wall: () => Date.now(),
     sleep: (ms, signal) => new Promise((resolve) => {
       if (signal?.aborted) return resolve()
+      const until = performance.now() + ms
       const finish = (): void => {
         clearTimeout(timer)
         signal?.removeEventListener('abort', finish)
         resolve()
       }
-      const timer = setTimeout(finish, Math.min(ms, MAX_TIMEOUT_MS))
+      const startTimer = (): NodeJS.Timeout => setTimeout(handleTimeout, Math.min(Math.ceil(until - performance.now()), MAX_TIMEOUT_MS))
+      // Node.js counts timers in whole milliseconds, so one may fire before its time; a deadline would then not have passed yet.
+      const handleTimeout = (): void => {
+        if (performance.now() >= until) finish()
+        else timer = startTimer()
+      }
+      let timer = startTimer()
       signal?.addEventListener('abort', finish, { once: true })
     })
   }
--- a/test/clock.test.ts
+++ b/test/clock.test.ts
@@ -63,3 +63,14 @@
   controller.abort()
   expect(await slept).toBeGreaterThan(25)
 })
+
+test('a sleep of the system clock never ends before its time by the monotonic clock', async () => {
+  const clock = createSystemClock()
+  const early = await Promise.all(Array.from({ length: 200 }, async (_, index) => {
+    await clock.sleep(index * 0.31)
+    const until = clock.now() + 20 + index * 0.17
+    await clock.sleep(until - clock.now())
+    return clock.now() < until
+  }))
+  expect(early.filter(Boolean)).toHaveLength(0)
+})
--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from 'vitest'
-import { createManualClock, createNoopMetrics, createNoopEventLoopMeter, createSilentLogger, Ok } from '../../src/common/index.js'
-import type { PollReply } from '../../src/coordination/workflows/index.js'
+import { createManualClock, createNoopMetrics, createNoopEventLoopMeter, createSilentLogger, createSystemClock, Ok, type Clock, type Result } from '../../src/common/index.js'
+import type { PollReply, WorkerFailure } from '../../src/coordination/workflows/index.js'
 import { runSession } from '../../src/coordination/workflows/session.js'
-import { createSession, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
+import { createSession, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
 import { createUnansweredStarts } from '../../src/coordination/workflows/unansweredStarts.js'
 import { createWorkflowsState, workflowHandlers, type WorkerIncarnation } from '../../src/state/index.js'
 import { CATALOG, createScene, SERVICE_BOUND, STEP, type Scene } from './support.js'
@@ -51,14 +51,13 @@
   expect(isBarred()).toBe(false)
 })
 
-test('a latency-critical task is tracked while the run ends of the same poll wait for the log', async () => {
-  const clock = createManualClock(1000)
+/** Opens a session with one worker on which a latency-critical task runs; `poll` answers each poll. */
+function openServiceSession (clock: Clock, poll: () => Promise<Result<PollReply, WorkerFailure>>, more: Partial<SessionContext> = {}): Session {
   const state = createWorkflowsState()
   const life: WorkerIncarnation = { id: 'w1', bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 100_000, accelerators: 0, labels: [], draining: false }
   workflowHandlers['catalog.put'](state, { catalog: CATALOG })
   workflowHandlers['life.report'](state, { life })
   workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 's1', command: '', steps: [{ ...STEP, lasting: true, tailTargetMs: TARGET_MS }] }, at: 0 })
-  const reply: PollReply = { clock: 0, running: [{ task: 's1.0.0.0', attempt: 1, checkpoint: '', percent: 100, reading: 40 }], ends: [[1, 'x.0.0.0', 1, 'succeeded', '']] }
   const context = {
     clock,
     logger: createSilentLogger(),
@@ -68,17 +67,43 @@
     unansweredStarts: createUnansweredStarts(),
     leaseMs: 6000,
     fence: 1,
-    client: { poll: async () => Ok(reply) },
+    client: { poll },
     getState: () => state,
     getAuthorityAt: () => clock.now(),
     isActive: () => true,
     isStopped: () => false,
     recordEnds: () => new Promise(() => {}),
+    recordOverTarget: () => {},
     onReportDue: () => {},
-    onReachabilityChange: () => {}
+    onReachabilityChange: () => {},
+    ...more
   } as unknown as SessionContext
   const session = createSession(context, life)
   runSession(context, session)
+  return session
+}
+
+const OVER_TARGET: PollReply = { clock: 0, running: [{ task: 's1.0.0.0', attempt: 1, checkpoint: '', percent: 100, reading: 40 }], ends: [] }
+
+test('a latency-critical task is tracked while the run ends of the same poll wait for the log', async () => {
+  const clock = createManualClock(1000)
+  const session = openServiceSession(clock, async () => Ok({ ...OVER_TARGET, ends: [[1, 'x.0.0.0', 1, 'succeeded', '']] }))
   await clock.advance(SERVICE_BOUND.overTargetMs - SERVICE_BOUND.stopMs)
   expect(session.hasOverdueService).toBe(true)
 })
+
+test('the deadline of a latency-critical task is enforced between polls although timers of the runtime may fire early', async () => {
+  const clock = createSystemClock()
+  const serviceBound = { overTargetMs: 3000, stopMs: 50 }
+  // Each session has a deadline at another fraction of a millisecond.
+  const sessions = await Promise.all(Array.from({ length: 40 }, async (_, index) => {
+    await clock.sleep(index * 1.37)
+    const replies = [OVER_TARGET]
+    return openServiceSession(clock, async () => {
+      const reply = replies.pop()
+      return reply === undefined ? new Promise(() => {}) : Ok(reply)
+    }, { serviceBound })
+  }))
+  await clock.sleep(1000)
+  expect(sessions.filter(({ hasOverdueService }) => !hasOverdueService)).toHaveLength(0)
+})
