Take a service for within its target only by a reading that proves it

A reading is in whole milliseconds and inexact by some 5%: a tail latency of 18.4 ms may be reported as 17, and a target of 18 ms then counted as kept. Such a reading began the deadline anew while the period over the target went on, and readings of 17 and 18 before a period hid its start.

Only a reading that lies below the target by its error and its rounding ends a period now, or counts as the last time within the target.

The test of the watch that is replaced took 17 of 18 ms for recovered and 18 for within; the new one asks for a proof in both places, which is stricter.

--- a/src/coordination/workflows/serviceWatch.ts
+++ b/src/coordination/workflows/serviceWatch.ts
@@ -4,11 +4,11 @@
 /** Tail latency of one latency-critical task in a poll of its worker. */
 export interface ServiceReading { task: string, tailMs: number, targetMs: number }
 
-/** A period for which a task has been over its target without interruption, with the latest reading. */
+/** A period for which a task may have been over its target without interruption, with the latest reading. */
 export interface OverTarget extends ServiceReading {
-  /** Time of the last poll that showed the task within its target or without a tail latency; the start of the watch if there was none. */
+  /** Time of the last poll that proved the task within its target or without a tail latency; the start of the watch if there was none. */
   lastWithinAt: number
-  /** Time of the first poll that showed the task over its target. */
+  /** Time of the first poll with a tail latency that did not prove the task within its target. */
   since: number
   /** Latest time to tell the best-effort runs beside the task to stop, so that the bound is kept. */
   stopBy: number
@@ -17,9 +17,9 @@
 }
 
 export interface ServiceUpdate {
-  /** Tasks that are over their targets. */
+  /** Tasks that may be over their targets. */
   over: OverTarget[]
-  /** Tasks that were over their targets until this poll and have recovered or ended. */
+  /** Tasks that were among these until this poll and have recovered or ended. */
   recovered: OverTarget[]
 }
 
@@ -37,8 +37,9 @@
 const MAX_READING_AGE_MS = 1000
 /** Allowance for a late timer and for the transfer of a stop to the worker, each some tens of ms on the reference sites (`lateMs` of `host.work`). */
 const STOP_DELIVERY_MS = 300
-/** A period over target ends at this share of the target, because an inaccurate reading may be a little below the target while the tail latency is above it. */
-const RECOVERED_SHARE = 0.95
+/** Workers give tail latencies in whole milliseconds, possibly rounded down, and inexact by this share; on the reference sites readings of equal loads differ by as much. */
+const READING_STEP_MS = 1
+const MAX_READING_ERROR = 0.05
 
 export function createServiceWatch (startedAt: number, bound: ServiceBound): ServiceWatch {
   const withinTargetAt = new Map<string, number>()
@@ -53,7 +54,7 @@
 
   const updateTask = (reading: ServiceReading, now: number): OverTarget[] => {
     const known = over.get(reading.task)
-    if (reading.tailMs <= reading.targetMs * (known === undefined ? 1 : RECOVERED_SHARE)) {
+    if (isSurelyWithin(reading)) {
       withinTargetAt.set(reading.task, now)
       return []
     }
@@ -77,3 +78,9 @@
     findMostUrgent: () => [...over.values()].toSorted((a, b) => a.stopBy - b.stopBy)[0]
   }
 }
+
+/** True if a reading proves a tail latency within the target, however inexact it is. */
+function isSurelyWithin ({ tailMs, targetMs }: ServiceReading): boolean {
+  const roundingMs = Math.min(READING_STEP_MS, targetMs * MAX_READING_ERROR)
+  return (tailMs + roundingMs) / (1 - MAX_READING_ERROR) <= targetMs
+}
--- a/test/workflows/serviceWatch.test.ts
+++ b/test/workflows/serviceWatch.test.ts
@@ -3,25 +3,40 @@
 
 const TARGET_MS = 18
 
-test('a period over target begins with its first reading over the target and ends with a reading within it', () => {
+interface Poll { at: number, tailMs?: number }
+
+/** Processes polls and describes each change of the period over target. */
+function listPeriods (polls: readonly Poll[]): string[] {
   const watch = createServiceWatch(1000, { overTargetMs: 4000, stopMs: 400 })
-  const poll = (at: number, tailMs: number | undefined): string[] => {
+  const describe = ({ lastWithinAt, since, tailMs }: OverTarget): string => `${lastWithinAt} ${since} ${tailMs}`
+  return polls.flatMap(({ at, tailMs }) => {
     const { over, recovered } = watch.update(tailMs === undefined ? [] : [{ task: 't', tailMs, targetMs: TARGET_MS }], at)
-    const describe = ({ lastWithinAt: withinAt, since, tailMs }: OverTarget): string => `${withinAt} ${since} ${tailMs}`
     return [...over.map((service) => `over ${describe(service)}`), ...recovered.map((service) => `recovered ${describe(service)}`)]
-  }
-  const polls: Array<[number, number | undefined]> = [[1500, 30], [2000, 40], [2500, 17], [3000, 19], [3500, 18], [4000, undefined], [4500, 20]]
-  expect(polls.flatMap(([at, tailMs]) => poll(at, tailMs))).toEqual([
+  })
+}
+
+test('a period over target begins after the last reading that proves the task within its target and ends with the next one', () => {
+  const polls: Poll[] = [{ at: 1500, tailMs: 30 }, { at: 2000, tailMs: 40 }, { at: 2500, tailMs: 16 }, { at: 3000, tailMs: 19 }, { at: 3500, tailMs: 22 }, { at: 4000 }, { at: 4500, tailMs: 20 }]
+  expect(listPeriods(polls)).toEqual([
     'over 1000 1500 30',
     'over 1000 1500 40',
     'recovered 1000 1500 40',
     'over 2500 3000 19',
-    'over 2500 3000 18',
-    'recovered 2500 3000 18',
+    'over 2500 3000 22',
+    'recovered 2500 3000 22',
     'over 4000 4500 20'
   ])
 })
 
+test('a reading that is below the target by less than its error does not end a period over target', () => {
+  // A tail latency of 18.4 ms may be reported as 17 ms.
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, tailMs: 30 }, { at: 2500, tailMs: 17 }, { at: 3000, tailMs: 30 }])).toEqual([
+    'over 1500 2000 30',
+    'over 1500 2000 17',
+    'over 1500 2000 30'
+  ])
+})
+
 test('a worker becomes overdue early enough for its best-effort runs to end within the bound', () => {
   const watch = createServiceWatch(0, { overTargetMs: 4000, stopMs: 400 })
   watch.update([{ task: 't', tailMs: 10, targetMs: TARGET_MS }], 1000)
