Do not take a poll without a reading for one within the target

A period over the target ended with any poll that had no reading of the task: the value was missing, or the row of the run could not be read. The next poll began a period of its own with a deadline of its own, so a reading that is missing each second or two kept best-effort work beside a service for as long as it liked.

A task at work without a reading keeps its state: neither its deadline nor the last time within its target moves. The same holds for all tasks when rows of the list could not be read. A task that is not at work still ends its period.

Evidence: the two new tests fail before and pass after.

--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -1,6 +1,6 @@
 import type { Step } from '../../state/index.js'
 import { findStep } from './candidates.js'
-import type { RunStatus } from './orders.js'
+import type { PollReply, RunStatus } from './orders.js'
 import { SERVICE_BOUND_REASON, stopRun, stopUnassignedRun } from './runOrders.js'
 import type { OverTarget, ServiceReading } from './serviceWatch.js'
 import type { Run, Session, SessionContext } from './sessionState.js'
@@ -16,9 +16,9 @@
  * cause long before; the session host enforces the bound independently of the forecast and of delayed reports to the
  * leader. The time of the poll is the reference, so this has to be called before any step that waits for the log.
  */
-export function observeServices (context: SessionContext, session: Session, statuses: readonly RunStatus[]): void {
+export function observeServices (context: SessionContext, session: Session, { running: statuses, unreadableRuns }: Pick<PollReply, 'running' | 'unreadableRuns'>): void {
   const now = context.clock.now()
-  const { over, recovered } = session.services.update(listReadings(context, statuses), now)
+  const { over, recovered } = session.services.update(listReadings(context, statuses), now, unreadableRuns === undefined)
   over.forEach((service) => recordOverTarget(context, session, service, statuses))
   over.filter(({ since }) => since === now).forEach((service) => applyBound(context, session, service))
   updateOverdue(context, session, 'poll')
@@ -102,11 +102,11 @@
   return step?.fills === true && (!step.gang || (status?.percent ?? 0) > 0)
 }
 
-/** Lists the tail latencies of the latency-critical tasks. A task that is still starting has none. */
+/** Lists the latency-critical tasks at work. A task that is still starting is not. */
 function listReadings (context: SessionContext, statuses: readonly RunStatus[]): ServiceReading[] {
   return statuses.flatMap(({ task, percent, reading }) => {
     const targetMs = findStep(context.getState(), task)?.tailTargetMs
-    return targetMs === undefined || reading === undefined || percent < 100 ? [] : [{ task, tailMs: reading, targetMs }]
+    return targetMs === undefined || percent < 100 ? [] : [{ task, tailMs: reading, targetMs }]
   })
 }
 
--- a/src/coordination/workflows/serviceWatch.ts
+++ b/src/coordination/workflows/serviceWatch.ts
@@ -1,12 +1,15 @@
 /** `overTargetMs`: the longest time that a latency-critical task may be over its target because of best-effort tasks. `stopMs`: the time that its worker needs to stop a run. */
 export interface ServiceBound { overTargetMs: number, stopMs: number }
 
-/** Tail latency of one latency-critical task in a poll of its worker. */
-export interface ServiceReading { task: string, tailMs: number, targetMs: number }
+/** Tail latency of one latency-critical task in a poll of its worker; undefined if the worker gave none, which proves nothing. */
+export interface ServiceReading { task: string, tailMs: number | undefined, targetMs: number }
 
-/** A period for which a task may have been over its target without interruption, with the latest reading. */
-export interface OverTarget extends ServiceReading {
-  /** Time of the last poll that proved the task within its target or without a tail latency; the start of the watch if there was none. */
+/** A period for which a task may have been over its target without interruption, with the latest tail latency. */
+export interface OverTarget {
+  task: string
+  tailMs: number
+  targetMs: number
+  /** Time of the last poll that proved the task within its target or not at work; the start of the watch if there was none. */
   lastWithinAt: number
   /** Time of the first poll with a tail latency that did not prove the task within its target. */
   since: number
@@ -25,8 +28,11 @@
 
 /** Tracks for how long the latency-critical tasks of one worker have been over their targets. */
 export interface ServiceWatch {
-  /** Processes the readings of one poll: all latency-critical tasks that have a tail latency. */
-  update (readings: readonly ServiceReading[], now: number): ServiceUpdate
+  /**
+   * Processes the readings of one poll: all latency-critical tasks at work. `hasAllRuns`: every run in the list could be read,
+   * so a task that is missing is not at work.
+   */
+  update (readings: readonly ServiceReading[], now: number, hasAllRuns?: boolean): ServiceUpdate
   /** True if `stopBy` of a task has passed, so best-effort runs have to leave the worker. */
   isOverdue (now: number): boolean
   /** The period whose `stopBy` passes first; undefined while no task is over its target. */
@@ -46,32 +52,36 @@
   const over = new Map<string, OverTarget>()
   let updatedAt = startedAt
 
-  const createOverTarget = (reading: ServiceReading, now: number): OverTarget => {
-    const withinAt = withinTargetAt.get(reading.task) ?? updatedAt
+  const createOverTarget = ({ task, targetMs }: ServiceReading, tailMs: number, now: number): OverTarget => {
+    const withinAt = withinTargetAt.get(task) ?? updatedAt
     const endBy = withinAt - MAX_READING_AGE_MS + bound.overTargetMs
-    return { ...reading, lastWithinAt: withinAt, since: now, endBy, stopBy: endBy - bound.stopMs - STOP_DELIVERY_MS }
+    return { task, tailMs, targetMs, lastWithinAt: withinAt, since: now, endBy, stopBy: endBy - bound.stopMs - STOP_DELIVERY_MS }
   }
 
   const updateTask = (reading: ServiceReading, now: number): OverTarget[] => {
-    const known = over.get(reading.task)
-    if (isSurelyWithin(reading)) {
-      withinTargetAt.set(reading.task, now)
+    const { task, tailMs } = reading
+    const known = over.get(task)
+    if (tailMs === undefined && known === undefined) withinTargetAt.set(task, withinTargetAt.get(task) ?? updatedAt)
+    if (tailMs === undefined) return known === undefined ? [] : [known]
+    if (isSurelyWithin(tailMs, reading.targetMs)) {
+      withinTargetAt.set(task, now)
       return []
     }
-    const current = known ?? createOverTarget(reading, now)
-    current.tailMs = reading.tailMs
-    over.set(reading.task, current)
+    const current = known ?? createOverTarget(reading, tailMs, now)
+    current.tailMs = tailMs
+    over.set(task, current)
     return [current]
   }
 
   return {
-    update: (readings, now) => {
+    update: (readings, now, hasAllRuns = true) => {
       const listed = new Set(readings.map(({ task }) => task))
-      withinTargetAt.forEach((_at, task) => { if (!listed.has(task)) withinTargetAt.delete(task) })
-      const current = readings.flatMap((reading) => updateTask(reading, now))
+      if (hasAllRuns) withinTargetAt.forEach((_at, task) => { if (!listed.has(task)) withinTargetAt.delete(task) })
+      const unread = hasAllRuns ? [] : [...over.values()].filter(({ task }) => !listed.has(task))
+      const current = readings.flatMap((reading) => updateTask(reading, now)).concat(unread)
       const recovered = [...over.values()].filter((known) => !current.includes(known))
       recovered.forEach(({ task }) => over.delete(task))
-      updatedAt = now
+      if (hasAllRuns) updatedAt = now
       return { over: current, recovered }
     },
     isOverdue: (now) => [...over.values()].some(({ stopBy }) => stopBy <= now),
@@ -80,7 +90,7 @@
 }
 
 /** True if a reading proves a tail latency within the target, however inexact it is. */
-function isSurelyWithin ({ tailMs, targetMs }: ServiceReading): boolean {
+function isSurelyWithin (tailMs: number, targetMs: number): boolean {
   const roundingMs = Math.min(READING_STEP_MS, targetMs * MAX_READING_ERROR)
   return (tailMs + roundingMs) / (1 - MAX_READING_ERROR) <= targetMs
 }
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -115,7 +115,7 @@
 async function handleReply (context: SessionContext, session: Session, reply: PollReply, sentAt: number): Promise<void> {
   session.hasListedEnds = reply.ends.length > 0
   context.onReportDue(session, false)
-  context.work.measure('session.services', () => observeServices(context, session, reply.running))
+  context.work.measure('session.services', () => observeServices(context, session, reply))
   recordStops(context, session, reply)
   if (reply.ends.length > 0) {
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
--- a/test/workflows/serviceWatch.test.ts
+++ b/test/workflows/serviceWatch.test.ts
@@ -3,20 +3,20 @@
 
 const TARGET_MS = 18
 
-interface Poll { at: number, tailMs?: number }
+interface Poll { at: number, tailMs?: number, isAtWork?: boolean, hasAllRuns?: boolean }
 
 /** Processes polls and describes each change of the period over target. */
 function listPeriods (polls: readonly Poll[]): string[] {
   const watch = createServiceWatch(1000, { overTargetMs: 4000, stopMs: 400 })
   const describe = ({ lastWithinAt, since, tailMs }: OverTarget): string => `${lastWithinAt} ${since} ${tailMs}`
-  return polls.flatMap(({ at, tailMs }) => {
-    const { over, recovered } = watch.update(tailMs === undefined ? [] : [{ task: 't', tailMs, targetMs: TARGET_MS }], at)
+  return polls.flatMap(({ at, tailMs, isAtWork = true, hasAllRuns = true }) => {
+    const { over, recovered } = watch.update(isAtWork ? [{ task: 't', tailMs, targetMs: TARGET_MS }] : [], at, hasAllRuns)
     return [...over.map((service) => `over ${describe(service)}`), ...recovered.map((service) => `recovered ${describe(service)}`)]
   })
 }
 
 test('a period over target begins after the last reading that proves the task within its target and ends with the next one', () => {
-  const polls: Poll[] = [{ at: 1500, tailMs: 30 }, { at: 2000, tailMs: 40 }, { at: 2500, tailMs: 16 }, { at: 3000, tailMs: 19 }, { at: 3500, tailMs: 22 }, { at: 4000 }, { at: 4500, tailMs: 20 }]
+  const polls: Poll[] = [{ at: 1500, tailMs: 30 }, { at: 2000, tailMs: 40 }, { at: 2500, tailMs: 16 }, { at: 3000, tailMs: 19 }, { at: 3500, tailMs: 22 }, { at: 4000, isAtWork: false }, { at: 4500, tailMs: 20 }]
   expect(listPeriods(polls)).toEqual([
     'over 1000 1500 30',
     'over 1000 1500 40',
@@ -37,6 +37,26 @@
   ])
 })
 
+test('a poll without a reading of a task at work does not end a period over target', () => {
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, tailMs: 30 }, { at: 2500 }, { at: 3000, tailMs: 30 }])).toEqual([
+    'over 1500 2000 30',
+    'over 1500 2000 30',
+    'over 1500 2000 30'
+  ])
+  // Nor does it count as within the target before the period.
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000 }, { at: 2500, tailMs: 30 }])).toEqual(['over 1500 2500 30'])
+  expect(listPeriods([{ at: 1500, isAtWork: false }, { at: 2000 }, { at: 2500 }, { at: 3000, tailMs: 30 }])).toEqual(['over 1500 3000 30'])
+})
+
+test('a poll in which the run of a task could not be read does not end a period over target', () => {
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, tailMs: 30 }, { at: 2500, isAtWork: false, hasAllRuns: false }, { at: 3000, tailMs: 30 }])).toEqual([
+    'over 1500 2000 30',
+    'over 1500 2000 30',
+    'over 1500 2000 30'
+  ])
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, isAtWork: false, hasAllRuns: false }, { at: 2500, tailMs: 30 }])).toEqual(['over 1500 2500 30'])
+})
+
 test('a worker becomes overdue early enough for its best-effort runs to end within the bound', () => {
   const watch = createServiceWatch(0, { overTargetMs: 4000, stopMs: 400 })
   watch.update([{ task: 't', tailMs: 10, targetMs: TARGET_MS }], 1000)
