Play services in virtual time with all that workers and hosts do without a fault

The fuzz test of the bound on services rounded readings up, gave one in every poll, never moved a session in calm and never let a task start again.

--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -1,5 +1,6 @@
-import { createRandom } from '../common/index.js'
-import type { RunEvent } from '../fakes/runFleet.js'
+import { createRandom, type Clock, type Random } from '../common/index.js'
+import type { WorkerClient } from '../coordination/workflows/index.js'
+import type { RunEvent, RunPlan } from '../fakes/runFleet.js'
 import { createEmulatedHosts } from './hosts.js'
 import { createServiceModel, getImage, STEP_MS, type ServiceOutcome } from './serviceModel.js'
 import type { EmulationSettings } from './settings.js'
@@ -36,21 +37,37 @@
     workers: system.workers,
     workerCores: system.worker_cores,
     serviceBound: { overTargetMs: system.over_target_ms, stopMs: system.stop_ms },
-    seed
+    seed,
+    ...system.order_delay_ms > 0 && { useClient: (clock: Clock, client: WorkerClient) => createDelayedClient(clock, client, createRandom(seed), system.order_delay_ms) }
   })
   const { clock, fleet, network } = hosts
+  const failures = createRandom(seed)
   const model = createServiceModel(settings, seed)
   fleet.stopMs = random.below(system.stop_ms)
-  fleet.plan = (task) => model.isService(task) ? { runMs: 0, result: 'never' } : { runMs: batches.task_ms, result: 'succeeded' }
+  const planService = (): RunPlan => services.fail_within_ms === 0
+    ? { runMs: 0, result: 'never' }
+    : { runMs: failures.below(services.fail_within_ms), result: 'failed', isLasting: true }
+  fleet.plan = (task) => model.isService(task) ? planService() : { runMs: batches.task_ms, result: 'succeeded' }
   fleet.measure = (task) => model.getReading(task)
   const delayMs = random.pick(system.delays_ms)
   const links = { loss: 0, duplication: 0, maxDelayMs: faultSettings.most === 0 ? delayMs : 0 }
   const faults = createFaultSchedule(hosts, createRandom(seed), settings, links)
   network.setFaults(links)
 
+  let moveAt = system.move_sessions_every_ms === 0 ? Infinity : play.settle_ms
+  /** Takes the workers of one session host away from it; the leader gives them back soon afterwards. */
+  const moveSessions = (): void => {
+    if (clock.now() < moveAt) return
+    moveAt = clock.now() + system.move_sessions_every_ms
+    const { sessionHosts } = hosts.log.state().workflows
+    const left = random.below(sessionHosts.length)
+    hosts.propose({ kind: 'sessions.divide', hosts: sessionHosts.filter((_, index) => index !== left) })
+  }
+
   const run = async (ms: number): Promise<void> => {
     for (let passed = 0; passed < ms; passed += STEP_MS) {
       faults.update(clock.now())
+      moveSessions()
       await clock.advance(STEP_MS)
       const isFaultFree = faults.isFaultFree(clock.now())
       fleet.workers.forEach(({ running }) => [...running.keys()].filter(model.isService).forEach((task) => model.update(task, running, clock.now(), isFaultFree)))
@@ -75,6 +92,16 @@
   return { ...model.getOutcome(), ...outcome, troubles: faults.descriptions }
 }
 
+/** Delays each order, as one that waits for a free connection to the worker. Polls have a connection of their own. */
+function createDelayedClient (clock: Clock, client: WorkerClient, random: Random, delayMs: number): WorkerClient {
+  const waitForConnection = (): Promise<void> => clock.sleep(random.below(delayMs))
+  return {
+    start: (worker, order, deadline) => waitForConnection().then(() => client.start(worker, order, deadline)),
+    stop: (worker, order, deadline) => waitForConnection().then(() => client.stop(worker, order, deadline)),
+    poll: client.poll
+  }
+}
+
 function summarizeBatches (events: readonly RunEvent[], submitted: ReadonlyMap<string, SubmittedBatch>, objectiveMs: number): Pick<EmulationOutcome, 'batches' | 'onTime' | 'stops'> {
   const ends = events.filter(({ kind }) => kind === 'ended')
   const onTime = [...submitted].filter(([id, { at, count }]) => {
--- a/src/emulator/serviceModel.ts
+++ b/src/emulator/serviceModel.ts
@@ -15,7 +15,9 @@
   return task.split('-')[0] ?? ''
 }
 
-interface Service { backlogMs: number, overTargetSince: number | undefined, tailSum: number, reading: number }
+interface Service { attempt: number, backlogMs: number, overTargetSince: number | undefined, tailSum: number, reading: number }
+
+const ROUNDING = { up: Math.ceil, nearest: Math.round, down: Math.floor }
 /** Interference of one image with another, constant up to a time. */
 interface InterferencePhase { value: number, until: number }
 
@@ -44,9 +46,10 @@
  */
 export function createServiceModel (settings: EmulationSettings, seed: number): ServiceModel {
   const { images, target_ms: targetMs, unloaded_ms: unloadedMs, mean_load: meanLoad, swing, swing_ms: swingMs } = settings.services
-  const { every_ms: readingMs, error } = settings.readings
+  const { every_ms: readingMs, error, rounding, missing_share: missingShare } = settings.readings
   const taskShare = settings.batches.task_cores / settings.system.worker_cores
   const readings = createRandom(seed)
+  const missing = createRandom(seed)
   const getInterference = createInterference(settings, createRandom(seed))
   const services = new Map<string, Service>()
   const totals = { longestOverTargetMs: 0, overTargetSteps: 0, observedSteps: 0 }
@@ -60,7 +63,9 @@
   return {
     isService,
     update: (task, running, now, isFaultFree) => {
-      const service = services.get(task) ?? { backlogMs: 0, overTargetSince: undefined, tailSum: 0, reading: unloadedMs }
+      const attempt = running.get(task)?.attempt ?? 0
+      const known = services.get(task)
+      const service = known?.attempt === attempt ? known : { attempt, backlogMs: 0, overTargetSince: undefined, tailSum: 0, reading: unloadedMs }
       services.set(task, service)
       const phase = Number(task.split('.')[0]?.split('-')[1]) / images.length
       const own = meanLoad * (1 + swing * Math.sin((now / swingMs + phase) * 2 * Math.PI))
@@ -69,7 +74,7 @@
       service.overTargetSince = tail > targetMs ? service.overTargetSince ?? now : undefined
       service.tailSum += tail
       if (now % readingMs < STEP_MS) {
-        service.reading = Math.ceil(service.tailSum * STEP_MS / readingMs * (1 + error * (2 * readings.next() - 1)))
+        service.reading = ROUNDING[rounding](service.tailSum * STEP_MS / readingMs * (1 + error * (2 * readings.next() - 1)))
         service.tailSum = 0
       }
       totals.observedSteps += 1
@@ -77,7 +82,7 @@
       totals.overTargetSteps += 1
       if (isFaultFree) totals.longestOverTargetMs = Math.max(totals.longestOverTargetMs, now - service.overTargetSince)
     },
-    getReading: (task) => services.get(task)?.reading,
+    getReading: (task) => missingShare > 0 && missing.next() < missingShare ? undefined : services.get(task)?.reading,
     getOutcome: () => ({ longestOverTargetMs: totals.longestOverTargetMs, overTargetShare: totals.overTargetSteps / Math.max(1, totals.observedSteps) })
   }
 }
--- a/src/emulator/settings.ts
+++ b/src/emulator/settings.ts
@@ -16,6 +16,10 @@
     over_target_ms: ms.default(4000),
     /** Upper limit of the time that a task takes to stop; each run draws one value below it. */
     stop_ms: ms.default(400),
+    /** Each order to a worker waits a random time up to this for a free connection. */
+    order_delay_ms: z.number().int().nonnegative().default(0),
+    /** Interval at which the workers of one session host move to others and back; 0: never. */
+    move_sessions_every_ms: z.number().int().nonnegative().default(0),
     /** Each run draws one of these as the longest additional delay of messages between hosts. */
     delays_ms: z.array(z.number().int().nonnegative()).min(1).default([0, 50, 150, 300])
   }).prefault({}),
@@ -28,7 +32,9 @@
     unloaded_ms: ms.default(4),
     mean_load: share.default(0.42),
     swing: share.default(0.5),
-    swing_ms: ms.default(10_000)
+    swing_ms: ms.default(10_000),
+    /** Longest time after which a task fails and has to be started again; 0: tasks do not fail. */
+    fail_within_ms: z.number().int().nonnegative().default(0)
   }).prefault({}),
   /** Best-effort batches, submitted at intervals of 0.4 to 1.2 s. */
   batches: z.strictObject({
@@ -51,7 +57,11 @@
   readings: z.strictObject({
     every_ms: ms.default(500),
     /** Largest relative error of a reading. */
-    error: share.default(0.05)
+    error: share.default(0.05),
+    /** How a reading is rounded to whole milliseconds. */
+    rounding: z.enum(['up', 'nearest', 'down']).default('up'),
+    /** Probability that a poll returns no reading of a task. */
+    missing_share: share.default(0)
   }).prefault({}),
   troubles: z.strictObject({
     /** Upper limit of the random faults of a run; 0 injects none. */
--- a/src/fakes/runFleet.ts
+++ b/src/fakes/runFleet.ts
@@ -7,7 +7,8 @@
 /** Longer leases are shortened to this. */
 const MAX_LEASE_MS = 10_000
 
-export interface RunPlan { runMs: number, result: 'succeeded' | 'failed' | 'never' }
+/** `isLasting`: the run is fully at work from its start, as a long-running task is. */
+export interface RunPlan { runMs: number, result: 'succeeded' | 'failed' | 'never', isLasting?: boolean }
 /** `hold` is a poll: it renews the lease of the worker and returns its runs. */
 export type OrderKind = 'start' | 'stop' | 'hold'
 /**
@@ -279,7 +280,7 @@
     task,
     attempt,
     checkpoint: '',
-    percent: plan.result === 'never' ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)),
+    percent: plan.result === 'never' || plan.isLasting === true ? 100 : Math.min(99, Math.floor((clock.now() - startedAt) / plan.runMs * 100)),
     reading: state.measure(task, state.running, clock.now())
   }))
   const ends = state.ends.slice(0, state.getEndsPerReply())
