Enforce the bound on services also while the leader confirms no authority

A stop for the bound is now sent whether or not the authority is current. It names one attempt, so it can end no other run, and a worker that has seen orders of a later leader refuses it. Starts and the renewal of leases ask for authority as before.

Evidence: the new test cuts the authority after the first reading over the target; no stop was sent before, the assigned and the unassigned run are stopped now.

--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -148,7 +148,7 @@
   if (run.stopReason === undefined) run.stopOrderedAt = now
   run.stopReason = reason
   const record = getRecord(context, session)
-  if (run.stopping || record === undefined || now - run.stopSentAt < RESEND_STOP_MS || !session.reachable || !context.isActive()) return
+  if (run.stopping || record === undefined || now - run.stopSentAt < RESEND_STOP_MS || !session.reachable || !canStop(context, reason)) return
   run.stopping = true
   run.stopSentAt = now
   const reply = await context.client.stop(record.life, { task: run.task, attempt: run.attempt, fence: getFencingToken(context, record) }, now + ORDER_TIMEOUT_MS)
@@ -158,6 +158,14 @@
   session.wake.notify()
 }
 
+/**
+ * The bound on services is also enforced while the leader does not confirm this host's authority. Such a stop does no harm: it names
+ * one attempt, and a worker that has orders of a later leader refuses it.
+ */
+function canStop (context: SessionContext, reason: string): boolean {
+  return context.isActive() || reason === SERVICE_BOUND_REASON
+}
+
 /** Records that an assigned run does not exist on its worker, so that its task is queued again. */
 export async function releaseRun (context: SessionContext, session: Session, run: Run, cause: EndCause): Promise<void> {
   // After the session has ended, the worker's next session host may have started the run again.
@@ -179,7 +187,7 @@
 export async function stopUnassignedRun (context: SessionContext, session: Session, unassigned: UnassignedRun, reason: string): Promise<void> {
   const now = context.clock.now()
   const record = getRecord(context, session)
-  if (record === undefined || !context.isActive() || now - unassigned.stoppedAt < RESEND_STOP_MS) return
+  if (record === undefined || now - unassigned.stoppedAt < RESEND_STOP_MS || !canStop(context, reason)) return
   unassigned.stoppedAt = now
   context.logger.info('run.stop', { task: unassigned.task, attempt: unassigned.attempt, worker: session.worker, reason })
   const reply = await context.client.stop(record.life, { task: unassigned.task, attempt: unassigned.attempt, fence: getFencingToken(context, record) }, now + ORDER_TIMEOUT_MS)
--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -1,8 +1,8 @@
 import { expect, test } from 'vitest'
 import { createManualClock, createNoopMetrics, createNoopEventLoopMeter, createSilentLogger, createSystemClock, Ok, type Clock, type Result } from '../../src/common/index.js'
-import type { PollReply, WorkerFailure } from '../../src/coordination/workflows/index.js'
+import type { OrderReply, PollReply, RunOrder, RunStatus, WorkerClient, WorkerFailure } from '../../src/coordination/workflows/index.js'
 import { runSession } from '../../src/coordination/workflows/session.js'
-import { createSession, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
+import { createRun, createSession, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
 import { createUnansweredStarts } from '../../src/coordination/workflows/unansweredStarts.js'
 import { createWorkflowsState, workflowHandlers, type WorkerIncarnation } from '../../src/state/index.js'
 import { CATALOG, createHosts, createScene, listOwned, SERVICE_BOUND, STEP, type Scene } from './support.js'
@@ -13,6 +13,7 @@
 const LEARN_MS = 20_000
 /** Shorter than the time for which a new session host could take a service for within its target. */
 const MOVE_INTERVAL_MS = 700
+const POLL_MS = 100
 
 /** Workers with one latency-critical task each, beside which best-effort tasks of one image have run without interference. */
 async function createHarmless (): Promise<Scene> {
@@ -53,13 +54,14 @@
   expect(isBarred()).toBe(false)
 })
 
-/** Opens a session with one worker on which a latency-critical task runs; `poll` answers each poll. */
+/** Opens a session with one worker on which a latency-critical task runs, beside the workflow of a best-effort one; `poll` answers each poll. */
 function openServiceSession (clock: Clock, poll: () => Promise<Result<PollReply, WorkerFailure>>, more: Partial<SessionContext> = {}): Session {
   const state = createWorkflowsState()
   const life: WorkerIncarnation = { id: 'w1', bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 100_000, accelerators: 0, labels: [], draining: false }
   workflowHandlers['catalog.put'](state, { catalog: CATALOG })
   workflowHandlers['life.report'](state, { life })
   workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 's1', command: '', steps: [{ ...STEP, lasting: true, tailTargetMs: TARGET_MS }] }, at: 0 })
+  workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 'f1', command: '', steps: [{ ...STEP, fills: true }] }, at: 0 })
   const context = {
     clock,
     logger: createSilentLogger(),
@@ -110,6 +112,31 @@
   expect(sessions.filter(({ hasOverdueService }) => !hasOverdueService)).toHaveLength(0)
 })
 
+test('best-effort tasks are stopped at the deadline of a latency-critical task also while the leader does not confirm its authority', async () => {
+  const clock = createManualClock(1000)
+  const stopped: string[] = []
+  const bestEffort: RunStatus = { task: 'f1.0.0.0', attempt: 1, checkpoint: '', percent: 10, reading: 3 }
+  const stray: RunStatus = { ...bestEffort, task: 'f1.0.0.1' }
+  let tailMs = 6
+  const poll = async (): Promise<Result<PollReply, WorkerFailure>> => {
+    await clock.sleep(POLL_MS)
+    return Ok({ ...OVER_TARGET, running: [...OVER_TARGET.running.map((status) => ({ ...status, reading: tailMs })), bestEffort, stray] })
+  }
+  const stop = async (_worker: WorkerIncarnation, { task }: RunOrder): Promise<Result<OrderReply, WorkerFailure>> => {
+    stopped.push(task)
+    return Ok({ clock: 0 })
+  }
+  let hasAuthority = true
+  const session = openServiceSession(clock, poll, { client: { poll, stop } as unknown as WorkerClient, isActive: () => hasAuthority })
+  session.runs.set(bestEffort.task, createRun(bestEffort.task, 1, clock.now(), true))
+  await clock.advance(2 * POLL_MS)
+  tailMs = 40
+  await clock.advance(POLL_MS)
+  hasAuthority = false
+  await clock.advance(SERVICE_BOUND.overTargetMs - SERVICE_BOUND.stopMs)
+  expect(stopped.toSorted()).toEqual([bestEffort.task, stray.task])
+})
+
 test('changes of the session host of a worker do not delay the deadline of its latency-critical tasks', async () => {
   const hosts = await createHosts(['h1', 'h2', 'h3', 'h4'], 6)
   const { clock, fleet, log } = hosts
