--- a/src/common/clock.ts
+++ b/src/common/clock.ts
@@ -39,8 +39,8 @@
       const startTimer = (): NodeJS.Timeout => setTimeout(handleTimeout, Math.min(Math.ceil(until - performance.now()), MAX_TIMEOUT_MS))
       // Node.js counts timers in whole milliseconds, so one may fire before its time; a deadline would then not have passed yet.
       const handleTimeout = (): void => {
-        if (performance.now() >= until) finish()
-        else timer = startTimer()
+        if (performance.now() < until) timer = startTimer()
+        else finish()
       }
       let timer = startTimer()
       signal?.addEventListener('abort', finish, { once: true })
