Begin a period over the target with a reading over it

Since a reading that is below the target by less than its error began a period by itself. The forecast of the leader fills a worker up to 95% of a target, so services hover there, and best-effort work left without any sign of harm. A period now begins with a reading over the target, counts from the last reading that proves the task within it as before, and ends with such a one only.

--- a/src/coordination/workflows/serviceWatch.ts
+++ b/src/coordination/workflows/serviceWatch.ts
@@ -4,14 +4,14 @@
 /** Tail latency of one latency-critical task in a poll of its worker; undefined if the worker gave none, which proves nothing. */
 export interface ServiceReading { task: string, tailMs: number | undefined, targetMs: number }
 
-/** A period for which a task may have been over its target without interruption, with the latest tail latency. */
+/** A period for which a task may have been over its target without interruption, with the latest tail latency. At least one reading was over the target. */
 export interface OverTarget {
   task: string
   tailMs: number
   targetMs: number
   /** Time of the last poll that proved the task within its target or not at work; the start of the watch if there was none. */
   lastWithinAt: number
-  /** Time of the first poll with a tail latency that did not prove the task within its target. */
+  /** Time of the first poll that showed the task over its target. */
   since: number
   /** Latest time to tell the best-effort runs beside the task to stop, so that the bound is kept. */
   stopBy: number
@@ -20,7 +20,7 @@
 }
 
 export interface ServiceUpdate {
-  /** Tasks that may be over their targets. */
+  /** Tasks that were shown over their targets and have not been proved within them since. */
   over: OverTarget[]
   /** Tasks that were among these until this poll and have recovered or ended. */
   recovered: OverTarget[]
@@ -52,23 +52,24 @@
   const over = new Map<string, OverTarget>()
   let updatedAt = startedAt
 
-  const createOverTarget = ({ task, targetMs }: ServiceReading, tailMs: number, now: number): OverTarget => {
+  const createOverTarget = ({ task, targetMs }: ServiceReading, now: number): OverTarget => {
     const withinAt = withinTargetAt.get(task) ?? updatedAt
     const endBy = withinAt - MAX_READING_AGE_MS + bound.overTargetMs
-    return { task, tailMs, targetMs, lastWithinAt: withinAt, since: now, endBy, stopBy: endBy - bound.stopMs - STOP_DELIVERY_MS }
+    return { task, tailMs: targetMs, targetMs, lastWithinAt: withinAt, since: now, endBy, stopBy: endBy - bound.stopMs - STOP_DELIVERY_MS }
   }
 
   const updateTask = (reading: ServiceReading, now: number): OverTarget[] => {
-    const { task, tailMs } = reading
-    const known = over.get(task)
-    if (tailMs === undefined && known === undefined) withinTargetAt.set(task, withinTargetAt.get(task) ?? updatedAt)
-    if (tailMs === undefined) return known === undefined ? [] : [known]
-    if (isSurelyWithin(tailMs, reading.targetMs)) {
+    const { task, targetMs, tailMs } = reading
+    if (tailMs !== undefined && isSurelyWithin(tailMs, targetMs)) {
       withinTargetAt.set(task, now)
       return []
     }
-    const current = known ?? createOverTarget(reading, tailMs, now)
-    current.tailMs = tailMs
+    // A task that was not listed by the previous poll was not at work then.
+    if (!withinTargetAt.has(task)) withinTargetAt.set(task, updatedAt)
+    const known = over.get(task)
+    if (known === undefined && (tailMs === undefined || tailMs <= targetMs)) return []
+    const current = known ?? createOverTarget(reading, now)
+    current.tailMs = tailMs ?? current.tailMs
     over.set(task, current)
     return [current]
   }
--- a/test/workflows/serviceWatch.test.ts
+++ b/test/workflows/serviceWatch.test.ts
@@ -35,6 +35,8 @@
     'over 1500 2000 17',
     'over 1500 2000 30'
   ])
+  // Nor does it count as within the target before the period, or begin one.
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, tailMs: 18 }, { at: 2500, tailMs: 17 }, { at: 3000, tailMs: 30 }])).toEqual(['over 1500 3000 30'])
 })
 
 test('a poll without a reading of a task at work does not end a period over target', () => {
