Give the stand-ins of a session's context the bound on services

Since a session reads the bound when it opens, so two stand-ins without one failed: 6 tests of dispatcher, preemption and placementCost. No check is changed.

--- a/src/fakes/dispatchLoad.ts
+++ b/src/fakes/dispatchLoad.ts
@@ -14,6 +14,7 @@
   count: 1, cores: 2, memoryMb: 500, accelerators: 0, expectedRunMs: 3000, dependsOn: [], gang: false, rackSensitive: false, speculative: false, checkpoints: false, lasting: false, fills: false
 }
 const WORKER = { service: 'desk', availabilityZone: 'a', cores: 64, memoryMb: 250_000, accelerators: 0, draining: false }
+const SERVICE_BOUND = { overTargetMs: 4000, stopMs: 400 }
 const WORKERS_PER_RACK = 11
 /** Tasks on each worker at the start. Latency-critical and ordinary tasks together request all cores of a worker. */
 const LATENCY_CRITICAL_PER_WORKER = 4
@@ -138,7 +139,7 @@
     const rack = `r${Math.floor(index / WORKERS_PER_RACK)}`
     const life = { ...WORKER, id, bornAt: 1, address: `127.0.0.1:${index + 1}`, rack, labels: [rack, ...index % 4 === 0 ? ['large'] : []] }
     workflowHandlers['life.report'](state, { life })
-    sessions.set(id, Object.assign(createSession({ clock } as unknown as SessionContext, life), { reachable: true }))
+    sessions.set(id, Object.assign(createSession({ clock, serviceBound: SERVICE_BOUND } as unknown as SessionContext, life), { reachable: true }))
   })
   /** Submits and assigns `perWorker` tasks to each worker. */
   const fill = (kind: string, perWorker: number, createStep: (number: number) => Partial<Step>): void => {
--- a/test/workflows/preemption.test.ts
+++ b/test/workflows/preemption.test.ts
@@ -7,7 +7,7 @@
 import { createRun, createSession, type Run, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
 import { createWaitingIndex } from '../../src/coordination/workflows/waiting.js'
 import { createWorkflowsState, workflowHandlers, type Step } from '../../src/state/index.js'
-import { CATALOG, createCandidate, createScene, listDoubled, STEP } from './support.js'
+import { CATALOG, createCandidate, createScene, listDoubled, SERVICE_BOUND, STEP } from './support.js'
 
 const RESTORE_MS = 250
 /** Needs all the memory of a worker of which best-effort runs hold 20 GB each. */
@@ -66,7 +66,7 @@
   workflowHandlers['life.report'](state, { life })
   workflowHandlers['workflow.submit'](state, { queue: 'quotes', workflow: { id: 'urgent', command: '', steps: [URGENT] }, at: clock.wall() })
   workflowHandlers['workflow.submit'](state, { queue: 'batch', workflow: { id: 'batch', command: '', steps: steps.map((step) => ({ ...step, count: 2, expectedRunMs: 1e6 })) }, at: clock.wall() })
-  const session = Object.assign(createSession({ clock } as unknown as SessionContext, life), { reachable: true })
+  const session = Object.assign(createSession({ clock, serviceBound: SERVICE_BOUND } as unknown as SessionContext, life), { reachable: true })
   const stopped: Array<[string, string]> = []
   const preemptor = createPreemptor({ clock, logger: createSilentLogger(), metrics: createNoopMetrics(), settings: { checkpointMs: 1000, restoreMs: RESTORE_MS }, sessions: new Map([['w1', session]]), runDurations: createRunDurations(), getState: () => state, stopRun: (_session, run, reason) => { Object.assign(run, { stopReason: reason }); stopped.push([run.task, reason]) } })
   const candidate: PlacementCandidate = { ...createCandidate('w1', { memoryMb: 40_000, freeMemoryMb: 0 }), stepRuns: new Map() }
