Report unassigned runs before recording the ends that are listed with them

The end was recorded first and the run noted afterwards, so the leader gave the freed capacity away before it knew of the run; a report without the run may have gone out just before, and the next one waited 250 ms.

The session notes unassigned runs when the poll arrives, reports a new one at once, and records the ends once the leader has received that report, at the latest after the time-out of an exchange. Where nothing new is listed nothing waits. A run that becomes assigned later is not kept as unassigned any more.

It also lets the bound on services see such runs one poll earlier.

--- a/src/coordination/workflows/leaderExchange.ts
+++ b/src/coordination/workflows/leaderExchange.ts
@@ -34,6 +34,8 @@
   dropAuthority (): void
   /** Reports a worker to the leader with the next exchange; unless `isUrgent`, not sooner than `MIN_REPORT_INTERVAL_MS` after its last report. */
   queueReport (worker: string, isUrgent: boolean): void
+  /** Resolves once the leader has received the next report on the worker, at the latest after `EXCHANGE_TIMEOUT_MS`. */
+  waitForReport (worker: string): Promise<void>
   addStart (start: ReportedStart): void
   addRefusal (refusal: ReportedRefusal): void
   dropReport (worker: string): void
@@ -53,6 +55,8 @@
   /** Workers whose state has changed since their last report. */
   const unreported = new Set<string>()
   const reportedAt = new Map<string, number>()
+  /** By worker, what waits for its next report. */
+  const reportWaiters = new Map<string, AbortController>()
   const grant = { leader: undefined as string | undefined, fence: 0, authorityAt: -Infinity, receivedAt: -Infinity, clockMark: 0, lastStop: 0 }
   let started: ReportedStart[] = []
   let refused: ReportedRefusal[] = []
@@ -118,7 +122,13 @@
     }
     const result = leader === network.self ? undefined : await network.request(leader, SESSIONS_MESSAGE, request, sentAt + EXCHANGE_TIMEOUT_MS)
     const reply = result === undefined ? options.exchangeLocally(request) : result.ok ? result.val as SessionsReply : undefined
-    if (reply?.kind === 'granted') return receiveGrant(leader, reply, sentAt, clockMark)
+    if (reply?.kind === 'granted') {
+      taken.reports.forEach(({ worker }) => {
+        reportWaiters.get(worker)?.abort()
+        reportWaiters.delete(worker)
+      })
+      return receiveGrant(leader, reply, sentAt, clockMark)
+    }
     // The leader may not have received the request, so its content is sent again.
     taken.reports.forEach(({ worker }) => unreported.add(worker))
     started = taken.started.concat(started)
@@ -135,6 +145,12 @@
       unreported.add(worker)
       if (isUrgent) reportedAt.delete(worker)
     },
+    waitForReport: async (worker) => {
+      const waiter = reportWaiters.get(worker) ?? new AbortController()
+      reportWaiters.set(worker, waiter)
+      await clock.sleep(EXCHANGE_TIMEOUT_MS, waiter.signal)
+      if (reportWaiters.get(worker) === waiter) reportWaiters.delete(worker)
+    },
     addStart: (start) => { started.push(start) },
     addRefusal: (refusal) => { refused.push(refusal) },
     dropReport: (worker) => {
--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -4,7 +4,7 @@
 import type { PollReply, RunStatus, WorkerFailure } from './orders.js'
 import { releaseRun, startRun, stopRun, stopUnassignedRun } from './runOrders.js'
 import { observeServices } from './serviceBound.js'
-import { getFencingToken, getRecord, recordAlive, recordFenced, recordReplaced, renewLease, type Run, type Session, type SessionContext } from './sessionState.js'
+import { getFencingToken, getRecord, recordAlive, recordFenced, recordReplaced, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
 import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, REMOVE_WORKER_AFTER_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, SPECULATIVE_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
 
 /** Polls one worker until its session ends: renews its lease, records its ended runs, and starts or stops runs to match its assignments. */
@@ -114,10 +114,14 @@
 
 async function handleReply (context: SessionContext, session: Session, reply: PollReply, sentAt: number): Promise<void> {
   session.hasListedEnds = reply.ends.length > 0
-  context.onReportDue(session, false)
+  const hasNewRuns = observeUnassignedRuns(context, session, reply.running)
+  context.onReportDue(session, hasNewRuns)
   context.work.measure('session.services', () => observeServices(context, session, reply))
   recordStops(context, session, reply)
   if (reply.ends.length > 0) {
+    // The leader would otherwise assign tasks to capacity that the ends free and that an unassigned run uses.
+    if (hasNewRuns) await context.waitForReport(session)
+    if (session.ended) return
     await context.recordEnds(session.worker, session.bornAt, reply.ends)
     if (session.ended) return
   }
@@ -154,19 +158,34 @@
   return `${status.task}#${status.attempt}`
 }
 
+/** Adds the unassigned runs that the worker lists to the session. Returns whether one of them is new. */
+function observeUnassignedRuns (context: SessionContext, session: Session, statuses: readonly RunStatus[]): boolean {
+  const known = session.strays.size
+  statuses.filter(({ task, attempt }) => session.runs.get(task)?.attempt !== attempt).forEach((status) => addUnassignedRun(context, session, status))
+  return session.strays.size > known
+}
+
+function addUnassignedRun (context: SessionContext, session: Session, status: RunStatus): UnassignedRun {
+  const key = createRunKey(status)
+  const known = session.strays.get(key)
+  if (known !== undefined) return known
+  const unassigned = { task: status.task, attempt: status.attempt, seenAt: context.clock.now(), stoppedAt: -Infinity }
+  session.strays.set(key, unassigned)
+  recordUnassignedRun(context, session, status)
+  return unassigned
+}
+
 function updateRun (context: SessionContext, session: Session, status: RunStatus, sentAt: number): void {
   const run = session.runs.get(status.task)
   if (run === undefined || run.attempt !== status.attempt) {
-    const key = createRunKey(status)
-    const now = context.clock.now()
-    const unassigned = session.strays.get(key) ?? { task: status.task, attempt: status.attempt, seenAt: now, stoppedAt: -Infinity }
-    if (!session.strays.has(key)) recordUnassignedRun(context, session, status)
-    session.strays.set(key, unassigned)
+    const unassigned = addUnassignedRun(context, session, status)
     if (!context.isActive()) return
-    const mayBeNewer = !isAttemptKnown(context, status) && now - unassigned.seenAt < UNKNOWN_RUN_GRACE_MS
+    const mayBeNewer = !isAttemptKnown(context, status) && context.clock.now() - unassigned.seenAt < UNKNOWN_RUN_GRACE_MS
     if (!mayBeNewer) stopUnassignedRun(context, session, unassigned, 'not-assigned')
     return
   }
+  // The assignment of the run may have been applied here only after the run was first listed.
+  session.strays.delete(createRunKey(status))
   if (run.status?.percent !== status.percent) run.progressAt = context.clock.now()
   run.status = status
   run.confirmedAt ??= sentAt
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -100,6 +100,7 @@
     },
     recordOverTarget,
     onReportDue: (session, isUrgent) => exchange.queueReport(session.worker, isUrgent),
+    waitForReport: ({ worker }) => exchange.waitForReport(worker),
     onStarted: (session, run) => exchange.addStart([session.worker, run.task, run.attempt]),
     onRefused: (session, run, reason) => exchange.addRefusal([session.worker, run.task, run.attempt, reason]),
     onReachabilityChange: (session) => exchange.queueReport(session.worker, true)
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -134,6 +134,8 @@
   onFenced (session: Session): void
   /** The state of the worker has to be reported to the leader. `isUrgent`: at once, since the leader should not place tasks by the previous report. */
   onReportDue (session: Session, isUrgent: boolean): void
+  /** Waits until the leader has received a report on the worker, or has not answered within the time-out of an exchange. */
+  waitForReport (session: Session): Promise<void>
   /** Reports how long a latency-critical task was over its target, from the last poll that showed it within. */
   recordOverTarget (ms: number): void
   onRefused (session: Session, run: Run, reason: string): void
--- a/test/workflows/sessionFaults.test.ts
+++ b/test/workflows/sessionFaults.test.ts
@@ -507,3 +507,29 @@
   expect({ hadRuns: ran > 0, doubled: listDoubled(fleet.events) }).toEqual({ hadRuns: true, doubled: [] })
   await hosts.stop()
 })
+
+test('capacity that an end frees is not given to another task while an unassigned run that is listed with the end uses it', async () => {
+  const hosts = await createHosts(HOSTS, 1)
+  const { clock, fleet } = hosts
+  const run = async (ms: number): Promise<void> => { for (let passed = 0; passed < ms; passed += 1) await clock.advance(1) }
+  const running = fleet.workers.get('w0')?.running ?? new Map()
+  fleet.stopMs = 300
+  // The worker has 32 cores, so no two of these tasks fit.
+  hosts.submit('done', [{ cores: 20 }])
+  await run(2000)
+  hosts.submit('first', [{ cores: 20 }])
+  hosts.submit('second', [{ cores: 20 }])
+  await run(500)
+  const startedAt = running.get('first.0.0.0')?.startedAt ?? NaN
+  // A late start of a task that is done, executed just before the end of the first run.
+  await run(startedAt + 995 - clock.now())
+  running.set('done.0.0.0', { attempt: 2, startedAt: clock.now(), plan: { runMs: 0, result: 'never' }, reading: undefined })
+  const most = { tasks: 0 }
+  for (let passed = 0; passed < 2000; passed += 5) {
+    await run(5)
+    most.tasks = Math.max(most.tasks, [...running.keys()].filter((task) => task !== 'first.0.0.0').length)
+  }
+  const { outcome } = hosts.log.state().workflows.workflows.second ?? {}
+  expect({ outcome, most: most.tasks }).toEqual({ outcome: 'completed', most: 1 })
+  await hosts.stop()
+})
