Count only a report that was sent after a change as its report

The wait for the report on a new unassigned run also ended with the answer to a report that was already under way and did not name the run.

--- a/src/coordination/workflows/leaderExchange.ts
+++ b/src/coordination/workflows/leaderExchange.ts
@@ -56,7 +56,7 @@
   const unreported = new Set<string>()
   const reportedAt = new Map<string, number>()
   /** By worker, what waits for its next report. */
-  const reportWaiters = new Map<string, AbortController>()
+  const reportWaiters = new Map<string, AbortController[]>()
   const grant = { leader: undefined as string | undefined, fence: 0, authorityAt: -Infinity, receivedAt: -Infinity, clockMark: 0, lastStop: 0 }
   let started: ReportedStart[] = []
   let refused: ReportedRefusal[] = []
@@ -109,6 +109,8 @@
     const sentAt = clock.now()
     const clockMark = jumpDetector.getMark()
     const taken = takePending()
+    // What begins to wait while the request is under way waits for a later report.
+    const waiters = taken.reports.flatMap(({ worker }) => reportWaiters.get(worker) ?? [])
     const request: SessionsRequest = {
       availabilityZone: options.availabilityZone,
       process: options.process,
@@ -123,10 +125,7 @@
     const result = leader === network.self ? undefined : await network.request(leader, SESSIONS_MESSAGE, request, sentAt + EXCHANGE_TIMEOUT_MS)
     const reply = result === undefined ? options.exchangeLocally(request) : result.ok ? result.val as SessionsReply : undefined
     if (reply?.kind === 'granted') {
-      taken.reports.forEach(({ worker }) => {
-        reportWaiters.get(worker)?.abort()
-        reportWaiters.delete(worker)
-      })
+      waiters.forEach((waiter) => waiter.abort())
       return receiveGrant(leader, reply, sentAt, clockMark)
     }
     // The leader may not have received the request, so its content is sent again.
@@ -146,10 +145,12 @@
       if (isUrgent) reportedAt.delete(worker)
     },
     waitForReport: async (worker) => {
-      const waiter = reportWaiters.get(worker) ?? new AbortController()
-      reportWaiters.set(worker, waiter)
+      const waiter = new AbortController()
+      reportWaiters.set(worker, [...reportWaiters.get(worker) ?? [], waiter])
       await clock.sleep(EXCHANGE_TIMEOUT_MS, waiter.signal)
-      if (reportWaiters.get(worker) === waiter) reportWaiters.delete(worker)
+      const others = reportWaiters.get(worker)?.filter((other) => other !== waiter) ?? []
+      if (others.length > 0) reportWaiters.set(worker, others)
+      else reportWaiters.delete(worker)
     },
     addStart: (start) => { started.push(start) },
     addRefusal: (refusal) => { refused.push(refusal) },
--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -131,7 +131,7 @@
   const now = context.clock.now()
   const overMs = now - since
   context.metrics.timing('service.over_target', overMs)
-  context.recordOverTarget(now - lastWithinAt)
+  context.recordLongestOverTarget(now - lastWithinAt)
   session.missedServices.delete(task)
   if (!session.loggedServices.delete(task)) return
   const status = statuses.find((listed) => listed.task === task)
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -65,7 +65,7 @@
   const proposeChange = async (entry: Entry): Promise<boolean> => (await log.propose(entry, clock.now() + PROPOSE_TIMEOUT_MS)).ok
 
   let longestOverTargetMs = 0
-  const recordOverTarget = (ms: number): void => {
+  const recordLongestOverTarget = (ms: number): void => {
     longestOverTargetMs = Math.max(longestOverTargetMs, ms)
     options.metrics.gauge('service.longest_over_target', longestOverTargetMs)
   }
@@ -98,7 +98,7 @@
       if (session.fencedTerm !== term) exchange.dropAuthority()
       session.fencedTerm = term
     },
-    recordOverTarget,
+    recordLongestOverTarget,
     onReportDue: (session, isUrgent) => exchange.queueReport(session.worker, isUrgent),
     waitForReport: ({ worker }) => exchange.waitForReport(worker),
     onStarted: (session, run) => exchange.addStart([session.worker, run.task, run.attempt]),
--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -77,7 +77,7 @@
     isActive: () => true,
     isStopped: () => false,
     recordEnds: () => new Promise(() => {}),
-    recordOverTarget: () => {},
+    recordLongestOverTarget: () => {},
     onReportDue: () => {},
     onReachabilityChange: () => {},
     ...more
