Let a task that has left its worker end its period beside unreadable runs

Found by reading again: with a row that stays unreadable, a period of a task that was moved or cancelled never ended, so its worker got no best-effort work any more. Only tasks that are still assigned to the worker count as unread now; the new test fails before.

service.longest_over_target and service.bound_late no longer count what a new session assumes as if it had been seen: it made each hand-over look like a bound that was missed by a second and more.

--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -18,7 +18,8 @@
  */
 export function observeServices (context: SessionContext, session: Session, { running: statuses, unreadableRuns }: Pick<PollReply, 'running' | 'unreadableRuns'>): void {
   const now = context.clock.now()
-  const { over, recovered } = session.services.update(listReadings(context, statuses), now, unreadableRuns === undefined)
+  const mayBeUnread = unreadableRuns === undefined ? undefined : (task: string) => session.runs.has(task)
+  const { over, recovered } = session.services.update(listReadings(context, statuses), now, mayBeUnread)
   over.forEach((service) => recordOverTarget(context, session, service, statuses))
   over.filter(({ since }) => since === now).forEach((service) => applyBound(context, session, service))
   updateOverdue(context, session, 'poll')
@@ -50,7 +51,9 @@
   const now = context.clock.now()
   const service = session.services.findMostUrgent()
   if (service === undefined) return
-  context.metrics.timing('service.bound_late', now - service.stopBy, { trigger })
+  // Such a deadline was computed for the longest time that the former session host may have followed the service.
+  const isInherited = service.lastWithinAt < session.openedAt
+  context.metrics.timing('service.bound_late', now - service.stopBy, { trigger: isInherited ? 'new-session' : trigger })
   context.logger.warn('service.bound', {
     task: service.task,
     worker: session.worker,
@@ -131,7 +134,7 @@
   const now = context.clock.now()
   const overMs = now - since
   context.metrics.timing('service.over_target', overMs)
-  context.recordLongestOverTarget(now - lastWithinAt)
+  context.recordLongestOverTarget(now - Math.max(lastWithinAt, session.openedAt))
   session.missedServices.delete(task)
   if (!session.loggedServices.delete(task)) return
   const status = statuses.find((listed) => listed.task === task)
--- a/src/coordination/workflows/serviceWatch.ts
+++ b/src/coordination/workflows/serviceWatch.ts
@@ -29,10 +29,10 @@
 /** Tracks for how long the latency-critical tasks of one worker have been over their targets. */
 export interface ServiceWatch {
   /**
-   * Processes the readings of one poll: all latency-critical tasks at work. `hasAllRuns`: every run in the list could be read,
-   * so a task that is missing is not at work.
+   * Processes the readings of one poll: all latency-critical tasks at work. A task that is missing is not at work. `mayBeUnread`
+   * is given if not every run in the list could be read; a missing task for which it returns true keeps its state.
    */
-  update (readings: readonly ServiceReading[], now: number, hasAllRuns?: boolean): ServiceUpdate
+  update (readings: readonly ServiceReading[], now: number, mayBeUnread?: (task: string) => boolean): ServiceUpdate
   /** True if `stopBy` of a task has passed, so best-effort runs have to leave the worker. */
   isOverdue (now: number): boolean
   /** The period whose `stopBy` passes first; undefined while no task is over its target. */
@@ -75,14 +75,16 @@
   }
 
   return {
-    update: (readings, now, hasAllRuns = true) => {
+    update: (readings, now, mayBeUnread) => {
       const listed = new Set(readings.map(({ task }) => task))
-      if (hasAllRuns) withinTargetAt.forEach((_at, task) => { if (!listed.has(task)) withinTargetAt.delete(task) })
-      const unread = hasAllRuns ? [] : [...over.values()].filter(({ task }) => !listed.has(task))
+      const isUnread = (task: string): boolean => !listed.has(task) && mayBeUnread?.(task) === true
+      withinTargetAt.forEach((_at, task) => { if (!listed.has(task) && !isUnread(task)) withinTargetAt.delete(task) })
+      const unread = [...over.values()].filter(({ task }) => isUnread(task))
       const current = readings.flatMap((reading) => updateTask(reading, now)).concat(unread)
       const recovered = [...over.values()].filter((known) => !current.includes(known))
       recovered.forEach(({ task }) => over.delete(task))
-      if (hasAllRuns) updatedAt = now
+      // A task that is listed next may have been among the unread ones.
+      if (mayBeUnread === undefined) updatedAt = now
       return { over: current, recovered }
     },
     isOverdue: (now) => [...over.values()].some(({ stopBy }) => stopBy <= now),
--- a/test/workflows/serviceWatch.test.ts
+++ b/test/workflows/serviceWatch.test.ts
@@ -3,14 +3,14 @@
 
 const TARGET_MS = 18
 
-interface Poll { at: number, tailMs?: number, isAtWork?: boolean, hasAllRuns?: boolean }
+interface Poll { at: number, tailMs?: number, isAtWork?: boolean, hasAllRuns?: boolean, isAssigned?: boolean }
 
 /** Processes polls and describes each change of the period over target. */
 function listPeriods (polls: readonly Poll[]): string[] {
   const watch = createServiceWatch(1000, { overTargetMs: 4000, stopMs: 400 })
   const describe = ({ lastWithinAt, since, tailMs }: OverTarget): string => `${lastWithinAt} ${since} ${tailMs}`
-  return polls.flatMap(({ at, tailMs, isAtWork = true, hasAllRuns = true }) => {
-    const { over, recovered } = watch.update(isAtWork ? [{ task: 't', tailMs, targetMs: TARGET_MS }] : [], at, hasAllRuns)
+  return polls.flatMap(({ at, tailMs, isAtWork = true, hasAllRuns = true, isAssigned = true }) => {
+    const { over, recovered } = watch.update(isAtWork ? [{ task: 't', tailMs, targetMs: TARGET_MS }] : [], at, hasAllRuns ? undefined : () => isAssigned)
     return [...over.map((service) => `over ${describe(service)}`), ...recovered.map((service) => `recovered ${describe(service)}`)]
   })
 }
@@ -59,6 +59,13 @@
   expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, isAtWork: false, hasAllRuns: false }, { at: 2500, tailMs: 30 }])).toEqual(['over 1500 2500 30'])
 })
 
+test('a task that has left the worker ends its period although other runs could not be read', () => {
+  expect(listPeriods([{ at: 1500, tailMs: 10 }, { at: 2000, tailMs: 30 }, { at: 2500, isAtWork: false, hasAllRuns: false, isAssigned: false }])).toEqual([
+    'over 1500 2000 30',
+    'recovered 1500 2000 30'
+  ])
+})
+
 test('a worker becomes overdue early enough for its best-effort runs to end within the bound', () => {
   const watch = createServiceWatch(0, { overTargetMs: 4000, stopMs: 400 })
   watch.update([{ task: 't', tailMs: 10, targetMs: TARGET_MS }], 1000)
