Read services once more just before a deadline

The session host now polls the worker 100 ms before a deadline, beside the long poll that waits for an end, and enforces the bound unless that proves the service within its target. Without an answer in time it does as before.

--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -3,10 +3,12 @@
 import type { PollReply, RunStatus } from './orders.js'
 import { SERVICE_BOUND_REASON, stopRun, stopUnassignedRun } from './runOrders.js'
 import type { OverTarget, ServiceReading } from './serviceWatch.js'
-import type { Run, Session, SessionContext } from './sessionState.js'
+import { getFencingToken, getRecord, type Run, type Session, type SessionContext } from './sessionState.js'
 
 /** A task that is over its target for this long is logged; best-effort runs beside it are usually stopped sooner. */
 const LOG_OVER_TARGET_MS = 1500
+/** Time before a deadline at which the services are read once more; some ten round trips to a worker. */
+const LAST_READ_MS = 100
 /** Maximum number of neighbours in a log line; a worker of 64 cores holds about twenty of the usual size. */
 const MAX_LOGGED_NEIGHBOURS = 20
 
@@ -27,14 +29,25 @@
   recordMissedBound(context, session, statuses)
 }
 
-/** Waits for the deadline and then enforces the bound, because the next poll may come too late. */
+/** Reads the services once more just before the deadline and then enforces the bound, because the next poll may come too late. */
 async function applyBound (context: SessionContext, session: Session, { stopBy }: OverTarget): Promise<void> {
   const { clock } = context
+  await clock.sleep(Math.max(0, stopBy - LAST_READ_MS - clock.now()))
+  // The latest reading may be half a second old, and best-effort runs need not stop beside a service that has recovered since.
+  if (!session.hasOverdueService && session.services.isOverdue(stopBy)) await Promise.race([readServices(context, session, stopBy), clock.sleep(Math.max(0, stopBy - clock.now()))])
   await clock.sleep(Math.max(0, stopBy - clock.now()))
   if (context.isStopped() || session.ended || !session.services.isOverdue(clock.now())) return
   updateOverdue(context, session, 'timer')
 }
 
+/** Polls the worker beside the long poll that waits for a run to end; only the readings are used. */
+async function readServices (context: SessionContext, session: Session, deadline: number): Promise<void> {
+  const record = getRecord(context, session)
+  if (context.isStopped() || record === undefined || !session.reachable || !context.isActive()) return
+  const reply = await context.client.poll(record.life, { fence: getFencingToken(context, record), leaseUntil: undefined, acknowledged: 0, waitMs: 0 }, deadline)
+  if (reply.ok && !context.isStopped() && !session.ended) observeServices(context, session, reply.val)
+}
+
 /** `trigger`: whether a poll or the timer of a deadline found that the deadline has passed. */
 function updateOverdue (context: SessionContext, session: Session, trigger: 'poll' | 'timer'): void {
   const isOverdue = session.services.isOverdue(context.clock.now())
--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import { createManualClock, createNoopMetrics, createNoopEventLoopMeter, createSilentLogger, createSystemClock, Ok, type Clock, type Result } from '../../src/common/index.js'
-import type { OrderReply, PollReply, RunOrder, RunStatus, WorkerClient, WorkerFailure } from '../../src/coordination/workflows/index.js'
+import type { OrderReply, PollOrder, PollReply, RunOrder, RunStatus, WorkerClient, WorkerFailure } from '../../src/coordination/workflows/index.js'
 import { runSession } from '../../src/coordination/workflows/session.js'
 import { createRun, createSession, type Session, type SessionContext } from '../../src/coordination/workflows/sessionState.js'
 import { createUnansweredStarts } from '../../src/coordination/workflows/unansweredStarts.js'
@@ -13,7 +13,7 @@
 const LEARN_MS = 20_000
 /** Shorter than the time for which a new session host could take a service for within its target. */
 const MOVE_INTERVAL_MS = 700
-const POLL_MS = 100
+const POLL_MS = 50
 
 /** Workers with one latency-critical task each, beside which best-effort tasks of one image have run without interference. */
 async function createHarmless (): Promise<Scene> {
@@ -55,7 +55,7 @@
 })
 
 /** Opens a session with one worker on which a latency-critical task runs, beside the workflow of a best-effort one; `poll` answers each poll. */
-function openServiceSession (clock: Clock, poll: () => Promise<Result<PollReply, WorkerFailure>>, more: Partial<SessionContext> = {}): Session {
+function openServiceSession (clock: Clock, poll: WorkerClient['poll'], more: Partial<SessionContext> = {}): Session {
   const state = createWorkflowsState()
   const life: WorkerIncarnation = { id: 'w1', bornAt: 1, service: 'desk', address: '127.0.0.1:1', availabilityZone: 'a', cores: 32, memoryMb: 100_000, accelerators: 0, labels: [], draining: false }
   workflowHandlers['catalog.put'](state, { catalog: CATALOG })
@@ -78,6 +78,7 @@
     isStopped: () => false,
     recordEnds: () => new Promise(() => {}),
     recordLongestOverTarget: () => {},
+    waitForReport: async () => {},
     onReportDue: () => {},
     onReachabilityChange: () => {},
     ...more
@@ -112,6 +113,34 @@
   expect(sessions.filter(({ hasOverdueService }) => !hasOverdueService)).toHaveLength(0)
 })
 
+test('best-effort tasks go on beside a latency-critical task that has recovered since the last poll before its deadline', async () => {
+  const clock = createManualClock(1000)
+  const stopped: string[] = []
+  const bestEffort: RunStatus = { task: 'f1.0.0.0', attempt: 1, checkpoint: '', percent: 10, reading: 3 }
+  let tailMs = 6
+  let isLongPollPending = false
+  const poll = async (_worker: WorkerIncarnation, { leaseUntil }: PollOrder): Promise<Result<PollReply, WorkerFailure>> => {
+    // The long poll renews the lease; its reply is late.
+    if (isLongPollPending && leaseUntil !== undefined) await clock.sleep(SERVICE_BOUND.overTargetMs)
+    await clock.sleep(POLL_MS)
+    return Ok({ ...OVER_TARGET, running: [...OVER_TARGET.running.map((status) => ({ ...status, reading: tailMs })), bestEffort] })
+  }
+  const stop = async (_worker: WorkerIncarnation, { task }: RunOrder): Promise<Result<OrderReply, WorkerFailure>> => {
+    stopped.push(task)
+    return Ok({ clock: 0 })
+  }
+  const session = openServiceSession(clock, poll, { client: { poll, stop } as unknown as WorkerClient })
+  session.runs.set(bestEffort.task, createRun(bestEffort.task, 1, clock.now(), true))
+  await clock.advance(2 * POLL_MS)
+  tailMs = 40
+  await clock.advance(POLL_MS)
+  isLongPollPending = true
+  await clock.advance(POLL_MS)
+  tailMs = 6
+  await clock.advance(SERVICE_BOUND.overTargetMs - SERVICE_BOUND.stopMs)
+  expect(stopped).toEqual([])
+})
+
 test('best-effort tasks are stopped at the deadline of a latency-critical task also while the leader does not confirm its authority', async () => {
   const clock = createManualClock(1000)
   const stopped: string[] = []
