Begin the tests of a deadline with a service within its target

Since a new session counts a service that its first poll shows over the target as overdue at once, so two tests reached their expectation without their deadline: the one of timers that fire early and the one of ends that wait for the log. Both now begin within the target and check that nothing is overdue before the deadline, which is stricter.

--- a/test/workflows/serviceBound.test.ts
+++ b/test/workflows/serviceBound.test.ts
@@ -88,27 +88,35 @@
   return session
 }
 
+const WITHIN_TARGET: PollReply = { clock: 0, running: [{ task: 's1.0.0.0', attempt: 1, checkpoint: '', percent: 100, reading: 6 }], ends: [] }
 const OVER_TARGET: PollReply = { clock: 0, running: [{ task: 's1.0.0.0', attempt: 1, checkpoint: '', percent: 100, reading: 40 }], ends: [] }
 
 test('a latency-critical task is tracked while the run ends of the same poll wait for the log', async () => {
   const clock = createManualClock(1000)
-  const session = openServiceSession(clock, async () => Ok({ ...OVER_TARGET, ends: [[1, 'x.0.0.0', 1, 'succeeded', '']] }))
+  const replies: PollReply[] = [WITHIN_TARGET, { ...OVER_TARGET, ends: [[1, 'x.0.0.0', 1, 'succeeded', '']] }]
+  const session = openServiceSession(clock, async () => {
+    await clock.sleep(POLL_MS)
+    return Ok(replies.shift() ?? OVER_TARGET)
+  })
+  await clock.advance(2 * POLL_MS)
+  expect(session.hasOverdueService).toBe(false)
   await clock.advance(SERVICE_BOUND.overTargetMs - SERVICE_BOUND.stopMs)
   expect(session.hasOverdueService).toBe(true)
 })
 
 test('the deadline of a latency-critical task is enforced between polls although timers of the runtime may fire early', async () => {
   const clock = createSystemClock()
-  const serviceBound = { overTargetMs: 3000, stopMs: 50 }
+  const serviceBound = { overTargetMs: 2000, stopMs: 50 }
   // Each session has a deadline at another fraction of a millisecond.
   const sessions = await Promise.all(Array.from({ length: 40 }, async (_, index) => {
     await clock.sleep(index * 1.37)
-    const replies = [OVER_TARGET]
+    const replies = [WITHIN_TARGET, OVER_TARGET]
     return openServiceSession(clock, async () => {
-      const reply = replies.pop()
+      const reply = replies.shift()
       return reply === undefined ? new Promise(() => {}) : Ok(reply)
     }, { serviceBound })
   }))
+  expect(sessions.filter(({ hasOverdueService }) => hasOverdueService)).toHaveLength(0)
   await clock.sleep(1000)
   expect(sessions.filter(({ hasOverdueService }) => !hasOverdueService)).toHaveLength(0)
 })
