--- a/src/coordination/workflows/leaderExchange.ts
+++ b/src/coordination/workflows/leaderExchange.ts
@@ -148,6 +148,7 @@
       const waiter = new AbortController()
       reportWaiters.set(worker, [...reportWaiters.get(worker) ?? [], waiter])
       await clock.sleep(EXCHANGE_TIMEOUT_MS, waiter.signal)
+      if (!waiter.signal.aborted) logger.warn('sessions.report-unconfirmed', { worker })
       const others = reportWaiters.get(worker)?.filter((other) => other !== waiter) ?? []
       if (others.length > 0) reportWaiters.set(worker, others)
       else reportWaiters.delete(worker)
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -159,8 +159,8 @@
 }
 
 /**
- * The bound on services is also enforced while the leader does not confirm this host's authority. Such a stop does no harm: it names
- * one attempt, and a worker that has orders of a later leader refuses it.
+ * The bound on services is also enforced while the leader does not confirm this host's authority. Such a stop can end no other attempt,
+ * and a worker that has orders of a later leader refuses it; under the same leader it may end a run that another session host has taken over.
  */
 function canStop (context: SessionContext, reason: string): boolean {
   return context.isActive() || reason === SERVICE_BOUND_REASON
--- a/src/coordination/workflows/serviceBound.ts
+++ b/src/coordination/workflows/serviceBound.ts
@@ -1,7 +1,7 @@
 import type { Step } from '../../state/index.js'
 import { findStep } from './candidates.js'
 import type { PollReply, RunStatus } from './orders.js'
-import { SERVICE_BOUND_REASON, stopRun, stopUnassignedRun } from './runOrders.js'
+import { describeWorkerFailure, SERVICE_BOUND_REASON, stopRun, stopUnassignedRun } from './runOrders.js'
 import type { OverTarget, ServiceReading } from './serviceWatch.js'
 import { getFencingToken, getRecord, type Run, type Session, type SessionContext } from './sessionState.js'
 
@@ -45,7 +45,9 @@
   const record = getRecord(context, session)
   if (context.isStopped() || record === undefined || !session.reachable || !context.isActive()) return
   const reply = await context.client.poll(record.life, { fence: getFencingToken(context, record), leaseUntil: undefined, acknowledged: 0, waitMs: 0 }, deadline)
-  if (reply.ok && !context.isStopped() && !session.ended) observeServices(context, session, reply.val)
+  if (context.isStopped() || session.ended) return
+  if (reply.ok) observeServices(context, session, reply.val)
+  else context.logger.info('service.read-failed', { worker: session.worker, reason: describeWorkerFailure(reply.val) })
 }
 
 /** `trigger`: whether a poll or the timer of a deadline found that the deadline has passed. */
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -136,7 +136,7 @@
   onReportDue (session: Session, isUrgent: boolean): void
   /** Waits until the leader has received a report on the worker, or has not answered within the time-out of an exchange. */
   waitForReport (session: Session): Promise<void>
-  /** Reports how long a latency-critical task was over its target, from the last poll that showed it within. */
+  /** Updates the longest time, in ms, that a latency-critical task was over its target. */
   recordLongestOverTarget (ms: number): void
   onRefused (session: Session, run: Run, reason: string): void
   onStarted (session: Session, run: Run): void
--- a/src/emulator/emulation.ts
+++ b/src/emulator/emulation.ts
@@ -60,8 +60,8 @@
     if (clock.now() < moveAt) return
     moveAt = clock.now() + system.move_sessions_every_ms
     const { sessionHosts } = hosts.log.state().workflows
-    const left = random.below(sessionHosts.length)
-    hosts.propose({ kind: 'sessions.divide', hosts: sessionHosts.filter((_, index) => index !== left) })
+    const leaving = random.below(sessionHosts.length)
+    hosts.propose({ kind: 'sessions.divide', hosts: sessionHosts.filter((_, index) => index !== leaving) })
   }
 
   const run = async (ms: number): Promise<void> => {
--- a/src/emulator/serviceModel.ts
+++ b/src/emulator/serviceModel.ts
@@ -16,8 +16,6 @@
 }
 
 interface Service { attempt: number, backlogMs: number, overTargetSince: number | undefined, tailSum: number, reading: number }
-
-const ROUNDING = { up: Math.ceil, nearest: Math.round, down: Math.floor }
 /** Interference of one image with another, constant up to a time. */
 interface InterferencePhase { value: number, until: number }
 
@@ -31,6 +29,8 @@
   overTargetShare: number
 }
 
+const ROUNDING = { up: Math.ceil, nearest: Math.round, down: Math.floor }
+
 /** Models the true tail latency of each service, and the inexact readings of it that workers report. */
 export interface ServiceModel {
   isService (task: string): boolean
@@ -49,7 +49,7 @@
   const { every_ms: readingMs, error, rounding, missing_share: missingShare } = settings.readings
   const taskShare = settings.batches.task_cores / settings.system.worker_cores
   const readings = createRandom(seed)
-  const missing = createRandom(seed)
+  const missingReadings = createRandom(seed)
   const getInterference = createInterference(settings, createRandom(seed))
   const services = new Map<string, Service>()
   const totals = { longestOverTargetMs: 0, overTargetSteps: 0, observedSteps: 0 }
@@ -82,7 +82,7 @@
       totals.overTargetSteps += 1
       if (isFaultFree) totals.longestOverTargetMs = Math.max(totals.longestOverTargetMs, now - service.overTargetSince)
     },
-    getReading: (task) => missingShare > 0 && missing.next() < missingShare ? undefined : services.get(task)?.reading,
+    getReading: (task) => missingShare > 0 && missingReadings.next() < missingShare ? undefined : services.get(task)?.reading,
     getOutcome: () => ({ longestOverTargetMs: totals.longestOverTargetMs, overTargetShare: totals.overTargetSteps / Math.max(1, totals.observedSteps) })
   }
 }
