Show two runs of a task behind a strict one-way cut

The proxy of the stand-ins let new connections through a cut. It now holds them back, and the executors report on open connections, as PROTOCOL.md's callers may.

--- a/review/support-2/callers.mjs
+++ b/review/support-2/callers.mjs
@@ -5,13 +5,13 @@
 export const HOST_NAME = 'review.example'
 const DEADLINE_MS = 3000
 
-/** Sends one request on a connection of its own; resolves with the status, 0 if there was no whole answer. */
-export function send ({ ip, port, method, path, body, headers = {}, timeoutMs = DEADLINE_MS }) {
+/** Sends one request, on a connection of its own unless an agent is given; resolves with the status, 0 if there was no whole answer. */
+export function send ({ ip, port, method, path, body, headers = {}, timeoutMs = DEADLINE_MS, agent = false }) {
   return new Promise((resolve) => {
     const sentAt = now()
     const text = body === undefined ? undefined : typeof body === 'string' ? body : JSON.stringify(body)
     const finish = (status, answer = '') => resolve({ status, text: answer, ms: Math.round(now() - sentAt) })
-    const outgoing = request({ host: ip, port, method, path, agent: false, headers: { 'content-type': 'application/json', ...(text === undefined ? {} : { 'content-length': Buffer.byteLength(text) }), ...headers } }, (reply) => {
+    const outgoing = request({ host: ip, port, method, path, agent, headers: { 'content-type': 'application/json', ...(text === undefined ? {} : { 'content-length': Buffer.byteLength(text) }), ...headers } }, (reply) => {
       const chunks = []
       reply.on('data', (chunk) => chunks.push(chunk))
       reply.on('end', () => finish(reply.statusCode, Buffer.concat(chunks).toString()))
@@ -76,11 +76,11 @@
 })
 
 /** The operator: sends to the voters in turn until an answer is clear. */
-export async function putConfiguration ({ record, voters, configuration, timeoutMs = 20_000 }) {
+export async function putConfiguration ({ record, voters, configuration, timeoutMs = 20_000, answerMs = 1000 }) {
   const deadline = now() + timeoutMs
   for (let turn = 0; now() < deadline; turn += 1) {
     const host = voters[turn % voters.length]
-    const { status } = await send({ ip: host.ip, port: 8166, method: 'POST', path: '/config/put', body: configuration, timeoutMs: 1000 })
+    const { status } = await send({ ip: host.ip, port: 8166, method: 'POST', path: '/config/put', body: configuration, timeoutMs: answerMs })
     record('config-put', { version: configuration.version, host: host.name, status })
     if (status >= 200 && status < 300) return true
     if ([400, 409, 412, 413, 422].includes(status)) return false
--- a/review/support-2/executor.mjs
+++ b/review/support-2/executor.mjs
@@ -1,5 +1,5 @@
 // A stand-in executor that follows PROTOCOL.md.
-import { createServer } from 'node:http'
+import { Agent, createServer } from 'node:http'
 import { send } from './callers.mjs'
 import { now, wait } from './record.mjs'
 
@@ -42,6 +42,8 @@
   let isClosed = false
   let turn = Math.floor(Math.random() * 3)
   const options = { heartbeats: true }
+  /** Keeps one connection to each node, as the reports are frequent. */
+  const agent = new Agent({ keepAlive: true, maxSockets: 1 })
 
   const createLife = () => ({ born: Date.now(), originAt: now(), seq: 0, fence: 0, lastEnd: 0, leaseUntil: 0, running: new Map(), closed: new Map(), ends: [], waiters: new Set(), state: 'ready', extra: {} })
   const getClock = (of) => Math.floor(now() - of.originAt)
@@ -158,7 +160,7 @@
   const report = async (path, fields) => {
     for (let tries = 0; tries < controls.length && isRunning(); tries += 1) {
       const control = controls[turn++ % controls.length]
-      const { status } = await send({ ...control, method: 'POST', path: `/instances/${id}/${path}`, body: fields, timeoutMs: 1000 })
+      const { status } = await send({ ...control, method: 'POST', path: `/instances/${id}/${path}`, body: fields, timeoutMs: 1000, agent })
       if (status >= 200 && status < 300) return true
     }
     return false
@@ -207,6 +209,7 @@
       isClosed = true
       life = undefined
       clearInterval(leaseTimer)
+      agent.destroy()
       sockets.forEach((socket) => socket.destroy())
       server.close()
     }
--- a/review/support-2/proxy.mjs
+++ b/review/support-2/proxy.mjs
@@ -1,4 +1,5 @@
-// A TCP proxy in front of one address that can hold back the bytes of one direction, as a cut between machines does.
+// A TCP proxy in front of one address that can hold back the bytes of one direction, as a cut between machines does: no new
+// connection is established then, and those that are open go silent in that direction.
 import { connect, createServer } from 'node:net'
 
 export async function openProxy ({ ip, port, target }) {
@@ -12,6 +13,13 @@
   }
 
   const server = createServer({ allowHalfOpen: true, noDelay: true }, (client) => {
+    client.on('error', () => {})
+    if (state.cut.size > 0) waiting.push({ run: () => join(client) })
+    else join(client)
+  })
+
+  const join = (client) => {
+    if (client.destroyed) return
     const upstream = connect({ host: target.ip, port: target.port, allowHalfOpen: true, noDelay: true })
     const pair = { client, upstream }
     pairs.add(pair)
@@ -23,7 +31,7 @@
     }
     link('forward', client, upstream)
     link('back', upstream, client)
-  })
+  }
   await new Promise((resolve, reject) => server.once('error', reject).listen(port, ip, resolve))
   return {
     ip,
