Keep the tasks of a leaving worker until they have ended

Cause: the announcement was taken for the end of the process. Its entry released all tasks at once and ended the session, so nobody could stop the runs either.

An announcement is recorded as life.leave. The worker drains, its runs are told to stop, and it leaves the table with its last task: by listed ends while it is reached, by the end of its leases otherwise. The answer, with which the worker ends, waits at most 0.7 s for the ends. A repeated announcement is answered alike, and the entry survives a change of the session host or leader.

--- a/src/coordination/workflows/directory.ts
+++ b/src/coordination/workflows/directory.ts
@@ -1,14 +1,24 @@
 import { Err, Ok, type Clock, type Logger, type Result } from '../../common/index.js'
 import { isSameColdness, removeColdness, removeShortColdness } from './coldWorkers.js'
+import { createSignal } from './signal.js'
 import type { ReplicatedLog, LogFailure, WorkerIncarnation, WorkflowsState } from '../../state/index.js'
 
 /** Outcome of a report. `stale`: its incarnation has left, or a later one with the same id or at the same address is already recorded. */
 export type ReportOutcome = 'unchanged' | 'recorded' | 'stale'
 
+/**
+ * The answer to an announced shutdown waits at most this long for the worker's tasks to end, since the worker ends with the
+ * answer and can report no end after that. Covers a stop, which takes some hundred ms; a worker waits a second for the answer.
+ */
+const SETTLEMENT_TIMEOUT_MS = 700
+
 export interface WorkerDirectory {
   /** Registers or updates a worker; resolves once the change is committed. */
   reportWorker (life: WorkerIncarnation, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
-  /** Removes a worker that has shut down by itself; `bornAt` is undefined if the message does not contain it, which then counts only for a worker that drains. */
+  /**
+   * Records that a worker is about to shut down, and waits a moment until no task is with it any more; it is removed then.
+   * `bornAt` is undefined if the message does not contain it, which then counts only for a worker that drains.
+   */
   removeWorker (worker: string, bornAt: number | undefined, deadline: number): Promise<Result<ReportOutcome, LogFailure>>
 }
 
@@ -16,6 +26,16 @@
 export function createWorkerDirectory ({ clock, logger, log }: { clock: Clock, logger: Logger, log: ReplicatedLog }): WorkerDirectory {
   const getState = (): WorkflowsState => log.state().workflows
 
+  /** Returns whether the incarnation is removed, or replaced, by the deadline. */
+  const waitForRemoval = async ({ id, bornAt }: WorkerIncarnation, deadline: number): Promise<boolean> => {
+    const isPresent = (): boolean => getState().workers[id]?.life.bornAt === bornAt
+    const changed = createSignal(clock)
+    const unsubscribe = log.subscribe(changed.notify)
+    while (isPresent() && clock.now() < deadline) await changed.wait(deadline - clock.now())
+    unsubscribe()
+    return !isPresent()
+  }
+
   return {
     reportWorker: async (reported, deadline) => {
       const life = removeShortColdness(reported, clock.wall())
@@ -38,8 +58,11 @@
       // Without a start time the message may be a late one of an earlier incarnation, unless the known one has announced that it leaves.
       const isMeant = known !== undefined && (bornAt === undefined ? known.draining : bornAt === known.bornAt)
       if (!isMeant) return Ok('stale')
-      const result = await log.propose({ kind: 'life.remove', worker, bornAt: known.bornAt, hasLeft: bornAt !== undefined, at: clock.wall() }, deadline)
-      logger.info('worker.left', { worker, bornAt: known.bornAt, outcome: result.ok ? 'recorded' : result.val.kind })
+      const waitUntil = Math.min(deadline, clock.now() + SETTLEMENT_TIMEOUT_MS)
+      const result = await log.propose({ kind: 'life.leave', worker, bornAt: known.bornAt, isCertain: bornAt !== undefined, at: clock.wall() }, deadline)
+      const startedAt = clock.now()
+      const isSettled = result.ok && await waitForRemoval(known, waitUntil)
+      logger.info('worker.leaving', { worker, bornAt: known.bornAt, outcome: result.ok ? 'recorded' : result.val.kind, settled: isSettled, waitedMs: Math.round(clock.now() - startedAt) })
       if (result.ok) return Ok('recorded')
       return result.val.kind === 'rejected' ? Ok('stale') : Err(result.val)
     }
--- a/src/coordination/workflows/runOrders.ts
+++ b/src/coordination/workflows/runOrders.ts
@@ -12,6 +12,9 @@
 /** Reason for stopping a run, or not starting it, because another run of its task has succeeded. */
 export const OTHER_RUN_SUCCEEDED = 'other-run-succeeded'
 
+/** Reason for stopping the runs of a worker that is about to shut down. */
+export const LEAVING_REASON = 'worker-leaving'
+
 /** Sends start orders for a run until the worker confirms or refuses it, or the tries are used up. */
 export async function startRun (context: SessionContext, session: Session, run: Run): Promise<void> {
   if (run.starting || run.stopReason !== undefined) return
--- a/src/coordination/workflows/sessionHost.ts
+++ b/src/coordination/workflows/sessionHost.ts
@@ -3,7 +3,7 @@
 import { createEndRecorder } from './endRecorder.js'
 import { createLeaderExchange } from './leaderExchange.js'
 import type { WorkerClient } from './orders.js'
-import { OTHER_RUN_SUCCEEDED, startRun, stopRun } from './runOrders.js'
+import { LEAVING_REASON, OTHER_RUN_SUCCEEDED, startRun, stopRun } from './runOrders.js'
 import { runSession } from './session.js'
 import type { SessionsReply, SessionsRequest } from './sessionMessages.js'
 import { createRun, createSession, type Run, type Session, type SessionContext, type SessionOrigin } from './sessionState.js'
@@ -188,6 +188,21 @@
     Object.keys(getState().workers).filter(isOwnWorker).forEach((worker) => addSession(worker, false))
   }
 
+  /** Stops the runs of a worker that has announced its shutdown: their ends are known only while it answers. */
+  const stopLeavingRuns = (session: Session): void => {
+    if (getState().workers[session.worker]?.leaving === undefined) return
+    session.runs.forEach((run) => { if (run.stopReason === undefined) stopRun(context, session, run, LEAVING_REASON) })
+  }
+
+  /** Discards what is known of a worker if the entry just applied has removed it. */
+  const pruneWorker = (worker: string): void => {
+    if (getState().workers[worker] !== undefined) return
+    registrations.delete(worker)
+    context.unansweredStarts.remove(worker)
+    const session = sessions.get(worker)
+    if (session !== undefined) removeSession(session)
+  }
+
   /** Stops runs of ended workflows: the previous session host of a worker may not have stopped them, or a snapshot may have hidden the entry that ended the workflow. */
   const stopOrphanedRuns = (): void => sessions.forEach((session) => session.runs.forEach((run) => {
     const outcome = getState().workflows[parseTaskName(run.task)?.workflow ?? '']?.outcome
@@ -236,12 +251,15 @@
     },
     'workflow.end': ({ lives }) => {
       const workflows = new Set<string | undefined>()
-      lives.forEach(({ worker, ends }) => ends.forEach(([, task]) => {
-        const session = sessions.get(worker)
-        if (session !== undefined) syncRun(session, task)
-        stopLosingRuns(task)
-        workflows.add(parseTaskName(task)?.workflow)
-      }))
+      lives.forEach(({ worker, ends }) => {
+        ends.forEach(([, task]) => {
+          const session = sessions.get(worker)
+          if (session !== undefined) syncRun(session, task)
+          stopLosingRuns(task)
+          workflows.add(parseTaskName(task)?.workflow)
+        })
+        pruneWorker(worker)
+      })
       workflows.forEach(stopWorkflowRuns)
     },
     'workflow.cancel': ({ id }) => stopWorkflowRuns(id),
@@ -253,13 +271,16 @@
       if (isOwnWorker(life.id)) addSession(life.id, isRegistered)
       else if (session !== undefined) removeSession(session)
     },
-    'life.expire': ({ worker }) => syncSession(worker),
-    'life.remove': ({ worker }) => {
-      registrations.delete(worker)
-      context.unansweredStarts.remove(worker)
+    'life.expire': ({ worker }) => {
+      syncSession(worker)
+      pruneWorker(worker)
+    },
+    'life.leave': ({ worker }) => {
       const session = sessions.get(worker)
-      if (session !== undefined) removeSession(session)
-    }
+      if (session !== undefined) stopLeavingRuns(session)
+      pruneWorker(worker)
+    },
+    'life.remove': ({ worker }) => pruneWorker(worker)
   }
   let lastIndex = log.status().appliedIndex
   const unsubscribe = log.subscribe((entry, index) => options.work.measure('sessions.apply', () => {
@@ -281,6 +302,7 @@
       if (clock.now() - checkedAt >= ORPHAN_CHECK_INTERVAL_MS) {
         checkedAt = clock.now()
         stopOrphanedRuns()
+        sessions.forEach(stopLeavingRuns)
       }
       await exchange.sync()
       await clock.sleep(EXCHANGE_INTERVAL_MS, stopping.signal)
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -171,6 +171,15 @@
     advisor.removeWorker(worker)
   }
 
+  /** Discards what is known of a worker if the entry just applied has removed it. */
+  const pruneWorker = (worker: string): void => {
+    if (getState().workers[worker] !== undefined || !views.workers.has(worker)) return
+    resetWorker(worker)
+    dispatcher.markChanged()
+    dispatcher.markWorkerChanged(worker)
+    views.syncWorker(worker)
+  }
+
   const exchange = (from: string, request: SessionsRequest): SessionsReply => {
     if (!isActive()) return { kind: 'not-leader' }
     const grantedAt = request.grantAgeMs === null || request.fence !== fence ? -Infinity : clock.now() - request.grantAgeMs
@@ -197,6 +206,7 @@
     }),
     'workflow.end': ({ lives }) => {
       lives.forEach(recordEnds)
+      lives.forEach(({ worker }) => pruneWorker(worker))
       lives.forEach(({ ends }) => ends.forEach(([, task]) => pruneStarted(parseTaskName(task)?.workflow ?? '')))
       dispatcher.schedule()
     },
@@ -216,14 +226,17 @@
       competition.recordDisturbance('expiry')
       dispatcher.markChanged()
       dispatcher.markWorkerChanged(worker)
+      pruneWorker(worker)
       views.syncWorker(worker)
       dispatcher.schedule()
     },
-    'life.remove': ({ worker }) => {
-      resetWorker(worker)
-      dispatcher.markChanged()
+    'life.leave': ({ worker }) => {
       dispatcher.markWorkerChanged(worker)
-      views.syncWorker(worker)
+      pruneWorker(worker)
+      dispatcher.schedule()
+    },
+    'life.remove': ({ worker }) => {
+      pruneWorker(worker)
       dispatcher.schedule()
     },
     'workflow.submit': ({ workflow }) => {
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -7,6 +7,7 @@
 export { findMissingIndex } from './indexRanges.js'
 export { hasEvacuatedZones, isZoneEvacuated, type EvacuatedZone } from './zoneEvacuations.js'
 export { findSessionHost } from './sessionHosts.js'
+export { listAssignedTasks } from './leavingWorkers.js'
 export { listUnsettledTasks } from './unsettledTasks.js'
 export { canRunCopies, getLastAttempt, listRunWorkers } from './taskCopies.js'
 export {
--- a/src/state/workflows/schemas.ts
+++ b/src/state/workflows/schemas.ts
@@ -216,7 +216,12 @@
    * host can know, because it renews the leases.
    */
   z.strictObject({ kind: z.literal('life.expire'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema, at: z.number() }),
-  /** Removes a worker. Without `judge`, the worker itself has announced its shutdown. `hasLeft`: this incarnation has said that it ends, so it does not return. */
+  /**
+   * The worker has announced its shutdown. It is removed once no task is with it any more. `isCertain`: the message names this
+   * incarnation, so it does not return; otherwise it may be a late message of an earlier one.
+   */
+  z.strictObject({ kind: z.literal('life.leave'), worker: z.string(), bornAt: z.number(), isCertain: z.boolean(), at: z.number() }),
+  /** Removes a worker. Without `judge`, of an earlier build: the worker itself has announced its shutdown. `hasLeft`: this incarnation has said that it ends, so it does not return. */
   z.strictObject({ kind: z.literal('life.remove'), worker: z.string(), bornAt: z.number(), judge: sessionOwnerSchema.optional(), hasLeft: z.boolean().optional(), at: z.number() }),
   /** From this entry on, no task is assigned to a worker of the zone until it is readmitted. */
   z.strictObject({ kind: z.literal('zone.evacuate'), zone: z.string().min(1).max(MAX_ZONE_LENGTH), at: z.number() }),
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -3,7 +3,8 @@
 import { findSessionHost } from './sessionHosts.js'
 import { addCopy, getAttemptOn, getLastAttempt, isRunAssigned, listRunWorkers, recordAttempt, removeRun, type TaskRuns } from './taskCopies.js'
 import { listAdmissibleAssignments, zoneEvacuationHandlers, type EvacuatedZone } from './zoneEvacuations.js'
-import { createUnsettled, listUnsettledTasks, releaseUnsettled } from './unsettledTasks.js'
+import { listAssignedTasks, recordRemoval, removeLeftWorker, type RemovedWorkers, type WorkerDeparture } from './leavingWorkers.js'
+import { createUnsettled, releaseUnsettled } from './unsettledTasks.js'
 import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
@@ -70,6 +71,8 @@
   unsettled?: Record<string, true>
   /** An earlier incarnation was registered under the id, so this one may execute orders that were meant for that one. */
   isRestart?: boolean
+  /** The worker has announced its shutdown, see `leavingWorkers.ts`; absent before. */
+  leaving?: WorkerDeparture
   /** Number of this incarnation among all that were registered; orders for a later one have higher fencing tokens. Absent in state of earlier builds. */
   generation?: number
 }
@@ -80,7 +83,7 @@
  */
 export interface MaintenanceWaveRecord { wave: MaintenanceWave, ordered: string[], confirmed: Record<string, number>, done: string[] }
 
-export interface WorkflowsState {
+export interface WorkflowsState extends RemovedWorkers {
   catalog: Catalog | undefined
   workflows: Record<string, WorkflowRecord>
   /** Ids of ended workflows, oldest first. */
@@ -88,10 +91,6 @@
   workers: Record<string, WorkerRecord>
   /** Number of worker incarnations that have been registered; absent in state of earlier builds. */
   incarnations?: number
-  /** Workers that have left by themselves, with the start of the incarnation that left; absent in state of earlier builds. */
-  departed?: Record<string, { bornAt: number, at: number }>
-  /** Workers that were removed because nobody reached them, with the last end that was recorded of their incarnation; absent in state of earlier builds. */
-  removed?: Record<string, { bornAt: number, lastEnd: number, at: number }>
   waves: Record<string, MaintenanceWaveRecord>
   /** Zones in which no task may be started; absent in state of earlier builds. */
   evacuatedZones?: EvacuatedZone[]
@@ -113,14 +112,6 @@
   return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [], division: 0 }
 }
 
-/** What is known of a removed worker is kept for this long; reports that are still on their way arrive within seconds, and workers that were cut off within minutes. */
-const REMOVED_KEPT_MS = 600_000
-
-function recordRemoval<T extends { at: number }> (removals: Record<string, T> | undefined, worker: string, removal: T): Record<string, T> {
-  const kept = Object.entries(removals ?? {}).filter(([, { at }]) => removal.at - at < REMOVED_KEPT_MS)
-  return { ...Object.fromEntries(kept), [worker]: removal }
-}
-
 export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
 
 export function formatTaskName ({ workflow, occurrence, step, index }: TaskName): string {
@@ -242,6 +233,7 @@
         recordStarted(state, end)
         applyEnd(state, record, end, at)
       })
+      removeLeftWorker(state, record, at)
     })
     return Ok({})
   },
@@ -268,12 +260,23 @@
     return Ok({})
   },
 
-  'life.expire': (state: WorkflowsState, { worker, bornAt, judge }: { worker: string, bornAt: number, judge: SessionOwner, at: number }): HandlerResult => {
+  'life.expire': (state: WorkflowsState, { worker, bornAt, judge, at }: { worker: string, bornAt: number, judge: SessionOwner, at: number }): HandlerResult => {
     const record = state.workers[worker]
     if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
     if (!isSessionOwner(state, record, judge)) return Err({ kind: 'stale-division', worker, ...judge })
     releaseTasks(state, record)
     record.expired = true
+    removeLeftWorker(state, record, at)
+    return Ok({})
+  },
+
+  // The worker may run on for seconds, so its tasks stay with it until their ends are known or its leases are over.
+  'life.leave': (state: WorkflowsState, { worker, bornAt, isCertain, at }: { worker: string, bornAt: number, isCertain: boolean, at: number }): HandlerResult => {
+    const record = state.workers[worker]
+    if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
+    record.leaving = isCertain ? 'departed' : record.leaving ?? 'removed'
+    record.life = { ...record.life, draining: true }
+    removeLeftWorker(state, record, at)
     return Ok({})
   },
 
@@ -282,10 +285,7 @@
     if (record === undefined || record.life.bornAt !== bornAt) return Err({ kind: 'stale-life', worker, bornAt })
     if (judge !== undefined && !isSessionOwner(state, record, judge)) return Err({ kind: 'stale-division', worker, ...judge })
     releaseTasks(state, record)
-    delete state.workers[worker]
-    // A worker that was removed because nobody reached it may return, and lists again the ends that it has no acknowledgement of.
-    if (hasLeft === true) state.departed = recordRemoval(state.departed, worker, { bornAt, at })
-    else state.removed = recordRemoval(state.removed, worker, { bornAt, lastEnd: record.lastEnd, at })
+    recordRemoval(state, record, hasLeft === true ? 'departed' : 'removed', at)
     return Ok({})
   },
 
@@ -506,7 +506,7 @@
 }
 
 function releaseTasks (state: WorkflowsState, worker: WorkerRecord): void {
-  Object.keys(worker.assigned).concat(listUnsettledTasks(worker)).forEach((task) => {
+  listAssignedTasks(worker).forEach((task) => {
     const known = findTask(state, task)
     if (known !== undefined && listRunWorkers(known).includes(worker.life.id)) releaseRun(worker, task, known)
   })
