Keep tasks with a start order under way while their worker is silent

Cause: the end of the leases was taken for the end of all runs. An order that is under way can still start one, on an incarnation whose clock and lease are not known.

A silent worker keeps the tasks for which a start order may still be executed until that time is over or an incarnation answers; the others are released at the end of the leases as before. Long-running tasks do not wait, since they have to be back sooner than an order may take, and speculative ones may run twice. For tasks that this process has not assigned the orders of others count, too.

--- a/src/coordination/workflows/session.ts
+++ b/src/coordination/workflows/session.ts
@@ -1,11 +1,12 @@
 import { canRunCopies, findTask, getLastAttempt, isTaskDone, parseTaskName, type WorkerRecord, type WorkflowsState } from '../../state/index.js'
 import { findStep } from './candidates.js'
-import { releaseFormerTasks, releaseUnstartableTasks } from './formerTasks.js'
+import { releaseFormerTasks } from './formerTasks.js'
 import type { PollReply, RunStatus, WorkerFailure } from './orders.js'
 import { releaseRun, startRun, stopRun, stopUnassignedRun } from './runOrders.js'
 import { observeServices } from './serviceBound.js'
-import { getFencingToken, getRecord, recordAlive, recordFenced, recordReplaced, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
-import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, REMOVE_WORKER_AFTER_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, SPECULATIVE_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
+import { abandonWorker } from './silentWorker.js'
+import { getFencingToken, getRecord, recordAlive, recordFenced, renewLease, type Run, type Session, type SessionContext, type UnassignedRun } from './sessionState.js'
+import { AUTHORITY_CHECK_INTERVAL_MS, FIRST_RETRY_MS, POLL_WAIT_MS, IDLE_POLL_INTERVAL_MS, MAX_RETRY_MS, POLL_REPLY_MARGIN_MS, SHORT_POLL_WAIT_MS, SPECULATIVE_POLL_WAIT_MS, UNKNOWN_RUN_GRACE_MS } from './timing.js'
 
 /** Polls one worker until its session ends: renews its lease, records its ended runs, and starts or stops runs to match its assignments. */
 export async function runSession (context: SessionContext, session: Session): Promise<void> {
@@ -91,27 +92,6 @@
   await abandonWorker(context, session, failure)
 }
 
-/** Releases the tasks of a worker that does not answer once its leases are over, and later removes the worker. */
-async function abandonWorker (context: SessionContext, session: Session, failure: WorkerFailure): Promise<void> {
-  const { clock, logger } = context
-  const isOtherWorker = failure.kind === 'other-life' && failure.bornAt === undefined
-  // A later incarnation under the same id takes over the tasks when it is registered.
-  if (failure.kind === 'other-life' && !isOtherWorker) recordReplaced(context, session)
-  // Not awaited, as the next poll may settle all tasks before the entry is committed.
-  releaseUnstartableTasks(context, session)
-  const record = getRecord(context, session)
-  if (record?.expired === true && clock.now() - session.unreachableSince > REMOVE_WORKER_AFTER_MS) {
-    const removed = await context.removeWorker(session.worker, session.bornAt)
-    return logger.info('worker.removed', { worker: session.worker, outcome: removed ? 'recorded' : 'not-recorded' })
-  }
-  if (record === undefined || record.expired || (!isOtherWorker && clock.now() < session.leaseEndsAt)) return
-  // The entry removes the runs from the session.
-  const runs = session.runs.size
-  const startable = [...session.runs.keys()].filter((task) => context.unansweredStarts.canArriveAfter(session.worker, task, session.aliveAt)).length
-  const expired = await context.expireWorker(session.worker, session.bornAt)
-  if (expired) logger.warn('worker.expired', { worker: session.worker, bornAt: session.bornAt, reason: failure.kind, runs, startable, leaseMs: Math.round(session.leaseEndsAt - clock.now()) })
-}
-
 async function handleReply (context: SessionContext, session: Session, reply: PollReply, sentAt: number): Promise<void> {
   session.hasListedEnds = reply.ends.length > 0
   const hasNewRuns = observeUnassignedRuns(context, session, reply.running)
--- a/src/coordination/workflows/sessionState.ts
+++ b/src/coordination/workflows/sessionState.ts
@@ -52,6 +52,8 @@
 
 /** A run as the session host of its worker knows it. */
 export interface Run extends RunView {
+  /** Another process may have sent start orders for the run, of which this one does not know. */
+  readonly hasUnknownStarts: boolean
   /** A start order for the run had no answer, so the worker may still execute it until it has been told to stop the run. */
   unanswered: boolean
   /** Start orders are being sent. */
@@ -189,7 +191,7 @@
     confirmedAt: undefined,
     startedAt: undefined,
     assignedAt: now,
-    // The previous session host of the worker may have ordered the run.
+    hasUnknownStarts: !isNew,
     unanswered: !isNew,
     starting: false,
     stopping: false,
--- a/test/workflows/restartedWorkers.test.ts
+++ b/test/workflows/restartedWorkers.test.ts
@@ -1,6 +1,6 @@
 import { expect, test } from 'vitest'
 import type { FakeRunWorker, OrderKind } from '../../src/fakes/runFleet.js'
-import type { Entry } from '../../src/state/index.js'
+import type { Entry, Step } from '../../src/state/index.js'
 import { createScene, INHERITED_ORDERS_MS, listDoubled, STEP, type Scene } from './support.js'
 
 const TASKS = 8
@@ -259,3 +259,56 @@
   await apply(recordFailure)
   expect(log.state().workflows.workflows.a1?.tasks['0.0.0']?.failures).toBe(1)
 })
+
+/** A worker that takes the start orders of a job without an answer and is lost with them in flight. Another one joins after that. */
+async function createLostScene (step: Partial<Step>, lateMs: number): Promise<RestartedScene> {
+  const scene = await createScene(['w1'])
+  const { fleet, log } = scene
+  const worker = fleet.workers.get('w1') as FakeRunWorker
+  fleet.plan = () => ({ runMs: 60_000, result: step.lasting === true ? 'never' : 'succeeded' })
+  fleet.lateMs = lateMs
+  await scene.run(INHERITED_ORDERS_MS)
+  const endDelay = delayOrders(scene, worker, 'start')
+  await scene.submit('a1', [{ count: TASKS, ...step }])
+  await endDelay()
+  worker.crash()
+  log.propose({ kind: 'life.report', life: fleet.addWorker({ id: 'w2', address: '127.0.0.1:2' }).life }, Infinity)
+  return { scene, worker }
+}
+
+function listLate ({ listEvents }: Scene): string[] {
+  return listEvents('started').filter(({ worker, task }) => worker === 'w1' && task.startsWith('a1')).map(({ task }) => task)
+}
+
+// Guards against two runs of a task whose start order a worker executes after an unseen restart, when its former leases are over (review/8).
+test.each<[kind: string, step: Partial<Step>, lateMs: number]>([
+  ['a task', {}, 7600],
+  ['a task with a very late order', {}, 11_500],
+  ['a member of a gang', { gang: true }, 7600]
+])('%s whose start order is under way does not start elsewhere although the worker is silent', async (_kind, step, lateMs) => {
+  const { scene, worker } = await createLostScene(step, lateMs)
+  await scene.run(1000)
+  worker.restart()
+  worker.reachable = false
+  // Some time for a second run to start beside the late one.
+  await scene.run(lateMs + 1000)
+  worker.reachable = true
+  await scene.run(1500)
+  expect({ hasLateStart: listLate(scene).length > 0, doubled: listDoubled(scene.fleet.events) }).toEqual({ hasLateStart: true, doubled: [] })
+})
+
+/** Bounds of the contract: a job is broken off when it has been idle for `IDLE_MS` by the time that it may take, or, if it lasts, to come back. */
+const IDLE_MS = 3000
+const FINISH_MS = 14_000
+const LASTING_RETURN_MS = 6000
+
+test.each<[kind: string, step: Partial<Step>, withinMs: number]>([
+  ['tasks', {}, FINISH_MS + IDLE_MS],
+  ['a gang', { gang: true }, FINISH_MS + IDLE_MS],
+  ['long-running tasks', { lasting: true }, LASTING_RETURN_MS + IDLE_MS],
+  ['speculative tasks', { speculative: true }, LASTING_RETURN_MS + IDLE_MS]
+])('%s whose start orders are under way to a worker that is lost for good go on elsewhere in time', async (_kind, step, withinMs) => {
+  const { scene } = await createLostScene(step, FINISH_MS)
+  await scene.run(withinMs)
+  expect(scene.fleet.workers.get('w2')?.running.size).toBe(TASKS)
+})
