Bound what one accepted job makes of entries, messages and passes

Cause: a gang is placed whole, whatever its size, and all assignments of a pass went into one entry. The log refuses an entry of more than 1 MiB, with the assignments of the other jobs in it, and the next pass placed the same again.

A gang of more than 1,000 tasks is refused at once with the limit as its reason; one that an earlier build has accepted is not placed.

--- a/src/bench/main.ts
+++ b/src/bench/main.ts
@@ -5,6 +5,7 @@
 import { runRoutingBench } from './routing.js'
 import { measureScale } from './scale.js'
 import * as tasks from './tasks.js'
+import { measureWorkflowSizes } from './workflowSizes.js'
 
 const PLACEMENT_SECONDS = 300
 const COST_SECONDS = 20
@@ -28,6 +29,7 @@
     ...listFigures('tasks.cost', await tasks.measureCost()),
     ...listFigures('tasks.memory', await tasks.measureMemory())
   ],
+  sizes: async () => listFigures('sizes', await measureWorkflowSizes()),
   scale: async () => listFigures('scale', measureScale()),
   placement: async () => runPlacementBench({ seed: 1, durationMs: PLACEMENT_SECONDS * 1000 }),
   cost: async () => runPlacementCost({ seed: 1, workers: [73, 146, 365, 730], measuredMs: COST_SECONDS * 1000 })
--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -10,6 +10,11 @@
 const MAX_CACHED_TASKS = 50_000
 /** A candidate of this age is recomputed even without changes, because the mean utilization of its latency-critical tasks drifts. */
 const MAX_CANDIDATE_AGE_MS = 5000
+/**
+ * Most tasks on a worker. Tasks that request nothing fit in any number; the polls of a worker, the reports on it and the entries
+ * that release its tasks grow with their number.
+ */
+export const MAX_RUNS_PER_WORKER = 2000
 /** A cold worker is recomputed this often, so that its usable share grows in small steps. */
 const COLD_REFRESH_MS = 500
 
@@ -172,7 +177,8 @@
 
 function hasMoreCapacity (candidate: PlacementCandidate, previous: PlacementCandidate): boolean {
   return candidate.freeCores > previous.freeCores || candidate.spareCores > previous.spareCores ||
-    candidate.freeMemoryMb > previous.freeMemoryMb || candidate.freeAccelerators > previous.freeAccelerators
+    candidate.freeMemoryMb > previous.freeMemoryMb || candidate.freeAccelerators > previous.freeAccelerators ||
+    (candidate.freeRuns ?? 0) > (previous.freeRuns ?? 0)
 }
 
 function createCandidate (interferenceModel: InterferenceModel, findTaskStep: (task: string) => TaskStep | undefined, { life, assigned }: WorkerRecord, tasks: readonly string[], session: WorkerView): PlacementCandidate {
@@ -189,6 +195,7 @@
     spareCores: life.cores,
     freeMemoryMb: life.memoryMb,
     freeAccelerators: life.accelerators,
+    freeRuns: MAX_RUNS_PER_WORKER,
     latencyCritical: [],
     bestEffort: [],
     slowness: 1,
--- a/src/coordination/workflows/dispatcher.ts
+++ b/src/coordination/workflows/dispatcher.ts
@@ -37,6 +37,8 @@
 const LOAD_LOG_MS = 1000
 /** Limit for one pass, so that the log entry with its assignments stays small. */
 const MAX_ASSIGNMENTS = 400
+/** A pass that has taken this long places no further gangs, which are tried member by member on all workers, often in vain. */
+const GANG_TIME_MS = 100
 
 export interface DispatcherOptions extends CandidateOptions, GroupOptions, MoveOptions {
   clock: Clock
@@ -163,7 +165,8 @@
       const pool = pools.get(tracked.group.record.service)
       if (pool === undefined) return []
       const selected = reservations.selectPool(tracked, pool, now, wallTime)
-      const placed = assignments.length < MAX_ASSIGNMENTS ? placeTracked(tracked, selected, pass) : []
+      const isAdmitted = assignments.length < MAX_ASSIGNMENTS && !(tracked.group.step.gang && clock.now() >= now + GANG_TIME_MS)
+      const placed = isAdmitted ? placeTracked(tracked, selected, pass) : []
       tracked.progress.isSchedulerLimited = assignments.length >= MAX_ASSIGNMENTS && hasCapacity(tracked, selected.pool.workers)
       placed.forEach((assignment) => assignments.push(assignment))
       return placed
--- a/src/coordination/workflows/leaderExchange.ts
+++ b/src/coordination/workflows/leaderExchange.ts
@@ -5,6 +5,9 @@
 import type { Run, Session } from './sessionState.js'
 import { EXCHANGE_TIMEOUT_MS, IDLE_EXCHANGE_INTERVAL_MS, MIN_REPORT_INTERVAL_MS, MAX_SESSION_AUTHORITY_AGE_MS } from './timing.js'
 
+/** Runs in the reports of one request, unless a single worker has more. The other workers follow in the next requests. */
+const MAX_REPORTED_RUNS = 10_000
+
 export interface LeaderExchangeOptions {
   clock: Clock
   logger: Logger
@@ -70,10 +73,13 @@
   const takePending = (): Pick<SessionsRequest, 'reports' | 'started' | 'refused'> => {
     const now = clock.now()
     const due = [...unreported].filter((worker) => now - (reportedAt.get(worker) ?? -Infinity) >= MIN_REPORT_INTERVAL_MS)
+    let runs = 0
     const reports = due.flatMap((worker) => {
+      const session = sessions.get(worker)
+      if (runs > 0 && runs + countRuns(session) > MAX_REPORTED_RUNS) return []
+      runs += countRuns(session)
       unreported.delete(worker)
       reportedAt.set(worker, now)
-      const session = sessions.get(worker)
       return session === undefined ? [] : [createReport(session, now)]
     })
     const taken = { reports, started, refused }
@@ -168,6 +174,10 @@
   }
 }
 
+function countRuns (session: Session | undefined): number {
+  return session === undefined ? 0 : session.runs.size + session.strays.size
+}
+
 function createReport (session: Session, now: number): WorkerReport {
   const runs = [...session.runs.values()].flatMap(({ task, attempt, status, startedAt }): ReportedRun[] =>
     status === undefined ? [] : [[task, attempt, status.percent, status.reading ?? null, Math.round(now - (startedAt ?? now))]])
--- a/src/coordination/workflows/placement.ts
+++ b/src/coordination/workflows/placement.ts
@@ -17,6 +17,8 @@
   spareCores: number
   freeMemoryMb: number
   freeAccelerators: number
+  /** Number of tasks that the worker may get, whatever capacity they request; absent: any. */
+  freeRuns?: number
   /** Tasks whose tail latency has a target. */
   latencyCritical: LatencyCriticalTask[]
   /** Tasks that use cores which other tasks leave idle, each with its share of the worker's cores. */
@@ -77,6 +79,7 @@
   const hasSpareCores = acceptsExcessLoad === true || candidate.spareCores >= step.cores
   const hasCores = step.fills ? hasSpareCores : candidate.freeCores >= step.cores
   return hasCores &&
+    (candidate.freeRuns ?? Infinity) > 0 &&
     !(step.fills && candidate.hasOverdueService === true) &&
     candidate.freeMemoryMb >= step.memoryMb &&
     candidate.freeAccelerators >= step.accelerators &&
@@ -95,7 +98,8 @@
   const { step, countStepRuns } = needs
   if (!canHold(candidate, needs)) return 0
   const room = { cores: step.fills ? candidate.spareCores : candidate.freeCores, memoryMb: candidate.freeMemoryMb, accelerators: candidate.freeAccelerators }
-  return countFitting(room, step, step.maxPerWorker === undefined ? limit : Math.min(limit, step.maxPerWorker - countStepRuns(candidate.id, candidate)))
+  const stepRuns = step.maxPerWorker === undefined ? Infinity : step.maxPerWorker - countStepRuns(candidate.id, candidate)
+  return countFitting(room, step, Math.min(limit, stepRuns, candidate.freeRuns ?? Infinity))
 }
 
 /**
@@ -107,6 +111,7 @@
   candidate.spareCores -= isLatencyCritical(step) ? step.cores * utilization : step.cores
   candidate.freeMemoryMb -= step.memoryMb
   candidate.freeAccelerators -= step.accelerators
+  if (candidate.freeRuns !== undefined) candidate.freeRuns -= 1
   if (step.tailTargetMs !== undefined) candidate.latencyCritical.push({ step: stepName, image: step.image ?? '', targetMs: step.tailTargetMs })
   if (step.fills) candidate.bestEffort.push({ image: step.image ?? '', coreShare: step.cores / Math.max(1, candidate.cores) })
 }
--- a/src/coordination/workflows/plan.ts
+++ b/src/coordination/workflows/plan.ts
@@ -1,4 +1,8 @@
 import { countOccurrences, findMissingIndex, formatStepKey, formatTaskKey, isStepDone, isStepReady, type AdvicePolicy, type Queue, type Step, type WorkflowRecord } from '../../state/index.js'
+import { hasOversizedGang } from './gangLimit.js'
+
+/** Shared by the gangs of a size, of which many may wait. */
+const gangIndexes = new Map<number, readonly number[]>()
 
 /**
  * Most tasks of a workflow that are listed as waiting without having run before; more than one scheduling pass assigns. The next
@@ -25,7 +29,7 @@
   occurrence: number
   stepNumber: number
   step: Step
-  indexes: number[]
+  indexes: readonly number[]
   /** Number of assigned tasks of the same occurrence and step. */
   runningTasks: number
   /** True for long-running tasks that ran before and were interrupted (of a gang, at least one member); their callers have been told that they run. */
@@ -102,8 +106,8 @@
  * the others the first `MAX_LISTED_TASKS`. A gang is always listed whole.
  */
 export function listWaiting (record: WorkflowRecord, queue: Queue | undefined, wallTime: number): WaitingGroup[] {
-  if (record.outcome !== undefined) return []
   const { workflow } = record
+  if (record.outcome !== undefined || hasOversizedGang(workflow)) return []
   const objectiveMs = computeObjectiveMs(queue, workflow.steps)
   const knownTasks = listKnownTasks(record)
   const groups: WaitingGroup[] = []
@@ -154,7 +158,7 @@
 }
 
 /** Separates interrupted long-running tasks from those that have not run yet; the members of a gang stay in one group. */
-function splitResumed (record: WorkflowRecord, occurrence: number, step: number, waiting: number[]): Array<Pick<WaitingGroup, 'indexes' | 'isResumed'>> {
+function splitResumed (record: WorkflowRecord, occurrence: number, step: number, waiting: readonly number[]): Array<Pick<WaitingGroup, 'indexes' | 'isResumed'>> {
   const { lasting, gang } = record.workflow.steps[step] as Step
   const hasRun = (index: number): boolean => (record.tasks[formatTaskKey({ occurrence, step, index })]?.attempt ?? 0) > 0
   const resumed = lasting ? waiting.filter(hasRun) : []
@@ -163,7 +167,7 @@
   return [{ indexes: resumed, isResumed: true }, { indexes: neverRun, isResumed: false }].filter(({ indexes }) => indexes.length > 0)
 }
 
-function listWaitingIndexes (record: WorkflowRecord, occurrence: number, stepNumber: number, known: KnownTasks | undefined, limit: number): number[] {
+function listWaitingIndexes (record: WorkflowRecord, occurrence: number, stepNumber: number, known: KnownTasks | undefined, limit: number): readonly number[] {
   const step = record.workflow.steps[stepNumber] as Step
   const interrupted = known?.interrupted ?? []
   if ((limit <= 0 && interrupted.length === 0) || isStepDone(record, occurrence, stepNumber) || !isStepReady(record, occurrence, step)) return []
@@ -172,7 +176,13 @@
     return isSuspect(record, occurrence, stepNumber, known) ? listOneAtATime(indexes, known) : indexes
   }
   // Members of a gang start together, so none may start while a member of the previous attempt is still assigned.
-  return (known?.running ?? 0) > 0 ? [] : Array.from({ length: step.count }, (_, index) => index)
+  return (known?.running ?? 0) > 0 ? [] : getGangIndexes(step.count)
+}
+
+function getGangIndexes (count: number): readonly number[] {
+  const known = gangIndexes.get(count) ?? Array.from({ length: count }, (_, index) => index)
+  gangIndexes.set(count, known)
+  return known
 }
 
 /**
--- a/src/coordination/workflows/term.ts
+++ b/src/coordination/workflows/term.ts
@@ -1,5 +1,6 @@
 import { runSupervised, type Clock, type Logger, type Metrics, type EventLoopMeter } from '../../common/index.js'
 import { findSessionHost, getStepName, parseTaskName, type ReplicatedLog, type Assignment, type Entry, type WorkerRunEnds, type RunEnd, type Step, type WorkflowsState } from '../../state/index.js'
+import { splitAssignments, type AssignmentBatch } from './assignmentEntries.js'
 import { createAdvisor, type AdviceClient } from './advice.js'
 import { findStep } from './candidates.js'
 import { createCompetition, type Competition, type CompetitionSettings } from './competition.js'
@@ -284,6 +285,14 @@
     logger.info('term.stop', { fence })
   }
 
+  const proposeAssignments = async ({ assignments, copies }: AssignmentBatch, copyHosts: string[] | undefined): Promise<void> => {
+    const result = await log.propose({ kind: 'workflow.assign', assignments, ...copies.length > 0 && { copies, ...copyHosts !== undefined && { copyHosts } } }, clock.now() + PROPOSE_TIMEOUT_MS)
+    if (!result.err) return
+    logger.warn('run.assign-not-recorded', { runs: assignments.length + copies.length, reason: result.val.kind })
+    // The same tasks would not fit into the next entry either.
+    if (result.val.kind === 'entry-too-large') assignments.slice(0, 1).forEach(([task]) => startBackoff.recordRefusal(task))
+  }
+
   const findTaskStep = (task: string): Step | undefined => findStep(getState(), task)
   const advisor = createAdvisor({ clock, logger, client: options.advice })
   const maintenance = startMaintenance({
@@ -336,8 +345,8 @@
       const addTicket = ([task, worker, attempt]: Assignment): Assignment =>
         [task, worker, attempt, advisor.findTicket(getStepName(task), worker), views.workers.get(worker)?.bornAt]
       const copyHosts = copied.length > 0 ? copySupport.listNew(listReplicas()) : undefined
-      const result = await log.propose({ kind: 'workflow.assign', assignments: assignments.map(addTicket), ...copied.length > 0 && { copies: copied.map(addTicket) }, ...copyHosts !== undefined && { copyHosts } }, clock.now() + PROPOSE_TIMEOUT_MS)
-      if (result.err) logger.warn('run.assign-not-recorded', { runs: assignments.length + copied.length, reason: result.val.kind })
+      const isGang = (task: string): boolean => findTaskStep(task)?.gang === true
+      await Promise.all(splitAssignments(assignments.map(addTicket), copied.map(addTicket), isGang).map((batch) => proposeAssignments(batch, copyHosts)))
     },
     stopRun,
     isCordoned: (worker) => maintenance.isCordoned(worker),
--- a/src/coordination/workflows/workerViews.ts
+++ b/src/coordination/workflows/workerViews.ts
@@ -15,6 +15,8 @@
 /** A longer time between two reports on a worker is a silence. Polls of workers with runs take up to 1.5 s. */
 const MAX_REPORT_GAP_MS = 2000
 
+/** Stops in one reply; a host gets the next ones after it has confirmed these. */
+const MAX_STOPS_PER_REPLY = 5000
 /** Twice the time that a stop takes on the reference sites, including both directions of the exchange. */
 const RESEND_STOPS_MS = 1500
 
@@ -205,7 +207,7 @@
         workers.forEach((view) => { if (view.host === from) queueStops(view) })
       }
       if (knownFence === fence) known.stops = known.stops.filter(([number]) => number > lastStop)
-      return known.stops
+      return known.stops.slice(0, MAX_STOPS_PER_REPLY)
     }
   }
 }
--- a/src/coordination/workflows/workflowService.ts
+++ b/src/coordination/workflows/workflowService.ts
@@ -1,6 +1,7 @@
 import type { Clock, Logger, Metrics } from '../../common/index.js'
 import type { ReplicatedLog, Catalog, LogFailure, Queue, Workflow, WorkflowRecord, WorkflowsState } from '../../state/index.js'
 import { admitWorkflow, computeTotals, createKnownSizes, createTotalsCache, type Admission, type BacklogTotals, type KnownSizes } from './admission.js'
+import { describeOversizedGang } from './gangLimit.js'
 import type { QueueAddress, WorkflowReply, WorkflowRequest, WorkflowStatus } from './messages.js'
 import { computeRetryAfterMs } from './roomForecast.js'
 import type { Term } from './term.js'
@@ -127,6 +128,11 @@
   const deadline = computeDeadline(options, request, queue)
   if (deadline <= clock.now()) return describeRefusal(options, workflow.id, TIMED_OUT)
   const isKnown = getState(log).workflows[workflow.id] !== undefined || options.proposed.has(workflow.id)
+  const problem = isKnown ? undefined : describeOversizedGang(workflow)
+  if (problem !== undefined) {
+    logger.info('workflow.refused', { workflow: workflow.id, queue: queue.name, reason: 'gang-too-large', message: problem })
+    return { kind: 'invalid', message: problem }
+  }
   const view = options.getView()
   const { verdict, refusal } = checkAdmission(options, view, queue, workflow, isKnown)
   if (refusal !== undefined) return refusal
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -4,7 +4,7 @@
 import { addCopy, getAttemptOn, getLastAttempt, isRunAssigned, listRunWorkers, recordAttempt, removeRun, type TaskRuns } from './taskCopies.js'
 import { listAdmissibleAssignments, zoneEvacuationHandlers, type EvacuatedZone } from './zoneEvacuations.js'
 import { listAssignedTasks, recordRemoval, removeLeftWorker, type RemovedWorkers, type WorkerDeparture } from './leavingWorkers.js'
-import { createUnsettled, releaseUnsettled } from './unsettledTasks.js'
+import { createUnsettled, pruneUnsettled, releaseUnsettled } from './unsettledTasks.js'
 import type { AdvicePolicy, Assignment, Catalog, EndCause, SessionOwner, WorkerRunEnds, RunEnd, SessionHost, Step, MaintenanceWave, WorkerIncarnation, Workflow } from './schemas.js'
 
 /**
@@ -233,6 +233,7 @@
         recordStarted(state, end)
         applyEnd(state, record, end, at)
       })
+      pruneUnsettled(record)
       removeLeftWorker(state, record, at)
     })
     return Ok({})
--- a/src/state/workflows/unsettledTasks.ts
+++ b/src/state/workflows/unsettledTasks.ts
@@ -16,7 +16,10 @@
 }
 
 export function releaseUnsettled (worker: WorkerRecord, task: string): void {
-  if (worker.unsettled === undefined) return
-  delete worker.unsettled[task]
-  if (Object.keys(worker.unsettled).length === 0) delete worker.unsettled
+  delete worker.unsettled?.[task]
+}
+
+/** Removes an empty list, once for an entry that releases many tasks. */
+export function pruneUnsettled (worker: WorkerRecord): void {
+  if (worker.unsettled !== undefined && Object.keys(worker.unsettled).length === 0) delete worker.unsettled
 }
