Record all parts of one reply under one session assignment

Found when the change that divides the ends of a reply was read again: each part named the session assignment in force when it was proposed, so a conclusion could count under a later one than it was drawn under.

The session owner is taken once for all parts. The new test of sizeLimits.test.ts drives two parts with a change in between; the earlier code was not run against it.

--- a/src/coordination/workflows/endRecorder.ts
+++ b/src/coordination/workflows/endRecorder.ts
@@ -5,6 +5,7 @@
 
 /** Entries that may wait for their commit at the same time; run ends that arrive meanwhile share the next entry. */
 const MAX_IN_FLIGHT = 2
+
 export interface EndRecorder {
   /** Records the run ends listed by an incarnation of a worker; resolves with true once they are durable. */
   recordEnds (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean>
@@ -31,16 +32,17 @@
     inFlight -= 1
   }
 
-  const addPending = (worker: string, bornAt: number, ends: RunEnd[]): Promise<boolean> => new Promise((resolve) => {
-    pending.push({ worker, bornAt, ends, judge: getSessionOwner(), bytes: ends.reduce((sum, end) => sum + estimateEndBytes(end), 0), resolve })
+  const addPending = (worker: string, bornAt: number, ends: RunEnd[], judge: SessionOwner): Promise<boolean> => new Promise((resolve) => {
+    pending.push({ worker, bornAt, ends, judge, bytes: ends.reduce((sum, end) => sum + estimateEndBytes(end), 0), resolve })
     if (inFlight < MAX_IN_FLIGHT) proposePending()
   })
 
   return {
     recordEnds: async (worker, bornAt, ends) => {
+      const judge = getSessionOwner()
       // One after the other: an end counts as recorded once a later one of the worker is.
       for (const part of splitByBytes(ends, estimateEndBytes)) {
-        if (!await addPending(worker, bornAt, part)) return false
+        if (!await addPending(worker, bornAt, part, judge)) return false
       }
       return true
     }
--- a/test/workflows/sizeLimits.test.ts
+++ b/test/workflows/sizeLimits.test.ts
@@ -127,3 +127,13 @@
   const ends = Array.from({ length: 10_000 }, (_, index): RunEnd => [index + 1, `a1.0.0.${index}`, 1, 'succeeded', ''])
   expect([await recorder.recordEnds('w1', 1, ends), proposed.length]).toEqual([false, 1])
 })
+
+test('all parts of the ends of one reply name the session assignment under which they were concluded', async () => {
+  const proposed: Entry[] = []
+  let division = 1
+  const log: ReplicatedLog = { ...createMemoryLog('h1'), propose: async (entry) => { proposed.push(entry); division += 1; return Ok({ index: 1, value: {} }) } }
+  const recorder = createEndRecorder({ clock: createManualClock(), logger: createSilentLogger(), log, getSessionOwner: () => ({ host: 'h1', division }) })
+  await recorder.recordEnds('w1', 1, Array.from({ length: 10_000 }, (_, index): RunEnd => [0, `a1.0.0.${index}`, 1, 'not-started', '']))
+  const judges = proposed.flatMap((entry) => entry.kind === 'workflow.end' ? [entry.judge.division] : [])
+  expect([judges.length > 1, new Set(judges)]).toEqual([true, new Set([1])])
+})
