--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -8,7 +8,7 @@
     testTimeout: 30_000,
     hookTimeout: 30_000,
     maxWorkers: 4,
-    reporters: ['default', 'json'],
+    reporters: ['default', 'json', './.ci/unhandledErrors.mjs'],
     outputFile: { json: 'target/tests.json' },
     projects: [
       { extends: true, test: { name: 'tests', include: ['test/**/*.test.ts'], exclude: CLIENT_GROUP_TESTS, sequence: { groupOrder: 0 } } },
