--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -11,10 +11,10 @@
 /** A candidate of this age is recomputed even without changes, because the mean utilization of its latency-critical tasks drifts. */
 const MAX_CANDIDATE_AGE_MS = 5000
 /**
- * Most tasks on a worker. Tasks that request nothing fit in any number; the polls of a worker, the reports on it and the entries
- * that release its tasks grow with their number.
+ * Most tasks on a worker. Tasks that request nothing fit in any number; the polls of a worker, the reports on it, the stops of a
+ * cancelled workflow and the entries that release its tasks grow with their number.
  */
-export const MAX_RUNS_PER_WORKER = 2000
+export const MAX_RUNS_PER_WORKER = 500
 /** A cold worker is recomputed this often, so that its usable share grows in small steps. */
 const COLD_REFRESH_MS = 500
 
