Let the tables of the state inherit no names

Cause: the tables of the replicated state were plain objects, so workflows['constructor'] found a function. The cancel of that id was committed, and applying it threw.

--- a/src/programs/entryHost/reportObserver.ts
+++ b/src/programs/entryHost/reportObserver.ts
@@ -3,7 +3,7 @@
 import type { BadCause, ReportRecorder, RequestRecord } from '../../coordination/reports/index.js'
 import type { RequestOutcomeEvent } from '../../coordination/routing/index.js'
 import type { Eviction } from '../../coordination/tasks/index.js'
-import type { ReplicatedLog, Entry } from '../../state/index.js'
+import { findIn, type ReplicatedLog, type Entry } from '../../state/index.js'
 
 /** Maximum of task attempts that are tracked for the reports; the oldest are removed first. */
 const MAX_TRACKED_ATTEMPTS = 50_000
@@ -79,7 +79,7 @@
   log.subscribe(recordOutcomes)
 
   const findCause = ({ service, outcome, reason, latencyMs }: RequestOutcomeEvent): BadCause | undefined => {
-    if (outcome === 'not-run') return { kind: NOT_RUN_CAUSES[reason ?? ''] ?? 'failure' } as BadCause
+    if (outcome === 'not-run') return { kind: findIn(NOT_RUN_CAUSES, reason ?? '') ?? 'failure' } as BadCause
     if (outcome === 'unknown') return { kind: 'failure' }
     const objective = log.state().services[service]?.objective.latencyMs ?? Infinity
     const mitigation = lastMitigation.get(service)
--- a/src/state/index.ts
+++ b/src/state/index.ts
@@ -10,6 +10,7 @@
   type ConfigurationChange, type Entry, type EntryKind, type Host, type Job, type Member, type Policy, type Resources,
   type Service, type TaskOutcome, type Worker
 } from './schemas.js'
+export { findIn } from './tables.js'
 export { openDisk, type Disk, type DiskFailure } from './disk/index.js'
 export {
   describeStoreFailure, openLogStore,
--- a/src/state/replica/messages.ts
+++ b/src/state/replica/messages.ts
@@ -1,5 +1,5 @@
 import { Packr } from 'msgpackr'
-import type { ReplicatedState } from '../replicatedState.js'
+import { removeStateInheritance, type ReplicatedState } from '../replicatedState.js'
 import type { AppliedEntry, LogFailure } from '../replicatedLog.js'
 import { encodeLarge } from '../logStore/index.js'
 import type { Entry } from '../schemas.js'
@@ -104,5 +104,7 @@
 }
 
 export function decodeSnapshot (bytes: Uint8Array): SnapshotContent {
-  return packr.unpack(bytes) as SnapshotContent
+  const content = packr.unpack(bytes) as SnapshotContent
+  removeStateInheritance(content.state)
+  return content
 }
--- a/src/state/replicatedState.ts
+++ b/src/state/replicatedState.ts
@@ -1,6 +1,7 @@
 import { Err, Ok, type Result } from '../common/index.js'
 import type { Entry, EntryKind, Host, Job, Member, Policy, Service, TaskOutcome, Worker } from './schemas.js'
-import { createWorkflowsState, workflowHandlers, type WorkflowRejection, type WorkflowsState } from './workflows/index.js'
+import { createTable, findIn, removeInheritance } from './tables.js'
+import { createWorkflowsState, removeWorkflowInheritance, workflowHandlers, type WorkflowRejection, type WorkflowsState } from './workflows/index.js'
 
 const MAX_REMEMBERED_REQUESTS = 10_000
 /**
@@ -117,19 +118,26 @@
     founded: false,
     configuration: { revision: 0, preset, presets, setBy: 'settings', reason: 'initial configuration', since: 0 },
     pending: undefined,
-    members: {},
-    services: {},
-    jobs: {},
+    members: createTable(),
+    services: createTable(),
+    jobs: createTable(),
     endedJobs: [],
-    hosts: {},
-    workers: {},
-    zones: {},
+    hosts: createTable(),
+    workers: createTable(),
+    zones: createTable(),
     workflows: createWorkflowsState(),
-    requests: {},
+    requests: createTable(),
     requestOrder: []
   }
 }
 
+/** Prepares a state that was decoded from a snapshot: decoded tables inherit the properties of all objects. */
+export function removeStateInheritance (state: ReplicatedState): void {
+  const { members, services, jobs, hosts, workers, zones, requests } = state
+  removeInheritance({ members, services, jobs, hosts, workers, zones, requests })
+  removeWorkflowInheritance(state.workflows)
+}
+
 /** Applies one entry to the state in place. An entry with a known request id changes nothing and returns the first outcome. */
 export function applyEntry (state: ReplicatedState, entry: Entry): EntryOutcome {
   const requestId = 'requestId' in entry ? entry.requestId : undefined
@@ -195,7 +203,7 @@
       return Err({ kind: 'stale-revision', baseRevision: change.baseRevision, currentRevision: revision, preset, setBy, reason })
     }
     const presets = { ...current.presets, ...change.presets }
-    if (presets[change.preset] === undefined) {
+    if (findIn(presets, change.preset) === undefined) {
       return Err({ kind: 'unknown-preset', preset: change.preset, known: Object.keys(presets) })
     }
     const revision = current.revision + 1
--- a/src/state/workflows/index.ts
+++ b/src/state/workflows/index.ts
@@ -11,7 +11,7 @@
 export { listUnsettledTasks } from './unsettledTasks.js'
 export { canRunCopies, getLastAttempt, listRunWorkers } from './taskCopies.js'
 export {
-  countOccurrences, createWorkflowsState, findAttemptOn, findTask, formatStepKey, formatTaskName, formatTaskKey, getStepName, isStepDone, isStepReady, isTaskDone, parseTaskName, workflowHandlers,
+  countOccurrences, createWorkflowsState, findAttemptOn, findTask, formatStepKey, formatTaskName, formatTaskKey, getStepName, isStepDone, isStepReady, isTaskDone, parseTaskName, removeWorkflowInheritance, workflowHandlers,
   type GangRecord, type TaskName, type TaskRecord, type MaintenanceWaveRecord, type WorkerRecord, type WorkflowOutcome, type WorkflowRecord,
   type WorkflowRejection, type WorkflowsState
 } from './state.js'
--- a/src/state/workflows/leavingWorkers.ts
+++ b/src/state/workflows/leavingWorkers.ts
@@ -1,4 +1,5 @@
 import type { WorkerRecord } from './state.js'
+import { createTable } from '../tables.js'
 import { listUnsettledTasks } from './unsettledTasks.js'
 
 /** How a removed worker is remembered: a `departed` incarnation never returns, a `removed` one may report again. */
@@ -34,8 +35,8 @@
 /** Removes a worker from the table. One that nobody reached may return, and lists again the ends that it has no acknowledgement of. */
 export function recordRemoval (table: WorkerTable, { life: { id, bornAt }, lastEnd }: WorkerRecord, departure: WorkerDeparture, at: number): void {
   delete table.workers[id]
-  if (departure === 'departed') table.departed = { ...pruneRemovals(table.departed, at), [id]: { bornAt, at } }
-  else table.removed = { ...pruneRemovals(table.removed, at), [id]: { bornAt, lastEnd, at } }
+  if (departure === 'departed') table.departed = createTable({ ...pruneRemovals(table.departed, at), [id]: { bornAt, at } })
+  else table.removed = createTable({ ...pruneRemovals(table.removed, at), [id]: { bornAt, lastEnd, at } })
 }
 
 function pruneRemovals<T extends { at: number }> (removals: Record<string, T> | undefined, now: number): Record<string, T> {
--- a/src/state/workflows/state.ts
+++ b/src/state/workflows/state.ts
@@ -1,4 +1,5 @@
 import { Err, Ok, type Result } from '../../common/index.js'
+import { createTable, removeInheritance } from '../tables.js'
 import { addIndex, countIndexes, hasIndex, type IndexRanges } from './indexRanges.js'
 import { findSessionHost } from './sessionHosts.js'
 import { addCopy, getAttemptOn, getLastAttempt, isRunAssigned, listRunWorkers, recordAttempt, removeRun, type TaskRuns } from './taskCopies.js'
@@ -109,7 +110,12 @@
   | { kind: 'stale-division', worker: string, host: string, division: number }
 
 export function createWorkflowsState (): WorkflowsState {
-  return { catalog: undefined, workflows: {}, ended: [], workers: {}, waves: {}, sessionHosts: [], division: 0 }
+  return { catalog: undefined, workflows: createTable(), ended: [], workers: createTable(), waves: createTable(), sessionHosts: [], division: 0 }
+}
+
+/** Prepares a decoded state, see `removeStateInheritance`. */
+export function removeWorkflowInheritance ({ workflows, workers, waves, departed = {}, removed = {} }: WorkflowsState): void {
+  removeInheritance({ workflows, workers, waves, departed, removed })
 }
 
 export interface TaskName { workflow: string, occurrence: number, step: number, index: number }
