Allow a worker 10,000 tasks again before others wait

A limit must not keep back work that the contract allows, so it only bounds what one report on a worker may hold.

--- a/src/coordination/workflows/candidates.ts
+++ b/src/coordination/workflows/candidates.ts
@@ -14,7 +14,7 @@
  * Most tasks on a worker. Tasks that request nothing fit in any number; the polls of a worker, the reports on it, the stops of a
  * cancelled workflow and the entries that release its tasks grow with their number.
  */
-export const MAX_RUNS_PER_WORKER = 500
+export const MAX_RUNS_PER_WORKER = 10_000
 /** A cold worker is recomputed this often, so that its usable share grows in small steps. */
 const COLD_REFRESH_MS = 500
 
